--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the request path, the decisions and the cost of the state."""
--- /dev/null
+++ b/cassiamount/clock.py
@@ -0,0 +1,47 @@
+"""Clocks: the system's and one that tests set by hand."""
+
+import time
+
+
+class SystemClock:
+    """Reads the machine's clocks."""
+
+    __slots__ = ()
+
+    def monotonic_ms(self):
+        """Return the monotonic time in milliseconds."""
+        return time.monotonic_ns() / 1e6
+
+    def wall_ms(self):
+        """Return the wall-clock time in milliseconds since the epoch."""
+        return time.time_ns() // 1_000_000
+
+
+class ManualClock:
+    """A clock that moves only when told to.
+
+    Parameters
+    ----------
+    now_ms : float
+        Initial monotonic time.
+    wall_offset_ms : float
+        Wall-clock time at monotonic time 0.
+    """
+
+    __slots__ = ("now_ms", "wall_offset_ms")
+
+    def __init__(self, now_ms=0.0, wall_offset_ms=1_700_000_000_000):
+        self.now_ms = now_ms
+        self.wall_offset_ms = wall_offset_ms
+
+    def monotonic_ms(self):
+        """Return the monotonic time in milliseconds."""
+        return self.now_ms
+
+    def wall_ms(self):
+        """Return the wall-clock time in milliseconds since the epoch."""
+        return int(self.wall_offset_ms + self.now_ms)
+
+    def advance(self, by_ms):
+        """Move the clock forward by `by_ms` milliseconds."""
+        self.now_ms += by_ms
--- /dev/null
+++ b/cassiamount/records.py
@@ -0,0 +1,351 @@
+"""Typed records of the log streams and their JSON form."""
+
+from result import Err, Ok
+
+from .errors import InvalidRecord
+
+# Strings longer than this are no names or identifiers; larger values are documents.
+MAX_TEXT_CHARACTERS = 4096
+MAX_INTEGER = 2**53
+
+
+class Record:
+    """A record of a log stream.
+
+    Parameters
+    ----------
+    id : str
+        Unique identifier; folds ignore an identifier that they have applied.
+    vm : str
+        Name of the writer: a VM or an operator.
+    """
+
+    __slots__ = ("id", "vm")
+    kind = ""
+    fields = {}
+
+    def __init__(self, id, vm):
+        self.id = id
+        self.vm = vm
+
+    def __eq__(self, other):
+        return type(self) is type(other) and encode_record(self) == encode_record(other)
+
+    def __repr__(self):
+        return f"{type(self).__name__}({encode_record(self)})"
+
+    __hash__ = None
+
+
+class PublishConfiguration(Record):
+    """An operator publishes a configuration based on a version."""
+
+    __slots__ = ("base_version", "document")
+    kind = "publish-configuration"
+    fields = {"base_version": int, "document": dict}
+
+    def __init__(self, id, vm, base_version, document):
+        super().__init__(id, vm)
+        self.base_version = base_version
+        self.document = document
+
+
+class GiveKey(Record):
+    """An operator gives a key, known by its hash, to a team."""
+
+    __slots__ = ("team", "key_hash", "label")
+    kind = "give-key"
+    fields = {"team": str, "key_hash": str, "label": str}
+
+    def __init__(self, id, vm, team, key_hash, label=""):
+        super().__init__(id, vm)
+        self.team = team
+        self.key_hash = key_hash
+        self.label = label
+
+
+class WithdrawKey(Record):
+    """An operator withdraws a key for good."""
+
+    __slots__ = ("key_hash",)
+    kind = "withdraw-key"
+    fields = {"key_hash": str}
+
+    def __init__(self, id, vm, key_hash):
+        super().__init__(id, vm)
+        self.key_hash = key_hash
+
+
+class DrainBackend(Record):
+    """An operator takes a backend server out of use."""
+
+    __slots__ = ("backend",)
+    kind = "drain-backend"
+    fields = {"backend": str}
+
+    def __init__(self, id, vm, backend):
+        super().__init__(id, vm)
+        self.backend = backend
+
+
+class UndrainBackend(Record):
+    """An operator puts a backend server back into use."""
+
+    __slots__ = ("backend",)
+    kind = "undrain-backend"
+    fields = {"backend": str}
+
+    def __init__(self, id, vm, backend):
+        super().__init__(id, vm)
+        self.backend = backend
+
+
+class Checkpoint(Record):
+    """The state of the `config` stream up to and including an offset."""
+
+    __slots__ = ("covers_offset", "state")
+    kind = "checkpoint"
+    fields = {"covers_offset": int, "state": dict}
+
+    def __init__(self, id, vm, covers_offset, state):
+        super().__init__(id, vm)
+        self.covers_offset = covers_offset
+        self.state = state
+
+
+class RegisterVm(Record):
+    """A VM joins its zone under a new incarnation."""
+
+    __slots__ = ("address", "incarnation")
+    kind = "register-vm"
+    fields = {"address": str, "incarnation": str}
+
+    def __init__(self, id, vm, address, incarnation):
+        super().__init__(id, vm)
+        self.address = address
+        self.incarnation = incarnation
+
+
+class ReleaseVm(Record):
+    """A VM leaves its zone at a planned stop."""
+
+    __slots__ = ("incarnation",)
+    kind = "release-vm"
+    fields = {"incarnation": str}
+
+    def __init__(self, id, vm, incarnation):
+        super().__init__(id, vm)
+        self.incarnation = incarnation
+
+
+class SuspectVm(Record):
+    """A VM reports that another one does not answer."""
+
+    __slots__ = ("suspect", "incarnation")
+    kind = "suspect-vm"
+    fields = {"suspect": str, "incarnation": str}
+
+    def __init__(self, id, vm, suspect, incarnation):
+        super().__init__(id, vm)
+        self.suspect = suspect
+        self.incarnation = incarnation
+
+
+class ClaimLease(Record):
+    """A VM claims a lease whose current fence it names."""
+
+    __slots__ = ("lease", "previous_fence")
+    kind = "claim-lease"
+    fields = {"lease": str, "previous_fence": int}
+
+    def __init__(self, id, vm, lease, previous_fence):
+        super().__init__(id, vm)
+        self.lease = lease
+        self.previous_fence = previous_fence
+
+
+class RenewLease(Record):
+    """The holder of a lease extends it."""
+
+    __slots__ = ("lease", "fence")
+    kind = "renew-lease"
+    fields = {"lease": str, "fence": int}
+
+    def __init__(self, id, vm, lease, fence):
+        super().__init__(id, vm)
+        self.lease = lease
+        self.fence = fence
+
+
+class ReleaseLease(Record):
+    """The holder of a lease gives it up and leaves a note to its successor."""
+
+    __slots__ = ("lease", "fence", "note")
+    kind = "release-lease"
+    fields = {"lease": str, "fence": int, "note": dict}
+
+    def __init__(self, id, vm, lease, fence, note=None):
+        super().__init__(id, vm)
+        self.lease = lease
+        self.fence = fence
+        self.note = {} if note is None else note
+
+
+class IntendOrder(Record):
+    """An order to an engine, recorded before it is sent."""
+
+    __slots__ = (
+        "order_id",
+        "engine",
+        "action",
+        "name",
+        "version",
+        "memory_mb",
+        "fence",
+    )
+    kind = "intend-order"
+    fields = {
+        "order_id": str,
+        "engine": str,
+        "action": str,
+        "name": str,
+        "version": str,
+        "memory_mb": int,
+        "fence": int,
+    }
+
+    def __init__(
+        self, id, vm, order_id, engine, action, name, version, memory_mb, fence
+    ):
+        super().__init__(id, vm)
+        self.order_id = order_id
+        self.engine = engine
+        self.action = action
+        self.name = name
+        self.version = version
+        self.memory_mb = memory_mb
+        self.fence = fence
+
+
+class SettleOrder(Record):
+    """The outcome of an order: done, failed, not-accepted or expired."""
+
+    __slots__ = ("order_id", "outcome")
+    kind = "settle-order"
+    fields = {"order_id": str, "outcome": str}
+
+    def __init__(self, id, vm, order_id, outcome):
+        super().__init__(id, vm)
+        self.order_id = order_id
+        self.outcome = outcome
+
+
+class ClaimRequest(Record):
+    """A VM claims an idempotency key before it dispatches the request."""
+
+    __slots__ = ("team", "key", "fingerprint", "request_id", "wall_ms")
+    kind = "claim-request"
+    fields = {
+        "team": str,
+        "key": str,
+        "fingerprint": str,
+        "request_id": str,
+        "wall_ms": int,
+    }
+
+    def __init__(self, id, vm, team, key, fingerprint, request_id, wall_ms):
+        super().__init__(id, vm)
+        self.team = team
+        self.key = key
+        self.fingerprint = fingerprint
+        self.request_id = request_id
+        self.wall_ms = wall_ms
+
+
+class RecordOutcome(Record):
+    """The response to a claimed request; large bodies are not kept."""
+
+    __slots__ = ("request_id", "status", "content_type", "body", "wall_ms")
+    kind = "record-outcome"
+    fields = {
+        "request_id": str,
+        "status": int,
+        "content_type": str,
+        "body": (str, type(None)),
+        "wall_ms": int,
+    }
+
+    def __init__(self, id, vm, request_id, status, content_type, body, wall_ms):
+        super().__init__(id, vm)
+        self.request_id = request_id
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+        self.wall_ms = wall_ms
+
+
+class AbandonClaim(Record):
+    """A claimed request was never dispatched; another claim can win."""
+
+    __slots__ = ("request_id",)
+    kind = "abandon-claim"
+    fields = {"request_id": str}
+
+    def __init__(self, id, vm, request_id):
+        super().__init__(id, vm)
+        self.request_id = request_id
+
+
+RECORD_CLASSES = {cls.kind: cls for cls in Record.__subclasses__()}
+
+
+def encode_record(record):
+    """Return the JSON object of a record."""
+    value = {"kind": record.kind, "id": record.id, "vm": record.vm}
+    for name in record.fields:
+        value[name] = getattr(record, name)
+    return value
+
+
+def decode_record(value):
+    """Decode one record of a stream.
+
+    Parameters
+    ----------
+    value : object
+        Parsed JSON. Fields that the class does not name are ignored, so that an
+        older VM can read a newer one's records.
+
+    Returns
+    -------
+    Result[Record, InvalidRecord]
+    """
+    if not isinstance(value, dict):
+        return Err(InvalidRecord("the record is not an object"))
+    kind = value.get("kind")
+    cls = RECORD_CLASSES.get(kind) if isinstance(kind, str) else None
+    if cls is None:
+        return Err(InvalidRecord(f"unknown record kind {kind!r:.100}"))
+    arguments = {}
+    for name, types in {"id": str, "vm": str, **cls.fields}.items():
+        problem = _field_problem(value, name, types)
+        if problem is not None:
+            return Err(InvalidRecord(f"{kind}: {problem}"))
+        arguments[name] = value[name]
+    return Ok(cls(**arguments))
+
+
+def _field_problem(value, name, types):
+    if name not in value:
+        return f"field {name} is missing"
+    field = value[name]
+    # bool is a subclass of int but is no number in JSON.
+    if not isinstance(field, types) or isinstance(field, bool):
+        return f"field {name} has type {type(field).__name__}"
+    if isinstance(field, int) and not 0 <= field <= MAX_INTEGER:
+        return f"field {name} is out of range"
+    if isinstance(field, str) and name != "body" and len(field) > MAX_TEXT_CHARACTERS:
+        return f"field {name} is longer than {MAX_TEXT_CHARACTERS} characters"
+    if name in ("id", "vm") and not field:
+        return f"field {name} is empty"
+    return None
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform: log, weight store, VM list and backend servers."""
