--- a/cassiamount/records.py
+++ b/cassiamount/records.py
@@ -152,16 +152,23 @@
 
 
 class ClaimLease(Record):
-    """A VM claims a lease whose current fence it names."""
+    """A VM claims a lease; names the fence and the last renewal that it has read.
 
-    __slots__ = ("lease", "previous_fence")
+    `seen_offset` is the offset + 1 of the last accepted claim or renewal of the
+    lease that the claimant has read. A claim made from an old position is rejected
+    by it even though the fence has not changed.
+    """
+
+    __slots__ = ("lease", "previous_fence", "seen_offset", "orphaned")
     kind = "claim-lease"
-    fields = {"lease": str, "previous_fence": int}
+    fields = {"lease": str, "previous_fence": int, "seen_offset": int, "orphaned": bool}
 
-    def __init__(self, id, vm, lease, previous_fence):
+    def __init__(self, id, vm, lease, previous_fence, seen_offset, orphaned=False):
         super().__init__(id, vm)
         self.lease = lease
         self.previous_fence = previous_fence
+        self.seen_offset = seen_offset
+        self.orphaned = orphaned
 
 
 class RenewLease(Record):
@@ -340,9 +347,9 @@
         return f"field {name} is missing"
     field = value[name]
     # bool is a subclass of int but is no number in JSON.
-    if not isinstance(field, types) or isinstance(field, bool):
+    if not isinstance(field, types) or (isinstance(field, bool) and types is not bool):
         return f"field {name} has type {type(field).__name__}"
-    if isinstance(field, int) and not 0 <= field <= MAX_INTEGER:
+    if types is int and not 0 <= field <= MAX_INTEGER:
         return f"field {name} is out of range"
     if isinstance(field, str) and name != "body" and len(field) > MAX_TEXT_CHARACTERS:
         return f"field {name} is longer than {MAX_TEXT_CHARACTERS} characters"
--- /dev/null
+++ b/cassiamount/requests.py
@@ -0,0 +1,251 @@
+"""Requests: their states, their tickets, and how they end."""
+
+from .invariants import TRUTHFUL_REFUSAL, require
+
+RECEIVED = "received"
+ADMITTED = "admitted"
+DISPATCHED = "dispatched"
+FIRST_BYTE = "first-byte"
+COMPLETE = "complete"
+
+TRANSITIONS = {
+    RECEIVED: {ADMITTED, COMPLETE},
+    ADMITTED: {DISPATCHED, COMPLETE},
+    # A backend server that did not accept the request returns it to the queue.
+    DISPATCHED: {FIRST_BYTE, COMPLETE, ADMITTED},
+    # A broken stream of an idempotent request is dispatched again.
+    FIRST_BYTE: {COMPLETE, DISPATCHED},
+    COMPLETE: set(),
+}
+
+INTERACTIVE = "interactive"
+NORMAL = "normal"
+BATCH = "batch"
+PRIORITIES = (INTERACTIVE, NORMAL, BATCH)
+
+
+class IllegalTransition(ValueError):
+    """A request cannot go from one state to the other."""
+
+
+class Refusal:
+    """An error response to the caller.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    code : str
+        Machine-readable reason, for example ``rate_exceeded``.
+    message : str
+    not_run : bool
+        True only if no backend server ran any part of the request.
+    retry_after_s : float, optional
+    """
+
+    __slots__ = ("status", "code", "message", "not_run", "retry_after_s")
+
+    def __init__(self, status, code, message, not_run=True, retry_after_s=None):
+        self.status = status
+        self.code = code
+        self.message = message
+        self.not_run = not_run
+        self.retry_after_s = retry_after_s
+
+    def __repr__(self):
+        return f"Refusal({self.status}, {self.code!r}, not_run={self.not_run})"
+
+
+class RequestState:
+    """Follows one request through its states.
+
+    Parameters
+    ----------
+    request_id : str
+    idempotent : bool
+    """
+
+    __slots__ = ("request_id", "idempotent", "state", "dispatches", "accepted")
+
+    def __init__(self, request_id, idempotent):
+        self.request_id = request_id
+        self.idempotent = idempotent
+        self.state = RECEIVED
+        self.dispatches = 0
+        self.accepted = False
+
+    def move(self, state):
+        """Go to the next state.
+
+        Raises
+        ------
+        IllegalTransition
+        """
+        if state not in TRANSITIONS[self.state]:
+            raise IllegalTransition(f"{self.state} -> {state}")
+        if state == DISPATCHED:
+            self.dispatches += 1
+            # From here on the backend server may run it until it says otherwise.
+            self.accepted = True
+        self.state = state
+
+    def not_accepted(self):
+        """Note that the backend server itself said that it did not accept it."""
+        self.accepted = False
+        self.move(ADMITTED)
+
+    def check_refusal(self, refusal):
+        """Check that a refusal that says "not run" is true."""
+        require(
+            not (refusal.not_run and self.accepted),
+            TRUTHFUL_REFUSAL,
+            request_id=self.request_id,
+            state=self.state,
+            code=refusal.code,
+        )
+
+
+class Ticket:
+    """What the queue and the router need to know of a request.
+
+    Parameters
+    ----------
+    request_id : str
+    team : str
+        Empty on a route open to all.
+    priority : str
+    service : str
+        Empty for a model request.
+    model, adapter : str
+        Empty for a service call; `adapter` is empty without one.
+    prompt_tokens, max_output_tokens : int
+    prefix_hashes : tuple of int
+        Hashes of the prompt's leading blocks, shortest prefix first.
+    arrived_ms, deadline_ms : float
+        Monotonic time; the first byte is due by the deadline.
+    idempotent : bool
+    key_hash : str
+        Checked again at dispatch.
+    """
+
+    __slots__ = (
+        "request_id",
+        "team",
+        "priority",
+        "service",
+        "model",
+        "adapter",
+        "prompt_tokens",
+        "max_output_tokens",
+        "prefix_hashes",
+        "arrived_ms",
+        "deadline_ms",
+        "idempotent",
+        "key_hash",
+    )
+
+    def __init__(
+        self,
+        request_id,
+        team,
+        priority=NORMAL,
+        service="",
+        model="",
+        adapter="",
+        prompt_tokens=0,
+        max_output_tokens=1,
+        prefix_hashes=(),
+        arrived_ms=0.0,
+        deadline_ms=float("inf"),
+        idempotent=True,
+        key_hash="",
+    ):
+        self.request_id = request_id
+        self.team = team
+        self.priority = priority
+        self.service = service
+        self.model = model
+        self.adapter = adapter
+        self.prompt_tokens = prompt_tokens
+        self.max_output_tokens = max_output_tokens
+        self.prefix_hashes = tuple(prefix_hashes)
+        self.arrived_ms = arrived_ms
+        self.deadline_ms = deadline_ms
+        self.idempotent = idempotent
+        self.key_hash = key_hash
+
+    @property
+    def cost_tokens(self):
+        """Tokens charged at admission."""
+        return self.prompt_tokens + self.max_output_tokens
+
+
+class Dispatch:
+    """The dispatcher's decision to send a request to a backend server.
+
+    Parameters
+    ----------
+    ticket : Ticket
+    backend : str
+        Name of the backend server.
+    address : str
+        ``host:port``.
+    attempt : int
+        1 for the first dispatch.
+    """
+
+    __slots__ = ("ticket", "backend", "address", "attempt")
+
+    def __init__(self, ticket, backend, address, attempt=1):
+        self.ticket = ticket
+        self.backend = backend
+        self.address = address
+        self.attempt = attempt
+
+
+# Outcomes of one attempt, as the relay tells them to the dispatcher.
+DONE = "done"
+NOT_ACCEPTED = "not-accepted"
+BROKEN = "broken"
+CANCELLED = "cancelled"
+
+
+class AttemptEnded:
+    """The end of one attempt at a backend server.
+
+    Parameters
+    ----------
+    request_id : str
+    backend : str
+    outcome : str
+        ``done``, ``not-accepted``, ``broken`` or ``cancelled``.
+    used_tokens : int
+        Prompt tokens plus tokens generated so far over all attempts.
+    first_token_ms, duration_ms : float
+        Measured from the dispatch.
+    """
+
+    __slots__ = (
+        "request_id",
+        "backend",
+        "outcome",
+        "used_tokens",
+        "first_token_ms",
+        "duration_ms",
+    )
+
+    def __init__(
+        self,
+        request_id,
+        backend,
+        outcome,
+        used_tokens=0,
+        first_token_ms=0.0,
+        duration_ms=0.0,
+    ):
+        self.request_id = request_id
+        self.backend = backend
+        self.outcome = outcome
+        self.used_tokens = used_tokens
+        self.first_token_ms = first_token_ms
+        self.duration_ms = duration_ms
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -16,7 +16,7 @@
     lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
     max_leaves=8,
 )
-SAMPLE = {str: "text", int: 7, dict: {"a": 1}, (str, type(None)): None}
+SAMPLE = {str: "text", int: 7, bool: True, dict: {"a": 1}, (str, type(None)): None}
 
 
 @pytest.mark.parametrize("kind", sorted(RECORD_CLASSES))
