Add budget owners and budget holders

Cause: a team's rate and burst have to hold over all VMs of a zone, through late use, lost answers and takeovers.

Ruled out: the refund rule of the design page counts the room below the burst from the time of the charge. The age of a charge does not include the delay of the report that carries it, so a late report would skip a peak; and the block of the charge is still outstanding at that time, so a bucket that was full would never refund.

Change: a refund counts from the event at which the owner saw tokens of its block leave the bucket, and raises the remembered sums, so that two refunds do not use the same room. A loan is passed on as one block that never enters the borrower's bucket. Charges that settle before their report stay in their block.

--- /dev/null
+++ b/cassiamount/budget.py
@@ -0,0 +1,350 @@
+"""Owner of the budgets of one lease: buckets, grants, refunds, loans, takeover."""
+
+import heapq
+import math
+from collections import OrderedDict
+
+from .budget_messages import Grant, NotOwner, Refund, Report, Shortage, Use
+from .invariants import BUDGET_NOT_EXCEEDED, require
+from .timing import DRIFT, LEASE_MS, at_least_ms, at_most_ms
+from .token_bucket import TokenBucket
+
+__all__ = ["BudgetOwner", "TokenBucket"]
+
+# Long enough for the reports of a slow holder, short against a lease.
+BLOCK_LIFETIME_MS = 2_000
+# A shorter block expires on its way to the holder.
+MIN_LIFETIME_MS = 20
+# Share of the burst that a loan leaves to the lender's own zone.
+LOAN_RESERVE_SHARE = 0.25
+# Blocks whose refunds can still be applied. Older ones lose their refunds.
+CLOSED_BLOCKS_LIMIT = 50_000
+MAX_RETRY_AFTER_MS = 60_000
+LOAN_HOLDER_PREFIX = "zone/"
+
+
+class _Block:
+    __slots__ = ("team", "holder", "open_tokens", "used_tokens", "use_event", "loan")
+
+    def __init__(self, team, holder, tokens, loan=None):
+        self.team = team
+        self.holder = holder
+        self.open_tokens = tokens
+        # Reported or expired and not refunded.
+        self.used_tokens = 0
+        # First event at which tokens of the block left the bucket.
+        self.use_event = None
+        # Owner and grant id of the loan that the block was made of.
+        self.loan = loan
+
+
+class BudgetOwner:
+    """Buckets of the teams of one partition in one zone under one fence.
+
+    Parameters
+    ----------
+    zone : str
+    partition : int
+    fence : int
+        Fence of the lease ``budget/<partition>``.
+    now_ms : float
+    lease_deadline_ms : float
+        No block outlives it.
+    """
+
+    def __init__(self, zone, partition, fence, now_ms, lease_deadline_ms):
+        self.zone = zone
+        self.partition = partition
+        self.fence = fence
+        self.lease_deadline_ms = lease_deadline_ms
+        self.closed = False
+        self._created_ms = now_ms
+        self._buckets = {}
+        self._note = {}
+        self._blocks = {}
+        self._closed_blocks = OrderedDict()
+        self._expiries = []
+        self._next_number = 1
+        self._sequences = {}
+        self._loan_uses = {}
+        self._loan_refunds = {}
+        self._loan_reports = {}
+        self._next_sequence = 1
+
+    def take_over(self, note, read_ms):
+        """Start from the note of the predecessor's release.
+
+        Parameters
+        ----------
+        note : dict
+            ``{team: [level_tokens, outstanding_tokens]}``. A malformed entry is
+            ignored; its bucket starts empty.
+        read_ms : float
+            When the release was read.
+        """
+        for team, entry in note.items():
+            if (
+                isinstance(entry, list)
+                and len(entry) == 2
+                and all(type(tokens) is int and tokens >= 0 for tokens in entry)
+            ):
+                self._note[team] = (*entry, read_ms + at_least_ms(LEASE_MS))
+
+    def set_team(self, team, rate_tokens_per_s, burst_tokens, now_ms):
+        """Set the zone's share of a team's rate and burst.
+
+        A new bucket starts with what the predecessor's note says, or empty: what the
+        predecessor granted is not known.
+        """
+        bucket = self._buckets.get(team)
+        if bucket is not None:
+            if (rate_tokens_per_s, burst_tokens) != (
+                bucket.rate_tokens_per_s,
+                bucket.burst_tokens,
+            ):
+                bucket.resize(rate_tokens_per_s, burst_tokens, now_ms)
+            return
+        bucket = TokenBucket(rate_tokens_per_s, burst_tokens, now_ms)
+        self._buckets[team] = bucket
+        level_tokens, outstanding_tokens, until_ms = self._note.pop(team, (0, 0, 0))
+        outstanding_tokens = min(outstanding_tokens, int(burst_tokens))
+        room_tokens = burst_tokens - outstanding_tokens
+        bucket.level_tokens = outstanding_tokens + min(level_tokens, room_tokens)
+        if outstanding_tokens:
+            bucket.lend(outstanding_tokens, now_ms)
+            block = _Block(team, "", outstanding_tokens)
+            self._add_block(self._new_id(), block, until_ms)
+
+    def remove_team(self, team, now_ms):
+        """Stop granting for a team that the configuration no longer has."""
+        if team in self._buckets:
+            self._buckets[team].resize(0.0, 0.0, now_ms)
+
+    def grant(self, team, holder, want_tokens, min_tokens, now_ms):
+        """Lend a block.
+
+        Parameters
+        ----------
+        team : str
+        holder : str
+            Identity of a VM, or ``zone/<zone>/<fence>`` for a loan.
+        want_tokens, min_tokens : int
+        now_ms : float
+
+        Returns
+        -------
+        Grant or Shortage or NotOwner
+        """
+        self.advance(now_ms)
+        bucket = self._buckets.get(team)
+        if bucket is None or not self.may_grant(now_ms):
+            return NotOwner()
+        bucket.advance(now_ms)
+        available_tokens = bucket.level_tokens
+        if holder.startswith(LOAN_HOLDER_PREFIX):
+            available_tokens -= bucket.burst_tokens * LOAN_RESERVE_SHARE
+        tokens = min(want_tokens, math.floor(available_tokens))
+        if tokens < max(1, min_tokens):
+            missing_tokens = max(1, min_tokens) - available_tokens
+            wait_ms = bucket.wait_ms(bucket.level_tokens + missing_tokens)
+            return Shortage(min(wait_ms, MAX_RETRY_AFTER_MS))
+        bucket.lend(tokens, now_ms)
+        return self._issue(_Block(team, holder, tokens), BLOCK_LIFETIME_MS, now_ms)
+
+    def add_loan(self, team, holder, loan, owner, now_ms):
+        """Pass a block of another zone's owner on to a holder of this zone.
+
+        The tokens do not enter the bucket here. Uses and refunds of the new block
+        are reported to the lender.
+
+        Parameters
+        ----------
+        team, holder : str
+        loan : Grant
+            The deadline is on this VM's clock.
+        owner : tuple of (str, int, int)
+            The lender.
+        now_ms : float
+
+        Returns
+        -------
+        Grant or NotOwner
+        """
+        self.advance(now_ms)
+        lifetime_ms = (loan.deadline_ms - now_ms) / (1 + DRIFT)
+        if lifetime_ms < MIN_LIFETIME_MS or not self.may_grant(now_ms):
+            return NotOwner()
+        block = _Block(team, holder, loan.tokens, (owner, loan.grant_id))
+        return self._issue(block, lifetime_ms, now_ms)
+
+    def report(self, holder, sequence, uses, refunds, now_ms):
+        """Apply what a holder used, returns and wants refunded.
+
+        Parameters
+        ----------
+        holder : str
+        sequence : int
+            A holder numbers its reports upwards. A number at or below the last one
+            is a repetition.
+        uses : list of Use
+        refunds : list of Refund
+        now_ms : float
+
+        Returns
+        -------
+        bool
+            False if the report was applied before.
+        """
+        self.advance(now_ms)
+        if sequence <= self._sequences.get(holder, 0):
+            return False
+        self._sequences[holder] = sequence
+        for use in uses:
+            block = self._block_of(use.grant_id, holder)
+            if block is not None:
+                self._apply_use(block, use, now_ms)
+        for refund in refunds:
+            block = self._block_of(refund.grant_id, holder)
+            if block is not None:
+                self._apply_refund(block, refund.tokens, refund.charged_age_ms, now_ms)
+        return True
+
+    def loan_reports(self):
+        """Return the reports to lenders that are not answered yet.
+
+        Each lender has at most one report on its way; it is sent again unchanged
+        until `loan_report_done`.
+
+        Returns
+        -------
+        list of Report
+        """
+        for owner in [*self._loan_uses, *self._loan_refunds]:
+            if owner not in self._loan_reports:
+                self._loan_reports[owner] = Report(
+                    owner,
+                    self._next_sequence,
+                    list(self._loan_uses.pop(owner, {}).values()),
+                    self._loan_refunds.pop(owner, []),
+                )
+                self._next_sequence += 1
+        return list(self._loan_reports.values())
+
+    def loan_report_done(self, report):
+        """Forget a report that the lender answered or can no longer use."""
+        self._loan_reports.pop(report.owner, None)
+
+    def may_grant(self, now_ms):
+        """Whether a block that is granted now lives long enough to be of use."""
+        last_ms = now_ms + at_least_ms(MIN_LIFETIME_MS)
+        return not self.closed and last_ms <= self.lease_deadline_ms
+
+    def release_note(self, now_ms):
+        """Close the owner for good and return the note for its successor."""
+        self.advance(now_ms)
+        self.closed = True
+        note = {}
+        for team, bucket in self._buckets.items():
+            bucket.advance(now_ms)
+            note[team] = [math.floor(bucket.level_tokens), bucket.outstanding_tokens]
+        return note
+
+    def levels(self):
+        """Return level and outstanding tokens by team, for status pages."""
+        return {
+            team: (bucket.level_tokens, bucket.outstanding_tokens)
+            for team, bucket in self._buckets.items()
+        }
+
+    def advance(self, now_ms):
+        """Count the open tokens of expired blocks as used."""
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            _, grant_id = heapq.heappop(self._expiries)
+            block = self._blocks.pop(grant_id, None)
+            if block is None:
+                continue
+            # The lender of a loan sees the same block expire by itself.
+            self._count_used(block, block.open_tokens, now_ms)
+            block.open_tokens = 0
+            self._close(grant_id, block)
+
+    def _new_id(self):
+        number = self._next_number
+        self._next_number += 1
+        return f"{self.zone}/{self.partition}/{self.fence}/{number}"
+
+    def _add_block(self, grant_id, block, expires_ms):
+        self._blocks[grant_id] = block
+        heapq.heappush(self._expiries, (expires_ms, grant_id))
+
+    def _issue(self, block, lifetime_ms, now_ms):
+        lease_left_ms = (self.lease_deadline_ms - now_ms) / (1 + DRIFT)
+        lifetime_ms = min(lifetime_ms, lease_left_ms)
+        expires_ms = now_ms + at_least_ms(lifetime_ms)
+        require(
+            now_ms < self.lease_deadline_ms
+            and expires_ms <= self.lease_deadline_ms + 1e-6
+            and not self.closed,
+            BUDGET_NOT_EXCEEDED,
+            expires_ms=expires_ms,
+            lease_deadline_ms=self.lease_deadline_ms,
+        )
+        grant_id = self._new_id()
+        self._add_block(grant_id, block, expires_ms)
+        deadline_ms = now_ms + at_most_ms(lifetime_ms)
+        return Grant(grant_id, block.open_tokens, deadline_ms, lifetime_ms)
+
+    def _block_of(self, grant_id, holder):
+        block = self._blocks.get(grant_id) or self._closed_blocks.get(grant_id)
+        return block if block is not None and block.holder == holder else None
+
+    def _close(self, grant_id, block):
+        self._closed_blocks[grant_id] = block
+        if len(self._closed_blocks) > CLOSED_BLOCKS_LIMIT:
+            _, oldest = self._closed_blocks.popitem(last=False)
+            if oldest.use_event is not None:
+                self._buckets[oldest.team].forget_before(oldest.use_event)
+
+    def _apply_use(self, block, use, now_ms):
+        used_tokens = min(use.used_tokens, block.open_tokens)
+        returned_tokens = min(use.returned_tokens, block.open_tokens - used_tokens)
+        late_tokens = use.returned_tokens - returned_tokens
+        block.open_tokens -= used_tokens + returned_tokens
+        self._count_used(block, used_tokens, now_ms)
+        if block.loan is not None:
+            if used_tokens or returned_tokens:
+                self._add_loan_use(block.loan, used_tokens, returned_tokens)
+        elif returned_tokens:
+            self._buckets[block.team].take_back(returned_tokens, now_ms)
+        if late_tokens:
+            # The block expired before the report came: a refund of unused tokens.
+            self._apply_refund(block, late_tokens, 0.0, now_ms)
+
+    def _count_used(self, block, tokens, now_ms):
+        if tokens <= 0:
+            return
+        block.used_tokens += tokens
+        if block.loan is None:
+            event = self._buckets[block.team].use(tokens, now_ms)
+            if block.use_event is None:
+                block.use_event = event
+
+    def _apply_refund(self, block, tokens, charged_age_ms, now_ms):
+        tokens = min(tokens, block.used_tokens)
+        if tokens <= 0:
+            return
+        block.used_tokens -= tokens
+        if block.loan is not None:
+            owner, grant_id = block.loan
+            self._loan_refunds.setdefault(owner, []).append(
+                Refund(block.team, grant_id, tokens, charged_age_ms)
+            )
+        else:
+            self._buckets[block.team].refund(tokens, block.use_event, now_ms)
+
+    def _add_loan_use(self, loan, used_tokens, returned_tokens):
+        owner, grant_id = loan
+        uses = self._loan_uses.setdefault(owner, {})
+        use = uses.setdefault(grant_id, Use(grant_id, 0, 0))
+        use.used_tokens += used_tokens
+        use.returned_tokens += returned_tokens
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,219 @@
+"""Tests of budget owners and holders."""
+
+import pytest
+
+from cassiamount.budget import BLOCK_LIFETIME_MS, BudgetOwner
+from cassiamount.budget_holder import BudgetHolder
+from cassiamount.budget_messages import Grant, NotOwner, Refund, Shortage, Use
+from cassiamount.errors import InvariantViolation
+from cassiamount.timing import DRIFT, LEASE_MS
+from cassiamount.token_bucket import TokenBucket
+
+FOREVER_MS = 1e9
+
+
+def make_owner(rate=0.0, burst=100, level=100, deadline_ms=FOREVER_MS):
+    owner = BudgetOwner("za", 0, 7, 0.0, deadline_ms)
+    owner.take_over({"team": [level, 0]}, 0.0)
+    owner.set_team("team", rate, burst, 0.0)
+    return owner
+
+
+def total(owner):
+    return sum(owner.levels()["team"])
+
+
+def test_new_bucket_is_empty():
+    """Guards against a successor that grants the burst a second time."""
+    owner = BudgetOwner("za", 0, 7, 0.0, FOREVER_MS)
+    owner.set_team("team", 10.0, 100, 0.0)
+    assert isinstance(owner.grant("team", "vm@1", 5, 1, 0.0), Shortage)
+
+
+def test_outstanding_tokens_take_room_in_the_bucket():
+    """Guards against late use of a block on top of a refilled bucket."""
+    owner = make_owner(rate=1000.0)
+    grant = owner.grant("team", "vm@1", 60, 1, 0.0)
+    assert grant.tokens == 60
+    assert owner.grant("team", "vm@2", 100, 1, 1000.0).tokens == 40
+
+
+@pytest.mark.parametrize(
+    ("now_ms", "answer"), [(0.0, Grant), (3979.0, Grant), (3990.0, NotOwner)]
+)
+def test_no_block_outlives_the_lease(now_ms, answer):
+    """Guards against blocks that are valid under the successor too."""
+    owner = make_owner(deadline_ms=4000.0)
+    grant = owner.grant("team", "vm@1", 10, 1, now_ms)
+    assert isinstance(grant, answer)
+    if answer is Grant:
+        assert now_ms + grant.lifetime_ms * (1 + DRIFT) <= 4000.0 + 1e-6
+
+
+def test_repeated_report_is_applied_once():
+    """Guards against a repetition that frees outstanding tokens twice."""
+    owner = make_owner()
+    grant = owner.grant("team", "vm@1", 60, 1, 0.0)
+    uses = [Use(grant.grant_id, 20, 10)]
+    assert owner.report("vm@1", 1, uses, [], 10.0)
+    assert not owner.report("vm@1", 1, uses, [], 20.0)
+    assert owner.levels()["team"] == (50, 30)
+
+
+def test_report_of_another_holder_is_ignored():
+    """Guards against a VM that settles blocks it does not hold."""
+    owner = make_owner()
+    grant = owner.grant("team", "vm@1", 60, 1, 0.0)
+    owner.report("vm@2", 1, [Use(grant.grant_id, 0, 60)], [], 10.0)
+    assert owner.levels()["team"] == (40, 60)
+
+
+def test_expired_block_counts_as_used_and_its_rest_is_refunded():
+    """Guards against tokens that exist twice after a late report."""
+    owner = make_owner()
+    grant = owner.grant("team", "vm@1", 60, 1, 0.0)
+    late_ms = BLOCK_LIFETIME_MS * 2.0
+    owner.advance(late_ms)
+    assert owner.levels()["team"] == (40, 0)
+    owner.report("vm@1", 1, [Use(grant.grant_id, 20, 40)], [], late_ms)
+    assert owner.levels()["team"] == (80, 0)
+
+
+def test_refund_is_limited_by_the_highest_sum_since():
+    """Guards against a refund of tokens that would have overflowed."""
+    bucket = TokenBucket(10.0, 100, 0.0, 100)
+    bucket.lend(50, 0.0)
+    event = bucket.use(50, 0.0)
+    bucket.advance(4040.0)
+    assert bucket.level_tokens == pytest.approx(90)
+    bucket.lend(80, 4040.0)
+    bucket.use(80, 4040.0)
+    assert bucket.refund(50, event, 4040.0) == pytest.approx(10)
+
+
+def test_second_refund_sees_the_first_in_the_history():
+    """Guards against two refunds that each use the same room below the burst."""
+    bucket = TokenBucket(0.0, 100, 0.0, 100)
+    bucket.lend(20, 0.0)
+    event = bucket.use(20, 0.0)
+    bucket.lend(50, 0.0)
+    bucket.use(50, 0.0)
+    assert bucket.refund(15, event, 0.0) + bucket.refund(15, event, 0.0) == 20
+
+
+def test_note_hands_levels_and_outstanding_blocks_over():
+    """Guards against a takeover that forgets blocks of the predecessor."""
+    owner = make_owner()
+    owner.grant("team", "vm@1", 60, 1, 0.0)
+    note = owner.release_note(1.0)
+    assert isinstance(owner.grant("team", "vm@1", 1, 1, 1.0), NotOwner)
+    successor = BudgetOwner("za", 0, 9, 5.0, FOREVER_MS)
+    successor.take_over(note, 5.0)
+    successor.set_team("team", 1000.0, 100, 5.0)
+    assert successor.levels()["team"] == (40, 60)
+    successor.advance(5.0 + LEASE_MS)
+    assert successor.levels()["team"][1] == 60
+    successor.advance(6.0 + LEASE_MS * (1 + DRIFT))
+    assert successor.levels()["team"][1] == 0
+
+
+def test_loan_is_debited_at_the_lender_and_reported_back():
+    """Guards against loan tokens that enter the borrower's bucket."""
+    lender, borrower = make_owner(), make_owner(level=0)
+    loan = lender.grant("team", "zone/zb/7", 60, 1, 0.0)
+    grant = borrower.add_loan("team", "vm@1", loan, ("za", 0, 7), 0.0)
+    assert (total(lender), total(borrower)) == (100, 0)
+    assert grant.deadline_ms <= loan.deadline_ms
+    uses = [Use(grant.grant_id, 20, 40)]
+    borrower.report("vm@1", 1, uses, [Refund("team", grant.grant_id, 5, 9.0)], 10.0)
+    (report,) = borrower.loan_reports()
+    lender.report("zone/zb/7", report.sequence, report.uses, report.refunds, 10.0)
+    assert (total(lender), total(borrower)) == (85, 0)
+    borrower.loan_report_done(report)
+    assert borrower.loan_reports() == []
+
+
+def test_reduced_burst_applies_as_blocks_come_back():
+    """Guards against a reduced burst that leaves more tokens than it allows."""
+    owner = make_owner()
+    grant = owner.grant("team", "vm@1", 60, 1, 0.0)
+    owner.set_team("team", 0.0, 30, 0.0)
+    assert owner.levels()["team"] == (0, 60)
+    owner.report("vm@1", 1, [Use(grant.grant_id, 30, 0)], [], 1.0)
+    assert owner.levels()["team"] == (0, 30)
+
+
+def test_bucket_refuses_to_lend_below_zero():
+    """Guards against a caller that lends more than the level."""
+    bucket = TokenBucket(0.0, 100, 0.0, 10)
+    with pytest.raises(InvariantViolation):
+        bucket.lend(11, 0.0)
+
+
+def make_holder(*blocks):
+    holder = BudgetHolder("vm@1")
+    holder.set_team("team", 1000, 0.0)
+    for number, (tokens, deadline_ms) in enumerate(blocks, 1):
+        holder.add_grant("team", Grant(f"za/0/7/{number}", tokens, deadline_ms), 0.0)
+    return holder
+
+
+@pytest.mark.parametrize(
+    ("tokens", "now_ms", "charged"),
+    [(50, 0.0, True), (80, 0.0, True), (81, 0.0, False), (31, 1500.0, False)],
+)
+def test_charge_uses_only_valid_blocks(tokens, now_ms, charged):
+    """Guards against a charge to an expired block or beyond what is held."""
+    holder = make_holder((50, 1000.0), (30, 2000.0))
+    assert (holder.charge("team", tokens, now_ms) is not None) is charged
+
+
+def test_charge_that_is_settled_before_its_report_stays_in_the_block():
+    """Guards against a refund round trip for a short request."""
+    holder = make_holder((50, 1000.0))
+    holder.settle(holder.charge("team", 50, 0.0), 20, 1.0)
+    assert holder.available("team", 1.0) == 30
+    (report,) = holder.reports(1.0)
+    assert [(use.used_tokens, use.returned_tokens) for use in report.uses] == [(20, 0)]
+
+
+def test_charge_that_is_settled_after_its_report_is_refunded_once():
+    """Guards against tokens that are both refunded and used again."""
+    holder = make_holder((50, 1000.0))
+    charge = holder.charge("team", 50, 0.0)
+    (report,) = holder.reports(1.0)
+    assert holder.reports(2.0) == [report]
+    holder.report_done(report)
+    holder.settle(charge, 20, 300.0)
+    holder.settle(charge, 0, 300.0)
+    assert holder.available("team", 300.0) == 0
+    (report,) = holder.reports(310.0)
+    assert [(r.tokens, r.charged_age_ms) for r in report.refunds] == [(30, 310.0)]
+
+
+def test_idle_and_expired_tokens_are_returned():
+    """Guards against tokens that stay with a VM that does not need them."""
+    holder = make_holder((50, 100.0), (30, 2000.0))
+    (report,) = holder.reports(500.0)
+    assert {use.grant_id: use.returned_tokens for use in report.uses} == {
+        "za/0/7/1": 50,
+        "za/0/7/2": 30,
+    }
+
+
+def test_failed_charge_asks_for_what_is_missing():
+    """Guards against a block that is too small for the waiting request."""
+    holder = make_holder((50, 1000.0))
+    assert holder.asks(0.0) == []
+    assert holder.charge("team", 400, 0.0) is None
+    (ask,) = holder.asks(0.0)
+    assert (ask.want_tokens, ask.min_tokens) == (350, 350)
+
+
+def test_block_size_follows_use_up_to_a_fifth_of_the_burst():
+    """Guards against one VM that takes the whole burst."""
+    holder = make_holder((10_000, 1e9))
+    for now_ms in range(0, 2000, 10):
+        holder.charge("team", 20, float(now_ms))
+    assert holder.want("team", 2000.0) == 200
+    assert holder.want("team", 60_000.0) == 1
