--- a/cassiamount/requests.py
+++ b/cassiamount/requests.py
@@ -223,6 +223,9 @@
         Prompt tokens plus tokens generated so far over all attempts.
     first_token_ms, duration_ms : float
         Measured from the dispatch.
+    final : bool
+        False if the relay asks for another attempt next. The budget is settled at
+        the final end, or when the dispatcher refuses the further attempt.
     """
 
     __slots__ = (
@@ -232,6 +235,7 @@
         "used_tokens",
         "first_token_ms",
         "duration_ms",
+        "final",
     )
 
     def __init__(
@@ -242,6 +246,7 @@
         used_tokens=0,
         first_token_ms=0.0,
         duration_ms=0.0,
+        final=True,
     ):
         self.request_id = request_id
         self.backend = backend
@@ -249,3 +254,4 @@
         self.used_tokens = used_tokens
         self.first_token_ms = first_token_ms
         self.duration_ms = duration_ms
+        self.final = final
