--- /dev/null
+++ b/cassiamount/dispatch_messages.py
@@ -0,0 +1,116 @@
+"""Messages to the dispatcher."""
+
+
+class Submit:
+    """A request asks to be dispatched."""
+
+    __slots__ = ("ticket",)
+
+    def __init__(self, ticket):
+        self.ticket = ticket
+
+
+class Retry:
+    """An admitted request asks for another attempt.
+
+    Parameters
+    ----------
+    ticket : Ticket
+    attempt : int
+        Number of the attempt that is asked for, from 2.
+    failed_backend : str
+        Left out of the choice if another backend server can serve the request.
+    """
+
+    __slots__ = ("ticket", "attempt", "failed_backend")
+
+    def __init__(self, ticket, attempt, failed_backend):
+        self.ticket = ticket
+        self.attempt = attempt
+        self.failed_backend = failed_backend
+
+
+class Withdraw:
+    """The caller of a request that is still waiting has gone."""
+
+    __slots__ = ("request_id",)
+
+    def __init__(self, request_id):
+        self.request_id = request_id
+
+
+class ConfigurationChanged:
+    """A new configuration, or a new set of drained backend servers, is in force."""
+
+    __slots__ = ("configuration", "drained")
+
+    def __init__(self, configuration, drained):
+        self.configuration = configuration
+        self.drained = drained
+
+
+class LoadReported:
+    """A backend server reported its load."""
+
+    __slots__ = ("report",)
+
+    def __init__(self, report):
+        self.report = report
+
+
+class LeavingBackends:
+    """Names of the backend servers that must get no new work."""
+
+    __slots__ = ("names",)
+
+    def __init__(self, names):
+        self.names = frozenset(names)
+
+
+class DrainingModels:
+    """Models that the placement is about to unload.
+
+    Parameters
+    ----------
+    pairs : iterable of (str, str)
+        Backend server and model or adapter.
+    """
+
+    __slots__ = ("pairs",)
+
+    def __init__(self, pairs):
+        self.pairs = frozenset(pairs)
+
+
+class CacheEvents:
+    """A batch of cache events of an engine."""
+
+    __slots__ = ("backend", "events")
+
+    def __init__(self, backend, events):
+        self.backend = backend
+        self.events = events
+
+
+class GrantsArrived:
+    """Answers of a budget owner to what this VM asked for.
+
+    Parameters
+    ----------
+    asked : frozenset of str
+        Teams that were asked for.
+    answers : dict of str to Grant or Shortage
+        By team. A team that was asked for and is absent got no answer.
+    """
+
+    __slots__ = ("asked", "answers")
+
+    def __init__(self, asked, answers):
+        self.asked = frozenset(asked)
+        self.answers = answers
+
+
+class Tick:
+    """Time for the background work."""
+
+    __slots__ = ()
--- /dev/null
+++ b/cassiamount/refusals.py
@@ -0,0 +1,89 @@
+"""The refusals that the dispatcher gives."""
+
+import math
+
+from .requests import Refusal
+
+RETRY_WHEN_FULL_S = 1
+RETRY_WHEN_NO_REPLICA_S = 2
+RETRY_WHEN_OWNER_UNKNOWN_S = 1
+
+
+def queue_full():
+    """Refuse because too many requests wait on this VM."""
+    return Refusal(
+        429, "queue_full", "too many requests are queued", True, RETRY_WHEN_FULL_S
+    )
+
+
+def deadline_cannot_be_met(wait_ms):
+    """Refuse because the estimated wait is longer than the deadline allows."""
+    return Refusal(
+        503,
+        "deadline_cannot_be_met",
+        f"the estimated wait of {wait_ms:.0f} ms is longer than the deadline allows",
+        True,
+        max(1, math.ceil(wait_ms / 1000)),
+    )
+
+
+def rate_exceeded(retry_after_ms):
+    """Refuse because the team's rate and burst are used up."""
+    return Refusal(
+        429,
+        "rate_exceeded",
+        "the team's token rate is used up",
+        True,
+        max(1, math.ceil(retry_after_ms / 1000)),
+    )
+
+
+def budget_unavailable():
+    """Refuse because no owner of the team's budget can be reached."""
+    return Refusal(
+        503,
+        "not_run",
+        "the team's token budget cannot be reached at the moment",
+        True,
+        RETRY_WHEN_OWNER_UNKNOWN_S,
+    )
+
+
+def exceeds_burst(cost_tokens, burst_tokens):
+    """Refuse a request that can never fit into the team's burst."""
+    return Refusal(
+        400,
+        "exceeds_burst",
+        f"the request may need {cost_tokens} tokens, more than the team's burst "
+        f"of {burst_tokens} tokens; lower max_tokens or shorten the prompt",
+    )
+
+
+def invalid_key():
+    """Refuse because the key is not, or no longer, in force."""
+    return Refusal(401, "invalid_key", "the key is not valid")
+
+
+def no_replica(not_run):
+    """Refuse because no backend server can take the request.
+
+    Parameters
+    ----------
+    not_run : bool
+        Whether no earlier attempt was accepted.
+    """
+    if not_run:
+        return Refusal(
+            503,
+            "not_run",
+            "no backend server can take the request at the moment",
+            True,
+            RETRY_WHEN_NO_REPLICA_S,
+        )
+    return Refusal(
+        502,
+        "outcome_unknown",
+        "the backend server failed and no other one can go on with the request",
+        False,
+        RETRY_WHEN_NO_REPLICA_S,
+    )
