Add the fold of a zone, lease timing and membership

Cause: the VMs of a zone share leases and the list of members through the log.

A renewal can be in the log without its holder knowing; the holder then asks the VMs of the older roster for promises while a VM of the newer roster may claim.

Change: a claim needs membership in the rosters of the last two accepted renewals, and a holder has at most one renewal unresolved, so every claimant is in the roster that the holder knows. A released lease without a note counts as a whole burst outstanding, because blocks of a dead owner may be valid at living holders.

--- a/cassiamount/budget.py
+++ b/cassiamount/budget.py
@@ -9,7 +9,7 @@
 from .timing import DRIFT, LEASE_MS, at_least_ms, at_most_ms
 from .token_bucket import TokenBucket
 
-__all__ = ["BudgetOwner", "TokenBucket"]
+__all__ = ["BudgetOwner", "Grant", "Shortage", "TokenBucket"]
 
 # Long enough for the reports of a slow holder, short against a lease.
 BLOCK_LIFETIME_MS = 2_000
@@ -58,9 +58,9 @@
         self.fence = fence
         self.lease_deadline_ms = lease_deadline_ms
         self.closed = False
-        self._created_ms = now_ms
         self._buckets = {}
         self._note = {}
+        self._note_until_ms = now_ms
         self._blocks = {}
         self._closed_blocks = OrderedDict()
         self._expiries = []
@@ -74,21 +74,19 @@
     def take_over(self, note, read_ms):
         """Start from the note of the predecessor's release.
 
+        Needed only if the lease was released: a lease that ran out has no valid
+        blocks left. A team without a well-formed entry may have its whole burst in
+        valid blocks, for example if an operator released the lease of a dead owner.
+
         Parameters
         ----------
         note : dict
-            ``{team: [level_tokens, outstanding_tokens]}``. A malformed entry is
-            ignored; its bucket starts empty.
+            ``{team: [level_tokens, outstanding_tokens]}``.
         read_ms : float
             When the release was read.
         """
-        for team, entry in note.items():
-            if (
-                isinstance(entry, list)
-                and len(entry) == 2
-                and all(type(tokens) is int and tokens >= 0 for tokens in entry)
-            ):
-                self._note[team] = (*entry, read_ms + at_least_ms(LEASE_MS))
+        self._note = note
+        self._note_until_ms = read_ms + at_least_ms(LEASE_MS)
 
     def set_team(self, team, rate_tokens_per_s, burst_tokens, now_ms):
         """Set the zone's share of a team's rate and burst.
@@ -106,14 +104,22 @@
             return
         bucket = TokenBucket(rate_tokens_per_s, burst_tokens, now_ms)
         self._buckets[team] = bucket
-        level_tokens, outstanding_tokens, until_ms = self._note.pop(team, (0, 0, 0))
-        outstanding_tokens = min(outstanding_tokens, int(burst_tokens))
-        room_tokens = burst_tokens - outstanding_tokens
-        bucket.level_tokens = outstanding_tokens + min(level_tokens, room_tokens)
+        if self._note_until_ms <= now_ms:
+            return
+        outstanding_tokens = math.ceil(burst_tokens)
+        entry = self._note.get(team)
+        if (
+            isinstance(entry, list)
+            and len(entry) == 2
+            and all(type(tokens) is int and tokens >= 0 for tokens in entry)
+        ):
+            outstanding_tokens = min(entry[1], outstanding_tokens)
+            bucket.level_tokens = min(entry[0], burst_tokens - outstanding_tokens)
+            bucket.level_tokens = max(0.0, bucket.level_tokens)
         if outstanding_tokens:
-            bucket.lend(outstanding_tokens, now_ms)
+            bucket.adopt(outstanding_tokens)
             block = _Block(team, "", outstanding_tokens)
-            self._add_block(self._new_id(), block, until_ms)
+            self._add_block(self._new_id(), block, self._note_until_ms)
 
     def remove_team(self, team, now_ms):
         """Stop granting for a team that the configuration no longer has."""
--- a/cassiamount/budget_holder.py
+++ b/cassiamount/budget_holder.py
@@ -14,18 +14,20 @@
 # Tokens that were not touched for this long go back to the owner, where other VMs
 # can have them.
 IDLE_RETURN_MS = 400
+# Reports of one VM to one owner are at least this far apart.
+REPORT_INTERVAL_MS = 200
 
 
 class _HeldBlock:
     __slots__ = ("grant", "left_tokens", "unreported_tokens", "epoch", "touched_ms")
 
-    def __init__(self, grant, now_ms):
+    def __init__(self, grant):
         self.grant = grant
         self.left_tokens = grant.tokens
         self.unreported_tokens = 0
         # Counts the reports that contained uses of this block.
         self.epoch = 0
-        self.touched_ms = now_ms
+        self.touched_ms = None
 
 
 class _Part:
@@ -66,12 +68,12 @@
         "averaged_ms",
     )
 
-    def __init__(self, burst_tokens, now_ms):
+    def __init__(self, burst_tokens):
         self.burst_tokens = burst_tokens
         self.blocks = deque()
         self.needed_tokens = 0
         self.use_tokens_per_ms = 0.0
-        self.averaged_ms = now_ms
+        self.averaged_ms = 0.0
 
 
 class BudgetHolder:
@@ -81,31 +83,38 @@
     ----------
     vm : str
         Identity ``<name>@<incarnation>``; the `holder` of asks and reports.
+    zone_share : float
+        Share of this zone in the rate and burst of every team. May be changed.
     """
 
-    def __init__(self, vm):
+    def __init__(self, vm, zone_share=1.0):
         self.vm = vm
+        self.zone_share = zone_share
         self._teams = {}
         self._uses = {}
         self._refunds = {}
-        self._reports = {}
+        self._reported_ms = {}
         self._next_sequence = 1
 
-    def set_team(self, team, burst_tokens, now_ms):
-        """Set the zone's share of a team's burst."""
-        tokens = self._teams.get(team)
-        if tokens is None:
-            self._teams[team] = _TeamTokens(burst_tokens, now_ms)
-        else:
-            tokens.burst_tokens = burst_tokens
-
-    def remove_team(self, team):
-        """Return the tokens of a team that the configuration no longer has."""
-        tokens = self._teams.pop(team, None)
-        for block in tokens.blocks if tokens is not None else ():
-            self._return(block)
+    def set_teams(self, teams):
+        """Set the teams and return the tokens of those that are gone.
 
-    def add_grant(self, team, grant, now_ms):
+        Parameters
+        ----------
+        teams : dict of str to Team
+            With the burst over all zones.
+        """
+        for name in self._teams.keys() - teams.keys():
+            for block in self._teams.pop(name).blocks:
+                self._return(block)
+        for name, team in teams.items():
+            burst_tokens = team.burst_tokens * self.zone_share
+            if name in self._teams:
+                self._teams[name].burst_tokens = burst_tokens
+            else:
+                self._teams[name] = _TeamTokens(burst_tokens)
+
+    def add_grant(self, team, grant):
         """Add a block.
 
         Parameters
@@ -113,16 +122,14 @@
         team : str
         grant : Grant
             The deadline is on this VM's clock, counted from before the ask was sent.
-        now_ms : float
         """
         tokens = self._teams.get(team)
-        block = _HeldBlock(grant, now_ms)
-        if tokens is None or grant.deadline_ms <= now_ms:
+        block = _HeldBlock(grant)
+        if tokens is None:
             self._return(block)
             return
-        tokens.blocks.append(block)
         tokens.blocks = deque(
-            sorted(tokens.blocks, key=lambda each: each.grant.deadline_ms)
+            sorted([*tokens.blocks, block], key=lambda each: each.grant.deadline_ms)
         )
 
     def available(self, team, now_ms):
@@ -226,19 +233,34 @@
         list of Ask
         """
         asks = []
+        refill = self.teams_to_refill(now_ms)
         for team, tokens in self._teams.items():
-            left_tokens = self.available(team, now_ms)
             needed_tokens, tokens.needed_tokens = tokens.needed_tokens, 0
-            missing_tokens = max(0, needed_tokens - left_tokens)
-            want_tokens = self.want(team, now_ms, missing_tokens)
-            if missing_tokens or left_tokens * 2 < want_tokens > 1:
+            missing_tokens = max(0, needed_tokens - self.available(team, now_ms))
+            if missing_tokens or team in refill:
+                want_tokens = self.want(team, now_ms, missing_tokens)
                 asks.append(Ask(team, want_tokens, max(1, missing_tokens)))
         return asks
 
+    def teams_to_refill(self, now_ms):
+        """Return the teams in use that have less than half a block left.
+
+        Returns
+        -------
+        list of str
+        """
+        return [
+            team
+            for team in self._teams
+            if self.available(team, now_ms) * 2 < self.want(team, now_ms) > 1
+        ]
+
     def reports(self, now_ms):
-        """Return the reports that are due: one for each owner, in order.
+        """Return the reports that are due, at most one for each owner.
 
-        A report is returned again, unchanged, until `report_done`.
+        The caller sends the reports of one owner in order and repeats each one
+        unchanged until it is answered or too old to matter. A report that is lost for
+        good costs tokens, never safety.
 
         Returns
         -------
@@ -247,25 +269,59 @@
         for tokens in self._teams.values():
             self._drop_expired(tokens, now_ms)
             for block in tokens.blocks:
-                if block.touched_ms + IDLE_RETURN_MS <= now_ms and block.left_tokens:
+                if block.touched_ms is None:
+                    block.touched_ms = now_ms
+                if block.touched_ms + IDLE_RETURN_MS <= now_ms:
                     self._return(block)
-                else:
-                    self._report_use(block)
-            tokens.blocks = deque(b for b in tokens.blocks if b.left_tokens)
-        self._build_reports(now_ms)
-        return list(self._reports.values())
-
-    def report_done(self, report):
-        """Forget a report that its owner answered or that no owner can use."""
-        current = self._reports.get(report.owner)
-        if current is not None and current.sequence == report.sequence:
-            del self._reports[report.owner]
+        due = [
+            owner
+            for owner in {*self._blocks_by_owner(), *self._uses, *self._refunds}
+            if self._reported_ms.get(owner, -REPORT_INTERVAL_MS)
+            <= now_ms - REPORT_INTERVAL_MS
+        ]
+        return self._build_reports(sorted(due), now_ms)
 
     def return_all(self, now_ms):
-        """Return all unused tokens for a planned stop; give the reports."""
-        for team in list(self._teams):
-            self.remove_team(team)
-        return self.reports(now_ms)
+        """Return all unused tokens for a planned stop; give the last reports."""
+        self.set_teams({})
+        return self._build_reports(sorted({*self._uses, *self._refunds}), now_ms)
+
+    def _blocks_by_owner(self):
+        blocks = {}
+        for tokens in self._teams.values():
+            for block in tokens.blocks:
+                owner = owner_of(block.grant.grant_id)
+                blocks.setdefault(owner, []).append(block)
+        return blocks
+
+    def _build_reports(self, owners, now_ms):
+        blocks = self._blocks_by_owner()
+        reports = []
+        self._reported_ms = {
+            owner: at_ms
+            for owner, at_ms in self._reported_ms.items()
+            if at_ms > now_ms - REPORT_INTERVAL_MS
+        }
+        for owner in owners:
+            for block in blocks.get(owner, ()):
+                self._report_use(block)
+            uses = list(self._uses.pop(owner, {}).values())
+            refunds = [
+                Refund(team, grant_id, tokens, now_ms - charged_ms)
+                for team, grant_id, tokens, charged_ms in self._refunds.pop(owner, ())
+            ]
+            if uses or refunds:
+                self._reported_ms[owner] = now_ms
+                sequence = self._next_sequence
+                self._next_sequence += 1
+                reports.append(Report(owner, sequence, uses, refunds))
+        for tokens in self._teams.values():
+            tokens.blocks = deque(
+                block
+                for block in tokens.blocks
+                if block.left_tokens or block.unreported_tokens
+            )
+        return reports
 
     def _average(self, tokens, used_tokens, now_ms):
         elapsed_ms = max(0.0, now_ms - tokens.averaged_ms)
@@ -294,16 +350,3 @@
         if block.left_tokens:
             self._use_of(block).returned_tokens += block.left_tokens
             block.left_tokens = 0
-
-    def _build_reports(self, now_ms):
-        for owner in [*self._uses, *self._refunds]:
-            if owner not in self._reports:
-                uses = list(self._uses.pop(owner, {}).values())
-                refunds = [
-                    Refund(team, grant_id, tokens, now_ms - charged_ms)
-                    for team, grant_id, tokens, charged_ms in self._refunds.pop(
-                        owner, []
-                    )
-                ]
-                self._reports[owner] = Report(owner, self._next_sequence, uses, refunds)
-                self._next_sequence += 1
--- /dev/null
+++ b/cassiamount/membership.py
@@ -0,0 +1,286 @@
+"""Which VMs and backend servers are live, leaving or gone."""
+
+from .records import SuspectVm
+from .zone_state import vm_name
+
+LIVE = "live"
+LEAVING = "leaving"
+GONE = "gone"
+UNKNOWN = "unknown"
+
+ENTRY = "entry"
+BACKEND = "backend"
+
+PROBE_INTERVAL_MS = 1_000
+# A VM that failed this many probes in a row, over at least this time, is suspected.
+SUSPECT_AFTER_FAILURES = 3
+SUSPECT_AFTER_MS = 3_000
+# The record is written again if the suspect is still registered after this time.
+SUSPECT_AGAIN_MS = 10_000
+# Each VM probes this many VMs that follow it in the order of names. Probing all of
+# them would cost a zone of 133 VMs 17,000 probes a second.
+PROBED_SUCCESSORS = 3
+
+
+class ListedVm:
+    """An entry of the platform's VM list.
+
+    Parameters
+    ----------
+    name, zone, address : str
+    kind : str
+        ``entry`` or ``backend``.
+    state : str
+        ``live`` or ``leaving``.
+    """
+
+    __slots__ = ("name", "zone", "address", "kind", "state")
+
+    def __init__(self, name, zone, address, kind, state):
+        self.name = name
+        self.zone = zone
+        self.address = address
+        self.kind = kind
+        self.state = state
+
+
+class _Probed:
+    __slots__ = ("identity", "leaving", "answered_ms", "failures", "first_failure_ms")
+
+    def __init__(self):
+        self.identity = ""
+        self.leaving = False
+        self.answered_ms = None
+        self.failures = 0
+        self.first_failure_ms = None
+
+
+class ProbeTarget:
+    """A VM to probe now."""
+
+    __slots__ = ("name", "address")
+
+    def __init__(self, name, address):
+        self.name = name
+        self.address = address
+
+
+class Membership:
+    """Combines three sources, none of which is right by itself.
+
+    The VM list lags and can show the dead and hide the living. A registration stays
+    when its VM dies. A probe shows only what can be reached from here.
+
+    Parameters
+    ----------
+    vm : str
+        Identity of this VM.
+    zone : str
+    new_id : callable
+        Returns a unique record id.
+    """
+
+    def __init__(self, vm, zone, new_id):
+        self.vm = vm
+        self.zone = zone
+        self._new_id = new_id
+        self._listed = {}
+        self._members = {}
+        self._probed = {}
+        self._probe_due_ms = 0.0
+        self._suspected_ms = {}
+        self._leaving_backends = set()
+        self._peer_leaving_backends = {}
+
+    def on_vm_list(self, listed):
+        """Take the VM list.
+
+        A backend server that was listed as leaving and is no longer listed stays
+        leaving; it comes back when it is listed as live.
+
+        Parameters
+        ----------
+        listed : iterable of ListedVm
+        """
+        self._listed = {}
+        for entry in listed:
+            if entry.kind == ENTRY:
+                self._listed[entry.name] = entry
+            elif entry.state == LEAVING:
+                self._leaving_backends.add(entry.name)
+            else:
+                self._leaving_backends.discard(entry.name)
+
+    def on_members(self, members):
+        """Take the registered members of the zone.
+
+        Parameters
+        ----------
+        members : dict of str to Member
+        """
+        for name, member in members.items():
+            probed = self._probed.get(name)
+            if probed is not None and probed.identity not in ("", member.identity):
+                # The VM came back under its old name; probes of the old process say
+                # nothing about it.
+                del self._probed[name]
+        self._members = dict(members)
+
+    def probes(self, now_ms):
+        """Return the VMs of the zone to probe now.
+
+        Returns
+        -------
+        list of ProbeTarget
+        """
+        if now_ms < self._probe_due_ms:
+            return []
+        self._probe_due_ms = now_ms + PROBE_INTERVAL_MS
+        own_name = vm_name(self.vm)
+        addresses = {
+            entry.name: entry.address
+            for entry in self._listed.values()
+            if entry.zone == self.zone
+        }
+        addresses.update((m.name, m.address) for m in self._members.values())
+        names = sorted(addresses.keys() - {own_name})
+        after = [name for name in names if name > own_name]
+        ring = after + names[: len(names) - len(after)]
+        # Members first: only they can be suspected.
+        ring.sort(key=lambda name: name not in self._members)
+        self._forget_unprobed(set(names))
+        return [ProbeTarget(name, addresses[name]) for name in ring[:PROBED_SUCCESSORS]]
+
+    def _forget_unprobed(self, names):
+        self._probed = {
+            name: probed for name, probed in self._probed.items() if name in names
+        }
+        self._peer_leaving_backends = {
+            name: backends
+            for name, backends in self._peer_leaving_backends.items()
+            if name in names
+        }
+
+    def on_probe_answer(self, name, identity, leaving, now_ms, leaving_backends=()):
+        """Take the answer of a VM.
+
+        Parameters
+        ----------
+        name : str
+            The VM that was probed.
+        identity : str
+            Who answered.
+        leaving : bool
+        now_ms : float
+        leaving_backends : iterable of str
+            Backend servers that the VM knows to be leaving.
+        """
+        if vm_name(identity) != name:
+            # Another VM got the address.
+            self.on_probe_failure(name, now_ms)
+            return
+        probed = self._probed.setdefault(name, _Probed())
+        probed.identity = identity
+        probed.leaving = leaving
+        probed.answered_ms = now_ms
+        probed.failures = 0
+        probed.first_failure_ms = None
+        self._peer_leaving_backends[name] = frozenset(leaving_backends)
+
+    def on_probe_failure(self, name, now_ms):
+        """Take note that a VM did not answer a probe."""
+        probed = self._probed.setdefault(name, _Probed())
+        probed.failures += 1
+        if probed.first_failure_ms is None:
+            probed.first_failure_ms = now_ms
+
+    def state_of(self, name, now_ms):
+        """Return what is known about an entry VM of this zone.
+
+        Returns
+        -------
+        str
+            ``live``, ``leaving``, ``gone`` or ``unknown``.
+        """
+        probed = self._probed.get(name)
+        listed = self._listed.get(name)
+        if probed is not None and self._is_silent(probed, now_ms):
+            return GONE
+        if probed is not None and probed.answered_ms is not None:
+            leaving = probed.leaving or (listed is not None and listed.state == LEAVING)
+            return LEAVING if leaving else LIVE
+        if listed is not None and listed.state == LEAVING:
+            return LEAVING
+        if name in self._members:
+            return LIVE
+        return UNKNOWN if listed is not None else GONE
+
+    def suspicions(self, now_ms):
+        """Return the records about registered VMs that no longer run.
+
+        A VM is suspected if it does not answer, or if another incarnation answers
+        under its name.
+
+        Returns
+        -------
+        list of SuspectVm
+        """
+        records = []
+        for name, member in self._members.items():
+            probed = self._probed.get(name)
+            if probed is None or name == vm_name(self.vm):
+                continue
+            replaced = probed.identity not in ("", member.identity)
+            if not replaced and not self._is_silent(probed, now_ms):
+                continue
+            written_ms = self._suspected_ms.get(member.identity)
+            if written_ms is not None and now_ms < written_ms + SUSPECT_AGAIN_MS:
+                continue
+            self._suspected_ms[member.identity] = now_ms
+            records.append(SuspectVm(self._new_id(), self.vm, name, member.incarnation))
+        current = {member.identity for member in self._members.values()}
+        self._suspected_ms = {
+            identity: at_ms
+            for identity, at_ms in self._suspected_ms.items()
+            if identity in current
+        }
+        return records
+
+    def leaving_backends(self):
+        """Return the backend servers that the VM list or a peer says are leaving.
+
+        Returns
+        -------
+        frozenset of str
+        """
+        return frozenset(self._leaving_backends).union(
+            *self._peer_leaving_backends.values()
+        )
+
+    def own_leaving_backends(self):
+        """Return those that this VM's own VM list says are leaving.
+
+        Probe answers carry these only; passing on what peers say would keep a name
+        alive among VMs after its source has dropped it.
+        """
+        return frozenset(self._leaving_backends)
+
+    def entry_addresses(self):
+        """Return the addresses of the listed entry VMs by zone and name.
+
+        Returns
+        -------
+        dict of str to dict of str to str
+        """
+        zones = {}
+        for entry in self._listed.values():
+            zones.setdefault(entry.zone, {})[entry.name] = entry.address
+        own = zones.setdefault(self.zone, {})
+        own.update((m.name, m.address) for m in self._members.values())
+        return zones
+
+    def _is_silent(self, probed, now_ms):
+        return (
+            probed.failures >= SUSPECT_AFTER_FAILURES
+            and now_ms - probed.first_failure_ms >= SUSPECT_AFTER_MS
+        )
--- a/cassiamount/token_bucket.py
+++ b/cassiamount/token_bucket.py
@@ -73,6 +73,12 @@
         self.outstanding_tokens += tokens
         self._check()
 
+    def adopt(self, tokens):
+        """Count tokens as outstanding that a predecessor lent."""
+        self.outstanding_tokens += tokens
+        self._excess_tokens = max(0.0, self.total_tokens - self.burst_tokens)
+        self._check()
+
     def take_back(self, tokens, now_ms):
         """Move unused outstanding tokens back to the level."""
         self.advance(now_ms)
--- /dev/null
+++ b/cassiamount/zone_state.py
@@ -0,0 +1,376 @@
+"""Fold of one zone stream: members, leases, engine orders."""
+
+from collections import deque
+from functools import singledispatchmethod
+
+import orjson
+import xxhash
+from result import UnwrapError
+
+from .folds import Applied, Rejected, SeenIds
+from .records import (
+    Checkpoint,
+    ClaimLease,
+    IntendOrder,
+    RegisterVm,
+    ReleaseLease,
+    ReleaseVm,
+    RenewLease,
+    SettleOrder,
+    SuspectVm,
+    decode_record,
+    encode_record,
+)
+
+PLACEMENT_LEASE = "placement"
+SETTLE_OUTCOMES = ("done", "failed", "not-accepted", "expired")
+# A zone stream has a few records a second; a repeat follows within seconds.
+ZONE_SEEN_IDS_LIMIT = 5_000
+REJECTIONS_KEPT = 20
+STATE_FORMAT = 1
+
+
+def vm_identity(name, incarnation):
+    """Return the identity under which a VM writes records."""
+    return f"{name}@{incarnation}"
+
+
+def vm_name(identity):
+    """Return the name in an identity."""
+    return identity.rpartition("@")[0]
+
+
+class Member:
+    """A registered VM of the zone."""
+
+    __slots__ = ("name", "incarnation", "address")
+
+    def __init__(self, name, incarnation, address):
+        self.name = name
+        self.incarnation = incarnation
+        self.address = address
+
+    @property
+    def identity(self):
+        """``<name>@<incarnation>``."""
+        return vm_identity(self.name, self.incarnation)
+
+
+class Lease:
+    """State of one lease.
+
+    Parameters
+    ----------
+    holder : str
+        Identity of the VM whose claim was accepted last.
+    fence : int
+        Offset + 1 of that claim.
+    seen_offset : int
+        Offset + 1 of the last accepted claim or renewal.
+    roster : frozenset of str
+        Identities of the members at the last accepted claim or renewal.
+    previous_roster : frozenset of str or None
+        The same at the one before, if that had the same fence.
+    released : bool
+    note : dict, optional
+        Of a released lease: what its holder left. Of a lease that was claimed after
+        a release: the note of the predecessor. Otherwise None.
+    """
+
+    __slots__ = (
+        "holder",
+        "fence",
+        "seen_offset",
+        "roster",
+        "previous_roster",
+        "released",
+        "note",
+    )
+
+    def __init__(
+        self,
+        holder,
+        fence,
+        seen_offset,
+        roster,
+        previous_roster=None,
+        released=False,
+        note=None,
+    ):
+        self.holder = holder
+        self.fence = fence
+        self.seen_offset = seen_offset
+        self.roster = frozenset(roster)
+        self.previous_roster = (
+            None if previous_roster is None else frozenset(previous_roster)
+        )
+        self.released = released
+        self.note = note
+
+    def may_claim(self, vm):
+        """Whether `vm` may claim the lease without stating that it is orphaned.
+
+        The holder extends its lease with the promises of the roster that it knows.
+        The last renewal may be in the log without the holder knowing, so only VMs in
+        both of the last two rosters may claim: those are in the one it knows,
+        whichever that is. The holder keeps at most one renewal unresolved.
+        """
+        if self.released:
+            return True
+        rosters = [self.roster]
+        if self.previous_roster is not None:
+            rosters.append(self.previous_roster)
+        if all(roster <= {self.holder} for roster in rosters):
+            return True
+        return all(vm in roster for roster in rosters)
+
+
+class ZoneState:
+    """State of one zone, folded from the records of its stream.
+
+    Parameters
+    ----------
+    zone : str
+    """
+
+    def __init__(self, zone):
+        self.zone = zone
+        self.next_offset = 0
+        # Last rejected records, for status pages; not part of the state.
+        self.rejections = deque(maxlen=REJECTIONS_KEPT)
+        self._clear()
+
+    def _clear(self):
+        self.members = {}
+        self.leases = {}
+        # Unsettled intents by order id, in log order.
+        self.orders = {}
+        # Engine -> name -> {"kind", "version", "memory_mb"}.
+        self.residency = {}
+        self._seen = SeenIds(limit=ZONE_SEEN_IDS_LIMIT)
+
+    def apply(self, offset, record):
+        """Apply the record at an offset.
+
+        Returns
+        -------
+        Applied or Rejected
+
+        Raises
+        ------
+        ValueError
+            If records between are missing.
+        """
+        if offset < self.next_offset:
+            return Rejected(offset, "the offset was applied before")
+        self._advance(offset)
+        if not self._seen.add(record.id):
+            return self._rejected(offset, "the record was applied before")
+        reason = self._apply(record, offset)
+        return Applied(offset) if reason is None else self._rejected(offset, reason)
+
+    def skip(self, offset):
+        """Pass over a record that cannot be decoded."""
+        if offset >= self.next_offset:
+            self._advance(offset)
+
+    def roster(self):
+        """Return the identities of the members."""
+        return frozenset(member.identity for member in self.members.values())
+
+    def _advance(self, offset):
+        if offset != self.next_offset:
+            raise ValueError(f"expected offset {self.next_offset}, got {offset}")
+        self.next_offset = offset + 1
+
+    def _rejected(self, offset, reason):
+        rejected = Rejected(offset, reason)
+        self.rejections.append(rejected)
+        return rejected
+
+    # Each returns None or the reason for a rejection.
+
+    @singledispatchmethod
+    def _apply(self, record, offset):
+        return f"{record.kind} does not belong in a zone stream"
+
+    @_apply.register
+    def _(self, record: Checkpoint, offset):
+        return None
+
+    @_apply.register
+    def _(self, record: RegisterVm, offset):
+        name, _, incarnation = record.vm.rpartition("@")
+        if not name or incarnation != record.incarnation:
+            return "a VM can register only itself"
+        self.members[name] = Member(name, incarnation, record.address)
+        return None
+
+    @_apply.register
+    def _(self, record: ReleaseVm, offset):
+        return self._remove_member(vm_name(record.vm), record.incarnation)
+
+    @_apply.register
+    def _(self, record: SuspectVm, offset):
+        return self._remove_member(record.suspect, record.incarnation)
+
+    def _remove_member(self, name, incarnation):
+        member = self.members.get(name)
+        if member is None or member.incarnation != incarnation:
+            return "no such member"
+        del self.members[name]
+        return None
+
+    @_apply.register
+    def _(self, record: ClaimLease, offset):
+        lease = self.leases.get(record.lease)
+        if lease is None:
+            if record.previous_fence != 0:
+                return "the lease was never claimed"
+        else:
+            if record.previous_fence != lease.fence:
+                return "the lease has another fence"
+            if record.seen_offset < lease.seen_offset:
+                return "the lease was renewed since"
+            if not record.orphaned and not lease.may_claim(record.vm):
+                return "the claimant is not on the roster"
+        note = lease.note if lease is not None and lease.released else None
+        self.leases[record.lease] = Lease(
+            record.vm, offset + 1, offset + 1, self.roster(), note=note
+        )
+        return None
+
+    @_apply.register
+    def _(self, record: RenewLease, offset):
+        lease = self.leases.get(record.lease)
+        if lease is None or lease.fence != record.fence or lease.released:
+            return "the fence is not current"
+        if lease.holder != record.vm:
+            return "only the holder can renew"
+        lease.seen_offset = offset + 1
+        lease.previous_roster = lease.roster
+        lease.roster = self.roster()
+        return None
+
+    @_apply.register
+    def _(self, record: ReleaseLease, offset):
+        lease = self.leases.get(record.lease)
+        if lease is None or lease.fence != record.fence or lease.released:
+            return "the fence is not current"
+        lease.released = True
+        # A note is trusted only from the holder; an operator does not know the levels.
+        lease.note = record.note if lease.holder == record.vm else {}
+        return None
+
+    @_apply.register
+    def _(self, record: IntendOrder, offset):
+        lease = self.leases.get(PLACEMENT_LEASE)
+        if lease is None or lease.fence != record.fence or lease.released:
+            return "the fence is not current"
+        if record.vm != lease.holder:
+            return "only the holder of the placement lease can order"
+        if record.order_id in self.orders:
+            return "the order exists"
+        self.orders[record.order_id] = record
+        return None
+
+    @_apply.register
+    def _(self, record: SettleOrder, offset):
+        if record.outcome not in SETTLE_OUTCOMES:
+            return f"unknown outcome {record.outcome!r:.40}"
+        order = self.orders.pop(record.order_id, None)
+        if order is None:
+            return "no such unsettled order"
+        if record.outcome == "done":
+            self._change_residency(order)
+        return None
+
+    def _change_residency(self, order):
+        verb, _, kind = order.action.partition("_")
+        residents = self.residency.setdefault(order.engine, {})
+        if verb == "load":
+            residents[order.name] = {
+                "kind": kind,
+                "version": order.version,
+                "memory_mb": order.memory_mb,
+            }
+        elif verb == "unload":
+            residents.pop(order.name, None)
+        if not residents:
+            del self.residency[order.engine]
+
+    # Snapshots.
+
+    def to_state(self):
+        """Return the state as a JSON object."""
+        return {
+            "format": STATE_FORMAT,
+            "members": {
+                name: [member.incarnation, member.address]
+                for name, member in self.members.items()
+            },
+            "leases": {
+                name: {
+                    "holder": lease.holder,
+                    "fence": lease.fence,
+                    "seen_offset": lease.seen_offset,
+                    "roster": sorted(lease.roster),
+                    "previous_roster": lease.previous_roster
+                    if lease.previous_roster is None
+                    else sorted(lease.previous_roster),
+                    "released": lease.released,
+                    "note": lease.note,
+                }
+                for name, lease in self.leases.items()
+            },
+            "orders": [encode_record(order) for order in self.orders.values()],
+            "residency": {
+                engine: dict(residents) for engine, residents in self.residency.items()
+            },
+            "seen_ids": list(self._seen),
+        }
+
+    def load_state(self, covers_offset, state):
+        """Replace the state by a snapshot that is ahead of it.
+
+        Returns
+        -------
+        bool
+            False if the snapshot is not ahead; nothing changes then.
+
+        Raises
+        ------
+        ValueError
+            If the state cannot be read; nothing changes then.
+        """
+        if covers_offset < self.next_offset:
+            return False
+        loaded = ZoneState(self.zone)
+        try:
+            loaded._load(state)
+        except (KeyError, TypeError, AttributeError, UnwrapError) as error:
+            raise ValueError(f"malformed state of zone {self.zone}") from error
+        for name in ("members", "leases", "orders", "residency", "_seen"):
+            setattr(self, name, getattr(loaded, name))
+        self.next_offset = covers_offset + 1
+        return True
+
+    def _load(self, state):
+        if state["format"] != STATE_FORMAT:
+            raise ValueError(f"unknown format {state['format']!r:.40}")
+        for name, (incarnation, address) in state["members"].items():
+            self.members[name] = Member(name, incarnation, address)
+        for name, fields in state["leases"].items():
+            self.leases[name] = Lease(**fields)
+        for value in state["orders"]:
+            order = decode_record(value).expect("an order in a snapshot")
+            self.orders[order.order_id] = order
+        self.residency = {
+            engine: dict(residents) for engine, residents in state["residency"].items()
+        }
+        self._seen = SeenIds(state["seen_ids"], limit=ZONE_SEEN_IDS_LIMIT)
+
+    def digest(self):
+        """Return a hash of the state and the offset."""
+        value = [self.next_offset, self.to_state()]
+        return xxhash.xxh64_hexdigest(orjson.dumps(value, option=orjson.OPT_SORT_KEYS))
