--- /dev/null
+++ b/cassiamount/lease_client.py
@@ -0,0 +1,118 @@
+"""One VM's part in one lease: watch, claim, hold, promise."""
+
+from .lease_commands import Stop
+from .leases import LeaseHolder, LeaseWatcher
+
+
+class LeaseClient:
+    """Combines a `LeaseWatcher` and, while the VM has the lease, a `LeaseHolder`.
+
+    Must outlive the tasks of its VM, see `LeaseWatcher`.
+
+    Parameters
+    ----------
+    vm : str
+        Identity of this VM.
+    lease : str
+    new_id : callable
+        Returns a unique record id.
+    extendable : bool
+        Whether promises can extend the lease.
+    """
+
+    def __init__(self, vm, lease, new_id, extendable):
+        self.vm = vm
+        self.lease = lease
+        self.watcher = LeaseWatcher(vm, lease, new_id)
+        self.holder = None
+        self._new_id = new_id
+        self._extendable = extendable
+
+    @property
+    def fence(self):
+        """Fence under which this VM holds the lease, or None."""
+        return None if self.holder is None else self.holder.fence
+
+    def may_use(self, now_ms):
+        """Whether this VM can use the lease now."""
+        return self.holder is not None and self.holder.may_use(
+            now_ms, self.watcher.promised_until_ms
+        )
+
+    def deadline_ms(self):
+        """Return when the use of the lease ends unless it is renewed or extended."""
+        return float("-inf") if self.holder is None else self.holder.deadline_ms
+
+    def observe(self, state, now_ms):
+        """Take note of the lease as the zone's fold shows it now.
+
+        Parameters
+        ----------
+        state : Lease or None
+        now_ms : float
+
+        Returns
+        -------
+        Stop or None
+        """
+        claim_sent_ms = self.watcher.observe(state, now_ms)
+        stop = None
+        if self.holder is not None:
+            stop = self.holder.observe(state)
+            if isinstance(stop, Stop):
+                self.holder = None
+        if claim_sent_ms is not None and not state.released:
+            self.holder = LeaseHolder(
+                self.vm,
+                self.lease,
+                state.fence,
+                claim_sent_ms,
+                self._new_id,
+                self._extendable,
+            )
+            self.holder.observe(state)
+        return stop
+
+    def tick(self, now_ms, rank=0):
+        """Return the commands that are due.
+
+        Parameters
+        ----------
+        now_ms : float
+        rank : int
+            Place of this VM among those that would claim the lease.
+
+        Returns
+        -------
+        list of AppendClaim, AppendRenewal or AskPromises
+        """
+        if self.holder is None:
+            commands = [self.watcher.claim(now_ms, rank)]
+        else:
+            commands = [self.holder.renew(now_ms), self.holder.ask_promises(now_ms)]
+        return [command for command in commands if command is not None]
+
+    def append_failed(self, record, maybe_in_log):
+        """Take note that an append of a claim or renewal raised an error."""
+        self.watcher.claim_failed(record, maybe_in_log)
+        if self.holder is not None:
+            self.holder.renewal_failed(record, maybe_in_log)
+
+    def on_promise(self, fence, round_number, promiser, promised):
+        """Take note of the answer of one VM to `AskPromises`."""
+        if self.holder is not None and self.holder.fence == fence:
+            self.holder.on_promise(round_number, promiser, promised)
+
+    def release(self, note):
+        """Stop to use the lease.
+
+        Returns
+        -------
+        ReleaseLease or None
+            None if this VM does not have the lease.
+        """
+        if self.holder is None:
+            return None
+        record = self.holder.release(note)
+        self.holder = None
+        return record
--- a/cassiamount/leases.py
+++ b/cassiamount/leases.py
@@ -1,5 +1,12 @@
 """Timing of leases: claims, renewals, and extension by promises in a log outage."""
 
+from .lease_commands import (
+    AppendClaim,
+    AppendRenewal,
+    AskPromises,
+    PromiseAnswer,
+    Stop,
+)
 from .records import ClaimLease, ReleaseLease, RenewLease
 from .timing import EXTENSION_LIMIT_MS, LEASE_MS, ORPHAN_MS, at_least_ms, at_most_ms
 
@@ -13,75 +20,6 @@
 CLAIM_STAGGER_MS = 100
 
 
-class AppendClaim:
-    """Append a claim; the same record again until the outcome is known."""
-
-    __slots__ = ("record",)
-
-    def __init__(self, record):
-        self.record = record
-
-
-class AppendRenewal:
-    """Append a renewal; the same record again until the outcome is known."""
-
-    __slots__ = ("record",)
-
-    def __init__(self, record):
-        self.record = record
-
-
-class AskPromises:
-    """Ask every VM in `promisers` for a promise.
-
-    Parameters
-    ----------
-    round_number : int
-    holder, lease : str
-    promisers : tuple of str
-        Identities.
-    fence : int
-    duration_ms : float
-    """
-
-    __slots__ = (
-        "round_number",
-        "holder",
-        "promisers",
-        "lease",
-        "fence",
-        "duration_ms",
-    )
-
-    def __init__(self, round_number, holder, promisers, lease, fence, duration_ms):
-        self.round_number = round_number
-        self.holder = holder
-        self.promisers = promisers
-        self.lease = lease
-        self.fence = fence
-        self.duration_ms = duration_ms
-
-
-class Stop:
-    """Stop to use the lease for good; another VM has it or it was released."""
-
-    __slots__ = ("lease", "reason")
-
-    def __init__(self, lease, reason):
-        self.lease = lease
-        self.reason = reason
-
-
-class PromiseAnswer:
-    """Answer to a request for a promise."""
-
-    __slots__ = ("promised", "reason")
-
-    def __init__(self, promised, reason=""):
-        self.promised = promised
-        self.reason = reason
-
-
 class _Unresolved:
     """A record that was sent and may be in the log."""
 
@@ -118,6 +56,7 @@
         self._position = None
         self._read_ms = None
         self._unresolved = None
+        self._not_before_ms = float("-inf")
 
     @property
     def claim_unresolved(self):
@@ -189,7 +128,7 @@
             if not self._state.may_claim(self.vm):
                 orphaned = True
                 wait_ms = max(wait_ms, ORPHAN_MS)
-        if now_ms < self._read_ms + wait_ms:
+        if now_ms < max(self._read_ms + wait_ms, self._not_before_ms):
             return None
         fence, seen_offset, _ = self._position
         record = ClaimLease(
@@ -212,6 +151,7 @@
             return
         unresolved.maybe_in_log = unresolved.maybe_in_log or maybe_in_log
         if not unresolved.maybe_in_log:
+            self._not_before_ms = unresolved.last_sent_ms + RENEW_INTERVAL_MS
             self._unresolved = None
 
     def promise(self, holder, promiser, fence, duration_ms, now_ms, log_reached_ms):
@@ -282,6 +222,7 @@
         self._seen_offset = fence
         self._roster = frozenset()
         self._unresolved = None
+        self._not_before_ms = sent_ms + RENEW_INTERVAL_MS
         self._round_number = 0
         self._round = None
         self._missing = set()
@@ -320,6 +261,7 @@
             if self._unresolved is not None:
                 # At most one renewal is unresolved, so it is the one that was read.
                 self._renewed_ms = self._unresolved.first_sent_ms
+                self._not_before_ms = self._renewed_ms + RENEW_INTERVAL_MS
                 self._unresolved = None
                 deadline_ms = self._renewed_ms + at_most_ms(LEASE_MS)
                 self.deadline_ms = max(self.deadline_ms, deadline_ms)
@@ -339,7 +281,7 @@
                 return None
             self._unresolved.last_sent_ms = now_ms
             return AppendRenewal(self._unresolved.record)
-        if now_ms < self._renewed_ms + RENEW_INTERVAL_MS:
+        if now_ms < self._not_before_ms:
             return None
         record = RenewLease(self._new_id(), self.vm, self.lease, self.fence)
         self._unresolved = _Unresolved(record, now_ms)
@@ -360,6 +302,7 @@
         unresolved.maybe_in_log = unresolved.maybe_in_log or maybe_in_log
         if not unresolved.maybe_in_log:
             # The next renewal counts from its own sending.
+            self._not_before_ms = unresolved.last_sent_ms + RENEW_INTERVAL_MS
             self._unresolved = None
 
     def ask_promises(self, now_ms):
--- /dev/null
+++ b/tests/machines/__init__.py
@@ -0,0 +1,1 @@
+"""State machines of the coordination between VMs."""
