--- a/standins/faults.py
+++ b/standins/faults.py
@@ -111,6 +111,11 @@
         ]
 
 
+def find_keys(text):
+    """Return the parts of a text that look like callers' keys."""
+    return KEY_TEXT.findall(text)
+
+
 class Recorder:
     """Counts executions and keeps every text that looks like a caller's key."""
 
@@ -131,11 +136,11 @@
             places.append(("body", orjson.dumps(orjson.loads(body)).decode()))
         except ValueError:
             pass
-        for place, text in places:
-            for found in KEY_TEXT.findall(text):
-                self.keys_seen.append(
-                    {"place": place, "text": found, "request_id": request_id}
-                )
+        found = {(place, key) for place, text in places for key in find_keys(text)}
+        self.keys_seen.extend(
+            {"place": place, "text": key, "request_id": request_id}
+            for place, key in sorted(found)
+        )
 
     def describe(self):
         return {
