--- a/cassiamount/errors.py
+++ b/cassiamount/errors.py
@@ -31,6 +31,14 @@
     """A service of the platform cannot be reached or reports an outage."""
 
 
+class AppendLimitReached(PlatformUnavailable):
+    """The log refused an append because of its append limit; it can be repeated."""
+
+
+class OrderOutcomeUnknown(CassiamountError):
+    """The answer to an order was lost; the engine may carry it out."""
+
+
 class AppendOutcomeUnknown(CassiamountError):
     """The answer to an append was lost; the records may be in the log."""
 
--- a/standins/engine_memory.py
+++ b/standins/engine_memory.py
@@ -123,7 +123,7 @@
             self.orders[order_id] = "done"
             return 202, {"state": "done"}
         if kind == "adapter" and not self.ready(order["base"], "model"):
-            return 409, {"error": "base model is not ready"}
+            return 412, {"error": "base model is not ready"}
         if entry is None:
             if self.used_mb + order["memory_mb"] > self.capacity_mb:
                 self.overcommit_errors += 1
