--- /dev/null
+++ b/cassiamount/claim_state.py
@@ -0,0 +1,388 @@
+"""Fold of one ``claims-<n>`` stream: idempotency claims and their outcomes."""
+
+import hashlib
+import json
+from collections import OrderedDict
+from functools import singledispatchmethod
+
+from .errors import InvalidRecord, OffsetGap
+from .folds import Applied, Rejected
+from .invariants import AT_MOST_ONCE, require
+from .records import AbandonClaim, ClaimRequest, RecordOutcome
+from .stream_time import StreamTime
+
+IDEMPOTENCY_WINDOW_MS = 3_600_000
+# At about 300 bytes for each claim, 100,000 take 30 MB; the bodies have their own
+# limit. Both are for one partition.
+MAX_CLAIMS = 100_000
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+IN_PROGRESS = "in-progress"
+FINISHED = "finished"
+ABANDONED = "abandoned"
+
+
+class Claim:
+    """A claim of an idempotency key that was first in the log.
+
+    Parameters
+    ----------
+    team, key, fingerprint, request_id : str
+    vm : str
+        ``<name>@<incarnation>`` of the VM that carries the request.
+    claimed_ms : int
+        Stream time of the claim.
+    state : str
+        ``in-progress``, ``finished`` or ``abandoned``.
+    status : int
+        HTTP status of the response; 0 while there is none.
+    content_type : str
+    body : str or None
+        Base64; None if the response was too large to be kept.
+    """
+
+    __slots__ = (
+        "team",
+        "key",
+        "fingerprint",
+        "request_id",
+        "vm",
+        "claimed_ms",
+        "state",
+        "status",
+        "content_type",
+        "body",
+    )
+
+    def __init__(
+        self,
+        team,
+        key,
+        fingerprint,
+        request_id,
+        vm,
+        claimed_ms,
+        state=IN_PROGRESS,
+        status=0,
+        content_type="",
+        body=None,
+    ):
+        self.team = team
+        self.key = key
+        self.fingerprint = fingerprint
+        self.request_id = request_id
+        self.vm = vm
+        self.claimed_ms = claimed_ms
+        self.state = state
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+
+    def to_state(self):
+        """Return the JSON form."""
+        return [getattr(self, name) for name in self.__slots__]
+
+
+class Free:
+    """Nobody holds the key; a claim may be appended."""
+
+    __slots__ = ()
+
+
+class Held:
+    """An earlier request holds the key.
+
+    Parameters
+    ----------
+    claim : Claim
+        `claim.state` tells whether its response is known.
+    """
+
+    __slots__ = ("claim",)
+
+    def __init__(self, claim):
+        self.claim = claim
+
+
+class Mismatch:
+    """The key was used for another request."""
+
+    __slots__ = ("claim",)
+
+    def __init__(self, claim):
+        self.claim = claim
+
+
+class ClaimState:
+    """Which request holds each idempotency key, by order in the log.
+
+    The first claim of (team, key) wins. It holds the key until it is abandoned or
+    until the idempotency window has passed in stream time. A claim beyond `max_claims`
+    is rejected and not an old one forgotten, since a forgotten claim could run twice.
+
+    Parameters
+    ----------
+    stream : str
+    window_ms : int
+        The same on all VMs.
+    max_claims, max_body_bytes : int
+
+    Attributes
+    ----------
+    next_offset : int
+    """
+
+    __slots__ = (
+        "stream",
+        "next_offset",
+        "_window_ms",
+        "_max_claims",
+        "_max_body_bytes",
+        "_time",
+        "_by_request",
+        "_by_key",
+        "_bodies",
+        "_body_bytes",
+    )
+
+    def __init__(
+        self,
+        stream="claims-0",
+        window_ms=IDEMPOTENCY_WINDOW_MS,
+        max_claims=MAX_CLAIMS,
+        max_body_bytes=MAX_BODY_BYTES,
+    ):
+        self.stream = stream
+        self.next_offset = 0
+        self._window_ms = window_ms
+        self._max_claims = max_claims
+        self._max_body_bytes = max_body_bytes
+        self._clear()
+
+    def _clear(self):
+        self._time = StreamTime()
+        # In log order, so that the oldest claims are at the front.
+        self._by_request = OrderedDict()
+        self._by_key = {}
+        # Requests with a kept body, in the order of their outcomes.
+        self._bodies = OrderedDict()
+        self._body_bytes = 0
+
+    def lookup(self, team, key, fingerprint):
+        """Return what a VM does about an arriving request with an idempotency key.
+
+        Returns
+        -------
+        Free, Held or Mismatch
+        """
+        claim = self._by_key.get((team, key))
+        if claim is None or self._expired(claim):
+            return Free()
+        if claim.fingerprint != fingerprint:
+            return Mismatch(claim)
+        return Held(claim)
+
+    def won(self, request_id):
+        """Return whether this request holds its key; read it after the read-back."""
+        claim = self._by_request.get(request_id)
+        return claim is not None and claim.state != ABANDONED
+
+    def claim_of(self, request_id):
+        """Return the accepted claim of a request, or None."""
+        return self._by_request.get(request_id)
+
+    def check_dispatch(self, request_id):
+        """Check at dispatch that the request holds its key and has not been run."""
+        claim = self._by_request.get(request_id)
+        require(
+            claim is not None
+            and claim.state == IN_PROGRESS
+            and self._by_key.get((claim.team, claim.key)) is claim,
+            AT_MOST_ONCE,
+            request_id=request_id,
+            state=claim and claim.state,
+        )
+
+    def __len__(self):
+        return len(self._by_request)
+
+    @property
+    def body_bytes(self):
+        """Bytes of response bodies that are kept."""
+        return self._body_bytes
+
+    def apply(self, offset, record):
+        """Apply one record.
+
+        Returns
+        -------
+        Applied or Rejected
+            A claim that lost is `Rejected`. An offset below `next_offset` is a no-op.
+
+        Raises
+        ------
+        OffsetGap
+            If records between are missing.
+        """
+        if offset < self.next_offset:
+            return Applied(offset)
+        self.skip(offset)
+        reason = self._effect(record)
+        return Applied(offset) if reason is None else Rejected(offset, reason)
+
+    def skip(self, offset):
+        """Pass over a record that cannot be decoded."""
+        if offset < self.next_offset:
+            return
+        if offset != self.next_offset:
+            raise OffsetGap(self.stream, self.next_offset, offset)
+        self.next_offset = offset + 1
+
+    def restart(self, earliest):
+        """Continue at the log's earliest offset after records were trimmed.
+
+        Claims need no checkpoint: the window is shorter than the log's retention, so
+        the claims that still hold are all at `earliest` or after it.
+        """
+        if earliest > self.next_offset:
+            self._clear()
+            self.next_offset = earliest
+
+    @singledispatchmethod
+    def _effect(self, record):
+        """Apply the effect of a record; return the reason of a rejection or None."""
+        return f"a record of kind {record.kind} does not belong in this stream"
+
+    @_effect.register
+    def _(self, record: ClaimRequest):
+        self._time.observe(record.vm, record.wall_ms)
+        self._remove_expired()
+        known = self._by_request.get(record.request_id)
+        if known is not None:
+            # The record was appended twice; after an abandonment it must not win.
+            return None if known.state != ABANDONED else "the claim was abandoned"
+        holder = self._by_key.get((record.team, record.key))
+        if holder is not None:
+            return f"request {holder.request_id} holds the key"
+        if len(self._by_request) >= self._max_claims:
+            return f"the partition holds {self._max_claims} claims"
+        claim = Claim(
+            record.team,
+            record.key,
+            record.fingerprint,
+            record.request_id,
+            record.vm,
+            self._time.now_ms,
+        )
+        self._by_request[claim.request_id] = claim
+        self._by_key[claim.team, claim.key] = claim
+        return None
+
+    @_effect.register
+    def _(self, record: RecordOutcome):
+        self._time.observe(record.vm, record.wall_ms)
+        claim = self._by_request.get(record.request_id)
+        reason = _change_problem(claim, record)
+        if reason is None:
+            claim.state = FINISHED
+            claim.status = record.status
+            claim.content_type = record.content_type
+            self._keep_body(claim, record.body)
+        self._remove_expired()
+        return reason
+
+    @_effect.register
+    def _(self, record: AbandonClaim):
+        claim = self._by_request.get(record.request_id)
+        reason = _change_problem(claim, record)
+        if reason is None:
+            claim.state = ABANDONED
+            self._by_key.pop((claim.team, claim.key))
+        return reason
+
+    def _keep_body(self, claim, body):
+        claim.body = body
+        if body is None:
+            return
+        self._bodies[claim.request_id] = claim
+        self._body_bytes += len(body)
+        while self._body_bytes > self._max_body_bytes:
+            _, oldest = self._bodies.popitem(last=False)
+            self._body_bytes -= len(oldest.body)
+            # The status stays known, so the request still does not run again.
+            oldest.body = None
+
+    def _expired(self, claim):
+        return self._time.now_ms - claim.claimed_ms > self._window_ms
+
+    def _remove_expired(self):
+        while self._by_request:
+            claim = next(iter(self._by_request.values()))
+            if not self._expired(claim):
+                return
+            del self._by_request[claim.request_id]
+            if self._by_key.get((claim.team, claim.key)) is claim:
+                del self._by_key[claim.team, claim.key]
+            if self._bodies.pop(claim.request_id, None) is not None:
+                self._body_bytes -= len(claim.body)
+
+    def to_state(self):
+        """Return the JSON form for snapshots."""
+        return {
+            "time": self._time.to_state(),
+            "claims": [claim.to_state() for claim in self._by_request.values()],
+            "bodies": list(self._bodies),
+        }
+
+    def load_state(self, covers_offset, state):
+        """Replace the state by that of a snapshot.
+
+        Parameters
+        ----------
+        covers_offset : int
+            Last offset that the state covers; a state that covers no more than this
+            fold has read changes nothing.
+        state : dict
+
+        Raises
+        ------
+        InvalidRecord
+            If the state is malformed; nothing has changed then.
+        """
+        if covers_offset < self.next_offset:
+            return
+        try:
+            time = StreamTime.from_state(state["time"])
+            claims = [Claim(*parts) for parts in state["claims"]]
+            by_request = OrderedDict((claim.request_id, claim) for claim in claims)
+            bodies = OrderedDict((id, by_request[id]) for id in state["bodies"])
+            body_bytes = sum(len(claim.body) for claim in bodies.values())
+        except (KeyError, TypeError, ValueError) as error:
+            raise InvalidRecord(f"malformed state of {self.stream}: {error}") from error
+        self._time = time
+        self._by_request = by_request
+        self._by_key = {
+            (claim.team, claim.key): claim
+            for claim in claims
+            if claim.state != ABANDONED
+        }
+        self._bodies = bodies
+        self._body_bytes = body_bytes
+        self.next_offset = covers_offset + 1
+
+    def digest(self):
+        """Return a digest that is equal on VMs that have read the same records."""
+        text = json.dumps(self.to_state(), sort_keys=True, separators=(",", ":"))
+        return hashlib.sha256(text.encode()).hexdigest()
+
+
+def _change_problem(claim, record):
+    """Return why `record` cannot change the claim, or None."""
+    if claim is None:
+        return f"request {record.request_id} holds no claim"
+    if claim.vm != record.vm:
+        # Only the VM that carried the request knows what became of it.
+        return f"the claim belongs to {claim.vm}"
+    if claim.state != IN_PROGRESS:
+        return f"the claim is {claim.state} already"
+    return None
--- /dev/null
+++ b/cassiamount/config_state.py
@@ -0,0 +1,377 @@
+"""Fold of the ``config`` stream: configuration in force, keys, drains."""
+
+import hashlib
+import json
+from collections import deque
+from functools import singledispatchmethod
+
+from .configuration import (
+    Configuration,
+    InvalidConfiguration,
+    configuration_from_document,
+)
+from .errors import InvalidRecord, OffsetGap
+from .findings import shorten
+from .folds import Applied, Rejected, SeenIds
+from .invariants import CONFIGURATION_NEVER_REVERTS, require
+from .keys import KeyTable, is_key_hash
+from .records import (
+    Checkpoint,
+    DrainBackend,
+    GiveKey,
+    PublishConfiguration,
+    UndrainBackend,
+    WithdrawKey,
+)
+
+# The stream carries some thousand records a day, and checkpoints carry these
+# identifiers; a writer settles a lost answer within seconds.
+SEEN_IDS_KEPT = 1_000
+REJECTIONS_KEPT = 20
+
+
+class GivenKey:
+    """A key that an operator gave to a team.
+
+    Parameters
+    ----------
+    team, label : str
+    offset : int
+        Offset of the record.
+    """
+
+    __slots__ = ("team", "label", "offset")
+
+    def __init__(self, team, label, offset):
+        self.team = team
+        self.label = label
+        self.offset = offset
+
+
+class Rejection:
+    """A rejected record, kept for operators.
+
+    Parameters
+    ----------
+    offset : int
+    kind, id, vm, reason : str
+        `kind`, `id` and `vm` are empty for a record that could not be decoded.
+    """
+
+    __slots__ = ("offset", "kind", "id", "vm", "reason")
+
+    def __init__(self, offset, kind, id, vm, reason):
+        self.offset = offset
+        self.kind = kind
+        self.id = id
+        self.vm = vm
+        self.reason = reason
+
+    def to_state(self):
+        """Return the JSON form."""
+        return [self.offset, self.kind, self.id, self.vm, self.reason]
+
+
+class ConfigState:
+    """What the records of the ``config`` stream amount to.
+
+    Attributes
+    ----------
+    next_offset : int
+        The offset that the fold expects next.
+    version : int
+        Version in force; 0 for "none".
+    document : dict
+        The configuration in force as it was published.
+    configuration : Configuration
+    keys : KeyTable
+        The same object for the life of the fold.
+    given : dict of str to GivenKey
+        Keys by hash that were given by records and not withdrawn.
+    drained : set of str
+        Backend servers that operators took out of use.
+    rejections : deque of Rejection
+        The last rejected records.
+    """
+
+    __slots__ = (
+        "next_offset",
+        "version",
+        "document",
+        "configuration",
+        "keys",
+        "given",
+        "drained",
+        "rejections",
+        "_seen_ids",
+    )
+
+    def __init__(self):
+        self.next_offset = 0
+        self.version = 0
+        self.document = {}
+        self.configuration = Configuration()
+        self.keys = KeyTable()
+        self.given = {}
+        self.drained = set()
+        self.rejections = deque(maxlen=REJECTIONS_KEPT)
+        self._seen_ids = SeenIds(limit=SEEN_IDS_KEPT)
+
+    @classmethod
+    def from_state(cls, state):
+        """Return a fold loaded from the result of `to_state`."""
+        fold = cls()
+        fold.load_state(state["next_offset"] - 1, state)
+        return fold
+
+    def apply(self, offset, record):
+        """Apply one record.
+
+        Parameters
+        ----------
+        offset : int
+        record : Record
+
+        Returns
+        -------
+        Applied or Rejected
+            An offset below `next_offset` is a no-op.
+
+        Raises
+        ------
+        OffsetGap
+            If records between are missing.
+        """
+        if offset < self.next_offset:
+            return Applied(offset)
+        self._advance(offset)
+        if not self._seen_ids.add(record.id):
+            return Applied(offset)
+        reason = self._effect(record, offset)
+        if reason is None:
+            return Applied(offset)
+        rejection = Rejection(offset, record.kind, record.id, record.vm, reason)
+        self.rejections.append(rejection)
+        return Rejected(offset, reason)
+
+    def skip(self, offset):
+        """Pass over a record that cannot be decoded."""
+        if offset < self.next_offset:
+            return
+        self._advance(offset)
+        reason = "the record cannot be decoded"
+        self.rejections.append(Rejection(offset, "", "", "", reason))
+
+    def _advance(self, offset):
+        if offset != self.next_offset:
+            raise OffsetGap("config", self.next_offset, offset)
+        self.next_offset = offset + 1
+
+    @singledispatchmethod
+    def _effect(self, record, offset):
+        """Apply the effect of a record; return the reason of a rejection or None."""
+        return f"a record of kind {record.kind} does not belong in this stream"
+
+    @_effect.register
+    def _(self, record: Checkpoint, offset):
+        # A reader that gets here has read everything that the checkpoint covers.
+        return None
+
+    @_effect.register
+    def _(self, record: PublishConfiguration, offset):
+        if record.base_version != self.version:
+            return (
+                f"based on version {record.base_version};"
+                f" version {self.version} is in force"
+            )
+        try:
+            configuration = configuration_from_document(record.document, offset + 1)
+        except InvalidConfiguration as error:
+            return f"the configuration is invalid: {shorten(error, 1000)}"
+        for team in configuration.teams.values():
+            for key_hash in sorted(team.key_hashes):
+                owner = self.given.get(key_hash)
+                if owner is not None and owner.team != team.name:
+                    return f"a key of team {team.name!r} was given to {owner.team!r}"
+        self._put_in_force(offset + 1, record.document, configuration)
+        self.drained &= configuration.backends.keys()
+        return None
+
+    @_effect.register
+    def _(self, record: GiveKey, offset):
+        if not is_key_hash(record.key_hash):
+            return "the key hash is malformed"
+        if record.key_hash in self.keys.withdrawn:
+            return "the key was withdrawn"
+        if record.team not in self.configuration.teams:
+            return f"unknown team {record.team!r}"
+        owner = self._owner(record.key_hash)
+        if owner is not None:
+            return f"the key belongs to team {owner!r} already"
+        self.given[record.key_hash] = GivenKey(record.team, record.label, offset)
+        self._replace_keys()
+        return None
+
+    @_effect.register
+    def _(self, record: WithdrawKey, offset):
+        if not is_key_hash(record.key_hash):
+            return "the key hash is malformed"
+        # An unknown key is withdrawn as well, so that a delayed record that gives it
+        # has no effect.
+        self.keys.withdraw(record.key_hash)
+        self.given.pop(record.key_hash, None)
+        return None
+
+    @_effect.register
+    def _(self, record: DrainBackend, offset):
+        if record.backend not in self.configuration.backends:
+            return f"unknown backend {record.backend!r}"
+        self.drained.add(record.backend)
+        return None
+
+    @_effect.register
+    def _(self, record: UndrainBackend, offset):
+        if record.backend not in self.drained:
+            return f"backend {record.backend!r} is not drained"
+        self.drained.discard(record.backend)
+        return None
+
+    def _owner(self, key_hash):
+        if key_hash in self.given:
+            return self.given[key_hash].team
+        for team in self.configuration.teams.values():
+            if key_hash in team.key_hashes:
+                return team.name
+        return None
+
+    def _put_in_force(self, version, document, configuration):
+        require(
+            version > self.version,
+            CONFIGURATION_NEVER_REVERTS,
+            version=version,
+            in_force=self.version,
+        )
+        self.version = version
+        self.document = document
+        self.configuration = configuration
+        self._replace_keys()
+
+    def _replace_keys(self):
+        teams = {
+            key_hash: given.team
+            for key_hash, given in self.given.items()
+            # A team that a later version removed has no callers.
+            if given.team in self.configuration.teams
+        }
+        for team in self.configuration.teams.values():
+            teams.update(dict.fromkeys(team.key_hashes, team.name))
+        self.keys.replace(teams)
+
+    def to_state(self):
+        """Return the JSON form for checkpoints and snapshots."""
+        return {
+            **self._shared_state(),
+            "next_offset": self.next_offset,
+            "rejections": [rejection.to_state() for rejection in self.rejections],
+            "seen_ids": list(self._seen_ids),
+        }
+
+    def _shared_state(self):
+        return {
+            "version": self.version,
+            "document": self.document,
+            "given": {
+                key_hash: [given.team, given.label, given.offset]
+                for key_hash, given in sorted(self.given.items())
+            },
+            "withdrawn": sorted(self.keys.withdrawn),
+            "drained": sorted(self.drained),
+        }
+
+    def load_state(self, covers_offset, state):
+        """Replace the state by that of a checkpoint or snapshot.
+
+        Parameters
+        ----------
+        covers_offset : int
+            Last offset that the state covers; a state that covers no more than this
+            fold has read changes nothing.
+        state : dict
+
+        Raises
+        ------
+        InvalidRecord
+            If the state is malformed; nothing has changed then.
+        """
+        if covers_offset < self.next_offset:
+            return
+        loaded = _LoadedState(state)
+        require(
+            loaded.version >= self.version,
+            CONFIGURATION_NEVER_REVERTS,
+            version=loaded.version,
+            in_force=self.version,
+            covers_offset=covers_offset,
+        )
+        # Withdrawals are for good, so the union is right even if the state lacks one.
+        for key_hash in loaded.withdrawn:
+            self.keys.withdraw(key_hash)
+        self.given = {
+            key_hash: given
+            for key_hash, given in loaded.given.items()
+            if key_hash not in self.keys.withdrawn
+        }
+        self.drained = loaded.drained
+        self.rejections = deque(loaded.rejections, maxlen=REJECTIONS_KEPT)
+        self._seen_ids = SeenIds(loaded.seen_ids, SEEN_IDS_KEPT)
+        self.next_offset = covers_offset + 1
+        if loaded.version > self.version:
+            self._put_in_force(loaded.version, loaded.document, loaded.configuration)
+        else:
+            self._replace_keys()
+
+    def digest(self):
+        """Return a digest that is equal on all VMs that have read the same records."""
+        text = json.dumps(self._shared_state(), sort_keys=True, separators=(",", ":"))
+        return hashlib.sha256(text.encode()).hexdigest()
+
+
+class _LoadedState:
+    """The parts of a checkpoint's state, with their types checked."""
+
+    __slots__ = (
+        "version",
+        "document",
+        "configuration",
+        "given",
+        "withdrawn",
+        "drained",
+        "rejections",
+        "seen_ids",
+    )
+
+    def __init__(self, state):
+        try:
+            self.version = int(state["version"])
+            self.document = dict(state["document"])
+            self.configuration = Configuration()
+            if self.version:
+                self.configuration = configuration_from_document(
+                    self.document, self.version
+                )
+            self.given = {
+                key_hash: GivenKey(str(team), str(label), int(offset))
+                for key_hash, (team, label, offset) in state["given"].items()
+            }
+            self.withdrawn = {str(key_hash) for key_hash in state["withdrawn"]}
+            self.drained = {str(name) for name in state["drained"]}
+            self.rejections = [Rejection(*parts) for parts in state["rejections"]]
+            self.seen_ids = [str(id) for id in state["seen_ids"]]
+        except (
+            KeyError,
+            TypeError,
+            ValueError,
+            AttributeError,
+            InvalidConfiguration,
+        ) as error:
+            raise InvalidRecord(f"malformed state of config: {error}") from error
--- /dev/null
+++ b/cassiamount/configuration_checks.py
@@ -0,0 +1,265 @@
+"""Whole check of a configuration document: schema, templates, cross-references."""
+
+from .findings import Problem, value_problems
+from .packing import can_pack
+from .schema_checks import load_schema, schema_problems, schema_validator
+from .templates import fill, parameter_problems, template_problems
+
+_SCHEMA = load_schema("configuration.json")
+_DOCUMENT = schema_validator(_SCHEMA)
+_TEAM = schema_validator(_SCHEMA, "team")
+_SECTIONS = (
+    "zones",
+    "models",
+    "adapters",
+    "backends",
+    "services",
+    "templates",
+    "teams",
+)
+
+
+def check_document(document):
+    """Check a configuration document.
+
+    Parameters
+    ----------
+    document : object
+        Parsed JSON.
+
+    Returns
+    -------
+    problems : list of Problem
+    teams : list of dict
+        The teams with their templates filled; meaningful without problems only.
+    """
+    problems = value_problems(document)
+    if problems:
+        return problems, []
+    problems = schema_problems(_DOCUMENT, document)
+    if not isinstance(document, dict):
+        return problems, []
+    check = _DocumentCheck(document, problems)
+    check.run()
+    return check.problems, [team.fields for team in check.teams]
+
+
+class _CheckedTeam:
+    """A team with its template filled, and where its fields come from."""
+
+    __slots__ = ("fields", "source")
+
+    def __init__(self, fields, source):
+        self.fields = fields
+        self.source = source
+
+
+class _DocumentCheck:
+    """One check of a document whose sections may be partly malformed.
+
+    Cross-references look only at the items that satisfy the schema, so that a fault
+    is reported once and does not hide the others.
+    """
+
+    __slots__ = ("problems", "teams", "_document", "_malformed")
+
+    def __init__(self, document, problems):
+        self.problems = problems
+        self.teams = []
+        self._document = document
+        self._malformed = {problem.path[:2] for problem in problems}
+
+    def run(self):
+        """Collect all problems."""
+        for section in _SECTIONS:
+            self._check_names(section)
+        self._check_model_and_adapter_names()
+        self._check_templates()
+        self._check_teams()
+        self._check_adapters()
+        self._check_backends()
+        self._check_routes()
+        self._check_memory()
+
+    def _add(self, path, message):
+        self.problems.append(Problem(path, message))
+
+    def _items(self, section):
+        """Yield (path, item) of the well-formed items of a section."""
+        for path, item in self._objects(section):
+            if path not in self._malformed:
+                yield path, item
+
+    def _objects(self, section):
+        items = self._document.get(section)
+        for index, item in enumerate(items if isinstance(items, list) else ()):
+            if isinstance(item, dict):
+                yield (section, index), item
+
+    def _names(self, section):
+        return {
+            item["name"]
+            for _, item in self._objects(section)
+            if isinstance(item.get("name"), str)
+        }
+
+    def _check_names(self, section):
+        seen = set()
+        for path, item in self._objects(section):
+            name = item.get("name")
+            if isinstance(name, str):
+                if name in seen:
+                    self._add((*path, "name"), f"duplicate name {name!r} in {section}")
+                seen.add(name)
+
+    def _check_model_and_adapter_names(self):
+        models = self._names("models")
+        for path, item in self._items("adapters"):
+            if item["name"] in models:
+                message = f"adapter {item['name']!r} has the name of a model"
+                self._add((*path, "name"), message)
+
+    def _check_templates(self):
+        for path, template in list(self._items("templates")):
+            found = template_problems(template, path)
+            if found:
+                self.problems.extend(found)
+                self._malformed.add(path)
+
+    def _check_teams(self):
+        templates = {
+            item["name"]: (path, item) for path, item in self._items("templates")
+        }
+        known = self._names("templates")
+        for path, item in self._items("teams"):
+            if "template" not in item:
+                self.teams.append(_CheckedTeam(item, lambda inner, p=path: p + inner))
+            elif item["template"] not in known:
+                message = f"unknown template {item['template']!r}"
+                self._add((*path, "template"), message)
+            elif item["template"] in templates:
+                self._fill_team(path, item, *templates[item["template"]])
+        self._check_team_references()
+        self._check_key_hashes()
+
+    def _fill_team(self, path, item, template_path, template):
+        parameters = item.get("parameters", {})
+        found = parameter_problems(template, parameters, path)
+        if found:
+            self.problems.extend(found)
+            return
+        filled = fill(template, parameters, template_path, path)
+        fields = {**filled.value, "name": item["name"]}
+        found = [
+            Problem(filled.source(problem.path), problem.message, problem.at_key)
+            for problem in schema_problems(_TEAM, fields)
+        ]
+        self.problems.extend(found)
+        if not found:
+            self.teams.append(_CheckedTeam(fields, filled.source))
+
+    def _check_team_references(self):
+        for section, title in (
+            ("models", "model"),
+            ("adapters", "adapter"),
+            ("services", "service"),
+        ):
+            known = self._names(section)
+            for team in self.teams:
+                for index, name in enumerate(team.fields.get(section, ())):
+                    if name not in known:
+                        message = (
+                            f"team {team.fields['name']!r} uses the unknown"
+                            f" {title} {name!r}"
+                        )
+                        self._add(team.source((section, index)), message)
+
+    def _check_key_hashes(self):
+        owners = {}
+        for team in self.teams:
+            name = team.fields["name"]
+            for index, key_hash in enumerate(team.fields.get("keys", ())):
+                owner = owners.setdefault(key_hash, name)
+                if owner != name:
+                    message = f"the key of team {name!r} belongs to team {owner!r}"
+                    self._add(team.source(("keys", index)), message)
+
+    def _check_adapters(self):
+        models = self._names("models")
+        for path, item in self._items("adapters"):
+            if item["base"] not in models:
+                message = f"unknown base model {item['base']!r}"
+                self._add((*path, "base"), message)
+
+    def _check_backends(self):
+        zones, services = self._names("zones"), self._names("services")
+        addresses = {}
+        for path, item in self._items("backends"):
+            if item["zone"] not in zones:
+                self._add((*path, "zone"), f"unknown zone {item['zone']!r}")
+            if item["kind"] == "service" and item["service"] not in services:
+                message = f"unknown service {item['service']!r}"
+                self._add((*path, "service"), message)
+            owner = addresses.setdefault(item["address"], item["name"])
+            if owner != item["name"]:
+                message = f"address {item['address']} belongs to backend {owner!r}"
+                self._add((*path, "address"), message)
+
+    def _check_routes(self):
+        for path, service in self._items("services"):
+            seen = set()
+            for index, route in enumerate(service["routes"]):
+                for method in route["methods"]:
+                    if (route["path"], method) in seen:
+                        message = f"duplicate route {method} {route['path']}"
+                        self._add((*path, "routes", index), message)
+                    seen.add((route["path"], method))
+
+    def _check_memory(self):
+        sections = {path[0] for path in self._malformed if path}
+        if not sections.isdisjoint({"models", "adapters", "backends"}):
+            return
+        engines = [
+            int(item["memory_mb"])
+            for _, item in self._items("backends")
+            if item["kind"] == "engine"
+        ]
+        largest_mb = max(engines, default=0)
+        sizes = {
+            item["name"]: int(item["memory_mb"]) for _, item in self._items("models")
+        }
+        self._check_team_memory(sizes, largest_mb)
+        fitting = [size for size in sizes.values() if size <= largest_mb]
+        for path, item in self._items("models"):
+            if int(item["memory_mb"]) > largest_mb:
+                message = (
+                    f"model {item['name']!r} ({int(item['memory_mb'])} MB) fits on no"
+                    f" engine; the largest has {largest_mb} MB"
+                )
+                self._add((*path, "memory_mb"), message)
+        if not can_pack(fitting, engines):
+            message = (
+                f"one copy of each model ({sum(fitting)} MB) does not fit on the"
+                f" {len(engines)} engines ({sum(engines)} MB)"
+            )
+            self._add(("models",), message)
+
+    def _check_team_memory(self, sizes, largest_mb):
+        adapters = {item["name"]: item for _, item in self._items("adapters")}
+        for team in self.teams:
+            needs = {
+                ("models", index): (name, sizes.get(name, 0))
+                for index, name in enumerate(team.fields.get("models", ()))
+            }
+            for index, name in enumerate(team.fields.get("adapters", ())):
+                if name in adapters:
+                    base_mb = sizes.get(adapters[name]["base"], 0)
+                    need_mb = base_mb + int(adapters[name]["memory_mb"])
+                    needs["adapters", index] = (name, need_mb)
+            for path, (name, need_mb) in needs.items():
+                if need_mb > largest_mb:
+                    message = (
+                        f"team {team.fields['name']!r}: {name!r} needs {need_mb} MB;"
+                        f" the largest engine has {largest_mb} MB"
+                    )
+                    self._add(team.source(path), message)
--- a/cassiamount/errors.py
+++ b/cassiamount/errors.py
@@ -49,3 +49,19 @@
         super().__init__(f"stream {stream} starts at offset {earliest}")
         self.stream = stream
         self.earliest = earliest
+
+
+class OffsetGap(CassiamountError):
+    """A fold was given a record past the one that it expects.
+
+    Parameters
+    ----------
+    stream : str
+    expected, offset : int
+    """
+
+    def __init__(self, stream, expected, offset):
+        super().__init__(f"stream {stream}: expected offset {expected}, got {offset}")
+        self.stream = stream
+        self.expected = expected
+        self.offset = offset
--- /dev/null
+++ b/cassiamount/packing.py
@@ -0,0 +1,66 @@
+"""Whether items of given sizes fit into bins of given capacities."""
+
+# Steps of the exact search. It is a count and not a time, so that every VM comes to
+# the same decision about a published configuration.
+SEARCH_STEPS = 20_000
+
+
+def can_pack(sizes, capacities, search_steps=SEARCH_STEPS):
+    """Return whether a placement of all items into the bins was found.
+
+    Best fit, largest item first, is tried before a bounded exact search. A tight
+    instance that the search gives up on counts as not fitting.
+
+    Parameters
+    ----------
+    sizes, capacities : list of int
+        In the same unit.
+    search_steps : int
+
+    Returns
+    -------
+    bool
+    """
+    sizes = sorted(sizes, reverse=True)
+    if sum(sizes) > sum(capacities):
+        return False
+    return _best_fit(sizes, list(capacities)) or _search(
+        sizes, list(capacities), search_steps
+    )
+
+
+def _best_fit(sizes, free):
+    for size in sizes:
+        candidates = [index for index, room in enumerate(free) if room >= size]
+        if not candidates:
+            return False
+        free[min(candidates, key=free.__getitem__)] -= size
+    return True
+
+
+def _search(sizes, free, steps):
+    """Depth-first search over the distinct rooms for each item, largest first."""
+    choices = []
+    placed = []
+    position = 0
+    while position < len(sizes):
+        if position == len(choices):
+            size = sizes[position]
+            # Bins with the same room are equivalent.
+            rooms = {room: index for index, room in enumerate(free) if room >= size}
+            choices.append([rooms[room] for room in sorted(rooms, reverse=True)])
+        steps -= 1
+        if steps < 0:
+            return False
+        if choices[position]:
+            index = choices[position].pop()
+            free[index] -= sizes[position]
+            placed.append(index)
+            position += 1
+        else:
+            choices.pop()
+            if not placed:
+                return False
+            position -= 1
+            free[placed.pop()] += sizes[position]
+    return True
--- /dev/null
+++ b/cassiamount/schema_checks.py
@@ -0,0 +1,98 @@
+"""JSON schemas of the operators' documents, and their errors as problems."""
+
+import difflib
+import ipaddress
+import json
+import re
+from importlib import resources
+
+import jsonschema
+
+from .findings import Problem, shorten
+
+# Without leading zeros, so that equal addresses are equal texts.
+_PORT = re.compile(r"[1-9][0-9]{0,4}")
+
+
+def load_schema(name):
+    """Return the JSON schema `name` of the package."""
+    text = resources.files(__package__).joinpath("schemas", name).read_text("utf-8")
+    return json.loads(text)
+
+
+def is_address(text):
+    """Return whether `text` is ``IP:port``; IPv6 is written ``[IP]:port``."""
+    host, _, port = text.rpartition(":")
+    if not _PORT.fullmatch(port):
+        return False
+    bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        address = ipaddress.ip_address(host[1:-1] if bracketed else host)
+    except ValueError:
+        return False
+    return int(port) < 65536 and bracketed == (address.version == 6)
+
+
+FORMATS = jsonschema.FormatChecker(formats=())
+
+
+@FORMATS.checks("ip-port")
+def _is_ip_port(value):
+    return not isinstance(value, str) or is_address(value)
+
+
+@FORMATS.checks("ip-url")
+def _is_ip_url(value):
+    if not isinstance(value, str):
+        return True
+    host = value.removeprefix("http://").split("/", 1)[0]
+    return value.startswith("http://") and value.isprintable() and is_address(host)
+
+
+def schema_validator(schema, definition=None):
+    """Return a validator of a whole schema or of one of its definitions."""
+    if definition is not None:
+        schema = {"$ref": f"#/$defs/{definition}", "$defs": schema["$defs"]}
+    return jsonschema.Draft202012Validator(schema, format_checker=FORMATS)
+
+
+def schema_problems(validator, value):
+    """Return the problems that a validator finds in a JSON value.
+
+    Parameters
+    ----------
+    validator : jsonschema.Draft202012Validator
+    value : object
+
+    Returns
+    -------
+    list of Problem
+    """
+    problems = []
+    for error in validator.iter_errors(value):
+        problems.extend(_error_problems(error))
+    return problems
+
+
+def _error_problems(error):
+    path = tuple(error.absolute_path)
+    if error.validator == "additionalProperties":
+        known = error.schema.get("properties", {})
+        for name in error.instance:
+            if name not in known:
+                yield Problem((*path, name), _unknown_field(name, known), at_key=True)
+    elif error.validator == "required":
+        for name in error.validator_value:
+            if name not in error.instance:
+                yield Problem(path, f"field {name!r} is missing")
+    elif error.validator in ("pattern", "format"):
+        title = error.schema.get("title", error.validator_value)
+        yield Problem(path, f"{shorten(repr(error.instance), 80)} is not {title}")
+    else:
+        yield Problem(path, shorten(error.message))
+
+
+def _unknown_field(name, known):
+    message = f"unknown field {shorten(repr(name), 80)}"
+    close = difflib.get_close_matches(name[:80], known, 1)
+    return f"{message}; did you mean {close[0]!r}?" if close else message
--- /dev/null
+++ b/cassiamount/settings.py
@@ -0,0 +1,193 @@
+"""Settings of one daemon, read from a JSON file at its start."""
+
+from result import Err, Ok
+
+from .findings import Problem, read_json, to_findings, value_problems
+from .schema_checks import load_schema, schema_problems, schema_validator
+
+_VALIDATOR = schema_validator(load_schema("settings.json"))
+
+# Addresses on which the daemon itself listens.
+_OWN_ADDRESSES = ("listen_address", "peer_address", "admin_address")
+
+DEFAULTS = {
+    "max_header_bytes": 16_384,
+    "max_body_bytes": 8_388_608,
+    "max_concurrent_requests": 2_000,
+    "max_queued_requests": 1_000,
+    # The balancer stops sending within two of its probes, one every two seconds.
+    "balancer_wait_ms": 5_000,
+    "drain_limit_ms": 120_000,
+    "key_staleness_limit_s": None,
+    "trace_exporter": None,
+    "claim_partitions": 8,
+    "budget_partitions": 4,
+    "idempotency_window_ms": 3_600_000,
+    "log_retention_ms": 86_400_000,
+    "random_seed": None,
+}
+
+
+class TraceExporter:
+    """Where spans go.
+
+    Parameters
+    ----------
+    kind : str
+        ``none``, ``file`` or ``otlp``.
+    target : str
+        A file path, a URL, or empty.
+    """
+
+    __slots__ = ("kind", "target")
+
+    def __init__(self, kind="none", target=""):
+        self.kind = kind
+        self.target = target
+
+
+class DaemonSettings:
+    """Settings of one daemon.
+
+    Parameters
+    ----------
+    vm_name, zone : str
+    listen_address, peer_address, admin_address : str
+        ``IP:port`` for callers, for other VMs and for operators.
+    log_address, vm_list_address, weight_store_address : str
+        ``IP:port`` of the platform's services.
+    max_header_bytes, max_body_bytes : int
+        Larger requests get 431 and 413.
+    max_concurrent_requests, max_queued_requests : int
+    balancer_wait_ms : int
+        Time between ``/readyz`` turning 503 and the end of accepting requests.
+    drain_limit_ms : int
+        Time that admitted requests have to finish at a planned stop.
+    key_staleness_limit_s : float or None
+        Age of the last contact with the log after which no key is accepted; None
+        keeps the known keys valid however long the log is out of reach.
+    trace_exporter : TraceExporter
+    claim_partitions, budget_partitions : int
+        The same on all VMs; they select streams and leases.
+    idempotency_window_ms : int
+        Time for which claims and their outcomes are kept; the same on all VMs.
+    log_retention_ms : int
+        The log keeps records at least this long.
+    random_seed : int or None
+        None takes a seed from the operating system.
+    """
+
+    __slots__ = (
+        "vm_name",
+        "zone",
+        "listen_address",
+        "peer_address",
+        "admin_address",
+        "log_address",
+        "vm_list_address",
+        "weight_store_address",
+        "max_header_bytes",
+        "max_body_bytes",
+        "max_concurrent_requests",
+        "max_queued_requests",
+        "balancer_wait_ms",
+        "drain_limit_ms",
+        "key_staleness_limit_s",
+        "trace_exporter",
+        "claim_partitions",
+        "budget_partitions",
+        "idempotency_window_ms",
+        "log_retention_ms",
+        "random_seed",
+    )
+
+    def __init__(
+        self,
+        vm_name,
+        zone,
+        listen_address,
+        peer_address,
+        admin_address,
+        log_address,
+        vm_list_address,
+        weight_store_address,
+        **options,
+    ):
+        self.vm_name = vm_name
+        self.zone = zone
+        self.listen_address = listen_address
+        self.peer_address = peer_address
+        self.admin_address = admin_address
+        self.log_address = log_address
+        self.vm_list_address = vm_list_address
+        self.weight_store_address = weight_store_address
+        unknown = options.keys() - DEFAULTS.keys()
+        if unknown:
+            raise TypeError(f"unknown settings {sorted(unknown)}")
+        for name, default in DEFAULTS.items():
+            setattr(self, name, options.get(name, default))
+        if self.trace_exporter is None:
+            self.trace_exporter = TraceExporter()
+
+
+def parse_settings(text, file_name):
+    """Parse and check the settings of a daemon.
+
+    Parameters
+    ----------
+    text : str
+    file_name : str
+        Only for the places of findings.
+
+    Returns
+    -------
+    Result[DaemonSettings, list[Finding]]
+        All findings at once.
+    """
+    read = read_json(text, file_name)
+    if read.is_err():
+        return read
+    document = read.unwrap()
+    problems = value_problems(document.value)
+    if not problems:
+        problems = schema_problems(_VALIDATOR, document.value)
+        problems.extend(_cross_problems(document.value, problems))
+    if problems:
+        return Err(to_findings(problems, document.places))
+    return Ok(_build(document.value))
+
+
+def _cross_problems(value, problems):
+    """Return the problems between fields that are well-formed by themselves."""
+    if not isinstance(value, dict):
+        return []
+    malformed = {problem.path[0] for problem in problems if problem.path}
+    found = []
+    owners = {}
+    for name in _OWN_ADDRESSES:
+        if name in value and name not in malformed:
+            owner = owners.setdefault(value[name], name)
+            if owner != name:
+                found.append(Problem((name,), f"the same address as {owner}"))
+    if malformed.isdisjoint({"idempotency_window_ms", "log_retention_ms"}):
+        settings = {**DEFAULTS, **value}
+        if settings["idempotency_window_ms"] >= settings["log_retention_ms"]:
+            # A claim whose record was trimmed could be won a second time.
+            message = "idempotency_window_ms must be shorter than log_retention_ms"
+            given = [name for name in ("idempotency_window_ms",) if name in value]
+            found.append(Problem(given, message))
+    return found
+
+
+def _build(value):
+    fields = {
+        # JSON writes the integer 1 also as 1.0.
+        name: int(item) if isinstance(item, float) and item.is_integer() else item
+        for name, item in value.items()
+    }
+    exporter = fields.pop("trace_exporter", None)
+    if exporter is not None:
+        (name, target), *_ = exporter.items()
+        kind = "file" if name == "file" else "otlp"
+        fields["trace_exporter"] = TraceExporter(kind, target)
+    return DaemonSettings(**fields)
--- /dev/null
+++ b/cassiamount/stream_time.py
@@ -0,0 +1,56 @@
+"""Time of a stream, from the wall clocks of the VMs that write to it."""
+
+
+class StreamTime:
+    """The second-latest wall time among the writers of a stream.
+
+    Each writer counts by its latest record. The latest writer's time is not used, so
+    one VM whose clock runs ahead cannot make claims expire, and one whose clock is
+    behind has no effect. With a single writer its own time counts.
+
+    Attributes
+    ----------
+    now_ms : int
+        Wall time; 0 before the first record.
+    """
+
+    __slots__ = ("_first", "_second")
+
+    def __init__(self, first=("", 0), second=("", 0)):
+        self._first = first
+        self._second = second
+
+    @classmethod
+    def from_state(cls, state):
+        """Return the stream time from the result of `to_state`."""
+        (first_vm, first_ms), (second_vm, second_ms) = state
+        return cls((first_vm, int(first_ms)), (second_vm, int(second_ms)))
+
+    def to_state(self):
+        """Return the JSON form."""
+        return [list(self._first), list(self._second)]
+
+    @property
+    def now_ms(self):
+        """The time of the stream in milliseconds since the epoch."""
+        return self._second[1] if self._second[0] else self._first[1]
+
+    def observe(self, vm, wall_ms):
+        """Note the wall time that a writer put into a record.
+
+        Parameters
+        ----------
+        vm : str
+            ``<name>@<incarnation>``; a restarted VM has the same clock, so only the
+            name counts.
+        wall_ms : int
+        """
+        name = vm.partition("@")[0]
+        if name == self._first[0]:
+            self._first = (name, max(wall_ms, self._first[1]))
+        elif wall_ms > self._first[1]:
+            self._first, self._second = (name, wall_ms), self._first
+        elif name == self._second[0]:
+            self._second = (name, max(wall_ms, self._second[1]))
+        elif wall_ms > self._second[1]:
+            self._second = (name, wall_ms)
--- /dev/null
+++ b/cassiamount/templates.py
@@ -0,0 +1,169 @@
+"""Templates of teams: substitution of ``{"$param": name}`` by declared parameters."""
+
+from .findings import Problem, shorten
+
+PARAM = "$param"
+
+# bool is a subclass of int in Python but is no number in JSON.
+_TYPE_CHECKS = {
+    "string": lambda value: isinstance(value, str),
+    "integer": lambda value: isinstance(value, int) and not isinstance(value, bool),
+    "number": lambda value: (
+        isinstance(value, (int, float)) and not isinstance(value, bool)
+    ),
+    "boolean": lambda value: isinstance(value, bool),
+    "array": lambda value: isinstance(value, list),
+    "object": lambda value: isinstance(value, dict),
+}
+
+
+class Filled:
+    """A template filled with the parameters of one team.
+
+    Parameters
+    ----------
+    value : object
+    sources : dict
+        Path in `value` -> path in the document that the part comes from.
+    """
+
+    __slots__ = ("value", "sources")
+
+    def __init__(self, value, sources):
+        self.value = value
+        self.sources = sources
+
+    def source(self, path):
+        """Return the path in the document of a path in `value`."""
+        path = tuple(path)
+        for length in range(len(path), -1, -1):
+            origin = self.sources.get(path[:length])
+            if origin is not None:
+                return origin + path[length:]
+        return path
+
+
+def template_problems(template, path):
+    """Return the problems of a template by itself.
+
+    Parameters
+    ----------
+    template : dict
+        Satisfies the schema's definition ``template``.
+    path : tuple
+        Path of the template in the document.
+
+    Returns
+    -------
+    list of Problem
+        Defaults of the wrong type and parameters that are not declared.
+    """
+    problems = []
+    declared = template.get("parameters", {})
+    for name, parameter in declared.items():
+        if "default" in parameter:
+            problem = _type_problem(name, parameter["type"], parameter["default"])
+            if problem:
+                place = (*path, "parameters", name, "default")
+                problems.append(Problem(place, problem))
+    for place, name in _references(template["team"], (*path, "team")):
+        if not isinstance(name, str) or name not in declared:
+            message = f"the template declares no parameter {shorten(repr(name), 80)}"
+            problems.append(Problem(place, message))
+    return problems
+
+
+def parameter_problems(template, parameters, path):
+    """Return the problems of the parameters that a team gives to a template.
+
+    Parameters
+    ----------
+    template, parameters : dict
+    path : tuple
+        Path of the team in the document.
+
+    Returns
+    -------
+    list of Problem
+        Missing and unknown parameters, and values of the wrong type.
+    """
+    problems = []
+    declared = template.get("parameters", {})
+    title = f"template {template['name']!r}"
+    for name, parameter in declared.items():
+        if name in parameters:
+            problem = _type_problem(name, parameter["type"], parameters[name])
+            if problem:
+                problems.append(Problem((*path, "parameters", name), problem))
+        elif "default" not in parameter:
+            message = f"parameter {shorten(repr(name), 80)} of {title} is missing"
+            problems.append(Problem(path, message))
+    for name in parameters:
+        if name not in declared:
+            message = f"{title} has no parameter {shorten(repr(name), 80)}"
+            problems.append(Problem((*path, "parameters", name), message, at_key=True))
+    return problems
+
+
+def fill(template, parameters, template_path, team_path):
+    """Fill a template for one team.
+
+    Parameters
+    ----------
+    template, parameters : dict
+        Without problems, see `template_problems` and `parameter_problems`.
+    template_path, team_path : tuple
+        Their paths in the document.
+
+    Returns
+    -------
+    Filled
+    """
+    declared = template.get("parameters", {})
+    sources = {(): (*template_path, "team")}
+
+    def substitute(value, target, origin):
+        if _is_reference(value):
+            name = value[PARAM]
+            if name in parameters:
+                sources[target] = (*team_path, "parameters", name)
+                return parameters[name]
+            sources[target] = (*template_path, "parameters", name, "default")
+            return declared[name]["default"]
+        if isinstance(value, dict):
+            return {
+                key: substitute(inner, (*target, key), (*origin, key))
+                for key, inner in value.items()
+            }
+        if isinstance(value, list):
+            return [
+                substitute(inner, (*target, index), (*origin, index))
+                for index, inner in enumerate(value)
+            ]
+        return value
+
+    value = substitute(template["team"], (), (*template_path, "team"))
+    return Filled(value, sources)
+
+
+def _is_reference(value):
+    return isinstance(value, dict) and PARAM in value
+
+
+def _references(value, path):
+    """Yield (path, parameter name) of each reference in `value`."""
+    if _is_reference(value):
+        yield path, value[PARAM] if len(value) == 1 else value
+    elif isinstance(value, dict):
+        for key, inner in value.items():
+            yield from _references(inner, (*path, key))
+    elif isinstance(value, list):
+        for index, inner in enumerate(value):
+            yield from _references(inner, (*path, index))
+
+
+def _type_problem(name, type_name, value):
+    if _TYPE_CHECKS[type_name](value):
+        return None
+    shown = shorten(repr(value), 80)
+    return f"parameter {shorten(repr(name), 80)} must be of type {type_name}: {shown}"
