Add the router, the prefix index and the admission queue

Cause: the dispatcher needs its decision objects before it can be written.

Ruled out: a queue per class without sub-queues for each route, because a model that is loading would block every request behind it. Trusting a report as it arrives, because it misses the requests sent during its lag. Ejecting the only replica of a model, because that would make the model unreachable.

--- /dev/null
+++ b/cassiamount/replica_state.py
@@ -0,0 +1,146 @@
+"""What one VM knows about one backend server, for the choice of a replica."""
+
+from collections import deque
+
+from .load_report import LEAVING
+from .requests import BROKEN, CANCELLED, DONE, NOT_ACCEPTED
+
+# Averages over attempts: a new sample counts one eighth.
+SAMPLE_WEIGHT = 0.125
+# Consecutive broken attempts after which a replica is ejected, and for how long.
+EJECT_AFTER = 3
+EJECT_MS = 1_000.0
+EJECT_LIMIT_MS = 30_000.0
+# Added to the estimated wait per recent error, and the time in which it fades.
+ERROR_PENALTY_MS = 200.0
+ERROR_FADE_MS = 10_000.0
+# A replica that did not accept a request is tried again after this time, which is
+# longer than the lag of the report that made it look free.
+NOT_ACCEPTED_PAUSE_MS = 100.0
+
+
+class ReplicaState:
+    """A backend server as seen by one VM.
+
+    Parameters
+    ----------
+    backend : Backend
+        Its entry in the configuration.
+    """
+
+    __slots__ = (
+        "backend",
+        "report",
+        "report_ms",
+        "in_flight",
+        "changes",
+        "min_offset_ms",
+        "first_token_ms",
+        "duration_ms",
+        "failures",
+        "ejections",
+        "ejected_until_ms",
+        "paused_until_ms",
+        "errors",
+        "errors_ms",
+    )
+
+    def __init__(self, backend):
+        self.backend = backend
+        self.report = None
+        self.report_ms = None
+        # Request id -> time of dispatch.
+        self.in_flight = {}
+        # (time, +1 or -1) for dispatches and ends that the report may not contain.
+        self.changes = deque()
+        self.min_offset_ms = None
+        self.first_token_ms = None
+        self.duration_ms = None
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until_ms = 0.0
+        self.paused_until_ms = 0.0
+        self.errors = 0.0
+        self.errors_ms = 0.0
+
+    @property
+    def reports_leaving(self):
+        """Whether its own report says that it is leaving."""
+        return self.report is not None and self.report.state == LEAVING
+
+    def on_report(self, report, now_ms):
+        """Take a report and drop the changes that it already contains."""
+        if self.report is not None and report.incarnation != self.report.incarnation:
+            self.min_offset_ms = None
+            self.failures = 0
+            self.ejected_until_ms = 0.0
+        elif self.report is not None and report.as_of_ms < self.report.as_of_ms:
+            return False
+        self.report = report
+        self.report_ms = now_ms
+        offset_ms = now_ms - report.as_of_ms
+        if self.min_offset_ms is None or offset_ms < self.min_offset_ms:
+            self.min_offset_ms = offset_ms
+        # The smallest difference between both clocks belongs to the report with the
+        # least lag, so the rest of the difference is this report's lag.
+        as_of_ms = report.as_of_ms + self.min_offset_ms
+        while self.changes and self.changes[0][0] < as_of_ms:
+            self.changes.popleft()
+        return True
+
+    def on_sent(self, request_id, now_ms):
+        """Count a dispatch."""
+        self.in_flight[request_id] = now_ms
+        self.changes.append((now_ms, 1))
+
+    def on_ended(self, ended, now_ms):
+        """Count the end of an attempt and learn from it."""
+        if self.in_flight.pop(ended.request_id, None) is None:
+            return
+        self.changes.append((now_ms, -1))
+        if ended.outcome == DONE:
+            self.failures = 0
+            self.ejections = 0
+            self.first_token_ms = _average(self.first_token_ms, ended.first_token_ms)
+            self.duration_ms = _average(self.duration_ms, ended.duration_ms)
+        elif ended.outcome == NOT_ACCEPTED:
+            self.paused_until_ms = now_ms + NOT_ACCEPTED_PAUSE_MS
+        elif ended.outcome == BROKEN:
+            self._failed(now_ms)
+        else:
+            assert ended.outcome == CANCELLED
+
+    def load(self):
+        """Return the estimated number of requests at the backend server."""
+        if self.report is None:
+            return len(self.in_flight)
+        corrected = self.report.running + self.report.waiting
+        corrected += sum(change for _, change in self.changes)
+        return max(len(self.in_flight), corrected)
+
+    def error_penalty_ms(self, now_ms):
+        """Return the addition to the estimated wait for recent errors."""
+        return self._faded_errors(now_ms) * ERROR_PENALTY_MS
+
+    def ejected(self, now_ms):
+        """Whether consecutive errors exclude it for now."""
+        return now_ms < self.ejected_until_ms
+
+    def _failed(self, now_ms):
+        self.errors = self._faded_errors(now_ms) + 1.0
+        self.errors_ms = now_ms
+        self.failures += 1
+        if self.failures >= EJECT_AFTER and not self.ejected(now_ms):
+            length_ms = min(EJECT_MS * 2**self.ejections, EJECT_LIMIT_MS)
+            self.ejected_until_ms = now_ms + length_ms
+            self.ejections = min(self.ejections + 1, 10)
+
+    def _faded_errors(self, now_ms):
+        age_ms = now_ms - self.errors_ms
+        return self.errors * max(0.0, 1.0 - age_ms / ERROR_FADE_MS)
+
+
+def _average(average, sample):
+    if average is None:
+        return sample
+    return average + SAMPLE_WEIGHT * (sample - average)
--- /dev/null
+++ b/cassiamount/routing.py
@@ -0,0 +1,291 @@
+"""Selection of a replica for each request."""
+
+from .invariants import LEAVING_BACKEND_IDLE, require
+from .prefix_index import PrefixIndex
+from .replica_state import ReplicaState
+
+# Reasons of `NoReplica`.
+NOT_RESIDENT = "not-resident"
+BUSY = "busy"
+UNAVAILABLE = "unavailable"
+
+# Engines prefill about this many tokens per ms until their own times are known.
+PREFILL_TOKENS_PER_MS = 8.0
+# Each running request slows the first token of the next one by about this much.
+RUNNING_COST_MS = 8.0
+# Duration of a request until a replica's own average is known.
+DEFAULT_DURATION_MS = 1_000.0
+# Time to load an adapter on an engine that does not hold it.
+ADAPTER_LOAD_MS = 8.0
+# A report older than this says little; the replica is used only if others are worse.
+STALE_REPORT_MS = 3_000.0
+STALE_PENALTY_MS = 200.0
+# Candidates whose costs are computed for one choice.
+CANDIDATES_LIMIT = 16
+# Two of the best few are drawn, because VMs with the same lagging reports would
+# otherwise all choose the same replica. A clearly better one is not mixed with others.
+BEST_FEW = 3
+HERD_MARGIN_MS = 10.0
+# Ejecting more than half of a route's replicas would overload the others.
+EJECTED_SHARE_LIMIT = 0.5
+# A leaving backend server may get work that was chosen before, not after this time.
+LEAVING_GRACE_MS = 3_000.0
+
+
+class Choice:
+    """A replica for a request.
+
+    Parameters
+    ----------
+    backend, address : str
+    wait_ms : float
+        Estimated time to the first token.
+    cached_tokens : int
+        Leading tokens of the prompt that are probably cached there.
+    """
+
+    __slots__ = ("backend", "address", "wait_ms", "cached_tokens")
+
+    def __init__(self, backend, address, wait_ms, cached_tokens):
+        self.backend = backend
+        self.address = address
+        self.wait_ms = wait_ms
+        self.cached_tokens = cached_tokens
+
+
+class NoReplica:
+    """No replica can take the request now.
+
+    Parameters
+    ----------
+    reason : str
+        ``not-resident`` (no replica has the model), ``busy`` (all at their
+        concurrency limit) or ``unavailable`` (all excluded).
+    """
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason):
+        self.reason = reason
+
+    def __repr__(self):
+        return f"NoReplica({self.reason!r})"
+
+
+class Router:
+    """Chooses the replica with the lowest estimated wait.
+
+    Parameters
+    ----------
+    zone : str
+        The VM's own zone.
+    zone_distance_ms : float
+        Round trip to another zone.
+    prefixes : PrefixIndex, optional
+    """
+
+    __slots__ = (
+        "prefixes",
+        "_zone",
+        "_zone_distance_ms",
+        "_replicas",
+        "_leaving",
+        "_draining",
+        "_routes",
+        "_resident_on",
+        "_now_ms",
+    )
+
+    def __init__(self, zone, zone_distance_ms=2.0, prefixes=None):
+        self.prefixes = PrefixIndex() if prefixes is None else prefixes
+        self._zone = zone
+        self._zone_distance_ms = zone_distance_ms
+        self._replicas = {}
+        # Name -> time since which the VM list or an operator says "leaving".
+        self._leaving = {}
+        self._draining = frozenset()
+        # Service or model -> names of the replicas that offer it.
+        self._routes = {}
+        self._resident_on = {}
+        self._now_ms = 0.0
+
+    def set_configuration(self, configuration):
+        """Take the backend servers of a configuration."""
+        for name in set(self._replicas) - set(configuration.backends):
+            self._drop_routes(name)
+            del self._replicas[name]
+            self.prefixes.forget(name)
+        for name, backend in configuration.backends.items():
+            replica = self._replicas.get(name)
+            if replica is None:
+                self._replicas[name] = ReplicaState(backend)
+            elif replica.backend.address != backend.address:
+                self._replicas[name] = ReplicaState(backend)
+                self.prefixes.forget(name)
+            else:
+                replica.backend = backend
+            self._index(name)
+
+    def set_leaving(self, names):
+        """Replace the backend servers that the VM list or an operator takes out."""
+        self._leaving = {name: self._leaving.get(name, self._now_ms) for name in names}
+
+    def set_draining(self, pairs):
+        """Replace the (backend, model or adapter) pairs about to be unloaded."""
+        self._draining = frozenset(pairs)
+
+    def on_report(self, report, now_ms):
+        """Take a load report."""
+        self._now_ms = max(self._now_ms, now_ms)
+        replica = self._replicas.get(report.backend)
+        if replica is not None and replica.on_report(report, now_ms):
+            self._index(report.backend)
+
+    def on_sent(self, ticket, backend):
+        """Count a dispatch to `backend`."""
+        require(
+            self._now_ms - self._leaving.get(backend, self._now_ms) <= LEAVING_GRACE_MS,
+            LEAVING_BACKEND_IDLE,
+            backend=backend,
+            request_id=ticket.request_id,
+        )
+        replica = self._replicas.get(backend)
+        if replica is not None:
+            replica.on_sent(ticket.request_id, self._now_ms)
+            self.prefixes.on_sent(backend, ticket.prefix_hashes)
+
+    def on_ended(self, ended, now_ms):
+        """Count the end of an attempt."""
+        self._now_ms = max(self._now_ms, now_ms)
+        replica = self._replicas.get(ended.backend)
+        if replica is not None:
+            replica.on_ended(ended, now_ms)
+
+    def choose(self, ticket, now_ms, rng, exclude=()):
+        """Choose a replica for a request.
+
+        Parameters
+        ----------
+        ticket : Ticket
+        now_ms : float
+        rng : random.Random
+        exclude : collection of str
+            Backend servers that already failed this request.
+
+        Returns
+        -------
+        Choice or NoReplica
+        """
+        self._now_ms = max(self._now_ms, now_ms)
+        route = ticket.service or ticket.model
+        offering = self._routes.get(route, ())
+        if not offering:
+            return NoReplica(NOT_RESIDENT if ticket.model else UNAVAILABLE)
+        usable = self._usable(route, offering, now_ms, exclude)
+        if not usable:
+            return NoReplica(UNAVAILABLE)
+        free = [
+            replica
+            for replica in usable
+            if replica.load() < replica.backend.max_running
+            and replica.paused_until_ms <= now_ms
+        ]
+        if not free:
+            return NoReplica(BUSY)
+        choice = self._cheapest(self._sample(free, rng), ticket, now_ms, rng)
+        require(
+            choice.backend not in self._leaving
+            and not self._replicas[choice.backend].reports_leaving,
+            LEAVING_BACKEND_IDLE,
+            backend=choice.backend,
+            request_id=ticket.request_id,
+        )
+        return choice
+
+    def load(self, backend):
+        """Return the estimated number of requests at a backend server."""
+        return self._replicas[backend].load()
+
+    def _usable(self, route, offering, now_ms, exclude):
+        present = [
+            self._replicas[name]
+            for name in offering
+            if name not in self._leaving
+            and (name, route) not in self._draining
+            and not self._replicas[name].reports_leaving
+        ]
+        ejected = {r.backend.name for r in present if r.ejected(now_ms)}
+        if len(ejected) > len(present) * EJECTED_SHARE_LIMIT:
+            ejected = set()
+        return [
+            replica
+            for replica in present
+            if replica.backend.name not in exclude
+            and replica.backend.name not in ejected
+        ]
+
+    def _sample(self, replicas, rng):
+        if len(replicas) <= CANDIDATES_LIMIT:
+            return replicas
+        near = [r for r in replicas if r.backend.zone == self._zone]
+        far = [r for r in replicas if r.backend.zone != self._zone]
+        count = min(len(near), max(CANDIDATES_LIMIT * 3 // 4, 0))
+        chosen = rng.sample(near, count)
+        return chosen + rng.sample(far, min(len(far), CANDIDATES_LIMIT - count))
+
+    def _cheapest(self, replicas, ticket, now_ms, rng):
+        costs = [self._estimate(replica, ticket, now_ms) for replica in replicas]
+        costs.sort(key=lambda choice: choice.wait_ms)
+        limit_ms = costs[0].wait_ms * 1.1 + HERD_MARGIN_MS
+        few = [choice for choice in costs[:BEST_FEW] if choice.wait_ms <= limit_ms]
+        if len(few) <= 2:
+            return few[0]
+        return min(rng.sample(few, 2), key=lambda choice: choice.wait_ms)
+
+    def _estimate(self, replica, ticket, now_ms):
+        backend = replica.backend
+        load = replica.load()
+        duration_ms = replica.duration_ms or DEFAULT_DURATION_MS
+        excess = max(0, load + 1 - backend.max_running)
+        wait_ms = load * RUNNING_COST_MS + excess * duration_ms / backend.max_running
+        cached = 0
+        if ticket.model:
+            cached = self.prefixes.cached_tokens(backend.name, ticket.prefix_hashes)
+            cached = min(cached, ticket.prompt_tokens)
+            wait_ms += (ticket.prompt_tokens - cached) / PREFILL_TOKENS_PER_MS
+            if ticket.adapter and not self._holds(backend.name, ticket.adapter):
+                wait_ms += ADAPTER_LOAD_MS
+        if backend.zone != self._zone:
+            wait_ms += self._zone_distance_ms
+        wait_ms += replica.error_penalty_ms(now_ms)
+        if replica.report is None or now_ms - replica.report_ms > STALE_REPORT_MS:
+            wait_ms += STALE_PENALTY_MS
+        return Choice(backend.name, backend.address, wait_ms, cached)
+
+    def _holds(self, backend, name):
+        return name in self._resident_on.get(backend, ()) and (
+            (backend, name) not in self._draining
+        )
+
+    def _index(self, name):
+        replica = self._replicas[name]
+        if replica.backend.kind == "service":
+            offers = {replica.backend.service}
+        elif replica.report is None:
+            offers = set()
+        else:
+            offers = {r.name for r in replica.report.residents if r.ready}
+        known = self._resident_on.get(name, frozenset())
+        for route in known - offers:
+            self._routes[route].pop(name, None)
+            if not self._routes[route]:
+                del self._routes[route]
+        for route in offers - known:
+            self._routes.setdefault(route, {})[name] = None
+        self._resident_on[name] = frozenset(offers)
+
+    def _drop_routes(self, name):
+        for route in self._resident_on.pop(name, ()):
+            self._routes[route].pop(name, None)
+            if not self._routes[route]:
+                del self._routes[route]
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,186 @@
+"""Tests of the admission queue."""
+
+from collections import Counter
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cassiamount.admission import AdmissionQueue, Queued, Refused
+from cassiamount.requests import BATCH, INTERACTIVE, NORMAL, PRIORITIES, Ticket
+
+
+def ticket(number, team="a", priority=NORMAL, model="m", tokens=100, **fields):
+    return Ticket(
+        f"{team}-{number}",
+        team,
+        priority,
+        model=model,
+        prompt_tokens=tokens,
+        max_output_tokens=0,
+        **fields,
+    )
+
+
+def take_all(queue, now_ms=0.0):
+    taken = []
+    while (next_ticket := queue.take(now_ms, lambda _: True)) is not None:
+        taken.append(next_ticket)
+    return taken
+
+
+def test_teams_share_by_tokens_served():
+    """Guards against a team with long or many requests that starves another."""
+    queue = AdmissionQueue()
+    for number in range(200):
+        queue.offer(ticket(number, "large", tokens=400), 0.0)
+    for number in range(40):
+        queue.offer(ticket(number, "small", tokens=100), 0.0)
+    served = Counter()
+    for _ in range(50):
+        taken = queue.take(0.0, lambda _: True)
+        served[taken.team] += taken.cost_tokens
+    assert abs(served["large"] - served["small"]) <= 400
+
+
+def test_idle_team_saves_up_no_service():
+    """Guards against a returning team that blocks the others for a long time."""
+    queue = AdmissionQueue()
+    queue.offer(ticket(0, "late"), 0.0)
+    for number in range(300):
+        queue.offer(ticket(number, "busy"), 0.0)
+    for _ in range(200):
+        queue.take(0.0, lambda _: True)
+    for number in range(1, 60):
+        queue.offer(ticket(number, "late"), 0.0)
+    teams = Counter(queue.take(0.0, lambda _: True).team for _ in range(40))
+    assert 15 <= teams["late"] <= 25
+
+
+@pytest.mark.parametrize(("reserve", "least"), [(0.05, 4), (0.0, 0)])
+def test_lower_class_gets_its_reserve(reserve, least):
+    """Guards against batch requests that never run while others wait."""
+    queue = AdmissionQueue(reserve=reserve)
+    for number in range(120):
+        queue.offer(ticket(number, "a", INTERACTIVE), 0.0)
+        queue.offer(ticket(number, "b", BATCH), 0.0)
+    classes = Counter(queue.take(0.0, lambda _: True).priority for _ in range(100))
+    assert least <= classes[BATCH] <= 6
+
+
+def test_route_without_replica_delays_no_other():
+    """Guards against a model that is loading blocking the whole queue."""
+    queue = AdmissionQueue()
+    queue.offer(ticket(1, model="loading"), 0.0)
+    queue.offer(ticket(2, model="ready"), 0.0)
+    taken = queue.take(0.0, lambda waiting: waiting.model == "ready")
+    assert taken.request_id == "a-2"
+
+
+def test_full_queue_makes_room_for_the_shorter_queue():
+    """Guards against a team over its rate that fills the queue for the others."""
+    queue = AdmissionQueue(limit=10)
+    for number in range(10):
+        queue.offer(ticket(number, "large"), 0.0)
+    offer = queue.offer(ticket(0, "small"), 0.0)
+    assert isinstance(offer, Queued)
+    assert [victim.request_id for victim, _ in offer.displaced] == ["large-9"]
+    refused = queue.offer(ticket(11, "large"), 0.0)
+    assert isinstance(refused, Refused) and refused.refusal.code == "queue_full"
+
+
+def test_deadline_that_cannot_be_met_is_refused_at_once():
+    """Guards against a request that waits only to be refused later."""
+    queue = AdmissionQueue()
+    for number in range(100):
+        queue.offer(ticket(number), 0.0)
+    for step in range(60):
+        queue.take(100.0 * step, lambda _: True)
+    offer = queue.offer(ticket(100, deadline_ms=6_500.0), 6_000.0)
+    assert offer.refusal.code == "deadline_cannot_be_met"
+    assert offer.refusal.not_run and offer.refusal.retry_after_s > 1
+    assert isinstance(queue.offer(ticket(1, "b", deadline_ms=6_500.0), 6_000.0), Queued)
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Random offers, takes, cancellations and time against a plain model."""
+
+    def __init__(self):
+        super().__init__()
+        self.queue = AdmissionQueue(limit=12)
+        self.now_ms = 0.0
+        self.number = 0
+        self.waiting = {}
+
+    @rule(
+        team=st.sampled_from("abc"),
+        priority=st.sampled_from(PRIORITIES),
+        model=st.sampled_from("xy"),
+        tokens=st.integers(1, 500),
+        slack_ms=st.sampled_from([50.0, 1_000.0, float("inf")]),
+    )
+    def offer(self, team, priority, model, tokens, slack_ms):
+        self.number += 1
+        new = ticket(
+            self.number,
+            team,
+            priority,
+            model,
+            tokens,
+            deadline_ms=self.now_ms + slack_ms,
+        )
+        result = self.queue.offer(new, self.now_ms)
+        if isinstance(result, Refused):
+            assert result.refusal.not_run
+            assert result.refusal.code != "queue_full" or len(self.waiting) == 12
+            return
+        for victim, _ in result.displaced:
+            del self.waiting[victim.request_id]
+        self.waiting[new.request_id] = new
+
+    @rule(models=st.sets(st.sampled_from("xy")))
+    def take(self, models):
+        taken = self.queue.take(self.now_ms, lambda waiting: waiting.model in models)
+        possible = [t for t in self.waiting.values() if t.model in models]
+        assert (taken is None) == (not possible)
+        if taken is not None:
+            assert taken.model in models
+            # Requests of one team, class and route keep their order.
+            same = [
+                t
+                for t in possible
+                if (t.team, t.priority, t.model)
+                == (taken.team, taken.priority, taken.model)
+            ]
+            assert same[0] is taken
+            del self.waiting[taken.request_id]
+
+    @rule(by_ms=st.sampled_from([1.0, 60.0, 900.0]))
+    def advance(self, by_ms):
+        self.now_ms += by_ms
+        late = {
+            name for name, t in self.waiting.items() if t.deadline_ms <= self.now_ms
+        }
+        assert {t.request_id for t in self.queue.expire(self.now_ms)} == late
+        for name in late:
+            del self.waiting[name]
+
+    @rule(data=st.data())
+    def cancel(self, data):
+        if self.waiting:
+            name = data.draw(st.sampled_from(sorted(self.waiting)))
+            assert self.queue.remove(name) is self.waiting.pop(name)
+        assert self.queue.remove("unknown") is None
+
+    @invariant()
+    def same_requests_wait(self):
+        assert len(self.queue) == len(self.waiting) <= 12
+        routes = Counter(t.model for t in self.waiting.values())
+        assert self.queue.waiting_by_route() == dict(routes)
+
+
+AdmissionMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=2_000, stateful_step_count=50, deadline=None
+)
+TestAdmissionMachine = AdmissionMachine.TestCase
