--- a/cassiamount/dispatch_messages.py
+++ b/cassiamount/dispatch_messages.py
@@ -40,13 +40,12 @@
 
 
 class ConfigurationChanged:
-    """A new configuration, or a new set of drained backend servers, is in force."""
+    """A new configuration is in force."""
 
-    __slots__ = ("configuration", "drained")
+    __slots__ = ("configuration",)
 
-    def __init__(self, configuration, drained):
+    def __init__(self, configuration):
         self.configuration = configuration
-        self.drained = drained
 
 
 class LoadReported:
@@ -83,12 +82,13 @@
 
 
 class CacheEvents:
-    """A batch of cache events of an engine."""
+    """A batch of cache events of one incarnation of an engine."""
 
-    __slots__ = ("backend", "events")
+    __slots__ = ("backend", "incarnation", "events")
 
-    def __init__(self, backend, events):
+    def __init__(self, backend, incarnation, events):
         self.backend = backend
+        self.incarnation = incarnation
         self.events = events
 
 
@@ -99,7 +99,7 @@
     ----------
     asked : frozenset of str
         Teams that were asked for.
-    answers : dict of str to Grant or Shortage
+    answers : dict of str to Grant, Shortage or NotOwner
         By team. A team that was asked for and is absent got no answer.
     """
 
@@ -110,6 +110,21 @@
         self.answers = answers
 
 
+class ReportsDone:
+    """Reports that their owners answered, or that no owner can use any more."""
+
+    __slots__ = ("reports",)
+
+    def __init__(self, reports):
+        self.reports = reports
+
+
+class ReturnGrants:
+    """Before a planned stop: the reply holds the reports that return all tokens."""
+
+    __slots__ = ()
+
+
 class Tick:
     """Time for the background work."""
 
--- a/cassiamount/dispatcher.py
+++ b/cassiamount/dispatcher.py
@@ -12,7 +12,7 @@
 
 from . import refusals
 from .admission import Refused
-from .budget import Grant
+from .budget_messages import Ask, Grant, Shortage
 from .dispatch_messages import (
     CacheEvents,
     ConfigurationChanged,
@@ -20,7 +20,9 @@
     GrantsArrived,
     LeavingBackends,
     LoadReported,
+    ReportsDone,
     Retry,
+    ReturnGrants,
     Submit,
     Tick,
     Withdraw,
@@ -31,6 +33,9 @@
 
 # A shortage that ends within this time is waited out; a longer one is refused at once.
 MAX_BUDGET_WAIT_MS = 200
+# Each answer of the owner serves the requests ahead first, so a request may have to ask
+# more than once.
+MAX_REPEATED_ASKS = 3
 # Interval of the background work: reports to the budget's owner, refills of blocks,
 # expiry of queued tickets.
 TICK_MS = 50
@@ -41,13 +46,22 @@
 class _Entry:
     """One request between `submit` and its final end."""
 
-    __slots__ = ("call", "ticket", "charge", "ask_again_ms", "used_tokens", "backend")
+    __slots__ = (
+        "call",
+        "ticket",
+        "charge",
+        "asks_left",
+        "ask_again_ms",
+        "used_tokens",
+        "backend",
+    )
 
     def __init__(self, call, ticket):
         self.call = call
         self.ticket = ticket
         self.charge = None
-        self.ask_again_ms = None
+        self.asks_left = MAX_REPEATED_ASKS
+        self.ask_again_ms = 0.0
         self.used_tokens = 0
         self.backend = ""
 
@@ -66,14 +80,27 @@
     key_holds : callable
         Whether a key hash is in force; asked again at each dispatch.
     budget : object
-        ``ask(dict of str to (want_tokens, min_tokens))`` starts an ask whose answer
-        arrives as `GrantsArrived`; ``report(reports)`` sends what the holder reports.
+        ``ask(list of Ask)`` starts an ask whose answers arrive as `GrantsArrived`;
+        ``report(list of Report)`` sends what the holder reports, and `ReportsDone`
+        follows.
+    burst_share : callable
+        Gives the zone's share of a team's burst for a `Configuration` and a `Team`.
     demand : callable
         Called with model, adapter and cost in tokens of each submitted request.
     """
 
     def __init__(
-        self, mailbox, clock, rng, queue, router, holder, key_holds, budget, demand
+        self,
+        mailbox,
+        clock,
+        rng,
+        queue,
+        router,
+        holder,
+        key_holds,
+        budget,
+        burst_share,
+        demand,
     ):
         self.mailbox = mailbox
         self._clock = clock
@@ -83,6 +110,7 @@
         self._holder = holder
         self._key_holds = key_holds
         self._budget = budget
+        self._burst_share = burst_share
         self._demand = demand
         self._configuration = None
         self._entries = {}
@@ -220,9 +248,10 @@
     @_apply.register
     def _(self, message: GrantsArrived, request):
         self._asked -= message.asked
+        now_ms = self._clock.monotonic_ms()
         for team, answer in message.answers.items():
             if isinstance(answer, Grant):
-                self._holder.add_grant(team, answer)
+                self._holder.add_grant(team, answer, now_ms)
         for team in message.asked:
             for entry in self._short.pop(team, []):
                 self._charge_after_answer(entry, message.answers.get(team))
@@ -230,10 +259,28 @@
 
     @_apply.register
     def _(self, message: ConfigurationChanged, request):
-        self._configuration = message.configuration
-        self._router.set_configuration(message.configuration, message.drained)
-        self._holder.set_teams(message.configuration.teams)
-        self._queue.set_teams(message.configuration.teams)
+        configuration = message.configuration
+        now_ms = self._clock.monotonic_ms()
+        removed = set(self._configuration.teams) if self._configuration else set()
+        for team in configuration.teams.values():
+            burst_tokens = self._burst_share(configuration, team)
+            self._holder.set_team(team.name, burst_tokens, now_ms)
+        for name in removed - set(configuration.teams):
+            self._holder.remove_team(name)
+        self._configuration = configuration
+        self._router.set_configuration(configuration)
+        weights = {team.name: team.weight for team in configuration.teams.values()}
+        self._queue.set_weights(weights)
+
+    @_apply.register
+    def _(self, message: ReportsDone, request):
+        for report in message.reports:
+            self._holder.report_done(report)
+
+    @_apply.register
+    def _(self, message: ReturnGrants, request):
+        reports = self._holder.return_all(self._clock.monotonic_ms())
+        request.reply(reports)
 
     @_apply.register
     def _(self, message: LoadReported, request):
@@ -249,15 +296,16 @@
 
     @_apply.register
     def _(self, message: CacheEvents, request):
-        self._router.on_cache_events(message.backend, message.events)
+        self._router.prefixes.on_events(
+            message.backend, message.incarnation, message.events
+        )
 
     @_apply.register
     def _(self, message: Tick, request):
         now_ms = self._clock.monotonic_ms()
         for ticket in self._queue.expire(now_ms):
             entry = self._entries[ticket.request_id]
-            self._refuse(entry, refusals.deadline_cannot_be_met(0))
-        self._charge_short_again(now_ms)
+            self._refuse(entry, refusals.deadline_passed())
         self._ask_for_budget()
         reports = self._holder.reports(now_ms)
         if reports:
@@ -273,7 +321,9 @@
         elif ticket.cost_tokens > team.burst_tokens:
             refusal = refusals.exceeds_burst(ticket.cost_tokens, team.burst_tokens)
             self._refuse(entry, refusal)
-        elif not self._try_charge(entry):
+        elif self._short.get(ticket.team) or not self._try_charge(entry):
+            # Behind the requests that came first, so that small ones do not starve
+            # a large one.
             self._short.setdefault(ticket.team, []).append(entry)
             self._ask_for_budget()
 
@@ -290,49 +340,42 @@
     def _charge_after_answer(self, entry, answer):
         if entry.ticket.request_id not in self._entries or self._try_charge(entry):
             return
-        now_ms = self._clock.monotonic_ms()
-        if answer is None:
-            self._refuse(entry, refusals.budget_unavailable())
-            return
         if isinstance(answer, Grant):
-            # Others took the block first; the owner may have more.
+            # Requests ahead took the block; the owner may have more.
             retry_after_ms = 0.0
-        else:
+        elif isinstance(answer, Shortage):
             retry_after_ms = answer.retry_after_ms
-        again_ms = now_ms + retry_after_ms
-        if entry.ask_again_ms is None and retry_after_ms <= MAX_BUDGET_WAIT_MS:
-            entry.ask_again_ms = again_ms
+        else:
+            self._refuse(entry, refusals.budget_unavailable())
+            return
+        if entry.asks_left and retry_after_ms <= MAX_BUDGET_WAIT_MS:
+            entry.asks_left -= 1
+            entry.ask_again_ms = self._clock.monotonic_ms() + retry_after_ms
             self._short.setdefault(entry.ticket.team, []).append(entry)
         else:
             self._refuse(entry, refusals.rate_exceeded(retry_after_ms))
 
-    def _charge_short_again(self, now_ms):
-        for team, entries in list(self._short.items()):
-            still_short = [
-                entry
-                for entry in entries
-                if entry.ticket.request_id in self._entries
-                and not self._try_charge(entry)
-            ]
-            if still_short:
-                self._short[team] = still_short
-            else:
-                del self._short[team]
-
     def _ask_for_budget(self):
         now_ms = self._clock.monotonic_ms()
-        asks = {}
+        asks = [
+            ask
+            for ask in self._holder.asks(now_ms)
+            if ask.team not in self._asked and ask.team not in self._short
+        ]
         for team, entries in self._short.items():
-            due = [e for e in entries if (e.ask_again_ms or 0) <= now_ms]
-            if due and team not in self._asked:
-                costs = [entry.ticket.cost_tokens for entry in due]
-                wanted = max(sum(costs), self._holder.want(team, now_ms))
-                asks[team] = (wanted, min(costs))
-        for team in self._holder.teams_to_refill(now_ms):
-            if team not in asks and team not in self._asked:
-                asks[team] = (self._holder.want(team, now_ms), 0)
+            costs = [
+                entry.ticket.cost_tokens
+                for entry in entries
+                if entry.ask_again_ms <= now_ms
+                and entry.ticket.request_id in self._entries
+            ]
+            if costs and team not in self._asked:
+                left_tokens = self._holder.available(team, now_ms)
+                missing_tokens = max(1, sum(costs) - left_tokens)
+                want_tokens = self._holder.want(team, now_ms, missing_tokens)
+                asks.append(Ask(team, want_tokens, max(1, costs[0] - left_tokens)))
         if asks:
-            self._asked.update(asks)
+            self._asked.update(ask.team for ask in asks)
             self._budget.ask(asks)
 
     # Queue and dispatch.
@@ -340,12 +383,11 @@
     def _offer(self, entry):
         result = self._queue.offer(entry.ticket, self._clock.monotonic_ms())
         if isinstance(result, Refused):
-            if result.reason == "queue_full":
-                self._refuse(entry, refusals.queue_full())
-            else:
-                self._refuse(entry, refusals.deadline_cannot_be_met(result.wait_ms))
-        else:
-            self._queued.add(entry.ticket.request_id)
+            self._refuse(entry, result.refusal)
+            return
+        self._queued.add(entry.ticket.request_id)
+        for ticket, refusal in result.displaced:
+            self._refuse(self._entries[ticket.request_id], refusal)
 
     def _dispatch_queued(self):
         while True:
@@ -390,6 +432,7 @@
 
     def _settle(self, entry):
         self._entries.pop(entry.ticket.request_id, None)
+        self._queue.settle(entry.ticket, entry.used_tokens)
         self._queued.discard(entry.ticket.request_id)
         if entry.charge is not None:
             now_ms = self._clock.monotonic_ms()
--- /dev/null
+++ b/cassiamount/load_poller.py
@@ -0,0 +1,137 @@
+"""The task that asks backend servers for their load and cache events."""
+
+import asyncio
+
+import structlog
+
+from .dispatch_messages import CacheEvents, LoadReported
+from .errors import PlatformUnavailable
+from .prefix_index import CacheEvent
+
+LOAD_INTERVAL_MS = 1000
+# Backend servers are asked at different moments, so that a VM's work is spread evenly.
+JITTER_SHARE = 0.2
+# Cache events are needed less often than loads: the router also counts what it sent.
+CACHE_INTERVAL_MS = 5000
+# An engine's own name for its events -> the prefix index's.
+EVENT_KINDS = {"stored": "stored", "evicted": "removed", "cleared": "cleared"}
+
+log = structlog.get_logger()
+
+
+class LoadPoller:
+    """Polls every backend server of the configuration.
+
+    Parameters
+    ----------
+    mailbox : Mailbox
+        Receives `Configuration` objects; the newest one counts.
+    listeners : list of Mailbox
+        Get `LoadReported` messages.
+    router_mailbox : Mailbox
+        Gets `CacheEvents` messages.
+    open_client : callable
+        Makes an `EngineClient` for a backend server's name and address.
+    rng : random.Random
+    metrics : Metrics
+    """
+
+    def __init__(self, mailbox, listeners, router_mailbox, open_client, rng, metrics):
+        self.mailbox = mailbox
+        self._listeners = listeners
+        self._router_mailbox = router_mailbox
+        self._open_client = open_client
+        self._rng = rng
+        self._metrics = metrics
+        self._tasks = {}
+
+    async def run(self):
+        """Poll until cancelled."""
+        try:
+            while True:
+                self._take(await self.mailbox.receive())
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+            self._tasks.clear()
+
+    def _take(self, configuration):
+        wanted = {
+            (backend.name, backend.address, backend.kind)
+            for backend in configuration.backends.values()
+        }
+        for key in set(self._tasks) - wanted:
+            self._tasks.pop(key).cancel()
+        for key in wanted - set(self._tasks):
+            self._tasks[key] = asyncio.create_task(self._poll(*key))
+
+    async def _poll(self, name, address, kind):
+        client = self._open_client(name, address)
+        cursor = CacheCursor()
+        missed = False
+        try:
+            while True:
+                try:
+                    report = await client.load()
+                except PlatformUnavailable as error:
+                    if not missed:
+                        log.warning("load_unknown", backend=name, error=str(error))
+                    missed = True
+                    self._metrics.count("load_reports_missed_total", backend=name)
+                else:
+                    missed = False
+                    for listener in self._listeners:
+                        listener.send(LoadReported(report))
+                    if kind == "engine":
+                        await self._poll_cache(client, name, report, cursor)
+                await asyncio.sleep(self._interval_ms() / 1000)
+        finally:
+            await client.close()
+
+    async def _poll_cache(self, client, name, report, cursor):
+        if cursor.skip(report.incarnation):
+            return
+        try:
+            page = await client.cache_events(cursor.next_offset)
+        except PlatformUnavailable:
+            return
+        cursor.next_offset = page.next_offset
+        events = [
+            CacheEvent(event.offset, EVENT_KINDS[event.action], block)
+            for event in page.events
+            if event.action in EVENT_KINDS
+            and (block := block_hash(event.prefix_hash)) is not None
+        ]
+        if events:
+            message = CacheEvents(name, report.incarnation, events)
+            self._router_mailbox.send(message)
+
+    def _interval_ms(self):
+        return LOAD_INTERVAL_MS * self._rng.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
+
+
+class CacheCursor:
+    """Position in the cache events of one engine."""
+
+    __slots__ = ("incarnation", "next_offset", "_polls")
+
+    def __init__(self):
+        self.incarnation = None
+        self.next_offset = 0
+        self._polls = 0
+
+    def skip(self, incarnation):
+        """Count a poll; return whether it passes without a read of events."""
+        if incarnation != self.incarnation:
+            self.incarnation = incarnation
+            self.next_offset = 0
+        self._polls += 1
+        return self._polls % (CACHE_INTERVAL_MS // LOAD_INTERVAL_MS) != 1
+
+
+def block_hash(prefix_hash):
+    """Return the number of a prefix hash in hexadecimal, or None."""
+    try:
+        return int(prefix_hash, 16) if len(prefix_hash) <= 16 else None
+    except ValueError:
+        return None
--- a/cassiamount/refusals.py
+++ b/cassiamount/refusals.py
@@ -16,14 +16,14 @@
     )
 
 
-def deadline_cannot_be_met(wait_ms):
-    """Refuse because the estimated wait is longer than the deadline allows."""
+def deadline_passed():
+    """Refuse a queued request that no backend server could take in time."""
     return Refusal(
         503,
         "deadline_cannot_be_met",
-        f"the estimated wait of {wait_ms:.0f} ms is longer than the deadline allows",
+        "no backend server was free before the request's deadline",
         True,
-        max(1, math.ceil(wait_ms / 1000)),
+        RETRY_WHEN_NO_REPLICA_S,
     )
 
 
