Keep at most one report to each owner on its way

Cause: the dispatcher asks for reports at each tick and tells when one is done. Change: a pending report is returned again at intervals; the next one follows after report_done.

--- a/cassiamount/budget_holder.py
+++ b/cassiamount/budget_holder.py
@@ -14,20 +14,30 @@
 # Tokens that were not touched for this long go back to the owner, where other VMs
 # can have them.
 IDLE_RETURN_MS = 400
-# Reports of one VM to one owner are at least this far apart.
+# Reports of one VM to one owner, repeated or new, are at least this far apart.
 REPORT_INTERVAL_MS = 200
 
 
 class _HeldBlock:
     __slots__ = ("grant", "left_tokens", "unreported_tokens", "epoch", "touched_ms")
 
-    def __init__(self, grant):
+    def __init__(self, grant, now_ms):
         self.grant = grant
         self.left_tokens = grant.tokens
         self.unreported_tokens = 0
         # Counts the reports that contained uses of this block.
         self.epoch = 0
-        self.touched_ms = None
+        self.touched_ms = now_ms
+
+
+class _Pending:
+    """The report to one owner that is on its way, if any."""
+
+    __slots__ = ("report", "sent_ms")
+
+    def __init__(self, sent_ms):
+        self.report = None
+        self.sent_ms = sent_ms
 
 
 class _Part:
@@ -68,12 +78,12 @@
         "averaged_ms",
     )
 
-    def __init__(self, burst_tokens):
+    def __init__(self, burst_tokens, now_ms):
         self.burst_tokens = burst_tokens
         self.blocks = deque()
         self.needed_tokens = 0
         self.use_tokens_per_ms = 0.0
-        self.averaged_ms = 0.0
+        self.averaged_ms = now_ms
 
 
 class BudgetHolder:
@@ -83,38 +93,31 @@
     ----------
     vm : str
         Identity ``<name>@<incarnation>``; the `holder` of asks and reports.
-    zone_share : float
-        Share of this zone in the rate and burst of every team. May be changed.
     """
 
-    def __init__(self, vm, zone_share=1.0):
+    def __init__(self, vm):
         self.vm = vm
-        self.zone_share = zone_share
         self._teams = {}
         self._uses = {}
         self._refunds = {}
-        self._reported_ms = {}
+        self._pending = {}
         self._next_sequence = 1
 
-    def set_teams(self, teams):
-        """Set the teams and return the tokens of those that are gone.
+    def set_team(self, team, burst_tokens, now_ms):
+        """Set the zone's share of a team's burst."""
+        tokens = self._teams.get(team)
+        if tokens is None:
+            self._teams[team] = _TeamTokens(burst_tokens, now_ms)
+        else:
+            tokens.burst_tokens = burst_tokens
+
+    def remove_team(self, team):
+        """Return the tokens of a team that the configuration no longer has."""
+        tokens = self._teams.pop(team, None)
+        for block in tokens.blocks if tokens is not None else ():
+            self._return(block)
 
-        Parameters
-        ----------
-        teams : dict of str to Team
-            With the burst over all zones.
-        """
-        for name in self._teams.keys() - teams.keys():
-            for block in self._teams.pop(name).blocks:
-                self._return(block)
-        for name, team in teams.items():
-            burst_tokens = team.burst_tokens * self.zone_share
-            if name in self._teams:
-                self._teams[name].burst_tokens = burst_tokens
-            else:
-                self._teams[name] = _TeamTokens(burst_tokens)
-
-    def add_grant(self, team, grant):
+    def add_grant(self, team, grant, now_ms):
         """Add a block.
 
         Parameters
@@ -122,9 +125,10 @@
         team : str
         grant : Grant
             The deadline is on this VM's clock, counted from before the ask was sent.
+        now_ms : float
         """
         tokens = self._teams.get(team)
-        block = _HeldBlock(grant)
+        block = _HeldBlock(grant, now_ms)
         if tokens is None:
             self._return(block)
             return
@@ -256,11 +260,10 @@
         ]
 
     def reports(self, now_ms):
-        """Return the reports that are due, at most one for each owner.
+        """Return the reports to send now, at most one for each owner.
 
-        The caller sends the reports of one owner in order and repeats each one
-        unchanged until it is answered or too old to matter. A report that is lost for
-        good costs tokens, never safety.
+        A report that is not done is returned again, unchanged, at intervals. The next
+        one for its owner follows after `report_done`.
 
         Returns
         -------
@@ -269,52 +272,42 @@
         for tokens in self._teams.values():
             self._drop_expired(tokens, now_ms)
             for block in tokens.blocks:
-                if block.touched_ms is None:
-                    block.touched_ms = now_ms
                 if block.touched_ms + IDLE_RETURN_MS <= now_ms:
                     self._return(block)
-        due = [
-            owner
-            for owner in {*self._blocks_by_owner(), *self._uses, *self._refunds}
-            if self._reported_ms.get(owner, -REPORT_INTERVAL_MS)
-            <= now_ms - REPORT_INTERVAL_MS
-        ]
-        return self._build_reports(sorted(due), now_ms)
+        return self._due_reports(now_ms, REPORT_INTERVAL_MS)
+
+    def report_done(self, report):
+        """Take note that an owner answered a report, or that no owner can use it."""
+        pending = self._pending.get(report.owner)
+        if pending is not None and pending.report is report:
+            pending.report = None
 
     def return_all(self, now_ms):
         """Return all unused tokens for a planned stop; give the last reports."""
-        self.set_teams({})
-        return self._build_reports(sorted({*self._uses, *self._refunds}), now_ms)
+        for team in list(self._teams):
+            self.remove_team(team)
+        return self._due_reports(now_ms, 0)
 
-    def _blocks_by_owner(self):
+    def _due_reports(self, now_ms, interval_ms):
         blocks = {}
         for tokens in self._teams.values():
             for block in tokens.blocks:
                 owner = owner_of(block.grant.grant_id)
                 blocks.setdefault(owner, []).append(block)
-        return blocks
-
-    def _build_reports(self, owners, now_ms):
-        blocks = self._blocks_by_owner()
+        for owner in sorted({*blocks, *self._uses, *self._refunds}):
+            if owner not in self._pending:
+                self._pending[owner] = _Pending(now_ms - REPORT_INTERVAL_MS)
         reports = []
-        self._reported_ms = {
-            owner: at_ms
-            for owner, at_ms in self._reported_ms.items()
-            if at_ms > now_ms - REPORT_INTERVAL_MS
-        }
-        for owner in owners:
-            for block in blocks.get(owner, ()):
-                self._report_use(block)
-            uses = list(self._uses.pop(owner, {}).values())
-            refunds = [
-                Refund(team, grant_id, tokens, now_ms - charged_ms)
-                for team, grant_id, tokens, charged_ms in self._refunds.pop(owner, ())
-            ]
-            if uses or refunds:
-                self._reported_ms[owner] = now_ms
-                sequence = self._next_sequence
-                self._next_sequence += 1
-                reports.append(Report(owner, sequence, uses, refunds))
+        for owner, pending in list(self._pending.items()):
+            if now_ms < pending.sent_ms + interval_ms:
+                continue
+            if pending.report is None:
+                pending.report = self._build(owner, blocks.get(owner, ()), now_ms)
+            if pending.report is not None:
+                pending.sent_ms = now_ms
+                reports.append(pending.report)
+            elif owner not in blocks:
+                del self._pending[owner]
         for tokens in self._teams.values():
             tokens.blocks = deque(
                 block
@@ -323,6 +316,20 @@
             )
         return reports
 
+    def _build(self, owner, blocks, now_ms):
+        for block in blocks:
+            self._report_use(block)
+        uses = list(self._uses.pop(owner, {}).values())
+        refunds = [
+            Refund(team, grant_id, tokens, now_ms - charged_ms)
+            for team, grant_id, tokens, charged_ms in self._refunds.pop(owner, ())
+        ]
+        if not uses and not refunds:
+            return None
+        sequence = self._next_sequence
+        self._next_sequence += 1
+        return Report(owner, sequence, uses, refunds)
+
     def _average(self, tokens, used_tokens, now_ms):
         elapsed_ms = max(0.0, now_ms - tokens.averaged_ms)
         tokens.averaged_ms = now_ms
