--- a/tests/machines/lease_machine.py
+++ b/tests/machines/lease_machine.py
@@ -206,11 +206,11 @@
 
     # A whole exchange, so that long histories are reached in few steps.
 
-    @rule()
-    def exchange(self):
+    @rule(newest_first=st.booleans())
+    def exchange(self, newest_first=False):
         if self.log_up:
             while self.appends:
-                self._arrive(0)
+                self._arrive(-1 if newest_first else 0)
         for name in NAMES:
             self.read(name)
         while self.asks:
@@ -226,6 +226,32 @@
                 self.tick(name)
             self.exchange()
 
+    @rule(rounds=st.integers(1, 6))
+    def log_outage_for_all(self, rounds):
+        self.log_up = False
+        self.time_passes(rounds)
+
+    @rule(rounds=st.integers(1, 6), log_returns=st.booleans())
+    def holder_is_paused(self, rounds, log_returns):
+        holders = [vm for vm in self.vms.values() if vm.client.holder is not None]
+        for vm in holders:
+            vm.paused = True
+        self.time_passes(rounds)
+        for vm in holders:
+            vm.paused = False
+            self.tick(vm.name)
+        while self.asks:
+            self._answer(0)
+        while self.answers:
+            self._take_answer(0)
+        self.log_up = self.log_up or log_returns
+
+    @rule(names=st.sets(names, min_size=1), rounds=st.integers(1, 6))
+    def some_are_cut_off(self, names, rounds):
+        self.cut = names
+        self.log_up = True
+        self.time_passes(rounds)
+
     @invariant()
     def one_user(self):
         users = [
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -1,6 +1,7 @@
 """Tests of budget owners and holders."""
 
 import pytest
+from hypothesis.stateful import run_state_machine_as_test
 
 from cassiamount.budget import BLOCK_LIFETIME_MS, BudgetOwner
 from cassiamount.budget_holder import BudgetHolder
@@ -8,6 +9,8 @@
 from cassiamount.errors import InvariantViolation
 from cassiamount.timing import DRIFT, LEASE_MS
 from cassiamount.token_bucket import TokenBucket
+from tests.machines import proof_settings
+from tests.machines.budget_machine import BudgetMachine
 
 FOREVER_MS = 1e9
 
@@ -230,3 +233,8 @@
         holder.charge("team", 20, float(now_ms))
     assert holder.want("team", 2000.0) == 200
     assert holder.want("team", 60_000.0) == 1
+
+
+def test_every_interval_stays_within_rate_and_burst():
+    """Guards against overspend over VMs, zones, loans, refunds and takeovers."""
+    run_state_machine_as_test(BudgetMachine, settings=proof_settings())
