--- a/cassiamount/config_state.py
+++ b/cassiamount/config_state.py
@@ -146,7 +146,7 @@
             return Applied(offset)
         self._advance(offset)
         if not self._seen_ids.add(record.id):
-            return Applied(offset)
+            return self._first_result(record.id, offset)
         reason = self._effect(record, offset)
         if reason is None:
             return Applied(offset)
@@ -154,6 +154,13 @@
         self.rejections.append(rejection)
         return Rejected(offset, reason)
 
+    def _first_result(self, id, offset):
+        """Return the result of a record that was appended twice."""
+        for rejection in self.rejections:
+            if rejection.id == id:
+                return Rejected(offset, rejection.reason)
+        return Applied(offset)
+
     def skip(self, offset):
         """Pass over a record that cannot be decoded."""
         if offset < self.next_offset:
--- /dev/null
+++ b/cassiamount/document_diff.py
@@ -0,0 +1,88 @@
+"""Differences between two configuration documents, by name instead of position."""
+
+from .findings import shorten
+
+ADDED = "added"
+REMOVED = "removed"
+CHANGED = "changed"
+
+_ABSENT = object()
+
+
+class Difference:
+    """One difference.
+
+    Parameters
+    ----------
+    change : str
+        ``added``, ``removed`` or ``changed``.
+    place : str
+        For example ``teams[stitchers].parameters.rate``.
+    old, new : object
+        None where there is no value.
+    """
+
+    __slots__ = ("change", "place", "old", "new")
+
+    def __init__(self, change, place, old=None, new=None):
+        self.change = change
+        self.place = place
+        self.old = old
+        self.new = new
+
+    def to_json(self):
+        """Return the JSON form."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+    def __str__(self):
+        if self.change == ADDED:
+            return f"+ {self.place}: {shorten(self.new)}"
+        if self.change == REMOVED:
+            return f"- {self.place}: {shorten(self.old)}"
+        return f"~ {self.place}: {shorten(self.old, 90)} -> {shorten(self.new, 90)}"
+
+
+def diff_documents(old, new):
+    """Return the differences from one JSON value to another.
+
+    Parameters
+    ----------
+    old, new : object
+        Lists of objects with a ``name`` are compared by name.
+
+    Returns
+    -------
+    list of Difference
+    """
+    return list(_diff(old, new, ""))
+
+
+def _diff(old, new, place):
+    if old is _ABSENT:
+        yield Difference(ADDED, place, new=new)
+    elif new is _ABSENT:
+        yield Difference(REMOVED, place, old=old)
+    elif isinstance(old, dict) and isinstance(new, dict):
+        prefix = f"{place}." if place else ""
+        yield from _diff_fields(old, new, lambda key: f"{prefix}{key}")
+    elif _is_named(old) and _is_named(new):
+        old_items = {item["name"]: item for item in old}
+        new_items = {item["name"]: item for item in new}
+        yield from _diff_fields(old_items, new_items, lambda key: f"{place}[{key}]")
+    elif old != new or type(old) is not type(new):
+        yield Difference(CHANGED, place or "$", old, new)
+
+
+def _diff_fields(old, new, place_of):
+    for key in {**old, **new}:
+        yield from _diff(old.get(key, _ABSENT), new.get(key, _ABSENT), place_of(key))
+
+
+def _is_named(value):
+    if not isinstance(value, list):
+        return False
+    if not all(isinstance(item, dict) for item in value):
+        return False
+    names = [item.get("name") for item in value]
+    unique = all(isinstance(name, str) for name in names)
+    return unique and len(set(names)) == len(names)
--- /dev/null
+++ b/cassiamount/stream_reader.py
@@ -0,0 +1,177 @@
+"""Reads a stream into a fold once, and appends a record and learns its effect."""
+
+import asyncio
+
+from .errors import (
+    AppendOutcomeUnknown,
+    CassiamountError,
+    InvalidRecord,
+    OffsetTrimmed,
+    PlatformUnavailable,
+)
+from .records import Checkpoint, decode_record, encode_record
+
+PAGE_RECORDS = 500
+# Restarts of a read that the log's trimming overtook.
+MAX_RESTARTS = 5
+# Waits between attempts of an append whose answer was lost.
+RETRY_DELAYS_S = (0.1, 0.3, 1.0, 3.0)
+
+
+class CheckpointMissing(CassiamountError):
+    """The log has trimmed records and holds no checkpoint that covers them."""
+
+
+class StreamReader:
+    """Reads one stream up to its head, on demand.
+
+    Parameters
+    ----------
+    log : object
+        Client of the log, with ``append`` and ``read``.
+    stream : str
+    fold : object
+        With ``next_offset``, ``apply``, ``skip`` and ``load_state``.
+    """
+
+    __slots__ = ("log", "stream", "fold", "_results", "_watched_id")
+
+    def __init__(self, log, stream, fold):
+        self.log = log
+        self.stream = stream
+        self.fold = fold
+        self._watched_id = None
+        self._results = []
+
+    async def catch_up(self):
+        """Read up to the head of the stream.
+
+        Raises
+        ------
+        PlatformUnavailable
+        CheckpointMissing
+        """
+        for _ in range(MAX_RESTARTS):
+            try:
+                return await self._read_to_head()
+            except OffsetTrimmed as error:
+                if await self._load_checkpoint(error.earliest):
+                    return await self._read_to_head()
+        raise PlatformUnavailable(f"stream {self.stream} is trimmed faster than read")
+
+    async def append(self, record):
+        """Append a record and return its effect.
+
+        Parameters
+        ----------
+        record : Record
+
+        Returns
+        -------
+        Applied or Rejected
+
+        Raises
+        ------
+        PlatformUnavailable
+            The record is certainly not in the log.
+        AppendOutcomeUnknown
+            The record may be in the log, or is there but could not be read back.
+        """
+        self._watched_id, self._results = record.id, []
+        in_doubt = False
+        for delay_s in (*RETRY_DELAYS_S, None):
+            try:
+                await self.log.append(self.stream, [encode_record(record)])
+                in_doubt = True
+            except AppendOutcomeUnknown:
+                in_doubt = True
+            except PlatformUnavailable:
+                if not in_doubt:
+                    raise
+            if await self._read_back():
+                return self._results[0]
+            if delay_s is not None:
+                await asyncio.sleep(delay_s)
+        raise AppendOutcomeUnknown(
+            f"it is not known whether record {record.id} is in stream {self.stream}"
+        )
+
+    async def _read_back(self):
+        try:
+            await self.catch_up()
+        except PlatformUnavailable:
+            # A record that may be in the log is appended again only after the read
+            # to the head has shown that it is absent.
+            await self._wait_for_log()
+        return bool(self._results)
+
+    async def _wait_for_log(self):
+        for delay_s in RETRY_DELAYS_S:
+            await asyncio.sleep(delay_s)
+            try:
+                return await self.catch_up()
+            except PlatformUnavailable:
+                continue
+        raise AppendOutcomeUnknown(
+            f"stream {self.stream} cannot be read back; the record may be in it"
+        )
+
+    async def _read_to_head(self):
+        while records := await self._page(self.fold.next_offset):
+            for record in records:
+                self._apply(record.offset, record.value)
+
+    async def _page(self, offset):
+        page = await self.log.read(self.stream, offset, PAGE_RECORDS, 0)
+        return page.records
+
+    def _apply(self, offset, value):
+        if offset < self.fold.next_offset:
+            return
+        decoded = decode_record(value)
+        if decoded.is_err():
+            self.fold.skip(offset)
+            return
+        record = decoded.unwrap()
+        result = self.fold.apply(offset, record)
+        if record.id == self._watched_id:
+            self._results.append(result)
+
+    async def _load_checkpoint(self, earliest):
+        """Load a checkpoint that covers what is trimmed, and the records after it.
+
+        Returns
+        -------
+        bool
+            False if the log trimmed more in the meantime.
+        """
+        buffered = []
+        offset = earliest
+        try:
+            while records := await self._page(offset):
+                buffered.extend(records)
+                offset = records[-1].offset + 1
+        except OffsetTrimmed:
+            return False
+        for buffered_record in buffered:
+            if self._try_checkpoint(buffered_record.value, earliest):
+                for record in buffered:
+                    self._apply(record.offset, record.value)
+                return True
+        raise CheckpointMissing(
+            f"stream {self.stream} starts at offset {earliest} and holds no checkpoint"
+            f" that covers offset {earliest - 1}"
+        )
+
+    def _try_checkpoint(self, value, earliest):
+        decoded = decode_record(value)
+        if decoded.is_err() or not isinstance(decoded.unwrap(), Checkpoint):
+            return False
+        checkpoint = decoded.unwrap()
+        if checkpoint.covers_offset < earliest - 1:
+            return False
+        try:
+            self.fold.load_state(checkpoint.covers_offset, checkpoint.state)
+        except InvalidRecord:
+            return False
+        return True
