--- a/cassiamount/cli_common.py
+++ b/cassiamount/cli_common.py
@@ -6,6 +6,7 @@
 from cyclopts import Parameter
 
 from .errors import AppendOutcomeUnknown, CassiamountError, PlatformUnavailable
+from .log_client import HttpLogClient
 from .operator_api import OperatorApi
 
 EXIT_OK = 0
@@ -44,9 +45,7 @@
 
 def open_log(address):
     """Return a client of the log at ``IP:port``."""
-    from .log_client import LogClient
-
-    return LogClient(address)
+    return HttpLogClient(f"http://{address}")
 
 
 def change(operation, log_address, operator, output):
--- a/cassiamount/findings.py
+++ b/cassiamount/findings.py
@@ -70,6 +70,10 @@
         steps = (f"[{step}]" if isinstance(step, int) else f".{step}" for step in path)
         return "$" + "".join(steps)
 
+    def position(self, path, at_key=False):
+        """Return a sort key; it keeps the order of the checks."""
+        return 0
+
 
 class JsonPlaces:
     """Lines and columns in a JSON text.
@@ -103,15 +107,23 @@
         str
             The place of the deepest part of the path that exists.
         """
+        return self._place_of(self._find(path, at_key))
+
+    def position(self, path, at_key=False):
+        """Return a sort key in the order of the file."""
+        node = self._find(path, at_key)
+        return 0 if node is None else node.start_mark.index
+
+    def _find(self, path, at_key):
         node, key_node = self._compose(), None
         for step in path:
             entry = _child(node, step)
             if entry is None:
+                # The name of a missing field has no place of its own.
+                key_node = None
                 break
             key_node, node = entry
-        if at_key and key_node is not None:
-            node = key_node
-        return self._place_of(node)
+        return key_node if at_key and key_node is not None else node
 
     def duplicate_keys(self):
         """Yield (place, name) of each field that repeats an earlier one."""
@@ -274,7 +286,7 @@
 
 
 def to_findings(problems, places):
-    """Return the findings of `problems`, without repetitions.
+    """Return the findings of `problems` in file order, without repetitions.
 
     Parameters
     ----------
@@ -286,7 +298,9 @@
     list of Finding
     """
     found = {}
-    for problem in problems:
+    for problem in sorted(
+        problems, key=lambda problem: places.position(problem.path, problem.at_key)
+    ):
         place = places.place(problem.path, problem.at_key)
         found.setdefault((place, problem.message), Finding(place, problem.message))
     return list(found.values())
--- a/cassiamount/stream_reader.py
+++ b/cassiamount/stream_reader.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from .errors import (
+    AppendLimitReached,
     AppendOutcomeUnknown,
     CassiamountError,
     InvalidRecord,
@@ -85,9 +86,12 @@
                 in_doubt = True
             except AppendOutcomeUnknown:
                 in_doubt = True
-            except PlatformUnavailable:
+            except PlatformUnavailable as error:
                 if not in_doubt:
-                    raise
+                    if delay_s is None or not isinstance(error, AppendLimitReached):
+                        raise
+                    await asyncio.sleep(delay_s)
+                    continue
             if await self._read_back():
                 return self._results[0]
             if delay_s is not None:
@@ -117,13 +121,18 @@
         )
 
     async def _read_to_head(self):
-        while records := await self._page(self.fold.next_offset):
-            for record in records:
-                self._apply(record.offset, record.value)
-
-    async def _page(self, offset):
-        page = await self.log.read(self.stream, offset, PAGE_RECORDS, 0)
-        return page.records
+        async for offset, value in self._records_from(self.fold.next_offset):
+            self._apply(offset, value)
+
+    async def _records_from(self, offset):
+        """Yield (offset, value) of the records up to the head of the stream."""
+        at_head = False
+        while not at_head:
+            page = await self.log.read(self.stream, offset, PAGE_RECORDS, 0)
+            at_head = page.at_head(offset) or not page.records
+            for record in page.records:
+                yield record
+            offset += len(page.records)
 
     def _apply(self, offset, value):
         if offset < self.fold.next_offset:
@@ -145,18 +154,14 @@
         bool
             False if the log trimmed more in the meantime.
         """
-        buffered = []
-        offset = earliest
         try:
-            while records := await self._page(offset):
-                buffered.extend(records)
-                offset = records[-1].offset + 1
+            buffered = [record async for record in self._records_from(earliest)]
         except OffsetTrimmed:
             return False
-        for buffered_record in buffered:
-            if self._try_checkpoint(buffered_record.value, earliest):
+        for _, value in buffered:
+            if self._try_checkpoint(value, earliest):
                 for record in buffered:
-                    self._apply(record.offset, record.value)
+                    self._apply(*record)
                 return True
         raise CheckpointMissing(
             f"stream {self.stream} starts at offset {earliest} and holds no checkpoint"
