Add the request path: edge, relay and backend client

Cause: callers need the OpenAI-compatible interface in front of the dispatcher. Ruled out: a proxy library (not allowed) and a request object shared between tasks.

--- /dev/null
+++ b/cassiamount/backend_client.py
@@ -0,0 +1,232 @@
+"""Sends one attempt of a request to a backend server."""
+
+import asyncio
+
+import aiohttp
+import yarl
+
+MAX_HEAD_LINE_BYTES = 8_190
+MAX_HEAD_FIELDS = 100
+MAX_BODY_BYTES = 8 << 20
+CONNECT_TIMEOUT_S = 2.0
+CANCEL_TIMEOUT_S = 2.0
+KEEPALIVE_S = 20.0
+REQUEST_ID_HEADER = "X-Request-Id"
+NOT_ACCEPTED_HEADER = "X-Not-Accepted"
+
+
+class NotAccepted(Exception):
+    """The backend server certainly ran nothing of the request."""
+
+
+class AttemptBroken(Exception):
+    """The attempt failed; the backend server may have run it."""
+
+
+class CrossedAnswer(AttemptBroken):
+    """The response carries the identifier of another request."""
+
+
+class BackendResponse:
+    """The response to one attempt, with its head received.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+    idle_s : float
+        Longest accepted pause between two reads.
+    """
+
+    __slots__ = ("status", "headers", "_response", "_idle_s")
+
+    def __init__(self, response, idle_s):
+        self.status = response.status
+        self.headers = response.headers
+        self._response = response
+        self._idle_s = idle_s
+
+    @property
+    def content_type(self):
+        """Media type with its parameters; empty if absent."""
+        return self.headers.get("Content-Type", "")
+
+    @property
+    def delimited(self):
+        """Whether the end of the body can be told from a broken connection."""
+        if self.status in (204, 304):
+            return True
+        return (
+            "Content-Length" in self.headers
+            or "chunked" in self.headers.get("Transfer-Encoding", "").lower()
+        )
+
+    async def chunk(self):
+        """Return the bytes that have arrived; empty at the end of the body.
+
+        Raises
+        ------
+        AttemptBroken
+        """
+        content = self._response.content
+        try:
+            # A read that finds data waiting needs no timer.
+            if data := content.read_nowait():
+                return data
+            async with asyncio.timeout(self._idle_s):
+                return await content.readany()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise AttemptBroken(_describe(error)) from error
+
+    async def body(self, limit_bytes=MAX_BODY_BYTES):
+        """Return the whole body.
+
+        Raises
+        ------
+        AttemptBroken
+            If the body ends early or exceeds the limit.
+        """
+        parts, size = [], 0
+        while part := await self.chunk():
+            size += len(part)
+            if size > limit_bytes:
+                raise AttemptBroken("the response body exceeds the limit")
+            parts.append(part)
+        return b"".join(parts)
+
+    def release(self):
+        """Return the connection for reuse after the body was read to its end."""
+        self._response.release()
+
+    def close(self):
+        """Close the connection."""
+        self._response.close()
+
+
+class BackendClient:
+    """Connections to the backend servers.
+
+    Parameters
+    ----------
+    metrics : Metrics
+    max_connections : int
+        Over all backend servers.
+    idle_s : float
+        Longest accepted pause in a response body.
+    """
+
+    def __init__(self, metrics, max_connections=4_000, idle_s=60.0):
+        self._metrics = metrics
+        self._idle_s = idle_s
+        self._max_connections = max_connections
+        self._session = None
+        self._once = None
+
+    async def start(self):
+        """Open the client; needs a running event loop."""
+        self._session = self._open(force_close=False)
+        # A call that must not run twice gets a connection of its own: on a reused
+        # one, the server's idle close could not be told from a lost response.
+        self._once = self._open(force_close=True)
+
+    def _open(self, force_close):
+        options = {} if force_close else {"keepalive_timeout": KEEPALIVE_S}
+        connector = aiohttp.TCPConnector(
+            limit=self._max_connections, force_close=force_close, **options
+        )
+        session = aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            max_line_size=MAX_HEAD_LINE_BYTES,
+            max_field_size=MAX_HEAD_LINE_BYTES,
+            max_headers=MAX_HEAD_FIELDS,
+        )
+        # aiohttp repeats PUT and DELETE by itself on a reused connection that was
+        # closed; only the relay decides on retries.
+        session._retry_connection = False
+        return session
+
+    async def close(self):
+        """Close all connections."""
+        for session in (self._session, self._once):
+            if session is not None:
+                await session.close()
+
+    async def send(
+        self, address, method, target, headers, body, request_id, head_s, once=False
+    ):
+        """Send one attempt and wait for the response's head.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port``.
+        method, target : str
+            `target` is the path with the query, already encoded.
+        headers : list of (str, str)
+        body : bytes
+        request_id : str
+            Sent as ``X-Request-Id``; the response must carry it.
+        head_s : float
+            Longest wait for the head.
+        once : bool
+            Use a connection of its own.
+
+        Returns
+        -------
+        BackendResponse
+
+        Raises
+        ------
+        NotAccepted, AttemptBroken
+        """
+        session = self._once if once else self._session
+        url = _url(address, target)
+        headers = [*headers, (REQUEST_ID_HEADER, request_id)]
+        try:
+            async with asyncio.timeout(head_s):
+                response = await session.request(
+                    method, url, headers=headers, data=body, allow_redirects=False
+                )
+        except aiohttp.ClientConnectorError as error:
+            # No connection was made, so nothing was sent.
+            raise NotAccepted(_describe(error)) from error
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            if isinstance(error, aiohttp.ConnectionTimeoutError):
+                raise NotAccepted(_describe(error)) from error
+            raise AttemptBroken(_describe(error)) from error
+        if response.headers.get(REQUEST_ID_HEADER) != request_id:
+            response.close()
+            self._metrics.count("crossed_answers_total")
+            raise CrossedAnswer("the response carries another request identifier")
+        if (
+            response.status == 503
+            and response.headers.get(NOT_ACCEPTED_HEADER, "").lower() == "true"
+        ):
+            response.close()
+            raise NotAccepted("the backend server did not accept the request")
+        return BackendResponse(response, self._idle_s)
+
+    async def cancel(self, address, request_id):
+        """Ask an engine to stop a request; failures are ignored.
+
+        An engine that cannot be reached notices the closed connection by itself.
+        """
+        try:
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                response = await self._session.delete(
+                    _url(address, f"/requests/{request_id}")
+                )
+                response.close()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            self._metrics.count("cancel_failures_total")
+
+
+def _url(address, target):
+    return yarl.URL(f"http://{address}{target}", encoded=True)
+
+
+def _describe(error):
+    return f"{type(error).__name__}: {error}"[:200]
--- /dev/null
+++ b/cassiamount/caller.py
@@ -0,0 +1,270 @@
+"""The caller's side of one request: reading the body, sending the answer."""
+
+import asyncio
+
+import orjson
+
+from .relay import CallerGone
+from .requests import Refusal
+
+ERROR_TYPES = {
+    401: "authentication_error",
+    403: "permission_error",
+    404: "not_found_error",
+    429: "rate_limit_error",
+    502: "server_error",
+    503: "server_error",
+    504: "server_error",
+}
+
+
+class RefusedError(Exception):
+    """Ends the handling of a request with a refusal.
+
+    Parameters
+    ----------
+    refusal : Refusal
+    param : str, optional
+        Name of the field at fault.
+    """
+
+    def __init__(self, refusal, param=None):
+        super().__init__(refusal.code)
+        self.refusal = refusal
+        self.param = param
+
+
+def refuse(status, code, message, param=None, retry_after_s=None):
+    """Return the exception for a request that was not run."""
+    refusal = Refusal(status, code, message, retry_after_s=retry_after_s)
+    return RefusedError(refusal, param)
+
+
+def error_body(refusal, param=None):
+    """Return the OpenAI-shaped body of a refusal."""
+    return orjson.dumps(
+        {
+            "error": {
+                "message": refusal.message,
+                "type": ERROR_TYPES.get(refusal.status, "invalid_request_error"),
+                "code": refusal.code,
+                "param": param,
+            },
+            "not_run": refusal.not_run,
+        }
+    )
+
+
+class Caller:
+    """Sends one answer over ASGI.
+
+    Parameters
+    ----------
+    send : callable
+        ASGI send channel.
+    request_id : str
+    stall_s : float
+        A caller that reads nothing for this long is treated as gone; what is held
+        for it meanwhile is bounded by the connection's write buffer.
+    """
+
+    __slots__ = (
+        "request_id",
+        "status",
+        "code",
+        "started",
+        "finished",
+        "close",
+        "_send",
+        "_stall_s",
+        "_events",
+    )
+
+    def __init__(self, send, request_id, stall_s):
+        self.request_id = request_id
+        self.status = 0
+        self.code = ""
+        self.started = False
+        self.finished = False
+        # Set to ask the caller to open a new connection for its next request.
+        self.close = False
+        self._send = send
+        self._stall_s = stall_s
+        self._events = False
+
+    async def start(self, status, headers):
+        """Send the head of an answer."""
+        self.started = True
+        self.status = status
+        sent = [*headers, (b"x-request-id", self.request_id.encode())]
+        if self.close:
+            sent.append((b"connection", b"close"))
+        self._events = any(value.startswith(b"text/event-stream") for _, value in headers)
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": sent}
+        )
+
+    async def write(self, data):
+        """Send a part of the body.
+
+        Raises
+        ------
+        CallerGone
+        """
+        await self._body(data, more=True)
+
+    async def end(self):
+        """End the answer."""
+        await self._body(b"", more=False)
+        self.finished = True
+
+    async def respond(self, status, headers, body):
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [*headers, length])
+        await self._body(body, more=False)
+        self.finished = True
+
+    async def refuse(self, refusal, param=None):
+        """Send a refusal, or break the answer off if it has begun.
+
+        A broken-off event stream ends with an event that carries the error. The
+        connection is closed without the end of the body, so that no caller takes a
+        part for the whole.
+        """
+        self.code = refusal.code
+        if self.finished:
+            return
+        if self.started:
+            if self._events:
+                event = b"data: " + error_body(refusal, param) + b"\n\n"
+                await self._body(event, more=True)
+            raise CallerGone("the answer was broken off")
+        headers = [(b"content-type", b"application/json")]
+        if refusal.retry_after_s is not None:
+            seconds = max(1, int(-(-refusal.retry_after_s // 1)))
+            headers.append((b"retry-after", str(seconds).encode()))
+        if refusal.status == 401:
+            headers.append((b"www-authenticate", b"Bearer"))
+        await self.respond(refusal.status, headers, error_body(refusal, param))
+
+    async def _body(self, data, more):
+        message = {"type": "http.response.body", "body": data, "more_body": more}
+        try:
+            async with asyncio.timeout(self._stall_s):
+                await self._send(message)
+        except (TimeoutError, OSError) as error:
+            raise CallerGone("the caller does not read") from error
+
+
+class SilentCaller:
+    """Takes the answer of a claimed call whose caller has gone."""
+
+    __slots__ = ("request_id",)
+
+    def __init__(self, request_id):
+        self.request_id = request_id
+
+    async def start(self, status, headers):
+        """Ignore the head."""
+
+    async def write(self, data):
+        """Ignore a part of the body."""
+
+    async def end(self):
+        """Ignore the end."""
+
+    async def respond(self, status, headers, body):
+        """Ignore an answer."""
+
+    async def refuse(self, refusal, param=None):
+        """Ignore a refusal."""
+
+
+class BodyReader:
+    """Reads request bodies within limits shared by all requests.
+
+    Parameters
+    ----------
+    limits : EdgeLimits
+    """
+
+    __slots__ = ("limits", "held_bytes")
+
+    def __init__(self, limits):
+        self.limits = limits
+        self.held_bytes = 0
+
+    def check_length(self, length):
+        """Refuse a declared length over the limit before anything is read.
+
+        Parameters
+        ----------
+        length : bytes or None
+            Value of Content-Length.
+        """
+        if length is not None and length.isdigit():
+            if len(length) > 18 or int(length) > self.limits.body_bytes:
+                raise self._too_large()
+
+    async def read(self, receive, held):
+        """Return the body.
+
+        Parameters
+        ----------
+        receive : callable
+            ASGI receive channel.
+        held : list of int
+            Gets the number of bytes counted as held, which the request gives back
+            with `release` at its end.
+
+        Raises
+        ------
+        RefusedError, CallerGone
+        """
+        message = await self._first(receive)
+        parts = [self._part(message, held, 0)]
+        size = len(parts[0])
+        if message.get("more_body"):
+            try:
+                async with asyncio.timeout(self.limits.body_timeout_ms / 1000):
+                    while message.get("more_body"):
+                        message = await receive()
+                        parts.append(self._part(message, held, size))
+                        size += len(parts[-1])
+            except TimeoutError:
+                raise refuse(408, "body_timeout", "the body arrives too slowly") from None
+        return b"".join(parts) if len(parts) > 1 else parts[0]
+
+    async def _first(self, receive):
+        try:
+            async with asyncio.timeout(self.limits.body_timeout_ms / 1000):
+                return await receive()
+        except TimeoutError:
+            raise refuse(408, "body_timeout", "the body arrives too slowly") from None
+
+    def _part(self, message, held, size):
+        if message["type"] == "http.disconnect":
+            raise CallerGone("the caller disconnected while sending")
+        part = message.get("body", b"")
+        if size + len(part) > self.limits.body_bytes:
+            raise self._too_large()
+        self.held_bytes += len(part)
+        held.append(len(part))
+        if self.held_bytes > self.limits.held_body_bytes:
+            raise refuse(
+                503,
+                "not_run",
+                "the bodies of current requests take up all memory set aside for them",
+                retry_after_s=1,
+            )
+        return part
+
+    def release(self, held):
+        """Give back the bytes of a request that ended."""
+        self.held_bytes -= sum(held)
+        held.clear()
+
+    def _too_large(self):
+        limit = self.limits.body_bytes
+        return refuse(413, "body_too_large", f"the body exceeds {limit} bytes")
--- /dev/null
+++ b/cassiamount/event_stream.py
@@ -0,0 +1,155 @@
+"""Server-sent events of a backend server: framing and what the relay needs of each."""
+
+import orjson
+
+MAX_EVENT_BYTES = 1 << 20
+
+
+class MalformedStream(ValueError):
+    """A backend server's event stream cannot be read."""
+
+
+class EventSplitter:
+    r"""Cuts a byte stream into whole events.
+
+    Parameters
+    ----------
+    max_event_bytes : int
+        An event that grows beyond this is an error, so that a backend server cannot
+        fill the memory.
+
+    Notes
+    -----
+    Events end at a blank line; lines end in LF or CRLF (HTML standard, section 9.2).
+    Lone CR as a line ending is not accepted: no engine sends it, and it would make
+    every CR at the end of a chunk ambiguous.
+    """
+
+    __slots__ = ("max_event_bytes", "_rest", "_held")
+
+    def __init__(self, max_event_bytes=MAX_EVENT_BYTES):
+        self.max_event_bytes = max_event_bytes
+        self._rest = b""
+        self._held = False
+
+    def feed(self, chunk):
+        """Return the events that `chunk` completes, each without its blank line.
+
+        Raises
+        ------
+        MalformedStream
+        """
+        if self._held:
+            chunk = b"\r" + chunk
+            self._held = False
+        if b"\r" in chunk:
+            if chunk.endswith(b"\r"):
+                chunk = chunk[:-1]
+                self._held = True
+            chunk = chunk.replace(b"\r\n", b"\n")
+        data = self._rest + chunk if self._rest else chunk
+        events = data.split(b"\n\n")
+        self._rest = events.pop()
+        if len(self._rest) > self.max_event_bytes:
+            raise MalformedStream("an event is larger than the limit")
+        for event in events:
+            if len(event) > self.max_event_bytes:
+                raise MalformedStream("an event is larger than the limit")
+        return [event for event in events if event]
+
+    @property
+    def empty(self):
+        """Whether no part of an event is pending."""
+        return not self._rest.strip()
+
+
+class StreamProgress:
+    """What a streamed completion has delivered so far.
+
+    Counts one token for each event that carries text, which is the unit of
+    ``X-Resume-Offset``.
+    """
+
+    __slots__ = (
+        "tokens",
+        "texts",
+        "done",
+        "finished",
+        "usage_tokens",
+        "first_id",
+        "single",
+    )
+
+    def __init__(self):
+        self.tokens = 0
+        self.texts = []
+        self.done = False
+        self.finished = False
+        self.usage_tokens = None
+        self.first_id = None
+        # A stream of several choices cannot be continued from one text.
+        self.single = True
+
+    @property
+    def text(self):
+        """The text generated so far."""
+        return "".join(self.texts)
+
+    def read(self, event):
+        """Take in one event; return its parsed document or None.
+
+        Raises
+        ------
+        MalformedStream
+            If the event is no JSON object, or reports an error of the engine.
+        """
+        if not event.startswith(b"data:"):
+            event = _data_of(event)
+            if event is None:
+                return None
+        elif b"\n" in event:
+            event = _data_of(event)
+        data = event[5:].strip()
+        if data == b"[DONE]":
+            self.done = True
+            return None
+        try:
+            document = orjson.loads(data)
+        except orjson.JSONDecodeError:
+            raise MalformedStream("an event is not JSON") from None
+        if type(document) is not dict or "error" in document:
+            raise MalformedStream("an event reports an error or is not an object")
+        choices = document.get("choices", ())
+        if type(choices) not in (list, tuple):
+            raise MalformedStream("choices is not a list")
+        for choice in choices:
+            self._read_choice(choice)
+        usage = document.get("usage")
+        if type(usage) is dict and type(usage.get("total_tokens")) is int:
+            self.usage_tokens = usage["total_tokens"]
+        return document
+
+    def _read_choice(self, choice):
+        if type(choice) is not dict:
+            raise MalformedStream("a choice is not an object")
+        if choice.get("index"):
+            self.single = False
+        delta = choice.get("delta")
+        text = delta.get("content") if type(delta) is dict else choice.get("text")
+        if text:
+            if type(text) is not str:
+                raise MalformedStream("the text is not a string")
+            self.tokens += 1
+            self.texts.append(text)
+        elif type(delta) is dict and delta.get("tool_calls"):
+            # Tool calls have no text that another engine could continue from.
+            self.tokens += 1
+            self.single = False
+        if choice.get("finish_reason"):
+            self.finished = True
+
+
+def _data_of(event):
+    """Return the joined data lines of an event as one line, or None without any."""
+    lines = [line[5:] for line in event.split(b"\n") if line.startswith(b"data:")]
+    return b"data:" + b"\n".join(lines) if lines else None
--- /dev/null
+++ b/cassiamount/jobs.py
@@ -0,0 +1,317 @@
+"""What the relay needs to know of one request: a model request or a service call."""
+
+import orjson
+
+from .backend_client import AttemptBroken, NotAccepted
+from .event_stream import StreamProgress
+from .invariants import KEY_STAYS_AT_EDGE, require
+from .relay import Answer
+from .requests import RequestState
+from .stream_copier import StreamCopier
+
+# Service responses up to this size are held until they are whole, so that they can be
+# sent again or recorded; larger ones are passed on as they arrive.
+HELD_BYTES = 64 << 10
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# Set anew by the edge.
+OWN_RESPONSE_HEADERS = HOP_BY_HOP | {b"content-length", b"x-request-id", b"date"}
+
+
+class Job:
+    """One admitted request.
+
+    Parameters
+    ----------
+    ticket : Ticket
+    method, target : str
+    key : bytes
+        The caller's key, checked to be absent from everything that is sent; empty
+        on an open route without a key.
+    recheck : callable
+        Returns a Refusal if the key was withdrawn, else None.
+    trace : RequestTrace
+    head_deadline_ms : float
+        Monotonic time by which an attempt's head is due.
+    """
+
+    engine = False
+    repeatable_if_not_accepted = True
+    advice = ""
+
+    def __init__(self, ticket, method, target, key, recheck, trace, head_deadline_ms):
+        self.ticket = ticket
+        self.method = method
+        self.target = target
+        self.key = key
+        self.recheck = recheck
+        self.trace = trace
+        self.head_deadline_ms = head_deadline_ms
+        self.state = RequestState(ticket.request_id, ticket.idempotent)
+        # Whether any attempt so far may have run at a backend server.
+        self.maybe_ran = False
+        # Whether the caller was sent the head of the answer.
+        self.started = False
+
+    def attempt_id(self, dispatch):
+        """Return the identifier that an attempt carries."""
+        return self.ticket.request_id
+
+    def resumable(self):
+        """Return whether another attempt could carry on."""
+        return not self.started
+
+    def used_tokens(self):
+        """Return the tokens to charge for."""
+        return self.ticket.cost_tokens
+
+    def check_outgoing(self, headers, body):
+        """Check that the caller's key is in nothing that a backend server gets."""
+        key = self.key
+        if not key:
+            return
+        held = (
+            key in body
+            or key in self.target.encode()
+            or any(key in value.encode() for _, value in headers)
+        )
+        require(not held, KEY_STAYS_AT_EDGE, request_id=self.ticket.request_id)
+
+
+class ModelJob(Job):
+    """A request to a model engine.
+
+    Parameters
+    ----------
+    request : ModelRequest
+    """
+
+    engine = True
+    advice = "the request can be repeated"
+    stream_headers = (
+        (b"content-type", b"text/event-stream; charset=utf-8"),
+        (b"cache-control", b"no-cache"),
+    )
+
+    def __init__(self, request, ticket, key, recheck, trace, head_deadline_ms):
+        super().__init__(
+            ticket, "POST", request.path, key, recheck, trace, head_deadline_ms
+        )
+        self.request = request
+        self.progress = StreamProgress()
+
+    def attempt_id(self, dispatch):
+        """Return the identifier of an attempt.
+
+        Later attempts get identifiers of their own: a late answer to the first one
+        must not be taken for the continuation.
+        """
+        if dispatch.attempt == 1:
+            return self.ticket.request_id
+        return f"{self.ticket.request_id}-{dispatch.attempt}"
+
+    def resumable(self):
+        """Return whether another engine could carry on from the text so far."""
+        if not self.started:
+            return True
+        return self.progress.single and not self.progress.finished
+
+    def used_tokens(self):
+        """Return prompt tokens plus the tokens generated so far."""
+        progress = self.progress
+        if progress.usage_tokens is not None:
+            return progress.usage_tokens
+        return self.ticket.prompt_tokens + progress.tokens
+
+    def headers(self, extra=()):
+        """Return the headers of an attempt."""
+        headers = [
+            ("Content-Type", "application/json"),
+            ("X-Priority", self.ticket.priority),
+            *extra,
+        ]
+        traceparent = self.trace.traceparent()
+        if traceparent:
+            headers.append(("traceparent", traceparent))
+        return headers
+
+    async def run(self, relay, attempt, caller):
+        """Run one attempt; return the Answer.
+
+        Raises
+        ------
+        NotAccepted, AttemptBroken, CallerGone
+        """
+        # A finished or broken answer that was not started is generated afresh.
+        if not self.started:
+            self.progress = StreamProgress()
+        body = self.request.engine_body(
+            self.ticket.model, self.ticket.adapter, self.progress.text
+        )
+        response = await relay.send(self, attempt, self.headers(), body)
+        if response.status != 200:
+            return await self._error(attempt, response, caller)
+        if not self.request.streamed:
+            return await self._whole(relay, attempt, response, caller)
+        copier = StreamCopier(relay, self, caller)
+        try:
+            await copier.copy(attempt, response)
+        except AttemptBroken as error:
+            await self._resume(relay, attempt, copier, body, error)
+        return Answer(200, "text/event-stream")
+
+    async def _resume(self, relay, attempt, copier, body, error):
+        """Carry on at the same engine from the next token, once."""
+        progress = self.progress
+        if progress.finished and progress.single and not self.request.wants_usage:
+            # Only the end mark is missing.
+            attempt.response.close()
+            await copier.end()
+            return
+        if not progress.tokens or not progress.single:
+            raise error
+        relay.metrics.count("stream_resumes_total")
+        offset = ("X-Resume-Offset", str(progress.tokens))
+        try:
+            response = await relay.send(self, attempt, self.headers([offset]), body)
+        except NotAccepted:
+            raise error from None
+        if response.status != 200:
+            raise error
+        await copier.copy(attempt, response)
+
+    async def _whole(self, relay, attempt, response, caller):
+        body = await response.body()
+        try:
+            document = orjson.loads(body)
+        except orjson.JSONDecodeError as error:
+            raise AttemptBroken("the response is not JSON") from error
+        if not isinstance(document, dict) or "choices" not in document:
+            raise AttemptBroken("the response is no completion")
+        relay.first_byte(self, attempt)
+        usage = document.get("usage")
+        if isinstance(usage, dict) and isinstance(usage.get("total_tokens"), int):
+            self.progress.usage_tokens = usage["total_tokens"]
+        response.release()
+        self.started = True
+        await caller.respond(200, [(b"content-type", b"application/json")], body)
+        return Answer(200, "application/json", body)
+
+    async def _error(self, attempt, response, caller):
+        """Pass on an engine's refusal of the request; anything else is a failure."""
+        status = response.status
+        if self.started or not 400 <= status < 500 or status in (408, 429):
+            raise AttemptBroken(f"the engine answered with status {status}")
+        body = await response.body()
+        response.release()
+        self.progress.usage_tokens = 0
+        self.started = True
+        headers = [(b"content-type", b"application/json")]
+        await caller.respond(status, headers, body)
+        return Answer(status, "application/json", body)
+
+
+class ServiceJob(Job):
+    """A call of a plain service.
+
+    Parameters
+    ----------
+    headers : list of (bytes, bytes)
+        The caller's headers without credentials.
+    body : bytes
+    claimed : bool
+        Whether the call holds an idempotency claim.
+    """
+
+    advice = "it may have run; ask the service before repeating the request"
+
+    def __init__(
+        self,
+        ticket,
+        method,
+        target,
+        headers,
+        body,
+        key,
+        recheck,
+        trace,
+        head_deadline_ms,
+        claimed=False,
+    ):
+        super().__init__(
+            ticket, method, target, key, recheck, trace, head_deadline_ms
+        )
+        self.body = body
+        self.claimed = claimed
+        # Without a claim a non-idempotent call is dispatched once and never again.
+        self.repeatable_if_not_accepted = ticket.idempotent or claimed
+        if claimed:
+            self.advice = "repeat the request with the same Idempotency-Key to ask"
+        self._headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in headers
+        ]
+
+    async def run(self, relay, attempt, caller):
+        """Run one attempt; return the Answer.
+
+        Raises
+        ------
+        NotAccepted, AttemptBroken, CallerGone
+        """
+        headers = list(self._headers)
+        traceparent = self.trace.traceparent()
+        if traceparent:
+            headers.append(("traceparent", traceparent))
+        once = not self.ticket.idempotent
+        response = await relay.send(self, attempt, headers, self.body, once=once)
+        if self.method != "HEAD" and not response.delimited:
+            # A body that ends with the connection looks the same when it is cut off.
+            raise AttemptBroken("the response has no length")
+        parts, size = [], 0
+        while part := await response.chunk():
+            parts.append(part)
+            size += len(part)
+            if size > HELD_BYTES:
+                return await self._pass_on(relay, attempt, response, caller, parts)
+        relay.first_byte(self, attempt)
+        response.release()
+        body = b"".join(parts)
+        self.started = True
+        await caller.respond(response.status, _response_headers(response), body)
+        return Answer(response.status, response.content_type, body)
+
+    async def _pass_on(self, relay, attempt, response, caller, parts):
+        """Pass on a large response as it arrives."""
+        relay.first_byte(self, attempt)
+        self.started = True
+        headers = _response_headers(response)
+        length = response.headers.get("Content-Length")
+        if length is not None:
+            headers.append((b"content-length", length.encode()))
+        await caller.start(response.status, headers)
+        await caller.write(b"".join(parts))
+        while part := await response.chunk():
+            await caller.write(part)
+        response.release()
+        await caller.end()
+        return Answer(response.status, response.content_type, None)
+
+
+def _response_headers(response):
+    headers = []
+    for name, value in response.headers.items():
+        lowered = name.lower().encode()
+        if lowered not in OWN_RESPONSE_HEADERS:
+            headers.append((lowered, value.encode("utf-8", "surrogateescape")))
+    return headers
--- /dev/null
+++ b/cassiamount/stream_copier.py
@@ -0,0 +1,124 @@
+"""Copies an event stream to the caller, over several attempts if it breaks."""
+
+import asyncio
+
+import orjson
+
+from .backend_client import AttemptBroken
+from .event_stream import EventSplitter, MalformedStream
+from .invariants import WHOLE_ANSWER, require
+
+# Time for the end of a body after its last event, so that the connection is reused.
+TRAILER_S = 0.5
+
+
+class StreamCopier:
+    """Copies one event stream to the caller, over several attempts if it breaks.
+
+    Parameters
+    ----------
+    relay : Relay
+    job : ModelJob
+    caller : Caller
+    """
+
+    __slots__ = ("relay", "job", "caller", "progress", "_restarted")
+
+    def __init__(self, relay, job, caller):
+        self.relay = relay
+        self.job = job
+        self.caller = caller
+        self.progress = job.progress
+        self._restarted = False
+
+    async def copy(self, attempt, response):
+        """Copy events until the stream's own end mark.
+
+        Raises
+        ------
+        AttemptBroken
+            If the stream ends without its end mark or is malformed.
+        """
+        splitter = EventSplitter()
+        self._restarted = self.job.started
+        progress = self.progress
+        while not progress.done:
+            chunk = await response.chunk()
+            if not chunk:
+                raise AttemptBroken("the stream ended before its end mark")
+            ready, malformed = [], None
+            try:
+                self._read(splitter.feed(chunk), ready)
+            except MalformedStream as error:
+                malformed = error
+            # Events before the malformed one count as delivered, so they are sent.
+            if ready:
+                await self._write(attempt, b"\n\n".join(ready) + b"\n\n")
+            if malformed is not None:
+                raise AttemptBroken(str(malformed)) from malformed
+        await self.end()
+        await self._finish(response)
+
+    async def end(self):
+        """End the caller's answer, which must be whole."""
+        progress = self.progress
+        require(
+            progress.done or (progress.finished and not self.job.request.wants_usage),
+            WHOLE_ANSWER,
+            request_id=self.job.ticket.request_id,
+            tokens=progress.tokens,
+        )
+        if not progress.done:
+            await self.caller.write(b"data: [DONE]\n\n")
+        await self.caller.end()
+
+    def _read(self, events, ready):
+        """Append the events that are passed on to `ready`."""
+        progress = self.progress
+        for event in events:
+            document = progress.read(event)
+            if self._restarted and document is not None:
+                event = self._adapt(document)
+                if event is None:
+                    continue
+            elif progress.first_id is None and document is not None:
+                progress.first_id = document.get("id")
+            ready.append(event)
+            if progress.done:
+                break
+
+    def _adapt(self, document):
+        """Fit an event of a later attempt into the caller's stream."""
+        choices = document.get("choices") or ()
+        for choice in choices:
+            delta = choice.get("delta")
+            if (
+                isinstance(delta, dict)
+                and not delta.get("content")
+                and not choice.get("finish_reason")
+            ):
+                # The opening event was sent by the first attempt.
+                return None
+        if self.progress.first_id is not None:
+            document["id"] = self.progress.first_id
+        return b"data: " + orjson.dumps(document)
+
+    async def _write(self, attempt, data):
+        if attempt.first_ms is None:
+            self.relay.first_byte(self.job, attempt)
+        if not self.job.started:
+            self.job.started = True
+            await self.caller.start(200, self.job.stream_headers)
+        await self.caller.write(data)
+
+    async def _finish(self, response):
+        """Read the end of the body so that the connection can be used again."""
+        try:
+            async with asyncio.timeout(TRAILER_S):
+                if await response.chunk():
+                    response.close()
+                    return
+        except (TimeoutError, AttemptBroken):
+            response.close()
+            return
+        response.release()
