--- /dev/null
+++ b/cassiamount/arrival.py
@@ -0,0 +1,104 @@
+"""One request as it arrives at the edge, and the limits that apply to it."""
+
+from .caller import refuse
+
+
+class EdgeLimits:
+    """Limits of the edge.
+
+    Parameters
+    ----------
+    head_bytes, body_bytes : int
+        Of one request.
+    held_body_bytes : int
+        Of the bodies of all current requests together.
+    concurrent_requests : int
+    body_timeout_ms : float
+        From the head to the end of the body.
+    stall_ms : float
+        Longest time in which a caller may read nothing.
+    first_byte_ms : float
+        Deadline of the first byte; also of the time in the queue.
+    whole_answer_ms : float
+        Deadline of an answer that is not streamed, which has no early first byte.
+    service_call_tokens : int
+        Cost of a service call.
+    """
+
+    __slots__ = (
+        "head_bytes",
+        "body_bytes",
+        "held_body_bytes",
+        "concurrent_requests",
+        "body_timeout_ms",
+        "stall_ms",
+        "first_byte_ms",
+        "whole_answer_ms",
+        "service_call_tokens",
+    )
+
+    def __init__(
+        self,
+        head_bytes=16 << 10,
+        body_bytes=4 << 20,
+        held_body_bytes=64 << 20,
+        concurrent_requests=2_000,
+        body_timeout_ms=30_000.0,
+        stall_ms=60_000.0,
+        first_byte_ms=30_000.0,
+        whole_answer_ms=600_000.0,
+        service_call_tokens=1,
+    ):
+        self.head_bytes = head_bytes
+        self.body_bytes = body_bytes
+        self.held_body_bytes = held_body_bytes
+        self.concurrent_requests = concurrent_requests
+        self.body_timeout_ms = body_timeout_ms
+        self.stall_ms = stall_ms
+        self.first_byte_ms = first_byte_ms
+        self.whole_answer_ms = whole_answer_ms
+        self.service_call_tokens = service_call_tokens
+
+
+class Arrival:
+    """One request as it arrived, and what was found out about it."""
+
+    __slots__ = (
+        "scope",
+        "receive",
+        "caller",
+        "request_id",
+        "arrived_ms",
+        "headers",
+        "key",
+        "key_hash",
+        "team",
+        "held",
+        "trace",
+        "path",
+        "query",
+    )
+
+    def __init__(self, scope, receive, caller, arrived_ms):
+        self.scope = scope
+        self.receive = receive
+        self.caller = caller
+        self.request_id = caller.request_id
+        self.arrived_ms = arrived_ms
+        self.headers = scope["headers"]
+        self.key = ""
+        self.key_hash = ""
+        self.team = None
+        self.held = []
+        self.trace = None
+        raw = scope.get("raw_path") or scope["path"].encode()
+        self.path = raw.decode("latin-1")
+        self.query = scope["query_string"].decode("latin-1")
+
+    def header(self, name):
+        """Return the value of a header that must not be repeated, or None."""
+        values = [value for field, value in self.headers if field == name]
+        if len(values) > 1:
+            text = name.decode()
+            raise refuse(400, "invalid_request", f"{text} is repeated", text)
+        return values[0] if values else None
--- a/cassiamount/caller.py
+++ b/cassiamount/caller.py
@@ -2,21 +2,9 @@
 
 import asyncio
 
-import orjson
-
-from .relay import CallerGone
+from .answers import CallerGone, error_body
 from .requests import Refusal
 
-ERROR_TYPES = {
-    401: "authentication_error",
-    403: "permission_error",
-    404: "not_found_error",
-    429: "rate_limit_error",
-    502: "server_error",
-    503: "server_error",
-    504: "server_error",
-}
-
 
 class RefusedError(Exception):
     """Ends the handling of a request with a refusal.
@@ -40,21 +28,6 @@
     return RefusedError(refusal, param)
 
 
-def error_body(refusal, param=None):
-    """Return the OpenAI-shaped body of a refusal."""
-    return orjson.dumps(
-        {
-            "error": {
-                "message": refusal.message,
-                "type": ERROR_TYPES.get(refusal.status, "invalid_request_error"),
-                "code": refusal.code,
-                "param": param,
-            },
-            "not_run": refusal.not_run,
-        }
-    )
-
-
 class Caller:
     """Sends one answer over ASGI.
 
@@ -99,7 +72,9 @@
         sent = [*headers, (b"x-request-id", self.request_id.encode())]
         if self.close:
             sent.append((b"connection", b"close"))
-        self._events = any(value.startswith(b"text/event-stream") for _, value in headers)
+        self._events = any(
+            value.startswith(b"text/event-stream") for _, value in headers
+        )
         await self._send(
             {"type": "http.response.start", "status": status, "headers": sent}
         )
@@ -157,30 +132,6 @@
             raise CallerGone("the caller does not read") from error
 
 
-class SilentCaller:
-    """Takes the answer of a claimed call whose caller has gone."""
-
-    __slots__ = ("request_id",)
-
-    def __init__(self, request_id):
-        self.request_id = request_id
-
-    async def start(self, status, headers):
-        """Ignore the head."""
-
-    async def write(self, data):
-        """Ignore a part of the body."""
-
-    async def end(self):
-        """Ignore the end."""
-
-    async def respond(self, status, headers, body):
-        """Ignore an answer."""
-
-    async def refuse(self, refusal, param=None):
-        """Ignore a refusal."""
-
-
 class BodyReader:
     """Reads request bodies within limits shared by all requests.
 
@@ -233,7 +184,9 @@
                         parts.append(self._part(message, held, size))
                         size += len(parts[-1])
             except TimeoutError:
-                raise refuse(408, "body_timeout", "the body arrives too slowly") from None
+                raise refuse(
+                    408, "body_timeout", "the body arrives too slowly"
+                ) from None
         return b"".join(parts) if len(parts) > 1 else parts[0]
 
     async def _first(self, receive):
--- a/cassiamount/edge.py
+++ b/cassiamount/edge.py
@@ -8,146 +8,18 @@
 from starlette.applications import Starlette
 from starlette.routing import Route
 
+from .arrival import Arrival, EdgeLimits
 from .caller import BodyReader, Caller, RefusedError, refuse
-from .claims import StoredOutcome
 from .errors import InvariantViolation
 from .invariants import KEY_SELECTS_TEAM, require
-from .jobs import ModelJob, ServiceJob
+from .jobs import ModelJob
 from .model_request import InvalidModelRequest, parse_model_request
-from .redaction import (
-    contains_key,
-    strip_body,
-    strip_headers,
-    strip_query,
-    value_contains_key,
-)
+from .redaction import value_contains_key
 from .relay import CallerGone
-from .requests import NORMAL, Refusal, Ticket
-from .service_routes import find_route, split_path
+from .requests import Refusal, Ticket
+from .service_calls import ServiceCalls
 from .tracing import NO_TRACING
 
-MAX_IDEMPOTENCY_KEY_BYTES = 255
-# Not passed on to services: they belong to the caller's connection.
-CONNECTION_HEADERS = frozenset(
-    {
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"host",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"traceparent",
-        b"x-request-id",
-        b"x-resume-offset",
-        b"x-priority",
-    }
-)
-
-
-class EdgeLimits:
-    """Limits of the edge.
-
-    Parameters
-    ----------
-    head_bytes, body_bytes : int
-        Of one request.
-    held_body_bytes : int
-        Of the bodies of all current requests together.
-    concurrent_requests : int
-    body_timeout_ms : float
-        From the head to the end of the body.
-    stall_ms : float
-        Longest time in which a caller may read nothing.
-    first_byte_ms : float
-        Deadline of the first byte; also of the time in the queue.
-    whole_answer_ms : float
-        Deadline of an answer that is not streamed, which has no early first byte.
-    service_call_tokens : int
-        Cost of a service call.
-    """
-
-    __slots__ = (
-        "head_bytes",
-        "body_bytes",
-        "held_body_bytes",
-        "concurrent_requests",
-        "body_timeout_ms",
-        "stall_ms",
-        "first_byte_ms",
-        "whole_answer_ms",
-        "service_call_tokens",
-    )
-
-    def __init__(
-        self,
-        head_bytes=16 << 10,
-        body_bytes=4 << 20,
-        held_body_bytes=64 << 20,
-        concurrent_requests=2_000,
-        body_timeout_ms=30_000.0,
-        stall_ms=60_000.0,
-        first_byte_ms=30_000.0,
-        whole_answer_ms=600_000.0,
-        service_call_tokens=1,
-    ):
-        self.head_bytes = head_bytes
-        self.body_bytes = body_bytes
-        self.held_body_bytes = held_body_bytes
-        self.concurrent_requests = concurrent_requests
-        self.body_timeout_ms = body_timeout_ms
-        self.stall_ms = stall_ms
-        self.first_byte_ms = first_byte_ms
-        self.whole_answer_ms = whole_answer_ms
-        self.service_call_tokens = service_call_tokens
-
-
-class Arrival:
-    """One request as it arrived, and what was found out about it."""
-
-    __slots__ = (
-        "scope",
-        "receive",
-        "caller",
-        "request_id",
-        "arrived_ms",
-        "headers",
-        "key",
-        "key_hash",
-        "team",
-        "held",
-        "trace",
-        "path",
-        "query",
-    )
-
-    def __init__(self, scope, receive, caller, arrived_ms):
-        self.scope = scope
-        self.receive = receive
-        self.caller = caller
-        self.request_id = caller.request_id
-        self.arrived_ms = arrived_ms
-        self.headers = scope["headers"]
-        self.key = ""
-        self.key_hash = ""
-        self.team = None
-        self.held = []
-        self.trace = None
-        raw = scope.get("raw_path") or scope["path"].encode()
-        self.path = raw.decode("latin-1")
-        self.query = scope["query_string"].decode("latin-1")
-
-    def header(self, name):
-        """Return the value of a header that must not be repeated, or None."""
-        values = [value for field, value in self.headers if field == name]
-        if len(values) > 1:
-            text = name.decode()
-            raise refuse(400, "invalid_request", f"{text} is repeated", text)
-        return values[0] if values else None
-
 
 class Edge:
     """Handles requests from callers.
@@ -157,7 +29,6 @@
     view : object
         `configuration`, `keys`, `ready` and `shutting_down`; read at each use.
     relay : Relay
-    claims : ClaimService
     clock, metrics : object
     limits : EdgeLimits
     tracing : Tracing
@@ -166,11 +37,10 @@
     """
 
     def __init__(
-        self, view, relay, claims, clock, metrics, limits, tracing=NO_TRACING, log=None
+        self, view, relay, clock, metrics, limits, tracing=NO_TRACING, log=None
     ):
         self.view = view
         self.relay = relay
-        self.claims = claims
         self.clock = clock
         self.metrics = metrics
         self.limits = limits
@@ -268,7 +138,7 @@
             )
         self.bodies.check_length(arrival.header(b"content-length"))
 
-    def _identify(self, arrival, required=True):
+    def identify(self, arrival, required=True):
         """Find the team whose key the request carries."""
         key = _bearer(arrival.headers)
         if key is None:
@@ -285,7 +155,7 @@
         arrival.team = team
         arrival.key_hash = "sha256:" + hashlib.sha256(key.encode()).hexdigest()
 
-    def _recheck(self, arrival):
+    def recheck(self, arrival):
         """Return a function that checks the key again at dispatch."""
 
         def recheck():
@@ -305,7 +175,7 @@
     async def models(self, arrival):
         """List the models that the team may use."""
         _check_method(arrival, ("GET", "HEAD"))
-        self._identify(arrival)
+        self.identify(arrival)
         team = arrival.team
         names = sorted(team.models | team.adapters)
         data = [
@@ -325,7 +195,7 @@
     async def completions(self, arrival):
         """Handle a model request."""
         _check_method(arrival, ("POST",))
-        self._identify(arrival)
+        self.identify(arrival)
         body = await self.bodies.read(arrival.receive, arrival.held)
         document = _parse_json(body)
         try:
@@ -356,11 +226,11 @@
             request,
             ticket,
             arrival.key.encode(),
-            self._recheck(arrival),
+            self.recheck(arrival),
             arrival.trace,
             deadline_ms,
         )
-        await self._watched(job, arrival)
+        await self.watched(job, arrival)
 
     def _rights(self, team, name):
         """Return base model and adapter for the name that the caller asked for."""
@@ -374,7 +244,7 @@
             )
         return (name, "") if adapter is None else (adapter.base, name)
 
-    async def _watched(self, job, arrival):
+    async def watched(self, job, arrival):
         """Run a job and cancel it when the caller goes away."""
         caller, task = arrival.caller, asyncio.current_task()
         gone = False
@@ -398,118 +268,9 @@
         finally:
             watcher.cancel()
 
-    async def service(self, arrival):
-        """Handle a call of a plain service."""
-        method = arrival.scope["method"]
-        name, path, route = self._service_route(arrival, method)
-        self._identify(arrival, required=not route.open)
-        if arrival.team is not None and name not in arrival.team.services:
-            raise refuse(403, "service_not_allowed", "the team may not use the service")
-        body = await self.bodies.read(arrival.receive, arrival.held)
-        target, headers, body = self._without_key(arrival, path, body)
-        claim_key = self._claim_key(arrival, route)
-        now_ms = arrival.arrived_ms
-        deadline_ms = now_ms + self.limits.first_byte_ms
-        team = arrival.team
-        ticket = Ticket(
-            arrival.request_id,
-            "" if team is None else team.name,
-            priority=NORMAL if team is None else team.priority,
-            service=name,
-            max_output_tokens=self.limits.service_call_tokens,
-            arrived_ms=now_ms,
-            deadline_ms=deadline_ms,
-            idempotent=route.idempotent,
-            key_hash=arrival.key_hash,
-        )
-        job = ServiceJob(
-            ticket,
-            method,
-            target,
-            headers,
-            body,
-            arrival.key.encode(),
-            self._recheck(arrival) if team is not None else _no_recheck,
-            arrival.trace,
-            now_ms + self.limits.whole_answer_ms,
-            claimed=claim_key is not None,
-        )
-        if claim_key is not None:
-            await self._claimed(job, arrival, claim_key)
-        elif route.idempotent:
-            await self._watched(job, arrival)
-        else:
-            # It may not run twice, so it is left to finish once it was dispatched.
-            await self.relay.run(job, arrival.caller)
-
-    def _service_route(self, arrival, method):
-        split = split_path(arrival.path)
-        service = None
-        if split is not None:
-            service = self.view.configuration.services.get(split[0])
-        route = None if service is None else find_route(service, split[1])
-        if route is None:
-            raise refuse(404, "route_not_found", "no such route")
-        if method not in route.methods:
-            raise refuse(405, "method_not_allowed", f"{method:.20} is not allowed")
-        return split[0], split[1], route
-
-    def _without_key(self, arrival, path, body):
-        """Return target, headers and body without the key, or refuse the request."""
-        key = arrival.key
-        raw = key.encode()
-        headers = [
-            (name, value)
-            for name, value in strip_headers(arrival.headers, raw)
-            if name not in CONNECTION_HEADERS
-        ]
-        query = strip_query(arrival.query, key)
-        target = f"{path}?{query}" if query else path
-        if key and body:
-            body = _body_without_key(body, key)
-        if contains_key(target.encode("latin-1"), raw) or contains_key(body, raw):
-            raise refuse(400, "key_in_request", "the request contains the key")
-        return target, headers, body
-
-    def _claim_key(self, arrival, route):
-        if route.idempotent:
-            return None
-        value = arrival.header(b"idempotency-key")
-        if value is None:
-            return None
-        if not 0 < len(value) <= MAX_IDEMPOTENCY_KEY_BYTES:
-            raise refuse(
-                400,
-                "invalid_request",
-                f"Idempotency-Key must have 1 to {MAX_IDEMPOTENCY_KEY_BYTES} bytes",
-                "Idempotency-Key",
-            )
-        if contains_key(value, arrival.key.encode()):
-            raise refuse(400, "key_in_request", "Idempotency-Key contains the key")
-        return value.decode("latin-1")
-
-    async def _claimed(self, job, arrival, claim_key):
-        """Run a call at most once for its idempotency key."""
-        fingerprint = _fingerprint(job)
-        team, caller = job.ticket.team, arrival.caller
-        decision = await self.claims.claim(
-            team, claim_key, fingerprint, arrival.request_id
-        )
-        if isinstance(decision, Refusal):
-            await caller.refuse(decision)
-        elif isinstance(decision, StoredOutcome):
-            headers = [(b"idempotent-replayed", b"true")]
-            if decision.content_type:
-                headers.append((b"content-type", decision.content_type.encode()))
-            await caller.respond(decision.status, headers, decision.body)
-        else:
-            # Runs on if the caller goes away: its outcome has to be recorded.
-            run = self.claims.run(job, caller, self.relay)
-            await asyncio.shield(self.relay.spawn(run))
-
 
 class _Endpoint:
-    """ASGI application for one route; starlette passes instances through as they are."""
+    """ASGI application for one route, which starlette calls as it is."""
 
     def __init__(self, edge, method):
         self._edge = edge
@@ -523,10 +284,6 @@
     raise refuse(404, "route_not_found", "no such route")
 
 
-def _no_recheck():
-    return None
-
-
 def _check_method(arrival, methods):
     method = arrival.scope["method"]
     if method not in methods:
@@ -560,28 +317,6 @@
     raise refuse(400, "invalid_json", "the body is not valid JSON")
 
 
-def _body_without_key(body, key):
-    """Return a service call's body without known fields that hold the key."""
-    try:
-        document = orjson.loads(body)
-    except orjson.JSONDecodeError:
-        return body
-    if isinstance(document, dict) and strip_body(document, key):
-        body = orjson.dumps(document)
-    if value_contains_key(document, key):
-        raise refuse(400, "key_in_request", "the body contains the key")
-    return body
-
-
-def _fingerprint(job):
-    """Identify the content of a call, to tell a repeat from another request."""
-    digest = hashlib.sha256()
-    for part in (job.method, job.ticket.service, job.target):
-        digest.update(part.encode() + b"\0")
-    digest.update(job.body)
-    return digest.hexdigest()
-
-
 def build_application(
     view, relay, claims, clock, metrics, limits=None, tracing=NO_TRACING, log=None
 ):
@@ -603,9 +338,7 @@
     starlette.applications.Starlette
         ``app.state.edge`` is the Edge.
     """
-    edge = Edge(
-        view, relay, claims, clock, metrics, limits or EdgeLimits(), tracing, log
-    )
+    edge = Edge(view, relay, clock, metrics, limits or EdgeLimits(), tracing, log)
     routes = [
         Route(path, edge.handler(method))
         for path, method in (
@@ -613,7 +346,7 @@
             ("/v1/completions", edge.completions),
             ("/v1/models", edge.models),
             ("/v1/models/{model:path}", edge.models),
-            ("/services/{path:path}", edge.service),
+            ("/services/{path:path}", ServiceCalls(edge, claims).handle),
             ("/{path:path}", _unknown_route),
         )
     ]
--- a/cassiamount/jobs.py
+++ b/cassiamount/jobs.py
@@ -2,10 +2,10 @@
 
 import orjson
 
+from .answers import Answer
 from .backend_client import AttemptBroken, NotAccepted
 from .event_stream import StreamProgress
-from .invariants import KEY_STAYS_AT_EDGE, require
-from .relay import Answer
+from .invariants import AT_MOST_ONCE, KEY_STAYS_AT_EDGE, require
 from .requests import RequestState
 from .stream_copier import StreamCopier
 
@@ -229,8 +229,6 @@
     headers : list of (bytes, bytes)
         The caller's headers without credentials.
     body : bytes
-    claimed : bool
-        Whether the call holds an idempotency claim.
     """
 
     advice = "it may have run; ask the service before repeating the request"
@@ -246,22 +244,22 @@
         recheck,
         trace,
         head_deadline_ms,
-        claimed=False,
     ):
-        super().__init__(
-            ticket, method, target, key, recheck, trace, head_deadline_ms
-        )
+        super().__init__(ticket, method, target, key, recheck, trace, head_deadline_ms)
         self.body = body
-        self.claimed = claimed
+        self.claim = None
         # Without a claim a non-idempotent call is dispatched once and never again.
-        self.repeatable_if_not_accepted = ticket.idempotent or claimed
-        if claimed:
-            self.advice = "repeat the request with the same Idempotency-Key to ask"
+        self.repeatable_if_not_accepted = ticket.idempotent
         self._headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in headers
+            (name.decode("latin-1"), value.decode("latin-1")) for name, value in headers
         ]
 
+    def hold(self, claim):
+        """Tie the call to the idempotency claim that this VM won for it."""
+        self.claim = claim
+        self.repeatable_if_not_accepted = True
+        self.advice = "repeat the request with the same Idempotency-Key to ask"
+
     async def run(self, relay, attempt, caller):
         """Run one attempt; return the Answer.
 
@@ -273,8 +271,7 @@
         traceparent = self.trace.traceparent()
         if traceparent:
             headers.append(("traceparent", traceparent))
-        once = not self.ticket.idempotent
-        response = await relay.send(self, attempt, headers, self.body, once=once)
+        response = await self._send_once(relay, attempt, headers)
         if self.method != "HEAD" and not response.delimited:
             # A body that ends with the connection looks the same when it is cut off.
             raise AttemptBroken("the response has no length")
@@ -291,6 +288,20 @@
         await caller.respond(response.status, _response_headers(response), body)
         return Answer(response.status, response.content_type, body)
 
+    async def _send_once(self, relay, attempt, headers):
+        """Send the call, which must not run twice unless it is idempotent."""
+        if self.ticket.idempotent:
+            return await relay.send(self, attempt, headers, self.body)
+        require(not self.maybe_ran, AT_MOST_ONCE, request_id=self.ticket.request_id)
+        if self.claim is None:
+            return await relay.send(self, attempt, headers, self.body, once=True)
+        self.claim.dispatching()
+        try:
+            return await relay.send(self, attempt, headers, self.body, once=True)
+        except NotAccepted:
+            self.claim.not_accepted()
+            raise
+
     async def _pass_on(self, relay, attempt, response, caller, parts):
         """Pass on a large response as it arrives."""
         relay.first_byte(self, attempt)
--- a/cassiamount/relay.py
+++ b/cassiamount/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from .answers import Answer, error_body
 from .backend_client import AttemptBroken, NotAccepted
 from .requests import (
     ADMITTED,
@@ -26,30 +27,21 @@
 RETRY_AFTER_S = 1.0
 
 
-class CallerGone(Exception):
-    """The caller disconnected or stopped reading."""
-
-
-class Answer:
-    """What the caller was sent, for the record of a claim.
+class Failure:
+    """An attempt that brought no answer.
 
     Parameters
     ----------
-    status : int
-    content_type : str
-    body : bytes or None
-        None if it was too large to keep or broke off.
-    refusal : Refusal, optional
-        Set if the system itself answered.
+    error : NotAccepted or AttemptBroken
+    repeat : bool
+        Whether another attempt follows.
     """
 
-    __slots__ = ("status", "content_type", "body", "refusal")
+    __slots__ = ("error", "repeat")
 
-    def __init__(self, status, content_type="", body=None, refusal=None):
-        self.status = status
-        self.content_type = content_type
-        self.body = body
-        self.refusal = refusal
+    def __init__(self, error, repeat):
+        self.error = error
+        self.repeat = repeat
 
 
 class Attempt:
@@ -72,7 +64,8 @@
     Parameters
     ----------
     dispatcher : object
-        Coroutines ``submit``, ``retry`` and ``ended``.
+        Coroutines ``submit``, ``retry`` and ``ended``. A cancelled ``submit`` or
+        ``retry`` takes its Dispatch back, and ``ended`` only sends a message.
     backends : BackendClient
     clock, metrics : object
     rng : random.Random
@@ -101,35 +94,52 @@
         Answer
         """
         self.retries.request()
-        span = job.trace.begin("queue")
-        decision = await self._ask(self.dispatcher.submit(job.ticket))
-        job.trace.end(span)
-        attempts = 0
-        while True:
+        decision = await self._queued(job, self.dispatcher.submit(job.ticket))
+        if isinstance(decision, Dispatch) and (refusal := job.recheck()) is not None:
+            # The key was withdrawn while the request was queued; nothing was sent.
+            await self._end(job, self._begin(job, decision), CANCELLED, final=True)
+            decision = refusal
+        number = 0
+        while isinstance(decision, Dispatch):
+            number += 1
+            dispatch = decision
+            result = await self._attempt(job, caller, dispatch, number)
+            if isinstance(result, Answer):
+                return result
+            if not result.repeat:
+                decision = self._give_up(job, result.error)
+                break
+            decision = await self._queued(
+                job,
+                self.dispatcher.retry(job.ticket, number + 1, dispatch.backend),
+            )
             if isinstance(decision, Refusal):
-                return await self._refuse(job, caller, decision)
-            attempts += 1
-            refusal = job.recheck() if job.state.dispatches == 0 else None
-            if refusal is not None:
-                # Withdrawn while it was queued; nothing was sent.
-                attempt = self._begin(job, decision)
-                self._end(job, attempt, CANCELLED)
-                return await self._refuse(job, caller, refusal)
-            failure = await self._attempt(job, caller, decision)
-            if isinstance(failure, Answer):
-                return failure
-            decision = await self._next(job, decision, failure, attempts)
+                # What the dispatcher cannot know: whether an attempt may have run.
+                decision = self._give_up(job, result.error)
+        return await self._refuse(job, caller, decision)
 
     async def settle(self):
-        """Wait for messages and cancellations that are still being sent."""
+        """Wait for cancellations that are still being sent."""
         while self._background:
             await asyncio.wait(set(self._background))
 
-    async def _attempt(self, job, caller, dispatch):
-        """Run one attempt; return the answer, or the failure if it can be repeated."""
+    async def _queued(self, job, decision):
+        """Wait for the dispatcher's decision.
+
+        A coroutine of the dispatcher that is cancelled takes its Dispatch back, so
+        nothing is lost between here and the dispatcher.
+        """
+        span = job.trace.begin("queue")
+        try:
+            return await decision
+        finally:
+            job.trace.end(span)
+
+    async def _attempt(self, job, caller, dispatch, number):
+        """Run one attempt; return the Answer or the Failure."""
         attempt = self._begin(job, dispatch)
         job.state.move(DISPATCHED)
-        outcome = CANCELLED
+        outcome, repeat = CANCELLED, False
         try:
             answer = await job.run(self, attempt, caller)
             outcome = DONE
@@ -137,56 +147,56 @@
             return answer
         except NotAccepted as error:
             outcome = NOT_ACCEPTED
-            return error
+            repeat = await self._may_repeat(job, outcome, number)
+            return Failure(error, repeat)
         except AttemptBroken as error:
             outcome = BROKEN
-            return error
+            self._abandon(job, attempt)
+            repeat = await self._may_repeat(job, outcome, number)
+            return Failure(error, repeat)
         finally:
             # Also reached when the caller has gone and this task is cancelled.
-            if attempt.response is not None and outcome != DONE:
-                attempt.response.close()
-            if outcome in (BROKEN, CANCELLED) and job.engine:
-                self.spawn(
-                    self.backends.cancel(dispatch.address, attempt.request_id)
-                )
-            self._end(job, attempt, outcome)
-
-    async def _next(self, job, dispatch, failure, attempts):
-        """Decide what follows a failed attempt: a new dispatch or a refusal."""
+            if outcome == CANCELLED:
+                job.maybe_ran = True
+                self._abandon(job, attempt)
+            await self._end(job, attempt, outcome, final=not repeat)
+
+    def _abandon(self, job, attempt):
+        """Close the attempt's connection and stop the request at the engine."""
+        if attempt.response is not None:
+            attempt.response.close()
+            attempt.response = None
+        if job.engine:
+            address = attempt.dispatch.address
+            self.spawn(self.backends.cancel(address, attempt.request_id))
+
+    async def _may_repeat(self, job, outcome, number):
+        """Decide whether a failed attempt is followed by another; wait the pause.
+
+        The pause comes before the attempt's end is told, so that the dispatcher hears
+        of the end and of the next attempt together.
+        """
         state = job.state
-        if isinstance(failure, NotAccepted):
+        if outcome == NOT_ACCEPTED:
+            allowed = job.repeatable_if_not_accepted
             if job.maybe_ran:
                 # An earlier attempt may have run, which this one cannot take back.
                 state.move(ADMITTED)
             else:
                 state.not_accepted()
-            allowed = job.repeatable_if_not_accepted
         else:
             job.maybe_ran = True
             allowed = state.idempotent and job.resumable()
-        now_ms = self.clock.monotonic_ms()
-        if (
-            not allowed
-            or attempts >= MAX_ATTEMPTS
-            or (now_ms >= job.ticket.deadline_ms and not job.started)
-            or not self.retries.take()
-        ):
-            return self._give_up(job, failure)
+            if state.state == DISPATCHED:
+                state.move(ADMITTED)
+        pause_ms = backoff_ms(number, self.rng)
+        ready_ms = self.clock.monotonic_ms() + pause_ms
+        late = not job.started and ready_ms >= job.ticket.deadline_ms
+        if not allowed or late or number >= MAX_ATTEMPTS or not self.retries.take():
+            return False
         self.metrics.count("retries_total")
-        pause_ms = backoff_ms(attempts, self.rng)
-        if not job.started and now_ms + pause_ms >= job.ticket.deadline_ms:
-            return self._give_up(job, failure)
         await asyncio.sleep(pause_ms / 1000)
-        if state.state == DISPATCHED:
-            state.move(ADMITTED)
-        span = job.trace.begin("queue")
-        decision = await self._ask(
-            self.dispatcher.retry(job.ticket, attempts + 1, dispatch.backend)
-        )
-        job.trace.end(span)
-        if isinstance(decision, Refusal) and job.maybe_ran:
-            return self._give_up(job, failure)
-        return decision
+        return True
 
     def _give_up(self, job, failure):
         if not job.maybe_ran:
@@ -209,16 +219,14 @@
         job.state.check_refusal(refusal)
         job.state.move(COMPLETE)
         await caller.refuse(refusal)
-        return Answer(refusal.status, refusal=refusal)
+        return Answer(refusal.status, "application/json", error_body(refusal), refusal)
 
     def _begin(self, job, dispatch):
-        attempt = Attempt(
-            dispatch, job.attempt_id(dispatch), self.clock.monotonic_ms()
-        )
+        attempt = Attempt(dispatch, job.attempt_id(dispatch), self.clock.monotonic_ms())
         attempt.span = job.trace.begin("backend", backend=dispatch.backend)
         return attempt
 
-    def _end(self, job, attempt, outcome):
+    async def _end(self, job, attempt, outcome, final):
         """Tell the dispatcher that an attempt ended, exactly once for each Dispatch."""
         now_ms = self.clock.monotonic_ms()
         first_ms = attempt.first_ms if attempt.first_ms is not None else now_ms
@@ -228,29 +236,12 @@
             job.ticket.request_id,
             attempt.dispatch.backend,
             outcome,
-            used_tokens=job.used_tokens(),
+            used_tokens=job.used_tokens() if job.maybe_ran or outcome == DONE else 0,
             first_token_ms=first_ms - attempt.started_ms,
             duration_ms=now_ms - attempt.started_ms,
+            final=final,
         )
-        self.spawn(self.dispatcher.ended(ended))
-
-    async def _ask(self, coroutine):
-        """Wait for a decision; one that comes after cancellation is given back."""
-        task = asyncio.ensure_future(coroutine)
-        try:
-            return await asyncio.shield(task)
-        except asyncio.CancelledError:
-            self.spawn(self._give_back(task))
-            raise
-
-    async def _give_back(self, task):
-        decision = await task
-        if isinstance(decision, Dispatch):
-            await self.dispatcher.ended(
-                AttemptEnded(
-                    decision.ticket.request_id, decision.backend, CANCELLED
-                )
-            )
+        await self.dispatcher.ended(ended)
 
     def spawn(self, coroutine):
         """Run a coroutine to its end even if the request is cancelled."""
