--- a/cassiamount/claim_service.py
+++ b/cassiamount/claim_service.py
@@ -4,7 +4,10 @@
 import base64
 import uuid
 
+import xxhash
+
 from .answers import Answer, CallerGone, error_body
+from .claim_state import IN_PROGRESS
 from .claims import (
     AppendClaim,
     ClaimWon,
@@ -44,6 +47,11 @@
         self.appender = appender
 
 
+def partition_number(team, key, partitions):
+    """Return the number of the ``claims-<n>`` stream for an idempotency key."""
+    return xxhash.xxh64_intdigest((team + key).encode()) % partitions
+
+
 class ClaimService:
     """Claims idempotency keys and records outcomes.
 
@@ -83,8 +91,8 @@
         while True:
             # Taken before the decision, so that no change is missed between both.
             changed = self._changed
-            claim = partition.state.claim(team, key)
-            decision = self.table.decide(claim, request_id, fingerprint)
+            found = partition.state.lookup(team, key, fingerprint)
+            decision = self.table.decide(found, request_id, fingerprint)
             if isinstance(decision, AppendClaim):
                 if appended:
                     # Read back, and gone since; the caller may begin anew.
@@ -98,7 +106,7 @@
                 appended = True
                 continue
             if isinstance(decision, ClaimWon):
-                return Claimed(self, partition, team, key, request_id)
+                return Claimed(self, partition, request_id)
             if appended:
                 self.table.lost(request_id)
                 appended = False
@@ -129,7 +137,7 @@
         except (AppendOutcomeUnknown, asyncio.CancelledError) as error:
             # The claim may be in the log or still arrive there, so it is withdrawn.
             self.table.never_dispatched(request_id)
-            self.spawn(self._abandon(partition, team, key, request_id))
+            self.spawn(self._abandon(partition, request_id))
             if isinstance(error, asyncio.CancelledError):
                 raise
             self._metrics.count("claims_total", outcome="append_unknown")
@@ -157,26 +165,24 @@
     async def abandon(self, claimed):
         """Give up the claim of a request that was never dispatched."""
         self.table.never_dispatched(claimed.request_id)
-        await self._abandon(
-            claimed.partition, claimed.team, claimed.key, claimed.request_id
-        )
+        await self._abandon(claimed.partition, claimed.request_id)
 
-    async def _abandon(self, partition, team, key, request_id):
+    async def _abandon(self, partition, request_id):
         started_ms = self._clock.monotonic_ms()
-        seen = False
         pause_s = MIN_PAUSE_S
         while True:
-            claim = partition.state.claim(team, key)
-            if claim is not None and claim.request_id == request_id:
-                seen = True
+            claim = partition.state.claim_of(request_id)
+            if claim is not None and claim.state != IN_PROGRESS:
+                break
+            if claim is not None:
                 record = AbandonClaim(uuid.uuid4().hex, self.table.vm, request_id)
                 await self._persist(partition, record)
-            elif seen or self._clock.monotonic_ms() - started_ms > LATE_APPEND_MS:
-                self.table.recorded(request_id)
-                return
+            elif self._clock.monotonic_ms() - started_ms > LATE_APPEND_MS:
+                break
             else:
                 await asyncio.sleep(pause_s)
                 pause_s = min(MAX_PAUSE_S, pause_s * 2)
+        self.table.recorded(request_id)
 
     async def _persist(self, partition, record):
         """Append a record for as long as it takes."""
@@ -210,22 +216,20 @@
     ----------
     service : ClaimService
     partition : Partition
-    team, key, request_id : str
+    request_id : str
     """
 
-    __slots__ = ("service", "partition", "team", "key", "request_id")
+    __slots__ = ("service", "partition", "request_id")
 
-    def __init__(self, service, partition, team, key, request_id):
+    def __init__(self, service, partition, request_id):
         self.service = service
         self.partition = partition
-        self.team = team
-        self.key = key
         self.request_id = request_id
 
     def dispatching(self):
         """Check the claim just before the request is sent."""
-        claim = self.partition.state.claim(self.team, self.key)
-        self.service.table.dispatching(self.request_id, claim)
+        self.partition.state.check_dispatch(self.request_id)
+        self.service.table.dispatching(self.request_id)
 
     def not_accepted(self):
         """Note that the backend server did not accept the request."""
--- a/cassiamount/claims.py
+++ b/cassiamount/claims.py
@@ -2,6 +2,7 @@
 
 import base64
 
+from .claim_state import FINISHED, IN_PROGRESS, Free, Mismatch
 from .invariants import AT_MOST_ONCE, require
 from .requests import Refusal
 
@@ -74,13 +75,13 @@
         self._own = {}
         self._outcomes = {}
 
-    def decide(self, claim, request_id, fingerprint):
+    def decide(self, found, request_id, fingerprint):
         """Decide about an arrival.
 
         Parameters
         ----------
-        claim : Claim or None
-            The claim on the key that the log holds.
+        found : Free, Held or Mismatch
+            What the log's state says of the key, from ``ClaimState.lookup``.
         request_id : str
             Of the arrival.
         fingerprint : str
@@ -89,27 +90,30 @@
         -------
         AppendClaim, ClaimWon, StoredOutcome, WaitForOutcome or Refusal
         """
-        if claim is None:
+        if isinstance(found, Free):
             return AppendClaim()
+        claim = found.claim
         if claim.request_id == request_id:
-            if self._own.get(request_id) != CLAIMED:
+            if claim.state != IN_PROGRESS or self._own.get(request_id) != CLAIMED:
                 return outcome_unknown()
             return ClaimWon(request_id)
-        if claim.fingerprint != fingerprint:
+        if isinstance(found, Mismatch):
             return Refusal(
                 422,
                 "idempotency_mismatch",
                 "the Idempotency-Key was used with another request",
             )
-        outcome = claim.outcome or self._outcomes.get(claim.request_id)
-        if outcome is not None:
-            return replay(outcome)
-        if claim.vm != self.vm and self._vm_gone(claim.vm):
-            return outcome_unknown()
-        if claim.vm == self.vm and claim.request_id not in self._own:
-            # Every claim of this incarnation is in the table until it has an outcome.
-            return outcome_unknown()
-        return WaitForOutcome(claim.request_id)
+        if claim.state == FINISHED:
+            return replay(claim)
+        if claim.request_id in self._outcomes:
+            return replay(self._outcomes[claim.request_id])
+        if claim.vm == self.vm:
+            # Every claim of this incarnation is in the table until its end is in the
+            # log, so an unknown one cannot be waited for.
+            unknown = claim.request_id not in self._own
+        else:
+            unknown = self._vm_gone(claim.vm)
+        return outcome_unknown() if unknown else WaitForOutcome(claim.request_id)
 
     def claiming(self, request_id):
         """Note that a claim is about to be appended."""
@@ -119,19 +123,10 @@
         """Note that another claim came first or that the claim is not in the log."""
         self._own.pop(request_id, None)
 
-    def dispatching(self, request_id, claim):
-        """Check that the request may be sent to a backend server, and note it.
-
-        Parameters
-        ----------
-        request_id : str
-        claim : Claim or None
-            The claim on the key that the log holds now.
-        """
+    def dispatching(self, request_id):
+        """Check that the request may be sent to a backend server, and note it."""
         require(
-            claim is not None
-            and claim.request_id == request_id
-            and self._own.get(request_id) == CLAIMED,
+            self._own.get(request_id) == CLAIMED,
             AT_MOST_ONCE,
             request_id=request_id,
             state=self._own.get(request_id),
--- a/cassiamount/edge.py
+++ b/cassiamount/edge.py
@@ -1,21 +1,21 @@
 """Caller-facing starlette application."""
 
 import asyncio
-import hashlib
 import uuid
 
 import orjson
 from starlette.applications import Starlette
 from starlette.routing import Route
 
+from .answers import CallerGone
 from .arrival import Arrival, EdgeLimits
 from .caller import BodyReader, Caller, RefusedError, refuse
 from .errors import InvariantViolation
 from .invariants import KEY_SELECTS_TEAM, require
 from .jobs import ModelJob
+from .keys import hash_key
 from .model_request import InvalidModelRequest, parse_model_request
 from .redaction import value_contains_key
-from .relay import CallerGone
 from .requests import Refusal, Ticket
 from .service_calls import ServiceCalls
 from .tracing import NO_TRACING
@@ -81,16 +81,21 @@
             caller.code = caller.code or "caller_gone"
         except InvariantViolation as error:
             self.metrics.count("invariant_violations_total", name=error.name)
-            if self.log is not None:
-                self.log.error(
-                    "invariant violated",
-                    request_id=arrival.request_id,
-                    invariant=error.name,
-                )
-            refusal = Refusal(
-                502, "outcome_unknown", "internal check failed", not_run=False
+            await self._internal_error(arrival, error)
+        except Exception as error:
+            self.metrics.count("internal_errors_total", error=type(error).__name__)
+            await self._internal_error(arrival, error)
+
+    async def _internal_error(self, arrival, error):
+        """Answer a request that met a fault of the program itself."""
+        if self.log is not None:
+            self.log.error(
+                "internal error", request_id=arrival.request_id, exc_info=error
             )
-            await self._last_words(caller, refusal)
+        refusal = Refusal(
+            502, "outcome_unknown", "an internal error occurred", not_run=False
+        )
+        await self._last_words(arrival.caller, refusal)
 
     async def _last_words(self, caller, refusal, param=None):
         try:
@@ -153,7 +158,7 @@
         if team is None:
             raise refuse(401, "invalid_key", "the key is not valid")
         arrival.team = team
-        arrival.key_hash = "sha256:" + hashlib.sha256(key.encode()).hexdigest()
+        arrival.key_hash = hash_key(key)
 
     def recheck(self, arrival):
         """Return a function that checks the key again at dispatch."""
@@ -215,7 +220,7 @@
             adapter=adapter,
             prompt_tokens=request.prompt_tokens,
             max_output_tokens=request.max_output_tokens,
-            prefix_hashes=request.prefix_hashes,
+            prefix_hashes=request.prefix_hashes(model),
             arrived_ms=now_ms,
             deadline_ms=deadline_ms,
             key_hash=arrival.key_hash,
--- a/cassiamount/model_request.py
+++ b/cassiamount/model_request.py
@@ -3,6 +3,7 @@
 import orjson
 import xxhash
 
+from .prefix_index import PREFIX_BLOCK_TOKENS
 from .redaction import strip_body
 
 # Estimate of the bytes in a token, used because the VM has no tokenizer; the engine's
@@ -13,9 +14,9 @@
 DEFAULT_MAX_OUTPUT_TOKENS = 256
 MAX_OUTPUT_TOKENS = 1_000_000
 MAX_CHOICES = 16
-# Length of the prompt blocks that are hashed for prefix routing, and how many.
-PREFIX_BLOCK_CHARACTERS = 256
+# Prefix hashes kept for routing; longer prompts gain little from more.
 MAX_PREFIX_BLOCKS = 64
+PREFIX_BLOCK_BYTES = PREFIX_BLOCK_TOKENS * BYTES_PER_TOKEN
 
 
 class InvalidModelRequest(ValueError):
@@ -52,7 +53,7 @@
         "wants_usage",
         "prompt_tokens",
         "max_output_tokens",
-        "prefix_hashes",
+        "_prompt",
     )
 
     def __init__(self, path, document):
@@ -68,9 +69,9 @@
         self.wants_usage = (
             isinstance(options, dict) and options.get("include_usage") is True
         )
-        prompt, self.prompt_tokens = _prompt(path, document)
+        self._prompt = _prompt(path, document).encode("utf-8", "replace")
+        self.prompt_tokens = max(1, -(-len(self._prompt) // BYTES_PER_TOKEN))
         self.max_output_tokens = self._output_limit()
-        self.prefix_hashes = prefix_hashes(prompt)
 
     def _output_limit(self):
         document = self.document
@@ -83,6 +84,26 @@
         document["max_tokens"] = limit
         return limit * choices
 
+    def prefix_hashes(self, model):
+        """Hash the leading blocks of the prompt as the engines' cache events do.
+
+        Each hash covers the model's name and all blocks up to its own, so equal
+        hashes mean equal prefixes.
+
+        Returns
+        -------
+        tuple of int
+            Shortest prefix first; an incomplete last block is left out.
+        """
+        prompt = self._prompt
+        state = xxhash.xxh64(model.encode() + b"\0")
+        hashes = []
+        end = min(len(prompt), PREFIX_BLOCK_BYTES * MAX_PREFIX_BLOCKS)
+        for start in range(0, end - PREFIX_BLOCK_BYTES + 1, PREFIX_BLOCK_BYTES):
+            state.update(prompt[start : start + PREFIX_BLOCK_BYTES])
+            hashes.append(state.intdigest())
+        return tuple(hashes)
+
     def engine_body(self, base, adapter, text=""):
         """Return the body for an engine.
 
@@ -126,29 +147,6 @@
     return ModelRequest(path, document)
 
 
-def prefix_hashes(prompt):
-    """Hash the leading blocks of a prompt, each hash covering all blocks before it.
-
-    Returns
-    -------
-    tuple of int
-        Shortest prefix first; an incomplete last block is left out.
-    """
-    state = xxhash.xxh64()
-    hashes = []
-    end = min(len(prompt), PREFIX_BLOCK_CHARACTERS * MAX_PREFIX_BLOCKS)
-    for start in range(0, end - PREFIX_BLOCK_CHARACTERS + 1, PREFIX_BLOCK_CHARACTERS):
-        block = prompt[start : start + PREFIX_BLOCK_CHARACTERS]
-        state.update(block.encode("utf-8", "surrogatepass"))
-        hashes.append(state.intdigest())
-    return tuple(hashes)
-
-
-def count_tokens(text):
-    """Estimate the tokens of a text."""
-    return -(-len(text.encode("utf-8", "surrogatepass")) // BYTES_PER_TOKEN)
-
-
 def _count(document, name, default, limit):
     value = document.get(name)
     if value is None:
@@ -159,7 +157,7 @@
 
 
 def _prompt(path, document):
-    """Return the prompt's text and its estimated tokens."""
+    """Return the prompt's text, in the form in which engines count its tokens."""
     if path.endswith("/chat/completions"):
         return _chat_prompt(document.get("messages"))
     prompt = document.get("prompt")
@@ -167,10 +165,10 @@
     if not items:
         raise InvalidModelRequest("prompt must not be empty", "prompt")
     if all(isinstance(item, str) for item in items):
-        text = "\n".join(items)
-        return text, max(1, count_tokens(text))
+        return "\n".join(items)
     if all(isinstance(item, int) and not isinstance(item, bool) for item in items):
-        return " ".join(map(str, items)), len(items)
+        # One token number takes at least as many bytes here as a token is counted.
+        return " ".join(f"{item:>{BYTES_PER_TOKEN}}" for item in items)
     raise InvalidModelRequest(
         "prompt must be a string, a list of strings or a list of token numbers",
         "prompt",
@@ -180,17 +178,23 @@
 def _chat_prompt(messages):
     if not isinstance(messages, list) or not messages:
         raise InvalidModelRequest("messages must be a non-empty list", "messages")
-    parts = []
+    lines = []
     for message in messages:
         if not isinstance(message, dict) or not isinstance(message.get("role"), str):
             raise InvalidModelRequest("each message needs a role", "messages")
-        parts.append(message["role"])
-        content = message.get("content")
-        if isinstance(content, str):
-            parts.append(content)
-        elif isinstance(content, list):
-            parts.append(orjson.dumps(content).decode())
-        elif content is not None:
-            raise InvalidModelRequest("content must be a string or a list", "messages")
-    text = "\n".join(parts)
-    return text, max(1, count_tokens(text))
+        lines.append(f"{message['role']}: {_content(message.get('content'))}")
+    return "\n".join(lines)
+
+
+def _content(content):
+    """Return the text of a message; other parts count with their JSON."""
+    if content is None or isinstance(content, str):
+        return content or ""
+    if not isinstance(content, list) or not all(isinstance(p, dict) for p in content):
+        raise InvalidModelRequest("content must be a string or a list", "messages")
+    return "".join(
+        part["text"]
+        if isinstance(part.get("text"), str)
+        else orjson.dumps(part).decode()
+        for part in content
+    )
--- a/cassiamount/relay.py
+++ b/cassiamount/relay.py
@@ -95,6 +95,8 @@
         """
         self.retries.request()
         decision = await self._queued(job, self.dispatcher.submit(job.ticket))
+        if isinstance(decision, Dispatch):
+            job.state.move(ADMITTED)
         if isinstance(decision, Dispatch) and (refusal := job.recheck()) is not None:
             # The key was withdrawn while the request was queued; nothing was sent.
             await self._end(job, self._begin(job, decision), CANCELLED, final=True)
@@ -138,9 +140,9 @@
     async def _attempt(self, job, caller, dispatch, number):
         """Run one attempt; return the Answer or the Failure."""
         attempt = self._begin(job, dispatch)
-        job.state.move(DISPATCHED)
         outcome, repeat = CANCELLED, False
         try:
+            job.state.move(DISPATCHED)
             answer = await job.run(self, attempt, caller)
             outcome = DONE
             job.state.move(COMPLETE)
--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -39,7 +39,7 @@
             self._count("connection_limit")
             transport.abort()
             return
-        self._start_timer()
+        self._start_timer(KEEPALIVE_S)
 
     def connection_lost(self, exc):
         """Forget the connection."""
@@ -49,8 +49,9 @@
     def data_received(self, data):
         """Count the bytes of a head that is not complete yet."""
         if self._in_head:
-            if self._timer is None:
-                self._start_timer()
+            if not self._wire_bytes:
+                self._stop_timer()
+                self._start_timer(HEAD_TIMEOUT_S)
             self._wire_bytes += len(data)
         super().data_received(data)
         if (
@@ -115,8 +116,8 @@
         self.transport.write(head.encode() + body)
         self.transport.close()
 
-    def _start_timer(self):
-        self._timer = self.loop.call_later(HEAD_TIMEOUT_S, self._head_timeout)
+    def _start_timer(self, seconds):
+        self._timer = self.loop.call_later(seconds, self._head_timeout)
 
     def _stop_timer(self):
         if self._timer is not None:
@@ -231,7 +232,9 @@
 def open_listener(host, port):
     """Return a bound TCP socket; port 0 takes a free one."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    # asyncio sets TCP_NODELAY only on sockets that name their protocol; without it
+    # the end of each streamed answer waited 40 ms for a delayed acknowledgement.
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, port))
     listener.setblocking(False)
