Adapt the queue and the router to the dispatcher

Cause: the dispatcher looks up the choice made for the ticket that the queue returned. The queue cached a "yes" by route and could return another ticket.

Ruled out: asking `ready` for every waiting ticket, which costs one choice each.

Change: only a "no" is remembered during one `take`; drained backends count as leaving; refusals carry a reason and the estimated wait. The dispatcher refuses displaced requests and corrects the teams' service by the tokens really used.

Conclusion: `take` returns exactly the ticket for which `ready` said yes.

--- a/cassiamount/admission.py
+++ b/cassiamount/admission.py
@@ -5,7 +5,10 @@
 from itertools import count
 
 from .admission_rates import RouteRates
-from .requests import PRIORITIES, Refusal
+from .requests import PRIORITIES
+
+QUEUE_FULL = "queue_full"
+DEADLINE_CANNOT_BE_MET = "deadline_cannot_be_met"
 
 QUEUE_LIMIT = 2_000
 # Share of the tokens served that goes to the classes below the one being served
@@ -14,8 +17,6 @@
 # Credit of a lower class grows to at most this many tokens, so that an idle time
 # does not turn into a long burst of it.
 RESERVE_LIMIT_TOKENS = 20_000
-# Callers that retry sooner would only find the same queue.
-RETRY_AFTER_MIN_S = 0.1
 
 
 class Queued:
@@ -25,9 +26,9 @@
     ----------
     wait_ms : float
         Estimated waiting time.
-    displaced : tuple of (Ticket, Refusal)
-        Requests of a team with a longer queue that had to make room; the caller
-        sends them their refusals.
+    displaced : tuple of Ticket
+        Requests of a team with a longer queue that had to make room. They are no
+        longer queued and have to be refused as `QUEUE_FULL`.
     """
 
     __slots__ = ("wait_ms", "displaced")
@@ -38,17 +39,21 @@
 
 
 class Refused:
-    """The request is refused now.
+    """The request is not queued.
 
     Parameters
     ----------
-    refusal : Refusal
+    reason : str
+        ``queue_full`` or ``deadline_cannot_be_met``.
+    wait_ms : float
+        Estimated waiting time.
     """
 
-    __slots__ = ("refusal",)
+    __slots__ = ("reason", "wait_ms")
 
-    def __init__(self, refusal):
-        self.refusal = refusal
+    def __init__(self, reason, wait_ms):
+        self.reason = reason
+        self.wait_ms = wait_ms
 
 
 class _Entry:
@@ -149,9 +154,12 @@
     def __len__(self):
         return len(self._entries)
 
-    def set_weights(self, weights):
-        """Replace the teams' weights (dict by team name; 1 where absent)."""
-        self._weights = dict(weights)
+    def set_teams(self, teams):
+        """Take the teams of a configuration (dict of Team by name)."""
+        self._weights = {name: team.weight for name, team in teams.items()}
+        for name in set(self._virtual) - set(teams):
+            if not self._waits(name):
+                del self._virtual[name]
 
     def waiting_by_route(self):
         """Return the number of waiting requests for each service or model."""
@@ -171,15 +179,14 @@
         """
         wait_ms = self.estimate_ms(ticket)
         if now_ms + wait_ms > ticket.deadline_ms:
-            return Refused(_deadline_refusal(wait_ms))
+            return Refused(DEADLINE_CANNOT_BE_MET, wait_ms)
         displaced = []
         if len(self._entries) >= self._limit:
             victim = self._victim(ticket)
             if victim is None:
-                return Refused(self._full_refusal(ticket))
-            refusal = self._full_refusal(victim.ticket)
+                return Refused(QUEUE_FULL, wait_ms)
             self._remove(victim)
-            displaced.append((victim.ticket, refusal))
+            displaced.append(victim.ticket)
         self._push(ticket, now_ms)
         return Queued(wait_ms, displaced)
 
@@ -190,19 +197,23 @@
         ----------
         now_ms : float
         ready : callable
-            Says whether a replica can take a ticket. It is asked once for each
+            Says whether a replica can take a ticket. The ticket for which it says
+            so is the one returned; after a no it is not asked again for the same
             service or model.
 
         Returns
         -------
         Ticket or None
         """
-        answers = {}
+        blocked = set()
 
         def can_send(entry):
-            if entry.route not in answers:
-                answers[entry.route] = ready(entry.ticket)
-            return answers[entry.route]
+            if entry.route in blocked:
+                return False
+            if ready(entry.ticket):
+                return True
+            blocked.add(entry.route)
+            return False
 
         entry = self._next_reserved(can_send)
         if entry is None:
@@ -215,7 +226,7 @@
         return entry.ticket
 
     def settle(self, ticket, used_tokens):
-        """Correct a team's service by the tokens that a request really used."""
+        """Correct a team's service by the tokens that a taken request used."""
         if ticket.team in self._virtual:
             unused = ticket.cost_tokens - used_tokens
             self._virtual[ticket.team] -= unused / self._weight(ticket.team)
@@ -317,12 +328,18 @@
 
     def _next_reserved(self, can_send):
         for priority in PRIORITIES[1:]:
+            credit = self._credits[priority]
             if not self._classes[priority]:
                 self._credits[priority] = 0.0
-                continue
-            entry = self._fairest(priority, can_send)
-            if entry and self._credits[priority] >= entry.ticket.cost_tokens:
-                return entry
+            elif credit >= 1:
+                entry = self._fairest(
+                    priority,
+                    lambda entry, credit=credit: (
+                        entry.ticket.cost_tokens <= credit and can_send(entry)
+                    ),
+                )
+                if entry is not None:
+                    return entry
         return None
 
     def _next_by_class(self, can_send):
@@ -377,21 +394,3 @@
             self._classes[priority].items(),
             key=lambda item: item[1].length / self._weight(item[0]),
         )
-
-    def _full_refusal(self, ticket):
-        wait_s = self.estimate_ms(ticket) / 1000
-        return Refusal(
-            429,
-            "queue_full",
-            "too many requests are waiting",
-            retry_after_s=max(RETRY_AFTER_MIN_S, wait_s),
-        )
-
-
-def _deadline_refusal(wait_ms):
-    return Refusal(
-        503,
-        "deadline_cannot_be_met",
-        "the estimated waiting time is past the request's deadline",
-        retry_after_s=max(RETRY_AFTER_MIN_S, wait_ms / 1000),
-    )
--- a/cassiamount/dispatcher.py
+++ b/cassiamount/dispatcher.py
@@ -215,6 +215,7 @@
         entry.backend = ""
         entry.used_tokens = max(entry.used_tokens, message.used_tokens)
         if message.final:
+            self._queue.settle(entry.ticket, entry.used_tokens)
             self._settle(entry)
 
     @_apply.register
@@ -346,6 +347,8 @@
                 self._refuse(entry, refusals.deadline_cannot_be_met(result.wait_ms))
         else:
             self._queued.add(entry.ticket.request_id)
+            for ticket in result.displaced:
+                self._refuse(self._entries[ticket.request_id], refusals.queue_full())
 
     def _dispatch_queued(self):
         while True:
@@ -369,9 +372,7 @@
 
     def _choose_again(self, ticket, failed_backend):
         now_ms = self._clock.monotonic_ms()
-        choice = self._router.choose(
-            ticket, now_ms, self._rng, exclude=(failed_backend,)
-        )
+        choice = self._router.choose(ticket, now_ms, self._rng, (failed_backend,))
         if isinstance(choice, NoReplica):
             choice = self._router.choose(ticket, now_ms, self._rng)
         return choice
--- a/cassiamount/routing.py
+++ b/cassiamount/routing.py
@@ -89,6 +89,8 @@
         "_zone",
         "_zone_distance_ms",
         "_replicas",
+        "_listed",
+        "_drained",
         "_leaving",
         "_draining",
         "_routes",
@@ -103,14 +105,25 @@
         self._replicas = {}
         # Name -> time since which the VM list or an operator says "leaving".
         self._leaving = {}
+        self._listed = frozenset()
+        self._drained = frozenset()
         self._draining = frozenset()
         # Service or model -> names of the replicas that offer it.
         self._routes = {}
         self._resident_on = {}
         self._now_ms = 0.0
 
-    def set_configuration(self, configuration):
-        """Take the backend servers of a configuration."""
+    def set_configuration(self, configuration, drained=()):
+        """Take the backend servers of a configuration.
+
+        Parameters
+        ----------
+        configuration : Configuration
+        drained : iterable of str
+            Backend servers that an operator took out of use.
+        """
+        self._drained = frozenset(drained)
+        self._update_leaving()
         for name in set(self._replicas) - set(configuration.backends):
             self._drop_routes(name)
             del self._replicas[name]
@@ -127,8 +140,9 @@
             self._index(name)
 
     def set_leaving(self, names):
-        """Replace the backend servers that the VM list or an operator takes out."""
-        self._leaving = {name: self._leaving.get(name, self._now_ms) for name in names}
+        """Replace the backend servers that the VM list gives as leaving."""
+        self._listed = frozenset(names)
+        self._update_leaving()
 
     def set_draining(self, pairs):
         """Replace the (backend, model or adapter) pairs about to be unloaded."""
@@ -141,6 +155,13 @@
         if replica is not None and replica.on_report(report, now_ms):
             self._index(report.backend)
 
+    def on_cache_events(self, backend, events):
+        """Take events about an engine's prefix cache."""
+        replica = self._replicas.get(backend)
+        if replica is not None:
+            incarnation = replica.report.incarnation if replica.report else ""
+            self.prefixes.on_events(backend, incarnation, events)
+
     def on_sent(self, ticket, backend):
         """Count a dispatch to `backend`."""
         require(
@@ -206,6 +227,12 @@
         """Return the estimated number of requests at a backend server."""
         return self._replicas[backend].load()
 
+    def _update_leaving(self):
+        self._leaving = {
+            name: self._leaving.get(name, self._now_ms)
+            for name in self._listed | self._drained
+        }
+
     def _usable(self, route, offering, now_ms, exclude):
         present = [
             self._replicas[name]
