--- a/cassiamount/dispatch_messages.py
+++ b/cassiamount/dispatch_messages.py
@@ -40,12 +40,13 @@
 
 
 class ConfigurationChanged:
-    """A new configuration is in force."""
+    """A new configuration, or a new set of drained backend servers, is in force."""
 
-    __slots__ = ("configuration",)
+    __slots__ = ("configuration", "drained")
 
-    def __init__(self, configuration):
+    def __init__(self, configuration, drained):
         self.configuration = configuration
+        self.drained = frozenset(drained)
 
 
 class LoadReported:
