--- a/cassiamount/dispatcher.py
+++ b/cassiamount/dispatcher.py
@@ -169,6 +169,16 @@
         """Number of requests that wait for a backend server or for budget."""
         return len(self._queued) + sum(len(short) for short in self._short.values())
 
+    def held_tokens(self):
+        """Return the tokens that this VM holds, by team."""
+        if self._configuration is None:
+            return {}
+        now_ms = self._clock.monotonic_ms()
+        return {
+            team: self._holder.available(team, now_ms)
+            for team in self._configuration.teams
+        }
+
     # The task.
 
     async def run(self):
--- /dev/null
+++ b/cassiamount/log_peers.py
@@ -0,0 +1,117 @@
+"""Reads and appends to the log through other VMs while this one cannot reach it."""
+
+import random
+
+from .errors import AppendOutcomeUnknown, OffsetTrimmed, PlatformUnavailable
+from .follower import Snapshot
+from .log_client import LogPage
+from .peer_messages import PeerUnavailable
+
+# Peers that are asked one after the other before the VM gives up for this time.
+PEERS_TRIED = 4
+
+
+class LogPeers:
+    """Passes reads and appends to peers that reach the log.
+
+    Parameters
+    ----------
+    vm : str
+        Identity of this VM.
+    client : PeerClient
+    addresses : callable
+        Returns the addresses of the peers to ask, those of the own zone first.
+    zone_addresses : callable
+        Returns the addresses of the peers of the own zone: only they hold the
+        zone's state.
+    rng : random.Random, optional
+    """
+
+    def __init__(self, vm, client, addresses, zone_addresses, rng=None):
+        self._vm = vm
+        self._client = client
+        self._addresses = addresses
+        self._zone_addresses = zone_addresses
+        self._rng = random.Random() if rng is None else rng
+
+    async def read_stream(self, stream, from_offset, limit):
+        """Return a page that a peer has just read from the log.
+
+        Raises
+        ------
+        OffsetTrimmed
+        PlatformUnavailable
+            No peer reaches the log.
+        """
+        for address in self._some(self._addresses()):
+            try:
+                page = await self._client.read_stream(
+                    address, stream, from_offset, limit
+                )
+            except PeerUnavailable:
+                continue
+            if page is None:
+                continue
+            if page.earliest > from_offset:
+                raise OffsetTrimmed(stream, page.earliest)
+            return LogPage(page.records, page.earliest, page.next_offset)
+        raise PlatformUnavailable("no peer reaches the log")
+
+    async def snapshot(self, stream):
+        """Return the most advanced `Snapshot` that peers hold of a stream.
+
+        Raises
+        ------
+        PlatformUnavailable
+            No peer holds one.
+        """
+        best = None
+        in_zone = stream.startswith("zone-")
+        addresses = self._zone_addresses() if in_zone else self._addresses()
+        for address in self._some(addresses):
+            try:
+                found = await self._client.snapshot(address, stream)
+            except PeerUnavailable:
+                continue
+            if found is not None and (
+                best is None or found.covers_offset > best.covers_offset
+            ):
+                best = Snapshot(found.covers_offset, found.state)
+        if best is None:
+            raise PlatformUnavailable("no peer holds the stream's state")
+        return best
+
+    async def append(self, stream, values):
+        """Append through a peer that says that it reaches the log.
+
+        Returns
+        -------
+        list of int
+
+        Raises
+        ------
+        PlatformUnavailable
+            The records are certainly not in the log.
+        AppendOutcomeUnknown
+        """
+        for address in self._some(self._addresses()):
+            try:
+                info = await self._client.probe(address, self._vm)
+            except PeerUnavailable:
+                continue
+            if not info.log_reachable:
+                continue
+            try:
+                return await self._client.append(address, stream, values)
+            except PlatformUnavailable:
+                continue
+            except PeerUnavailable as error:
+                raise AppendOutcomeUnknown(str(error)) from error
+        raise PlatformUnavailable("no peer reaches the log")
+
+    def _some(self, addresses):
+        addresses = list(addresses)
+        near = set(self._zone_addresses())
+        self._rng.shuffle(addresses)
+        addresses.sort(key=lambda address: address not in near)
+        return addresses[:PEERS_TRIED]
