--- a/cassiamount/dispatcher.py
+++ b/cassiamount/dispatcher.py
@@ -54,6 +54,7 @@
         "ask_again_ms",
         "used_tokens",
         "backend",
+        "taken",
     )
 
     def __init__(self, call, ticket):
@@ -64,6 +65,7 @@
         self.ask_again_ms = 0.0
         self.used_tokens = 0
         self.backend = ""
+        self.taken = False
 
 
 class Dispatcher:
@@ -167,6 +169,16 @@
         """Number of requests that wait for a backend server or for budget."""
         return len(self._queued) + sum(len(short) for short in self._short.values())
 
+    def held_tokens(self):
+        """Return the tokens that this VM holds, by team."""
+        if self._configuration is None:
+            return {}
+        now_ms = self._clock.monotonic_ms()
+        return {
+            team: self._holder.available(team, now_ms)
+            for team in self._configuration.teams
+        }
+
     # The task.
 
     async def run(self):
@@ -268,9 +280,8 @@
         for name in removed - set(configuration.teams):
             self._holder.remove_team(name)
         self._configuration = configuration
-        self._router.set_configuration(configuration)
-        weights = {team.name: team.weight for team in configuration.teams.values()}
-        self._queue.set_weights(weights)
+        self._router.set_configuration(configuration, message.drained)
+        self._queue.set_teams(configuration.teams)
 
     @_apply.register
     def _(self, message: ReportsDone, request):
@@ -383,11 +394,11 @@
     def _offer(self, entry):
         result = self._queue.offer(entry.ticket, self._clock.monotonic_ms())
         if isinstance(result, Refused):
-            self._refuse(entry, result.refusal)
+            self._refuse(entry, refusals.from_queue(result))
             return
         self._queued.add(entry.ticket.request_id)
-        for ticket, refusal in result.displaced:
-            self._refuse(self._entries[ticket.request_id], refusal)
+        for ticket in result.displaced:
+            self._refuse(self._entries[ticket.request_id], refusals.queue_full())
 
     def _dispatch_queued(self):
         while True:
@@ -404,6 +415,7 @@
                 return
             self._queued.discard(ticket.request_id)
             entry = self._entries[ticket.request_id]
+            entry.taken = True
             if ticket.key_hash and not self._key_holds(ticket.key_hash):
                 self._refuse(entry, refusals.invalid_key())
             else:
@@ -432,7 +444,8 @@
 
     def _settle(self, entry):
         self._entries.pop(entry.ticket.request_id, None)
-        self._queue.settle(entry.ticket, entry.used_tokens)
+        if entry.taken:
+            self._queue.settle(entry.ticket, entry.used_tokens)
         self._queued.discard(entry.ticket.request_id)
         if entry.charge is not None:
             now_ms = self._clock.monotonic_ms()
--- /dev/null
+++ b/cassiamount/model_request.py
@@ -0,0 +1,200 @@
+"""Model requests: reading the caller's body and writing the engine's."""
+
+import orjson
+import xxhash
+
+from .prefix_index import PREFIX_BLOCK_TOKENS
+from .redaction import strip_body
+
+# Estimate of the bytes in a token, used because the VM has no tokenizer; the engine's
+# own count settles the charge.
+BYTES_PER_TOKEN = 4
+# Output limit put into requests that state none, so that no engine can generate more
+# than was charged.
+DEFAULT_MAX_OUTPUT_TOKENS = 256
+MAX_OUTPUT_TOKENS = 1_000_000
+MAX_CHOICES = 16
+# Prefix hashes kept for routing; longer prompts gain little from more.
+MAX_PREFIX_BLOCKS = 64
+PREFIX_BLOCK_BYTES = PREFIX_BLOCK_TOKENS * BYTES_PER_TOKEN
+
+
+class InvalidModelRequest(ValueError):
+    """The body is valid JSON but no valid model request.
+
+    Parameters
+    ----------
+    message : str
+    param : str
+        Name of the field at fault.
+    """
+
+    def __init__(self, message, param):
+        super().__init__(message)
+        self.param = param
+
+
+class ModelRequest:
+    """A parsed model request.
+
+    Parameters
+    ----------
+    path : str
+        ``/v1/chat/completions`` or ``/v1/completions``.
+    document : dict
+        The caller's body without the key.
+    """
+
+    __slots__ = (
+        "path",
+        "document",
+        "model",
+        "streamed",
+        "wants_usage",
+        "prompt_tokens",
+        "max_output_tokens",
+        "_prompt",
+    )
+
+    def __init__(self, path, document):
+        self.path = path
+        self.document = document
+        self.model = document.get("model")
+        if not isinstance(self.model, str) or not self.model:
+            raise InvalidModelRequest("model must be a non-empty string", "model")
+        self.streamed = document.get("stream") or False
+        if not isinstance(self.streamed, bool):
+            raise InvalidModelRequest("stream must be true or false", "stream")
+        options = document.get("stream_options")
+        self.wants_usage = (
+            isinstance(options, dict) and options.get("include_usage") is True
+        )
+        self._prompt = _prompt(path, document).encode("utf-8", "replace")
+        self.prompt_tokens = max(1, -(-len(self._prompt) // BYTES_PER_TOKEN))
+        self.max_output_tokens = self._output_limit()
+
+    def _output_limit(self):
+        document = self.document
+        choices = _count(document, "n", 1, MAX_CHOICES)
+        name = "max_tokens"
+        if document.get("max_completion_tokens") is not None:
+            name = "max_completion_tokens"
+        limit = _count(document, name, DEFAULT_MAX_OUTPUT_TOKENS, MAX_OUTPUT_TOKENS)
+        # Some engines know only the older name, which is charged for in any case.
+        document["max_tokens"] = limit
+        return limit * choices
+
+    def prefix_hashes(self, model):
+        """Hash the leading blocks of the prompt as the engines' cache events do.
+
+        Each hash covers the model's name and all blocks up to its own, so equal
+        hashes mean equal prefixes.
+
+        Returns
+        -------
+        tuple of int
+            Shortest prefix first; an incomplete last block is left out.
+        """
+        prompt = self._prompt
+        state = xxhash.xxh64(model.encode() + b"\0")
+        hashes = []
+        end = min(len(prompt), PREFIX_BLOCK_BYTES * MAX_PREFIX_BLOCKS)
+        for start in range(0, end - PREFIX_BLOCK_BYTES + 1, PREFIX_BLOCK_BYTES):
+            state.update(prompt[start : start + PREFIX_BLOCK_BYTES])
+            hashes.append(state.intdigest())
+        return tuple(hashes)
+
+    def engine_body(self, base, adapter, text=""):
+        """Return the body for an engine.
+
+        Parameters
+        ----------
+        base : str
+            Name of the base model.
+        adapter : str
+            Empty without an adapter.
+        text : str
+            Text that another engine generated already.
+        """
+        document = {**self.document, "model": base}
+        # These fields are the system's own; a caller must not set them.
+        document.pop("adapter", None)
+        document.pop("continue_from", None)
+        if adapter:
+            document["adapter"] = adapter
+        if text:
+            document["continue_from"] = text
+        return orjson.dumps(document)
+
+
+def parse_model_request(path, document, key):
+    """Read a model request from its parsed JSON body.
+
+    Parameters
+    ----------
+    path : str
+    document : object
+    key : str
+        The caller's key, removed from known fields.
+
+    Raises
+    ------
+    InvalidModelRequest
+    """
+    if not isinstance(document, dict):
+        raise InvalidModelRequest("the body must be a JSON object", None)
+    strip_body(document, key)
+    return ModelRequest(path, document)
+
+
+def _count(document, name, default, limit):
+    value = document.get(name)
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, int) or not 1 <= value <= limit:
+        raise InvalidModelRequest(f"{name} must be from 1 to {limit}", name)
+    return value
+
+
+def _prompt(path, document):
+    """Return the prompt's text, in the form in which engines count its tokens."""
+    if path.endswith("/chat/completions"):
+        return _chat_prompt(document.get("messages"))
+    prompt = document.get("prompt")
+    items = prompt if isinstance(prompt, list) else [prompt]
+    if not items:
+        raise InvalidModelRequest("prompt must not be empty", "prompt")
+    if all(isinstance(item, str) for item in items):
+        return "\n".join(items)
+    if all(isinstance(item, int) and not isinstance(item, bool) for item in items):
+        # One token number takes at least as many bytes here as a token is counted.
+        return " ".join(f"{item:>{BYTES_PER_TOKEN}}" for item in items)
+    raise InvalidModelRequest(
+        "prompt must be a string, a list of strings or a list of token numbers",
+        "prompt",
+    )
+
+
+def _chat_prompt(messages):
+    if not isinstance(messages, list) or not messages:
+        raise InvalidModelRequest("messages must be a non-empty list", "messages")
+    lines = []
+    for message in messages:
+        if not isinstance(message, dict) or not isinstance(message.get("role"), str):
+            raise InvalidModelRequest("each message needs a role", "messages")
+        lines.append(f"{message['role']}: {_content(message.get('content'))}")
+    return "\n".join(lines)
+
+
+def _content(content):
+    """Return the text of a message; other parts count with their JSON."""
+    if content is None or isinstance(content, str):
+        return content or ""
+    if not isinstance(content, list) or not all(isinstance(p, dict) for p in content):
+        raise InvalidModelRequest("content must be a string or a list", "messages")
+    return "".join(
+        part["text"]
+        if isinstance(part.get("text"), str)
+        else orjson.dumps(part).decode()
+        for part in content
+    )
