--- /dev/null
+++ b/cassiamount/budget_link.py
@@ -0,0 +1,65 @@
+"""Carries asks and reports between the dispatcher and the owners of budgets."""
+
+import asyncio
+
+import structlog
+
+from .dispatch_messages import GrantsArrived, ReportsDone
+from .peer_messages import PeerUnavailable
+
+log = structlog.get_logger()
+
+
+class BudgetLink:
+    """Sends what the dispatcher asks for and returns the answers as messages.
+
+    Parameters
+    ----------
+    mailbox : Mailbox
+        The dispatcher's.
+    coordinator : Coordinator
+        Has ``async ask(asks)``, which returns answers by team, and ``async
+        report(report)``, which returns whether the report need not be sent again.
+    """
+
+    def __init__(self, mailbox, coordinator):
+        self._mailbox = mailbox
+        self._coordinator = coordinator
+        self._tasks = set()
+        self._reporting = set()
+
+    def ask(self, asks):
+        """Ask the owners; `GrantsArrived` follows in any case."""
+        self._start(self._ask(asks))
+
+    def report(self, reports):
+        """Send reports that are not on their way already."""
+        for report in reports:
+            key = (report.owner, report.sequence)
+            if key not in self._reporting:
+                self._reporting.add(key)
+                self._start(self._report(report, key))
+
+    async def _ask(self, asks):
+        answers = {}
+        try:
+            answers = await self._coordinator.ask(asks)
+        except PeerUnavailable as error:
+            log.warning("budget_owner_unreachable", error=str(error))
+        finally:
+            teams = frozenset(ask.team for ask in asks)
+            self._mailbox.send(GrantsArrived(teams, answers))
+
+    async def _report(self, report, key):
+        try:
+            if await self._coordinator.report(report):
+                self._mailbox.send(ReportsDone([report]))
+        except PeerUnavailable as error:
+            log.info("report_not_delivered", owner=report.owner, error=str(error))
+        finally:
+            self._reporting.discard(key)
+
+    def _start(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/cassiamount/node.py
@@ -0,0 +1,356 @@
+"""One VM of the system: its parts, their wiring, its start and its stop."""
+
+import asyncio
+import random
+from uuid import uuid4
+
+import structlog
+
+from .admin import AdminPort
+from .admission import AdmissionQueue
+from .arrival import EdgeLimits
+from .backend_client import BackendClient
+from .budget_holder import BudgetHolder
+from .budget_link import BudgetLink
+from .claim_service import ClaimService, Partition, partition_number
+from .claims import ClaimTable
+from .clock import SystemClock
+from .coordinator import Coordinator
+from .demand_counter import DemandCounter
+from .dispatch_messages import ConfigurationChanged, LeavingBackends, ReturnGrants
+from .dispatcher import Dispatcher
+from .edge import build_application
+from .engine_client import HttpEngineClient
+from .load_poller import LoadPoller
+from .log_client import HttpLogClient
+from .log_peers import LogPeers
+from .log_streams import LogStreams
+from .mailbox import Mailbox, call
+from .metrics import Metrics
+from .node_peers import NodePeerHandlers
+from .node_status import NodeStatus, ReportBoard
+from .node_view import NodeView
+from .peer_client import PeerClient
+from .peer_service import make_server
+from .placement_task import PlacementTask
+from .relay import Relay
+from .routing import Router
+from .serving import EdgeServer, open_listener
+from .supervisor import Supervisor
+from .tracing import build_tracing
+from .vm_list_client import HttpVmListClient
+
+# Time for grants and leases to be returned; without it they expire by themselves.
+LEAVE_LIMIT_MS = 3_000
+ADMIN_STOP_LIMIT_MS = 1_000
+DRAIN_POLL_MS = 50
+
+log = structlog.get_logger()
+
+
+class Node:
+    """One VM of the system.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+    clock : SystemClock, optional
+    """
+
+    def __init__(self, settings, clock=None):
+        self.settings = settings
+        self.clock = SystemClock() if clock is None else clock
+        self.identity = f"{settings.vm_name}@{uuid4().hex[:12]}"
+        self._rng = random.Random(settings.random_seed)
+        self.metrics = Metrics()
+        self._tracing = build_tracing(
+            settings.trace_exporter.kind,
+            settings.vm_name,
+            settings.trace_exporter.target,
+        )
+        self._stop = asyncio.Event()
+        self._build_platform()
+        self._build_requests()
+        self._build_placement()
+        self._build_ports()
+
+    def _build_platform(self):
+        settings, clock = self.settings, self.clock
+        self._log = HttpLogClient(f"http://{settings.log_address}")
+        self._vm_list = HttpVmListClient(f"http://{settings.vm_list_address}")
+        self._peer_client = PeerClient(clock)
+        log_peers = LogPeers(
+            self.identity,
+            self._peer_client,
+            lambda: self._coordinator.peer_addresses(),
+            lambda: self._coordinator.zone_peer_addresses(),
+            self._rng,
+        )
+        self.streams = LogStreams(
+            settings,
+            self.identity,
+            self._log,
+            log_peers,
+            clock,
+            lambda: self.streams.zone.fold.roster(),
+        )
+        self.view = NodeView(self.streams.config, settings.key_staleness_limit_s)
+        self._coordinator = Coordinator(
+            self.identity,
+            settings.zone,
+            settings.peer_address,
+            self.streams.zone.follower,
+            self.streams.zone.appender,
+            self._peer_client,
+            self._vm_list,
+            clock,
+            settings.budget_partitions,
+            self._log_reached_ms,
+            self._on_leaving_backends,
+        )
+
+    def _log_reached_ms(self):
+        return self.clock.monotonic_ms() - self.streams.log_unreached_ms
+
+    def _build_requests(self):
+        settings = self.settings
+        self.demand = DemandCounter()
+        self._dispatch_mailbox = Mailbox("dispatcher", limit=100_000)
+        self._link = BudgetLink(self._dispatch_mailbox, self._coordinator)
+        self.dispatcher = Dispatcher(
+            self._dispatch_mailbox,
+            self.clock,
+            self._rng,
+            AdmissionQueue(settings.max_queued_requests),
+            Router(settings.zone),
+            BudgetHolder(self.identity),
+            lambda key_hash: self.view.keys.team_of_hash(key_hash) is not None,
+            self._link,
+            lambda configuration, team: zone_burst(configuration, team, settings.zone),
+            self.demand.count,
+        )
+        self._backends = BackendClient(self.metrics)
+        relay = Relay(
+            self.dispatcher, self._backends, self.clock, self.metrics, self._rng
+        )
+        self._claims = ClaimService(
+            ClaimTable(self.identity, self._coordinator.vm_gone),
+            self._claim_partition,
+            self.clock,
+            self.metrics,
+        )
+        limits = EdgeLimits(
+            head_bytes=settings.max_header_bytes,
+            body_bytes=settings.max_body_bytes,
+            concurrent_requests=settings.max_concurrent_requests,
+        )
+        self._application = build_application(
+            self.view,
+            relay,
+            self._claims,
+            self.clock,
+            self.metrics,
+            limits,
+            self._tracing,
+            log,
+        )
+
+    def _claim_partition(self, team, key):
+        number = partition_number(team, key, self.settings.claim_partitions)
+        stream = self.streams.claims[number]
+        return Partition(stream.fold, stream.appender)
+
+    def _build_placement(self):
+        self._board = ReportBoard(self.clock)
+        self._placement = PlacementTask(
+            self.identity,
+            self.settings.zone,
+            self.clock,
+            self.streams.zone.follower,
+            self.streams.zone.appender,
+            self._coordinator.lease("placement"),
+            self._open_engine,
+            self._dispatch_mailbox,
+            self._demand_totals,
+        )
+        self._poller_mailbox = Mailbox("load-poller")
+        self._poller = LoadPoller(
+            self._poller_mailbox,
+            [self._dispatch_mailbox, self._board, self._placement.mailbox],
+            self._dispatch_mailbox,
+            self._open_engine,
+            self._rng,
+            self.metrics,
+        )
+
+    def _open_engine(self, name, address):
+        return HttpEngineClient(name, f"http://{address}")
+
+    def _demand_totals(self):
+        """Return demand totals by VM, of this VM and of those it has probed."""
+        return {self.identity: self.demand.totals(), **self._coordinator.peer_demand()}
+
+    def _build_ports(self):
+        self._handlers = NodePeerHandlers(
+            self.identity,
+            self.settings.zone,
+            self.streams,
+            self._log,
+            self._coordinator,
+            self.view,
+            self.demand,
+        )
+        status = NodeStatus(
+            self.identity,
+            self.settings.zone,
+            self.clock,
+            self.view,
+            self.streams,
+            self._coordinator,
+            self.dispatcher,
+            self._board,
+        )
+        self._admin = AdminPort(
+            lambda: self.view.ready,
+            status,
+            self.metrics,
+            self._withdraw_key_here,
+        )
+        self.metrics.gauge("requests_active", lambda: self.dispatcher.active)
+        self.metrics.gauge("requests_queued", lambda: self.dispatcher.queued)
+        self.metrics.gauge(
+            "configuration_version", lambda: self.streams.config.fold.version
+        )
+        self.metrics.gauge(
+            "configuration_staleness_ms",
+            lambda: self.streams.config.follower.stale_ms,
+        )
+
+    def _withdraw_key_here(self, key_hash):
+        self.view.keys.withdraw_here(key_hash)
+        log.warning("key_withdrawn_here", key_hash=key_hash)
+
+    # Messages from the log and the VM list.
+
+    def _on_config(self, followed):
+        fold = self.streams.config.fold
+        if fold.version == 0:
+            return
+        configuration = fold.configuration
+        self._dispatch_mailbox.send(ConfigurationChanged(configuration, fold.drained))
+        self._poller_mailbox.send(configuration)
+        self._placement.mailbox.send(ConfigurationChanged(configuration, fold.drained))
+        self._coordinator.set_configuration(configuration)
+
+    def _on_config_followed(self, followed):
+        if followed.changes or followed.reloaded:
+            self._on_config(followed)
+
+    def _on_claims_followed(self, followed):
+        self._claims.state_changed()
+
+    def _on_leaving_backends(self, names):
+        self._dispatch_mailbox.send(LeavingBackends(names))
+
+    # Start and stop.
+
+    def request_stop(self):
+        """Begin a graceful stop; called by the signal handler."""
+        self._stop.set()
+
+    async def run(self):
+        """Run until `request_stop`, then stop gracefully.
+
+        Returns
+        -------
+        int
+            Requests that were cut off because the drain limit passed.
+        """
+        self.streams.config.follower.add_listener(self._on_config_followed)
+        for stream in self.streams.claims:
+            stream.follower.add_listener(self._on_claims_followed)
+        supervisor = self._supervisor()
+        await self._backends.start()
+        peers, _ = make_server(self._handlers, self.settings.peer_address)
+        await peers.start()
+        admin = self._server(self._admin.application(), self.settings.admin_address)
+        edge = self._server(self._application, self.settings.listen_address)
+        await admin.start()
+        tasks = asyncio.create_task(supervisor.run())
+        await edge.start()
+        log.info("started", vm=self.identity, zone=self.settings.zone)
+        stop = asyncio.create_task(self._stop.wait())
+        await asyncio.wait([tasks, stop], return_when=asyncio.FIRST_COMPLETED)
+        stop.cancel()
+        cut_off = await self._drain(edge)
+        await self._leave()
+        tasks.cancel()
+        failure = (await asyncio.gather(tasks, return_exceptions=True))[0]
+        await admin.stop(ADMIN_STOP_LIMIT_MS)
+        await peers.stop(grace=0.5)
+        await self._close()
+        log.info("stopped", cut_off=cut_off)
+        if isinstance(failure, Exception):
+            raise failure
+        return cut_off
+
+    def _supervisor(self):
+        """Build the tree: the log's streams first, the users of their state after."""
+        root = Supervisor("node", self.clock)
+        streams = Supervisor("streams", self.clock)
+        for stream in self.streams:
+            stream.supervise(streams)
+        requests = Supervisor("requests", self.clock)
+        requests.add("dispatcher", self.dispatcher.run)
+        requests.add("load-poller", self._poller.run)
+        coordination = Supervisor("coordination", self.clock)
+        coordination.add("coordinator", self._coordinator.run)
+        coordination.add("placement", self._placement.run)
+        for part in (streams, coordination, requests):
+            root.add(part.name, part.run)
+        return root
+
+    def _server(self, application, address):
+        host, _, port = address.rpartition(":")
+        listener = open_listener(host.strip("[]"), int(port))
+        return EdgeServer(
+            application,
+            listener,
+            self.metrics,
+            head_bytes=self.settings.max_header_bytes,
+        )
+
+    async def _drain(self, edge):
+        """Stop taking requests, in the order that the balancer needs."""
+        self.view.leaving = True
+        log.info("leaving", active=self.dispatcher.active)
+        await asyncio.sleep(self.settings.balancer_wait_ms / 1000)
+        self.view.shutting_down = True
+        return await edge.stop(self.settings.drain_limit_ms)
+
+    async def _leave(self):
+        """Return grants and leases."""
+        try:
+            async with asyncio.timeout(LEAVE_LIMIT_MS / 1000):
+                reports = await call(self._dispatch_mailbox, ReturnGrants())
+                for report in reports:
+                    await self._coordinator.report(report)
+                await self._coordinator.leave()
+        except Exception as error:
+            # The stop goes on: what was not returned expires.
+            log.warning("leave_incomplete", error=repr(error))
+
+    async def _close(self):
+        await self._backends.close()
+        await self._peer_client.close()
+        await self._log.close()
+        await self._vm_list.close()
+        self._tracing.shutdown()
+
+
+def zone_burst(configuration, team, zone):
+    """Return a zone's share of a team's burst, in tokens."""
+    total = sum(each.weight for each in configuration.zones.values())
+    if zone not in configuration.zones or not total:
+        return 0
+    return team.burst_tokens * configuration.zones[zone].weight / total
