Add the follower and the appender

Cause: every VM folds the log's streams, and claims and leases count only once they are read back.

Change: the decisions are in stream_cursor and group_commit, the I/O is in follower and appender.

--- /dev/null
+++ b/cassiamount/appender.py
@@ -0,0 +1,213 @@
+"""Appends records to a stream and waits until the fold has read them back."""
+
+import asyncio
+import random
+
+import orjson
+import structlog
+
+from .errors import (
+    AppendLimitReached,
+    AppendOutcomeUnknown,
+    InvalidRecord,
+    OffsetTrimmed,
+    PlatformUnavailable,
+)
+from .group_commit import Entry, GroupCommit
+from .log_client import MAX_RECORD_BYTES
+from .records import encode_record
+
+# Longer than the time limit of one append, so that a lost answer can be settled.
+APPEND_LIMIT_MS = 4000
+SETTLE_RETRY_MS = 200
+SETTLE_READ_RECORDS = 500
+# The log's limit is shared by all VMs, so the repeats are spread over an interval.
+LIMIT_BACKOFF_MS = (50, 250)
+
+log = structlog.get_logger()
+
+
+class Appender:
+    """Task that appends to one stream, with at most one append in flight.
+
+    Parameters
+    ----------
+    follower : Follower
+        Follows the same stream; reads back the records.
+    log : LogClient
+    peers : object or None
+        Has ``async append(stream, values)``, which relays an append and raises
+        `PlatformUnavailable` only if the records are certainly not in the log and
+        will not reach it later, and ``async read_stream`` as in `Follower`.
+    rng : random.Random, optional
+    interval_ms : float
+        Least time between two appends. Records that arrive meanwhile share one.
+    sleep : callable
+        Coroutine function that waits a number of seconds.
+    """
+
+    def __init__(
+        self,
+        follower,
+        log,
+        peers=None,
+        rng=None,
+        interval_ms=0,
+        sleep=asyncio.sleep,
+    ):
+        self.stream = follower.stream
+        self._follower = follower
+        self._log = log
+        self._peers = peers
+        self._rng = random.Random() if rng is None else rng
+        self._interval_ms = interval_ms
+        self._sleep = sleep
+        self._group = GroupCommit(self.stream)
+        self._wake = asyncio.Event()
+        follower.add_listener(self._group.on_followed)
+
+    async def append(self, record, limit_ms=APPEND_LIMIT_MS):
+        """Append a record and wait until the fold has read it.
+
+        Parameters
+        ----------
+        record : Record
+            Its identifier must be new. After `AppendOutcomeUnknown` the record may
+            still appear in the stream at any time.
+        limit_ms : float
+
+        Returns
+        -------
+        int
+            Offset of the record.
+
+        Raises
+        ------
+        InvalidRecord
+            The record is too long or is not JSON.
+        PlatformUnavailable
+            The record is certainly not in the log and will not reach it.
+        AppendOutcomeUnknown
+            The record may be in the log or reach it later.
+        """
+        value = encode_record(record)
+        ended = asyncio.get_running_loop().create_future()
+
+        def on_end(outcome):
+            # The future is cancelled already if the time limit has just passed.
+            if not ended.done():
+                ended.set_result(outcome)
+
+        entry = Entry(record.id, value, encoded_size(value), on_end)
+        self._group.submit(entry)
+        self._wake.set()
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                outcome = await ended
+        except TimeoutError:
+            outcome = self._group.give_up(entry)
+        except asyncio.CancelledError:
+            self._group.give_up(entry)
+            raise
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
+
+    async def run(self):
+        """Send batches until cancelled."""
+        if self._group.in_flight is not None:
+            # An earlier run failed between sending and noting the result.
+            self._group.on_unknown()
+        while True:
+            if self._group.unsettled is not None:
+                await self._settle()
+            elif self._group.ready:
+                await self._send()
+                await self._sleep(self._interval_ms / 1000)
+            else:
+                self._wake.clear()
+                await self._wake.wait()
+
+    async def _send(self):
+        batch = self._group.take_batch(self._follower.cursor.read_offset)
+        try:
+            offsets = await self._append(batch.values)
+        except AppendLimitReached:
+            self._group.on_limit_reached()
+            await self._sleep(self._rng.uniform(*LIMIT_BACKOFF_MS) / 1000)
+        except PlatformUnavailable as error:
+            self._group.on_not_appended(error)
+        except AppendOutcomeUnknown as error:
+            log.warning("append_unknown", stream=self.stream, error=str(error))
+            self._group.on_unknown()
+        else:
+            if len(offsets) == len(batch.entries):
+                self._group.on_appended(offsets)
+            else:
+                self._group.on_unknown()
+
+    async def _append(self, values):
+        try:
+            return await self._log.append(self.stream, values)
+        except AppendLimitReached:
+            raise
+        except PlatformUnavailable:
+            if self._peers is None:
+                raise
+        return await self._peers.append(self.stream, values)
+
+    async def _settle(self):
+        """Read from where the batch can begin up to the head."""
+        batch = self._group.unsettled
+        ids = {entry.id for entry in batch.entries}
+        found = {}
+        offset = batch.from_offset
+        while True:
+            try:
+                page = await self._read(offset)
+            except OffsetTrimmed as error:
+                if self._group.unsettled is batch:
+                    self._group.on_unsettleable(error)
+                return
+            except PlatformUnavailable:
+                await self._sleep(SETTLE_RETRY_MS / 1000)
+                return
+            for record_offset, value in page.records:
+                id = value.get("id") if isinstance(value, dict) else None
+                if isinstance(id, str) and id in ids:
+                    found.setdefault(id, record_offset)
+            at_head = page.at_head(offset)
+            offset += len(page.records)
+            if at_head:
+                break
+            if not page.records:
+                await self._sleep(SETTLE_RETRY_MS / 1000)
+                return
+        # The callers may all have given up during the read.
+        if self._group.unsettled is batch:
+            self._group.on_settled(found)
+
+    async def _read(self, offset):
+        try:
+            return await self._log.read(self.stream, offset, SETTLE_READ_RECORDS, 0)
+        except PlatformUnavailable:
+            if self._peers is None:
+                raise
+        return await self._peers.read_stream(self.stream, offset, SETTLE_READ_RECORDS)
+
+
+def encoded_size(value):
+    """Return the length of a record's JSON in bytes.
+
+    Raises
+    ------
+    InvalidRecord
+        If it cannot be written or readers would not accept it.
+    """
+    try:
+        size_bytes = len(orjson.dumps(value))
+    except (TypeError, ValueError) as error:
+        raise InvalidRecord(f"the record is not JSON: {error}") from error
+    if size_bytes > MAX_RECORD_BYTES:
+        raise InvalidRecord(f"the record is longer than {MAX_RECORD_BYTES} bytes")
+    return size_bytes
--- /dev/null
+++ b/cassiamount/follower.py
@@ -0,0 +1,257 @@
+"""Reads a stream of the log into a fold, from the log itself or through peers."""
+
+import asyncio
+
+import structlog
+
+from .errors import OffsetTrimmed, PlatformUnavailable
+from .stream_cursor import StreamCursor
+
+READ_LIMIT_RECORDS = 500
+# Shorter than the second after which a VM counts as unable to reach the log, so that
+# a quiet stream does not look like an outage.
+LONG_POLL_MS = 700
+RETRY_MS = 200
+# While the log is down, peers are asked for snapshots at this interval; their states
+# change only if one of them reaches the log.
+SNAPSHOT_INTERVAL_MS = 2000
+
+log = structlog.get_logger()
+
+
+class Snapshot:
+    """The state of a fold as a peer holds it.
+
+    Parameters
+    ----------
+    covers_offset : int
+        Last offset that the state includes; -1 for an empty fold.
+    state : dict
+    """
+
+    __slots__ = ("covers_offset", "state")
+
+    def __init__(self, covers_offset, state):
+        self.covers_offset = covers_offset
+        self.state = state
+
+
+class Followed:
+    """Message to listeners: the fold has advanced, or a read reached the head.
+
+    Parameters
+    ----------
+    stream : str
+    changes : list of Change
+    next_offset : int
+        The fold's next offset after the changes.
+    reloaded : bool
+        Whether a checkpoint or snapshot was loaded before the changes, so that
+        records before them took effect without being listed.
+    at_head : bool
+        Whether the fold holds all records that the log held during the read.
+    """
+
+    __slots__ = ("stream", "changes", "next_offset", "reloaded", "at_head")
+
+    def __init__(self, stream, changes, next_offset, reloaded, at_head):
+        self.stream = stream
+        self.changes = changes
+        self.next_offset = next_offset
+        self.reloaded = reloaded
+        self.at_head = at_head
+
+
+class Freshness:
+    """How stale a fold is, on this VM's monotonic clock.
+
+    Parameters
+    ----------
+    now_ms : float
+        Time of the start; a fold that was never current is stale since then.
+    """
+
+    __slots__ = ("_since_ms", "log_reached_ms", "current")
+
+    def __init__(self, now_ms):
+        self._since_ms = now_ms
+        self.log_reached_ms = None
+        self.current = False
+
+    def on_log_answer(self, now_ms):
+        """Note a response of the log itself, not relayed by a peer."""
+        self.log_reached_ms = now_ms
+
+    def on_head(self, sent_ms):
+        """Note that a read which was sent at `sent_ms` reached the head."""
+        self._since_ms = max(self._since_ms, sent_ms)
+        self.current = True
+
+    def stale_ms(self, now_ms):
+        """Return for how long records may have been missed."""
+        return max(0.0, now_ms - self._since_ms)
+
+    def log_unreached_ms(self, now_ms):
+        """Return the time since the last response of the log itself."""
+        if self.log_reached_ms is None:
+            return float("inf")
+        return now_ms - self.log_reached_ms
+
+
+class Follower:
+    """Task that keeps a fold up to date.
+
+    The fold and the cursor live in this object, above the task: `run` can be
+    started again after a failure and goes on where it was.
+
+    Parameters
+    ----------
+    stream : str
+    fold : object
+        See `StreamCursor`.
+    log : LogClient
+    peers : object or None
+        Has ``async read_stream(stream, from_offset, limit)``, which returns a
+        `LogPage` that the peer has just read from the log, and ``async
+        snapshot(stream)``, which returns a `Snapshot`. Both raise
+        `PlatformUnavailable`, and the first one also `OffsetTrimmed`.
+    clock : SystemClock or ManualClock
+    on_change : callable
+        Gets each `Followed` message; must not block.
+    sleep : callable
+        Coroutine function that waits a number of seconds.
+    """
+
+    def __init__(
+        self, stream, fold, log, peers, clock, on_change=None, sleep=asyncio.sleep
+    ):
+        self.stream = stream
+        self.fold = fold
+        self.cursor = StreamCursor(stream, fold)
+        self.freshness = Freshness(clock.monotonic_ms())
+        self._log = log
+        self._peers = peers
+        self._clock = clock
+        self._listeners = [] if on_change is None else [on_change]
+        self._sleep = sleep
+        self._snapshot_due_ms = clock.monotonic_ms()
+        self._reachable = True
+
+    @property
+    def stale_ms(self):
+        """How long records may have been missed, in milliseconds."""
+        return self.freshness.stale_ms(self._clock.monotonic_ms())
+
+    @property
+    def log_unreached_ms(self):
+        """Time since the last response of the log itself, in milliseconds."""
+        return self.freshness.log_unreached_ms(self._clock.monotonic_ms())
+
+    def add_listener(self, listener):
+        """Also send each `Followed` message to `listener`."""
+        self._listeners.append(listener)
+
+    async def run(self):
+        """Follow the stream until cancelled."""
+        while True:
+            if not await self.step():
+                await self._sleep(RETRY_MS / 1000)
+
+    async def step(self):
+        """Read one page or load one snapshot.
+
+        Returns
+        -------
+        bool
+            False if nothing was gained and the next step should wait.
+        """
+        sent_ms = self._clock.monotonic_ms()
+        from_offset = self.cursor.read_offset
+        try:
+            page = await self._read(from_offset)
+        except OffsetTrimmed as error:
+            self._note_log(True)
+            return self.cursor.on_trimmed(error.earliest)
+        except PlatformUnavailable as error:
+            self._note_log(False, error)
+            return await self._step_without_log(from_offset)
+        self._note_log(True)
+        return await self._take(page, from_offset, sent_ms)
+
+    async def _read(self, from_offset):
+        try:
+            page = await self._log.read(
+                self.stream, from_offset, READ_LIMIT_RECORDS, LONG_POLL_MS
+            )
+        except OffsetTrimmed:
+            self.freshness.on_log_answer(self._clock.monotonic_ms())
+            raise
+        self.freshness.on_log_answer(self._clock.monotonic_ms())
+        return page
+
+    async def _step_without_log(self, from_offset):
+        if self._peers is None:
+            return False
+        sent_ms = self._clock.monotonic_ms()
+        try:
+            page = await self._peers.read_stream(
+                self.stream, from_offset, READ_LIMIT_RECORDS
+            )
+        except OffsetTrimmed as error:
+            return self.cursor.on_trimmed(error.earliest)
+        except PlatformUnavailable:
+            return await self._load_snapshot()
+        progress = await self._take(page, from_offset, sent_ms)
+        # A peer answers at once, so reading on at the head must wait.
+        return progress and not page.at_head(from_offset)
+
+    async def _take(self, page, from_offset, sent_ms):
+        was_searching = self.cursor.searching
+        changes = self.cursor.on_records(page.records)
+        reloaded = was_searching and not self.cursor.searching
+        progress = self.cursor.read_offset > from_offset
+        at_head = not self.cursor.searching and page.at_head(from_offset)
+        at_head = at_head and self.fold.next_offset >= page.next_offset
+        if at_head:
+            self.freshness.on_head(sent_ms)
+        if changes or reloaded or at_head:
+            self._notify(changes, reloaded, at_head)
+        if self.cursor.searching and page.at_head(from_offset):
+            # The log holds no usable checkpoint yet.
+            return await self._load_snapshot() or progress
+        # A log that does not wait at the head must not be read in a tight loop.
+        waited_ms = self._clock.monotonic_ms() - sent_ms
+        return progress or (at_head and waited_ms >= LONG_POLL_MS / 2)
+
+    async def _load_snapshot(self):
+        """Load the state of a peer; return whether that advanced the fold."""
+        now_ms = self._clock.monotonic_ms()
+        if self._peers is None or now_ms < self._snapshot_due_ms:
+            return False
+        self._snapshot_due_ms = now_ms + SNAPSHOT_INTERVAL_MS
+        try:
+            snapshot = await self._peers.snapshot(self.stream)
+        except PlatformUnavailable:
+            return False
+        changes = self.cursor.on_snapshot(snapshot.covers_offset, snapshot.state)
+        if changes is None:
+            return False
+        self._notify(changes, reloaded=True, at_head=False)
+        return True
+
+    def _notify(self, changes, reloaded, at_head):
+        message = Followed(
+            self.stream, changes, self.fold.next_offset, reloaded, at_head
+        )
+        for listener in self._listeners:
+            listener(message)
+
+    def _note_log(self, reachable, error=None):
+        """Log when the log service becomes unreachable or reachable again."""
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        if reachable:
+            log.info("log_reachable", stream=self.stream)
+        else:
+            log.warning("log_unreachable", stream=self.stream, error=str(error))
--- /dev/null
+++ b/cassiamount/group_commit.py
@@ -0,0 +1,273 @@
+"""Decisions of an appender: what to send, and what became of each record."""
+
+from collections import deque
+
+from .errors import AppendOutcomeUnknown, PlatformUnavailable
+
+MAX_BATCH_RECORDS = 500
+MAX_BATCH_BYTES = 1024 * 1024
+
+PENDING = "pending"
+SENT = "sent"
+# The log has the record; the fold has not read it yet.
+STORED = "stored"
+ENDED = "ended"
+
+
+class Entry:
+    """One record on its way into the log.
+
+    Parameters
+    ----------
+    id : str
+        Identifier of the record.
+    value : object
+        JSON value of the record.
+    size_bytes : int
+    on_end : callable
+        Called once with the offset, or with the exception to raise.
+    """
+
+    __slots__ = ("id", "value", "size_bytes", "on_end", "state", "maybe_sent", "offset")
+
+    def __init__(self, id, value, size_bytes, on_end):
+        self.id = id
+        self.value = value
+        self.size_bytes = size_bytes
+        self.on_end = on_end
+        self.state = PENDING
+        self.maybe_sent = False
+        self.offset = None
+
+    def end(self, outcome):
+        """Report the outcome to the caller, once."""
+        if self.state != ENDED:
+            self.state = ENDED
+            self.on_end(outcome)
+
+
+class Batch:
+    """Records that are sent in one append.
+
+    Parameters
+    ----------
+    entries : list of Entry
+    from_offset : int
+        No record of the batch can be in the stream before this offset.
+    """
+
+    __slots__ = ("entries", "from_offset")
+
+    def __init__(self, entries, from_offset):
+        self.entries = entries
+        self.from_offset = from_offset
+
+    @property
+    def values(self):
+        """The records' JSON values."""
+        return [entry.value for entry in self.entries]
+
+    @property
+    def awaited(self):
+        """Whether a caller still waits for one of the records."""
+        return any(entry.state != ENDED for entry in self.entries)
+
+
+class GroupCommit:
+    """Batches the appends to one stream, with one append in flight at a time.
+
+    A record whose append was lost stays in `unsettled` until a read shows whether
+    the log has it. It is sent again, under the same identifier, only if it does not.
+
+    Parameters
+    ----------
+    stream : str
+    """
+
+    __slots__ = (
+        "stream",
+        "in_flight",
+        "unsettled",
+        "_pending",
+        "_entries",
+        "_loaded_below",
+    )
+
+    def __init__(self, stream):
+        self.stream = stream
+        self.in_flight = None
+        self.unsettled = None
+        self._pending = deque()
+        # All records that have not ended, by identifier.
+        self._entries = {}
+        # Records before this offset took effect through a loaded state.
+        self._loaded_below = 0
+
+    def __len__(self):
+        return len(self._entries)
+
+    def submit(self, entry):
+        """Queue a record.
+
+        Raises
+        ------
+        ValueError
+            If a record with this identifier is on its way.
+        """
+        if entry.id in self._entries:
+            raise ValueError(f"record {entry.id} is already being appended")
+        self._entries[entry.id] = entry
+        self._pending.append(entry)
+
+    @property
+    def ready(self):
+        """Whether a batch can be taken."""
+        return bool(self._pending) and self.in_flight is None and self.unsettled is None
+
+    def take_batch(self, next_offset):
+        """Return the next batch, or None while another one is on its way.
+
+        Parameters
+        ----------
+        next_offset : int
+            The fold's next offset; new records cannot get a smaller one.
+        """
+        if not self.ready:
+            return None
+        entries = []
+        size_bytes = 0
+        while self._pending and len(entries) < MAX_BATCH_RECORDS:
+            size_bytes += self._pending[0].size_bytes
+            if entries and size_bytes > MAX_BATCH_BYTES:
+                break
+            entries.append(self._pending.popleft())
+        for entry in entries:
+            entry.state = SENT
+        self.in_flight = Batch(entries, next_offset)
+        return self.in_flight
+
+    def on_appended(self, offsets):
+        """The append in flight succeeded; the fold will read the records."""
+        batch, self.in_flight = self.in_flight, None
+        for entry, offset in zip(batch.entries, offsets, strict=True):
+            self._store(entry, offset)
+
+    def on_not_appended(self, error):
+        """The append in flight certainly did not take effect.
+
+        Records that an earlier attempt may have put into the log end as unknown.
+        """
+        batch, self.in_flight = self.in_flight, None
+        self._requeue(batch.entries)
+        for entry in batch.entries:
+            if entry.state == PENDING:
+                self._pending.remove(entry)
+                self._end(entry, self._failure(entry, error))
+
+    def on_limit_reached(self):
+        """The log refused the append in flight for now; it goes first next time."""
+        batch, self.in_flight = self.in_flight, None
+        self._requeue(batch.entries)
+
+    def on_unknown(self):
+        """The answer to the append in flight was lost."""
+        batch, self.in_flight = self.in_flight, None
+        for entry in batch.entries:
+            entry.maybe_sent = True
+        if batch.awaited:
+            self.unsettled = batch
+
+    def on_settled(self, offsets_by_id):
+        """A read up to the head showed which unsettled records the log has.
+
+        Parameters
+        ----------
+        offsets_by_id : dict of str to int
+            Offsets of the first records with these identifiers.
+        """
+        batch, self.unsettled = self.unsettled, None
+        absent = []
+        for entry in batch.entries:
+            if entry.id in offsets_by_id:
+                self._store(entry, offsets_by_id[entry.id])
+            else:
+                absent.append(entry)
+        self._requeue(absent)
+
+    def on_unsettleable(self, error):
+        """The records that would settle the batch are no longer in the log."""
+        batch, self.unsettled = self.unsettled, None
+        for entry in batch.entries:
+            self._end(entry, AppendOutcomeUnknown(str(error)))
+
+    def on_followed(self, followed):
+        """The fold has advanced; end the records that it has read.
+
+        The first record with an identifier counts, because folds ignore repeats.
+        """
+        for change in followed.changes:
+            if change.record is None:
+                continue
+            entry = self._entries.get(change.record.id)
+            if entry is not None and entry.state != PENDING:
+                self._end(entry, change.offset)
+            elif entry is not None and entry.maybe_sent:
+                # It was to be sent again, but the first copy has arrived after all.
+                self._pending.remove(entry)
+                self._end(entry, change.offset)
+        if followed.reloaded:
+            changes = followed.changes
+            self._loaded_below = changes[0].offset if changes else followed.next_offset
+        passed = [
+            entry
+            for entry in self._entries.values()
+            if entry.state == STORED and entry.offset < followed.next_offset
+        ]
+        for entry in passed:
+            if entry.offset < self._loaded_below:
+                # The checkpoint or snapshot that was loaded includes the record.
+                self._end(entry, entry.offset)
+            else:
+                lost = f"offset {entry.offset} does not hold record {entry.id}"
+                self._end(entry, AppendOutcomeUnknown(lost))
+        self._drop_unawaited()
+
+    def give_up(self, entry):
+        """The caller waits no longer.
+
+        Returns
+        -------
+        PlatformUnavailable or AppendOutcomeUnknown
+        """
+        error = self._failure(entry, "the append took too long")
+        if entry.state == PENDING:
+            self._pending.remove(entry)
+        self._entries.pop(entry.id, None)
+        entry.state = ENDED
+        self._drop_unawaited()
+        return error
+
+    def _drop_unawaited(self):
+        """Stop settling a batch when no caller waits for it any more."""
+        if self.unsettled is not None and not self.unsettled.awaited:
+            self.unsettled = None
+
+    def _failure(self, entry, reason):
+        if entry.maybe_sent or entry.state != PENDING:
+            return AppendOutcomeUnknown(f"stream {self.stream}: {reason}")
+        return PlatformUnavailable(f"stream {self.stream}: {reason}")
+
+    def _store(self, entry, offset):
+        if entry.state != ENDED:
+            entry.state = STORED
+            entry.offset = offset
+
+    def _end(self, entry, outcome):
+        self._entries.pop(entry.id, None)
+        entry.end(outcome)
+
+    def _requeue(self, entries):
+        for entry in reversed(entries):
+            if entry.state != ENDED:
+                entry.state = PENDING
+                self._pending.appendleft(entry)
--- /dev/null
+++ b/tests/test_group_commit.py
@@ -0,0 +1,150 @@
+"""Tests of the appender's decisions, without I/O."""
+
+import pytest
+
+from cassiamount.errors import AppendOutcomeUnknown, PlatformUnavailable
+from cassiamount.follower import Followed
+from cassiamount.group_commit import MAX_BATCH_BYTES, Entry, GroupCommit
+from cassiamount.records import WithdrawKey
+from cassiamount.stream_cursor import Change
+
+
+class Outcomes(dict):
+    def entry(self, id, size_bytes=10):
+        def on_end(outcome):
+            assert id not in self, "an outcome was reported twice"
+            self[id] = outcome
+
+        return Entry(id, {"id": id}, size_bytes, on_end)
+
+
+def group_with(*ids, size_bytes=10):
+    group, outcomes = GroupCommit("s"), Outcomes()
+    for id in ids:
+        group.submit(outcomes.entry(id, size_bytes))
+    return group, outcomes
+
+
+def followed(*offset_ids, next_offset=None, reloaded=False):
+    changes = [
+        Change(offset, id and WithdrawKey(id, "vm", "h"), None)
+        for offset, id in offset_ids
+    ]
+    end = changes[-1].offset + 1 if next_offset is None else next_offset
+    return Followed("s", changes, end, reloaded, False)
+
+
+def test_one_append_in_flight():
+    """Guards against two appends at a time, also while one is unsettled."""
+    group, outcomes = group_with("a", "b")
+    assert group.take_batch(0).values == [{"id": "a"}, {"id": "b"}]
+    group.submit(outcomes.entry("c"))
+    assert group.take_batch(0) is None
+    group.on_unknown()
+    assert group.take_batch(0) is None
+    group.on_settled({"a": 0})
+    assert group.take_batch(0).values == [{"id": "b"}, {"id": "c"}]
+    with pytest.raises(ValueError):
+        group.submit(outcomes.entry("c"))
+
+
+def test_batches_are_limited_in_size():
+    """Guards against an append that exceeds the request limit, and against a large
+    record that blocks the queue."""
+    group, _ = group_with("a", "b", "c", size_bytes=MAX_BATCH_BYTES + 1)
+    assert len(group.take_batch(0).entries) == 1
+
+
+def test_success_counts_only_once_read_back():
+    """Guards against a claim that counts as won before the fold has decided."""
+    group, outcomes = group_with("a", "b")
+    group.take_batch(0)
+    group.on_appended([4, 5])
+    assert outcomes == {}
+    group.on_followed(followed((3, "x"), (4, "a")))
+    assert outcomes == {"a": 4}
+    group.on_followed(followed((5, None)))
+    assert isinstance(outcomes["b"], AppendOutcomeUnknown)
+
+
+def test_first_copy_in_the_log_counts():
+    """Guards against waiting for a repeat that the fold ignores."""
+    group, outcomes = group_with("a")
+    group.take_batch(0)
+    group.on_unknown()
+    group.on_settled({})
+    group.on_followed(followed((7, "a")))
+    assert outcomes == {"a": 7} and not group.ready
+
+
+@pytest.mark.parametrize(
+    ("events", "error"),
+    [
+        (["not_appended"], PlatformUnavailable),
+        (["limit", "not_appended"], PlatformUnavailable),
+        # The first attempt may still arrive, whatever happens to the second one.
+        (["unknown", "absent", "not_appended"], AppendOutcomeUnknown),
+        (["unknown", "absent", "limit", "not_appended"], AppendOutcomeUnknown),
+        (["unknown", "trimmed"], AppendOutcomeUnknown),
+        (["give_up"], AppendOutcomeUnknown),
+        (["unknown", "give_up"], AppendOutcomeUnknown),
+        (["unknown", "absent", "give_up"], AppendOutcomeUnknown),
+        (["appended", "give_up"], AppendOutcomeUnknown),
+        (["limit", "requeued_give_up"], PlatformUnavailable),
+    ],
+)
+def test_unavailable_is_said_only_of_records_that_cannot_arrive(events, error):
+    """Guards against "certainly not in the log" about a record that may be."""
+    outcomes, group = Outcomes(), GroupCommit("s")
+    entry = outcomes.entry("a")
+    group.submit(entry)
+    group.take_batch(0)
+    given_up = None
+    for event in events:
+        if group.in_flight is None and event in ("not_appended", "limit"):
+            group.take_batch(0)
+        match event:
+            case "not_appended":
+                group.on_not_appended("outage")
+            case "limit":
+                group.on_limit_reached()
+            case "unknown":
+                group.on_unknown()
+            case "absent":
+                group.on_settled({})
+            case "trimmed":
+                group.on_unsettleable("trimmed")
+            case "appended":
+                group.on_appended([3])
+            case _:
+                given_up = group.give_up(entry)
+    assert type(given_up or outcomes["a"]) is error
+    assert len(group) == 0 and not group.ready and group.unsettled is None
+
+
+def test_record_that_was_given_up_is_not_sent_again():
+    """Guards against a record that appears after its caller reported its loss."""
+    group, outcomes = group_with("a")
+    other = outcomes.entry("b")
+    group.submit(other)
+    group.take_batch(0)
+    group.on_unknown()
+    group.give_up(other)
+    group.on_settled({})
+    assert group.take_batch(0).values == [{"id": "a"}]
+
+
+@pytest.mark.parametrize(("offset", "included"), [(4, True), (5, True), (6, False)])
+def test_loaded_state_includes_records_before_it(offset, included):
+    """Guards against a caller that waits for a record inside a checkpoint, and
+    against success for one that the state does not cover."""
+    for stored_first in (True, False):
+        group, outcomes = group_with("a")
+        group.take_batch(0)
+        if stored_first:
+            group.on_appended([offset])
+        group.on_followed(followed((6, None), reloaded=True))
+        if not stored_first:
+            group.on_appended([offset])
+            group.on_followed(followed(next_offset=7))
+        assert (outcomes["a"] == offset) is included
