--- a/cassiamount/follower.py
+++ b/cassiamount/follower.py
@@ -120,10 +120,21 @@
         Gets each `Followed` message; must not block.
     sleep : callable
         Coroutine function that waits a number of seconds.
+    long_poll_ms : float
+        Time for which the log may hold a read at the head. New records end the
+        wait, so a longer one only makes `stale_ms` and `log_unreached_ms` coarser.
     """
 
     def __init__(
-        self, stream, fold, log, peers, clock, on_change=None, sleep=asyncio.sleep
+        self,
+        stream,
+        fold,
+        log,
+        peers,
+        clock,
+        on_change=None,
+        sleep=asyncio.sleep,
+        long_poll_ms=LONG_POLL_MS,
     ):
         self.stream = stream
         self.fold = fold
@@ -134,6 +145,7 @@
         self._clock = clock
         self._listeners = [] if on_change is None else [on_change]
         self._sleep = sleep
+        self._long_poll_ms = long_poll_ms
         self._snapshot_due_ms = clock.monotonic_ms()
         self._reachable = True
 
@@ -181,7 +193,7 @@
     async def _read(self, from_offset):
         try:
             page = await self._log.read(
-                self.stream, from_offset, READ_LIMIT_RECORDS, LONG_POLL_MS
+                self.stream, from_offset, READ_LIMIT_RECORDS, self._long_poll_ms
             )
         except OffsetTrimmed:
             self.freshness.on_log_answer(self._clock.monotonic_ms())
@@ -207,6 +219,7 @@
 
     async def _take(self, page, from_offset, sent_ms):
         was_searching = self.cursor.searching
+        self.cursor.earliest = max(self.cursor.earliest, page.earliest)
         changes = self.cursor.on_records(page.records)
         reloaded = was_searching and not self.cursor.searching
         progress = self.cursor.read_offset > from_offset
@@ -221,7 +234,7 @@
             return await self._load_snapshot() or progress
         # A log that does not wait at the head must not be read in a tight loop.
         waited_ms = self._clock.monotonic_ms() - sent_ms
-        return progress or (at_head and waited_ms >= LONG_POLL_MS / 2)
+        return progress or (at_head and waited_ms >= self._long_poll_ms / 2)
 
     async def _load_snapshot(self):
         """Load the state of a peer; return whether that advanced the fold."""
--- a/cassiamount/stream_cursor.py
+++ b/cassiamount/stream_cursor.py
@@ -75,6 +75,8 @@
         self.fold = fold
         self.bad_records = deque(maxlen=BAD_RECORDS_KEPT)
         self.bad_record_count = 0
+        # First offset that the log held at the last read.
+        self.earliest = 0
         self._search_offset = None
         self._buffer = []
 
@@ -98,6 +100,7 @@
         bool
             False if the log holds the next record after all.
         """
+        self.earliest = earliest
         if earliest <= self.read_offset:
             return False
         log.warning(
--- a/standins/generation.py
+++ b/standins/generation.py
@@ -22,7 +22,12 @@
             for message in body["messages"]
         )
     prompt = body["prompt"]
-    return prompt if isinstance(prompt, str) else "\n".join(prompt)
+    if isinstance(prompt, str):
+        return prompt
+    if all(isinstance(item, int) for item in prompt):
+        # Token numbers; each one counts as at least one token.
+        return " ".join(f"{item:>{BYTES_PER_TOKEN}}" for item in prompt)
+    return "\n".join(prompt)
 
 
 def content_text(content):
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -40,6 +40,7 @@
     assert follower.fold.ids == ["s", "f"]
     assert [message.reloaded for message in messages] == [False, True]
     assert messages[-1].at_head
+    assert follower.cursor.earliest == 5
 
 
 async def test_without_a_checkpoint_asks_peers_and_else_waits():
