--- a/cassiamount/cli.py
+++ b/cassiamount/cli.py
@@ -26,7 +26,8 @@
 from .configuration import parse_configuration
 from .document_diff import diff_documents
 from .findings import read_json
-from .operator_api import InvalidDocument, LostRace, read_status
+from .keys import hash_key, is_key_hash
+from .operator_api import InvalidDocument, LostRace, read_status, withdraw_on_vms
 from .settings import parse_settings
 from .status import UnreachableVm
 
@@ -242,15 +243,20 @@
 
 @key_app.command
 def withdraw(
-    key: str,
+    key: Annotated[str, Parameter(allow_leading_hyphen=True)],
     /,
     *,
     log_address: LogAddress,
+    admin_address: AdminAddresses = (),
     operator: Operator = "operator",
     as_json: AsJson = False,
 ):
     """Withdraw a key for good.
 
+    With admin addresses, these VMs refuse the key at once, even in a log outage. Such
+    a withdrawal ends with the VM's process, so repeat the command when the log is
+    back.
+
     Parameters
     ----------
     key
@@ -259,12 +265,24 @@
         the arguments.
     """
     output = Output(as_json)
+    key_hash = key if is_key_hash(key) else None
     if key == "-":
-        key = sys.stdin.readline().strip()
-    elif not key.startswith("sha256:"):
+        key_hash = hash_key(sys.stdin.readline().strip())
+    if key_hash is None:
         output.error("bad_key", "give the key's hash, or - and the key on stdin")
         return EXIT_FAILURE
-    return change(lambda api: api.withdraw_key(key), log_address, operator, output)
+    exit_status = EXIT_OK
+    if admin_address:
+        answers = asyncio.run(withdraw_on_vms(admin_address, key_hash))
+        missed = [item for item in answers if isinstance(item, UnreachableVm)]
+        output.note(f"withdrawn directly on {len(answers) - len(missed)} VMs")
+        for item in missed:
+            exit_status = EXIT_FAILURE
+            output.note(f"not reached: {item.address}: {item.reason}")
+    changed = change(
+        lambda api: api.withdraw_key(key_hash), log_address, operator, output
+    )
+    return changed or exit_status
 
 
 @app.command
--- a/cassiamount/cli_output.py
+++ b/cassiamount/cli_output.py
@@ -47,6 +47,10 @@
             if table.row_count:
                 self._console.print(table, soft_wrap=False)
 
+    def note(self, message):
+        """Write a line for people to standard error."""
+        self._print(self._errors, message)
+
     def error(self, code, message, details=(), **fields):
         """Write an error.
 
--- a/cassiamount/configuration_checks.py
+++ b/cassiamount/configuration_checks.py
@@ -1,13 +1,20 @@
 """Whole check of a configuration document: schema, templates, cross-references."""
 
+from functools import lru_cache
+
+import orjson
+
 from .findings import Problem, value_problems
 from .packing import can_pack
 from .schema_checks import load_schema, schema_problems, schema_validator
 from .templates import fill, parameter_problems, template_problems
 
+# Items whose schema check is remembered. A publish changes few of the some thousand
+# items; checking them all again holds up a VM's event loop for half a second at the
+# size of two years.
+ITEMS_REMEMBERED = 8_192
+
 _SCHEMA = load_schema("configuration.json")
-_DOCUMENT = schema_validator(_SCHEMA)
-_TEAM = schema_validator(_SCHEMA, "team")
 _SECTIONS = (
     "zones",
     "models",
@@ -17,6 +24,22 @@
     "templates",
     "teams",
 )
+_ITEMS = {
+    section: schema_validator(
+        {**_SCHEMA["properties"][section]["items"], "$defs": _SCHEMA["$defs"]}
+    )
+    for section in _SECTIONS
+}
+_ITEMS["filled team"] = schema_validator(_SCHEMA, "team")
+_DOCUMENT = schema_validator(
+    {
+        **_SCHEMA,
+        "properties": {
+            **_SCHEMA["properties"],
+            **{section: {"type": "array"} for section in _SECTIONS},
+        },
+    }
+)
 
 
 def check_document(document):
@@ -39,11 +62,27 @@
     problems = schema_problems(_DOCUMENT, document)
     if not isinstance(document, dict):
         return problems, []
+    for section in _SECTIONS:
+        items = document.get(section)
+        for index, item in enumerate(items if isinstance(items, list) else ()):
+            problems.extend(_item_problems(section, item, (section, index)))
     check = _DocumentCheck(document, problems)
     check.run()
     return check.problems, [team.fields for team in check.teams]
 
 
+def _item_problems(validator, item, path):
+    return [
+        Problem(path + problem.path, problem.message, problem.at_key)
+        for problem in _remembered_problems(validator, orjson.dumps(item))
+    ]
+
+
+@lru_cache(ITEMS_REMEMBERED)
+def _remembered_problems(validator, text):
+    return schema_problems(_ITEMS[validator], orjson.loads(text))
+
+
 class _CheckedTeam:
     """A team with its template filled, and where its fields come from."""
 
@@ -152,7 +191,7 @@
         fields = {**filled.value, "name": item["name"]}
         found = [
             Problem(filled.source(problem.path), problem.message, problem.at_key)
-            for problem in schema_problems(_TEAM, fields)
+            for problem in _item_problems("filled team", fields, ())
         ]
         self.problems.extend(found)
         if not found:
--- a/cassiamount/operator_api.py
+++ b/cassiamount/operator_api.py
@@ -1,11 +1,10 @@
 """What operators do, as an asynchronous API that other programs can embed."""
 
-import asyncio
 import uuid
 
-import aiohttp
 from result import Err, Ok
 
+from .admin_client import read_status, withdraw_on_vms
 from .config_state import ConfigState
 from .configuration import InvalidConfiguration, configuration_from_document
 from .folds import Rejected
@@ -18,11 +17,21 @@
     UndrainBackend,
     WithdrawKey,
 )
-from .status import UnreachableVm, VmStatus
 from .stream_reader import StreamReader
 
 CONFIG_STREAM = "config"
-STATUS_TIMEOUT_S = 3.0
+
+__all__ = [
+    "Done",
+    "GivenKeyOnce",
+    "InvalidDocument",
+    "LostRace",
+    "OperatorApi",
+    "Published",
+    "Refused",
+    "read_status",
+    "withdraw_on_vms",
+]
 
 
 class Published:
@@ -259,39 +268,5 @@
         return Ok(Done(result.offset))
 
 
-async def read_status(admin_addresses, timeout_s=STATUS_TIMEOUT_S):
-    """Read ``/status`` of several daemons at once.
-
-    Parameters
-    ----------
-    admin_addresses : iterable of str
-        ``IP:port``.
-    timeout_s : float
-
-    Returns
-    -------
-    list of (VmStatus or UnreachableVm)
-        In the order of the addresses.
-    """
-    timeout = aiohttp.ClientTimeout(total=timeout_s)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
-        reads = [_read_one(session, address) for address in admin_addresses]
-        return await asyncio.gather(*reads)
-
-
-async def _read_one(session, address):
-    try:
-        async with session.get(f"http://{address}/status") as response:
-            if response.status != 200:
-                return UnreachableVm(address, f"HTTP status {response.status}")
-            return VmStatus.from_json(await response.json(content_type=None))
-    except TimeoutError:
-        return UnreachableVm(address, "no answer in time")
-    except aiohttp.ClientConnectorError as error:
-        return UnreachableVm(address, error.os_error.strerror or "no connection")
-    except (aiohttp.ClientError, ValueError, OSError) as error:
-        return UnreachableVm(address, str(error) or type(error).__name__)
-
-
 def _new_id():
     return uuid.uuid4().hex
