--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,363 @@
+"""State machine of claimed calls on several VMs with a failing log and backend."""
+
+import asyncio
+import random
+import selectors
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from cassiamount.backend_client import AttemptBroken, NotAccepted
+from cassiamount.claim_service import ClaimService, Partition
+from cassiamount.claim_state import ClaimState
+from cassiamount.claims import ClaimTable
+from cassiamount.errors import AppendOutcomeUnknown, PlatformUnavailable
+from cassiamount.jobs import ServiceJob
+from cassiamount.metrics import Metrics
+from cassiamount.relay import Relay
+from cassiamount.requests import Dispatch, Refusal, Ticket
+from cassiamount.service_calls import ServiceCalls
+from cassiamount.tracing import NO_TRACE
+
+VMS = st.integers(0, 2)
+
+
+class VirtualSelector(selectors.SelectSelector):
+    """Advances the loop's time where a real selector would wait."""
+
+    now_s = 0.0
+
+    def select(self, timeout=None):
+        self.now_s += timeout or 0.0
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose timers need no real time."""
+
+    def __init__(self):
+        self.virtual = VirtualSelector()
+        super().__init__(self.virtual)
+
+    def time(self):
+        return self.virtual.now_s
+
+
+class LoopClock:
+    def __init__(self, loop):
+        self.loop = loop
+
+    def monotonic_ms(self):
+        return self.loop.time() * 1000
+
+    def wall_ms(self):
+        return 1_700_000_000_000 + int(self.loop.time() * 1000)
+
+
+class Log:
+    """The shared log; appends can fail before or after they take effect."""
+
+    def __init__(self):
+        self.records = []
+        self.up = True
+        self.late = []
+
+
+class FakeAppender:
+    """Appends, then waits until this VM's follower has read the record."""
+
+    def __init__(self, log, state):
+        self.log = log
+        self.state = state
+        self.modes = []
+        self.waiting = []
+
+    async def append(self, record):
+        if not self.log.up:
+            raise PlatformUnavailable("log")
+        mode = self.modes.pop() if self.modes else "ok"
+        if mode == "lost":
+            raise PlatformUnavailable("log")
+        if mode == "unknown-late":
+            self.log.late.append(record)
+        else:
+            self.log.records.append(record)
+        if mode != "ok":
+            raise AppendOutcomeUnknown("log")
+        offset = len(self.log.records) - 1
+        read = asyncio.get_running_loop().create_future()
+        self.waiting.append((offset, read))
+        await read
+        return offset
+
+
+class Answered:
+    """A backend server's whole response."""
+
+    status = 200
+    headers = {"Content-Type": "text/plain"}
+    content_type = "text/plain"
+    delimited = True
+
+    def __init__(self, body):
+        self.parts = [body, b""]
+
+    async def chunk(self):
+        return self.parts.pop(0)
+
+    def release(self):
+        pass
+
+    def close(self):
+        pass
+
+
+class World:
+    """What is outside the VMs: who ran what, and who was told what."""
+
+    def __init__(self):
+        self.sends = []
+        self.runs = {}
+        self.told = []
+        self.gone = set()
+
+
+class FakeCaller:
+    def __init__(self, world, call):
+        self.world = world
+        self.call = call
+
+    async def refuse(self, refusal, param=None):
+        self.world.told.append((self.call, refusal))
+
+    async def respond(self, status, headers, body):
+        replayed = (b"idempotent-replayed", b"true") in headers
+        self.world.told.append((self.call, (status, body, replayed)))
+
+
+class Call:
+    def __init__(self, key, body, request_id):
+        self.key = key
+        self.body = body
+        self.request_id = request_id
+
+
+class Vm:
+    """One VM: dispatcher, backend client and claims, with everything else real."""
+
+    def __init__(self, world, log, loop, number, incarnation):
+        self.world, self.name = world, f"vm-{number}@{incarnation}"
+        self.state = ClaimState()
+        self.appender = FakeAppender(log, self.state)
+        self.open = set()
+        clock, metrics = LoopClock(loop), Metrics()
+        partition = Partition(self.state, self.appender)
+        self.service = ClaimService(
+            ClaimTable(self.name, world.gone.__contains__),
+            lambda team, key: partition,
+            clock,
+            metrics,
+        )
+        self.relay = Relay(self, self, clock, metrics, random.Random(1))
+        self.calls = ServiceCalls(self, self.service)
+        self.tasks = []
+
+    def running(self):
+        """Return this VM's tasks."""
+        return {*self.tasks, *self.relay._background, *self.service._background}
+
+    def follow(self, log, count):
+        """Read up to `count` records of the log."""
+        for offset in range(self.state.next_offset, len(log.records))[:count]:
+            self.state.apply(offset, log.records[offset])
+        for offset, read in self.appender.waiting:
+            if offset < self.state.next_offset and not read.done():
+                read.set_result(None)
+        self.service.state_changed()
+
+    async def call(self, call):
+        now_ms = self.service._clock.monotonic_ms()
+        ticket = Ticket(
+            call.request_id,
+            "t",
+            service="s",
+            deadline_ms=now_ms + 30_000,
+            idempotent=False,
+        )
+        job = ServiceJob(
+            ticket,
+            "POST",
+            "/orders",
+            [],
+            call.body,
+            b"",
+            lambda: None,
+            NO_TRACE,
+            now_ms + 60_000,
+        )
+        arrival = type("Arrival", (), {})()
+        arrival.request_id, arrival.caller = (
+            call.request_id,
+            FakeCaller(self.world, call),
+        )
+        await self.calls._claimed(job, arrival, call.key)
+
+    async def submit(self, ticket):
+        await asyncio.sleep(0)
+        return self._dispatch(ticket, 1)
+
+    async def retry(self, ticket, attempt, failed_backend):
+        return self._dispatch(ticket, attempt)
+
+    def _dispatch(self, ticket, attempt):
+        if not self.open and attempt > 2:
+            return Refusal(503, "not_run", "none")
+        assert ticket.request_id not in self.open
+        self.open.add(ticket.request_id)
+        return Dispatch(ticket, "b", "a", attempt)
+
+    async def ended(self, attempt_ended):
+        self.open.remove(attempt_ended.request_id)
+
+    async def send(self, *arguments, once):
+        """Stand in for `BackendClient.send`; a rule decides what comes of it."""
+        assert once
+        answer = asyncio.get_running_loop().create_future()
+        self.world.sends.append((arguments[5], arguments[4], answer))
+        return await answer
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Callers repeat calls at any VM while log, VMs and backend server fail."""
+
+    @initialize()
+    def start(self):
+        self.loop = VirtualLoop()
+        self.world, self.log = World(), Log()
+        self.vms = [Vm(self.world, self.log, self.loop, n, 0) for n in range(3)]
+        self.calls, self.incarnation = [], 0
+
+    def spin(self, seconds=0.001):
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    @rule(vm=VMS, key=st.sampled_from("kl"), body=st.sampled_from([b"1", b"1", b"2"]))
+    def call(self, vm, key, body):
+        call = Call(key, body, f"r{len(self.calls)}")
+        self.calls.append(call)
+        task = self.loop.create_task(self.vms[vm].call(call))
+        self.vms[vm].tasks.append(task)
+        self.spin()
+
+    @rule(vm=VMS, count=st.integers(1, 5))
+    def follow(self, vm, count):
+        self.vms[vm].follow(self.log, count)
+        self.spin()
+
+    @rule(
+        index=st.integers(0, 3),
+        outcome=st.sampled_from(["ok", "ok", "refused", "lost", "never-arrived"]),
+    )
+    def backend_answers(self, index, outcome):
+        if index >= len(self.world.sends):
+            return
+        request_id, body, answer = self.world.sends.pop(index)
+        if outcome in ("ok", "lost"):
+            self.world.runs[request_id] = self.world.runs.get(request_id, 0) + 1
+        if not answer.done():
+            if outcome == "ok":
+                answer.set_result(Answered(b"did " + body))
+            elif outcome == "refused":
+                answer.set_exception(NotAccepted("refused"))
+            else:
+                answer.set_exception(AttemptBroken("lost"))
+        self.spin()
+
+    @rule(vm=VMS, mode=st.sampled_from(["lost", "unknown", "unknown-late"]))
+    def append_fails(self, vm, mode):
+        self.vms[vm].appender.modes.append(mode)
+
+    @rule()
+    def late_append_arrives(self):
+        if self.log.late:
+            self.log.records.append(self.log.late.pop(0))
+
+    @rule()
+    def log_fails_or_returns(self):
+        self.log.up = not self.log.up
+
+    @rule(vm=VMS, noticed=st.booleans())
+    def vm_dies(self, vm, noticed):
+        old = self.vms[vm]
+        # A cancelled task may begin another one, as a dying VM cannot.
+        while running := [task for task in old.running() if not task.done()]:
+            for task in running:
+                task.cancel()
+            self.spin()
+        self.incarnation += 1
+        self.vms[vm] = Vm(self.world, self.log, self.loop, vm, self.incarnation)
+        if noticed:
+            self.world.gone.add(old.name)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 6.0]))
+    def time_passes(self, seconds):
+        self.spin(seconds)
+
+    @invariant()
+    def never_two_runs_and_every_refusal_true(self):
+        if not hasattr(self, "world"):
+            return
+        runs = self.world.runs
+        by_call = {}
+        for call in self.calls:
+            count = runs.get(call.request_id, 0)
+            by_call[call.key] = by_call.get(call.key, 0) + count
+        # A key whose window has not passed runs once, whatever body came first.
+        assert all(count <= 1 for count in by_call.values()), by_call
+        for call, answer in self.world.told:
+            ran = runs.get(call.request_id, 0)
+            if isinstance(answer, Refusal):
+                assert not (answer.not_run and ran), answer
+                if answer.status == 422:
+                    assert {c.body for c in self.calls if c.key == call.key} != {b"1"}
+                continue
+            _, body, replayed = answer
+            if b"error" not in body:
+                assert body == b"did " + call.body
+                assert ran == (0 if replayed else 1)
+
+    def teardown(self):
+        """After everything is mended, every caller has its answer."""
+        if not hasattr(self, "world"):
+            return
+        self.log.up = True
+        for vm in self.vms:
+            vm.appender.modes.clear()
+        self.world.gone.update(f"vm-{n}@{i}" for n in range(3) for i in range(50))
+        self.world.gone.difference_update(vm.name for vm in self.vms)
+        for _ in range(12):
+            while self.world.sends:
+                self.backend_answers(0, "ok")
+            self.log.records.extend(self.log.late)
+            self.log.late.clear()
+            for vm in self.vms:
+                vm.follow(self.log, 1_000)
+            self.spin(11.0)
+        self.never_two_runs_and_every_refusal_true()
+        assert not any(vm.open for vm in self.vms)
+        alive = [task for vm in self.vms for task in vm.tasks if not task.done()]
+        assert not alive
+        for vm in self.vms:
+            for task in vm.tasks:
+                task.result()
+            assert vm.service.table.pending == 0
+        self.spin(70.0)
+        assert not asyncio.all_tasks(self.loop)
+        self.loop.close()
+
+
+TestClaims = ClaimMachine.TestCase
+# 2,000 examples of up to 50 steps, the same ones in each run.
+TestClaims.settings = settings(
+    derandomize=True, max_examples=2_000, stateful_step_count=50, deadline=None
+)
