--- a/cassiamount/admission.py
+++ b/cassiamount/admission.py
@@ -5,11 +5,9 @@
 from itertools import count
 
 from .admission_rates import RouteRates
+from .admission_results import Queued, Refused, deadline_refusal, full_refusal
 from .requests import PRIORITIES
 
-QUEUE_FULL = "queue_full"
-DEADLINE_CANNOT_BE_MET = "deadline_cannot_be_met"
-
 QUEUE_LIMIT = 2_000
 # Share of the tokens served that goes to the classes below the one being served
 # while they wait, so that no class starves.
@@ -19,41 +17,9 @@
 RESERVE_LIMIT_TOKENS = 20_000
 
 
-class Queued:
-    """The request waits.
-
-    Parameters
-    ----------
-    wait_ms : float
-        Estimated waiting time.
-    displaced : tuple of Ticket
-        Requests of a team with a longer queue that had to make room. They are no
-        longer queued and have to be refused as `QUEUE_FULL`.
-    """
-
-    __slots__ = ("wait_ms", "displaced")
-
-    def __init__(self, wait_ms, displaced=()):
-        self.wait_ms = wait_ms
-        self.displaced = tuple(displaced)
-
-
-class Refused:
-    """The request is not queued.
-
-    Parameters
-    ----------
-    reason : str
-        ``queue_full`` or ``deadline_cannot_be_met``.
-    wait_ms : float
-        Estimated waiting time.
-    """
-
-    __slots__ = ("reason", "wait_ms")
-
-    def __init__(self, reason, wait_ms):
-        self.reason = reason
-        self.wait_ms = wait_ms
+def route_of(ticket):
+    """Return the service, adapter or model whose replicas can take a ticket."""
+    return ticket.service or ticket.adapter or ticket.model
 
 
 class _Entry:
@@ -62,7 +28,7 @@
     def __init__(self, ticket, sequence):
         self.ticket = ticket
         self.sequence = sequence
-        self.route = ticket.service or ticket.model
+        self.route = route_of(ticket)
 
 
 class _TeamQueue:
@@ -134,6 +100,7 @@
         "_sequence",
         "_rates",
         "_route_lengths",
+        "_charged",
     )
 
     def __init__(self, limit=QUEUE_LIMIT, reserve=LOWER_CLASS_RESERVE):
@@ -150,19 +117,21 @@
         self._sequence = count()
         self._rates = RouteRates()
         self._route_lengths = {}
+        # Request id -> tokens charged to its team, until it is settled.
+        self._charged = {}
 
     def __len__(self):
         return len(self._entries)
 
-    def set_teams(self, teams):
-        """Take the teams of a configuration (dict of Team by name)."""
-        self._weights = {name: team.weight for name, team in teams.items()}
-        for name in set(self._virtual) - set(teams):
+    def set_weights(self, weights):
+        """Replace the teams' weights (dict by team name; 1 where absent)."""
+        self._weights = dict(weights)
+        for name in set(self._virtual) - set(weights):
             if not self._waits(name):
                 del self._virtual[name]
 
     def waiting_by_route(self):
-        """Return the number of waiting requests for each service or model."""
+        """Return the number of waiting requests by service, adapter or model."""
         return dict(self._route_lengths)
 
     def offer(self, ticket, now_ms):
@@ -179,14 +148,14 @@
         """
         wait_ms = self.estimate_ms(ticket)
         if now_ms + wait_ms > ticket.deadline_ms:
-            return Refused(DEADLINE_CANNOT_BE_MET, wait_ms)
+            return Refused(deadline_refusal(wait_ms))
         displaced = []
         if len(self._entries) >= self._limit:
             victim = self._victim(ticket)
             if victim is None:
-                return Refused(QUEUE_FULL, wait_ms)
+                return Refused(full_refusal(wait_ms))
             self._remove(victim)
-            displaced.append(victim.ticket)
+            displaced.append((victim.ticket, full_refusal(wait_ms)))
         self._push(ticket, now_ms)
         return Queued(wait_ms, displaced)
 
@@ -226,16 +195,18 @@
         return entry.ticket
 
     def settle(self, ticket, used_tokens):
-        """Correct a team's service by the tokens that a taken request used."""
-        if ticket.team in self._virtual:
-            unused = ticket.cost_tokens - used_tokens
+        """Correct a team's service by the tokens that a taken request used.
+
+        A request that was never taken has no service to correct.
+        """
+        cost = self._charged.pop(ticket.request_id, None)
+        if cost is not None and ticket.team in self._virtual:
+            unused = cost - used_tokens
             self._virtual[ticket.team] -= unused / self._weight(ticket.team)
 
     def put_back(self, ticket, now_ms):
         """Queue again a request that was taken but not accepted anywhere."""
-        if ticket.team in self._virtual:
-            cost = ticket.cost_tokens / self._weight(ticket.team)
-            self._virtual[ticket.team] -= cost
+        self.settle(ticket, 0)
         self._push(ticket, now_ms)
 
     def remove(self, request_id):
@@ -263,7 +234,7 @@
         With fair sharing a request waits for its own team's earlier requests and
         for as many of each other waiting team, in the ratio of the weights.
         """
-        route = ticket.service or ticket.model
+        route = route_of(ticket)
         own_weight = self._weight(ticket.team)
         ahead = 0.0
         for priority in PRIORITIES[: PRIORITIES.index(ticket.priority)]:
@@ -358,6 +329,7 @@
         return None
 
     def _charge(self, ticket):
+        self._charged[ticket.request_id] = ticket.cost_tokens
         self._virtual[ticket.team] += ticket.cost_tokens / self._weight(ticket.team)
         waiting = [
             self._virtual[team] for teams in self._classes.values() for team in teams
--- a/cassiamount/errors.py
+++ b/cassiamount/errors.py
@@ -31,6 +31,14 @@
     """A service of the platform cannot be reached or reports an outage."""
 
 
+class AppendLimitReached(PlatformUnavailable):
+    """The log refused an append because of its append limit; it can be repeated."""
+
+
+class OrderOutcomeUnknown(CassiamountError):
+    """The answer to an order was lost; the engine may carry it out."""
+
+
 class AppendOutcomeUnknown(CassiamountError):
     """The answer to an append was lost; the records may be in the log."""
 
@@ -49,3 +57,19 @@
         super().__init__(f"stream {stream} starts at offset {earliest}")
         self.stream = stream
         self.earliest = earliest
+
+
+class OffsetGap(CassiamountError):
+    """A fold was given a record past the one that it expects.
+
+    Parameters
+    ----------
+    stream : str
+    expected, offset : int
+    """
+
+    def __init__(self, stream, expected, offset):
+        super().__init__(f"stream {stream}: expected offset {expected}, got {offset}")
+        self.stream = stream
+        self.expected = expected
+        self.offset = offset
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -23,13 +23,6 @@
     )
 
 
-def take_all(queue, now_ms=0.0):
-    taken = []
-    while (next_ticket := queue.take(now_ms, lambda _: True)) is not None:
-        taken.append(next_ticket)
-    return taken
-
-
 def test_teams_share_by_tokens_served():
     """Guards against a team with long or many requests that starves another."""
     queue = AdmissionQueue()
@@ -58,6 +51,17 @@
     assert 15 <= teams["late"] <= 25
 
 
+def test_refused_request_earns_no_service():
+    """Guards against a team over its rate that gains priority by refusals."""
+    queue = AdmissionQueue()
+    for number in range(20):
+        queue.offer(ticket(number, "over"), 0.0)
+        queue.offer(ticket(number, "within"), 0.0)
+        queue.settle(ticket(100 + number, "over"), 0)
+    teams = Counter(queue.take(0.0, lambda _: True).team for _ in range(20))
+    assert teams["over"] == teams["within"]
+
+
 @pytest.mark.parametrize(("reserve", "least"), [(0.05, 4), (0.0, 0)])
 def test_lower_class_gets_its_reserve(reserve, least):
     """Guards against batch requests that never run while others wait."""
@@ -85,9 +89,9 @@
         queue.offer(ticket(number, "large"), 0.0)
     offer = queue.offer(ticket(0, "small"), 0.0)
     assert isinstance(offer, Queued)
-    assert [victim.request_id for victim in offer.displaced] == ["large-9"]
+    assert [victim.request_id for victim, _ in offer.displaced] == ["large-9"]
     refused = queue.offer(ticket(11, "large"), 0.0)
-    assert isinstance(refused, Refused) and refused.reason == "queue_full"
+    assert isinstance(refused, Refused) and refused.refusal.code == "queue_full"
 
 
 def test_deadline_that_cannot_be_met_is_refused_at_once():
@@ -98,7 +102,8 @@
     for step in range(60):
         queue.take(100.0 * step, lambda _: True)
     offer = queue.offer(ticket(100, deadline_ms=6_500.0), 6_000.0)
-    assert offer.reason == "deadline_cannot_be_met" and offer.wait_ms > 1_000
+    assert offer.refusal.code == "deadline_cannot_be_met"
+    assert offer.refusal.not_run and offer.refusal.retry_after_s > 1
     assert isinstance(queue.offer(ticket(1, "b", deadline_ms=6_500.0), 6_000.0), Queued)
 
 
@@ -131,9 +136,10 @@
         )
         result = self.queue.offer(new, self.now_ms)
         if isinstance(result, Refused):
-            assert result.reason != "queue_full" or len(self.waiting) == 12
+            assert result.refusal.not_run
+            assert result.refusal.code != "queue_full" or len(self.waiting) == 12
             return
-        for victim in result.displaced:
+        for victim, _ in result.displaced:
             del self.waiting[victim.request_id]
         self.waiting[new.request_id] = new
 
