--- /dev/null
+++ b/cassiamount/demand.py
@@ -0,0 +1,83 @@
+"""Demand for each model and adapter, as averages over a fast and a slow window."""
+
+import math
+
+FAST_MS = 15_000.0
+SLOW_MS = 180_000.0
+# VMs whose totals are remembered; the one heard of least recently is dropped.
+VMS_LIMIT = 2_000
+
+
+class _Averages:
+    __slots__ = ("fast", "slow", "updated_ms")
+
+    def __init__(self, now_ms):
+        self.fast = 0.0
+        self.slow = 0.0
+        self.updated_ms = now_ms
+
+    def decay(self, now_ms):
+        passed_ms = max(0.0, now_ms - self.updated_ms)
+        self.fast *= math.exp(-passed_ms / FAST_MS)
+        self.slow *= math.exp(-passed_ms / SLOW_MS)
+        self.updated_ms = now_ms
+
+
+class DemandTracker:
+    """Tokens asked for per second, by model or adapter.
+
+    Holders of placement leases learn the demand on each VM as totals since its start,
+    so that a lost message loses nothing.
+    """
+
+    __slots__ = ("_averages", "_totals")
+
+    def __init__(self):
+        self._averages = {}
+        # VM -> totals that it reported last.
+        self._totals = {}
+
+    def on_tokens(self, name, tokens, now_ms):
+        """Count tokens asked for."""
+        averages = self._averages.get(name)
+        if averages is None:
+            averages = self._averages[name] = _Averages(now_ms)
+        averages.decay(now_ms)
+        averages.fast += tokens / FAST_MS * 1000
+        averages.slow += tokens / SLOW_MS * 1000
+
+    def on_totals(self, vm, totals, now_ms):
+        """Take a VM's totals.
+
+        Parameters
+        ----------
+        vm : str
+            Name with incarnation, so that a restarted VM counts from 0.
+        totals : dict
+            Model or adapter -> tokens asked for since the VM started.
+        now_ms : float
+        """
+        last = self._totals.pop(vm, None)
+        if last is not None:
+            for name, total in totals.items():
+                if total > last.get(name, 0):
+                    self.on_tokens(name, total - last.get(name, 0), now_ms)
+        self._totals[vm] = dict(totals)
+        if len(self._totals) > VMS_LIMIT:
+            del self._totals[next(iter(self._totals))]
+
+    def rates(self, now_ms):
+        """Return the planned demand in tokens/s by model or adapter.
+
+        The larger average counts: a rise is seen fast and a fall slowly, so that a
+        short pause does not remove what is needed again.
+        """
+        rates = {}
+        for name, averages in list(self._averages.items()):
+            averages.decay(now_ms)
+            rate = max(averages.fast, averages.slow)
+            if rate < 0.01:
+                del self._averages[name]
+            else:
+                rates[name] = rate
+        return rates
--- a/cassiamount/dispatcher.py
+++ b/cassiamount/dispatcher.py
@@ -54,7 +54,6 @@
         "ask_again_ms",
         "used_tokens",
         "backend",
-        "taken",
     )
 
     def __init__(self, call, ticket):
@@ -65,7 +64,6 @@
         self.ask_again_ms = 0.0
         self.used_tokens = 0
         self.backend = ""
-        self.taken = False
 
 
 class Dispatcher:
@@ -115,6 +113,8 @@
         self._burst_share = burst_share
         self._demand = demand
         self._configuration = None
+        self._drained = frozenset()
+        self._listed_leaving = frozenset()
         self._entries = {}
         self._short = {}
         self._asked = set()
@@ -280,8 +280,11 @@
         for name in removed - set(configuration.teams):
             self._holder.remove_team(name)
         self._configuration = configuration
-        self._router.set_configuration(configuration, message.drained)
-        self._queue.set_teams(configuration.teams)
+        self._router.set_configuration(configuration)
+        self._drained = message.drained
+        self._router.set_leaving(self._drained | self._listed_leaving)
+        weights = {team.name: team.weight for team in configuration.teams.values()}
+        self._queue.set_weights(weights)
 
     @_apply.register
     def _(self, message: ReportsDone, request):
@@ -299,7 +302,8 @@
 
     @_apply.register
     def _(self, message: LeavingBackends, request):
-        self._router.set_leaving(message.names)
+        self._listed_leaving = message.names
+        self._router.set_leaving(self._drained | self._listed_leaving)
 
     @_apply.register
     def _(self, message: DrainingModels, request):
@@ -394,11 +398,11 @@
     def _offer(self, entry):
         result = self._queue.offer(entry.ticket, self._clock.monotonic_ms())
         if isinstance(result, Refused):
-            self._refuse(entry, refusals.from_queue(result))
+            self._refuse(entry, result.refusal)
             return
         self._queued.add(entry.ticket.request_id)
-        for ticket in result.displaced:
-            self._refuse(self._entries[ticket.request_id], refusals.queue_full())
+        for ticket, refusal in result.displaced:
+            self._refuse(self._entries[ticket.request_id], refusal)
 
     def _dispatch_queued(self):
         while True:
@@ -415,7 +419,6 @@
                 return
             self._queued.discard(ticket.request_id)
             entry = self._entries[ticket.request_id]
-            entry.taken = True
             if ticket.key_hash and not self._key_holds(ticket.key_hash):
                 self._refuse(entry, refusals.invalid_key())
             else:
@@ -444,8 +447,7 @@
 
     def _settle(self, entry):
         self._entries.pop(entry.ticket.request_id, None)
-        if entry.taken:
-            self._queue.settle(entry.ticket, entry.used_tokens)
+        self._queue.settle(entry.ticket, entry.used_tokens)
         self._queued.discard(entry.ticket.request_id)
         if entry.charge is not None:
             now_ms = self._clock.monotonic_ms()
--- /dev/null
+++ b/cassiamount/orders.py
@@ -0,0 +1,378 @@
+"""The ledger of orders to the engines of a zone and of the memory they reserve."""
+
+from .engine_memory import EngineMemory
+from .engine_orders import (
+    ACCEPTED,
+    ASK_MS,
+    DRAIN_MS,
+    HOMES_SETTLE_MS,
+    LOAD_ADAPTER,
+    LOST,
+    NOT_SENT,
+    OUTCOME_DONE,
+    OUTCOME_EXPIRED,
+    OUTCOME_FAILED,
+    RESEND_MS,
+    RUNNING,
+    STATE_DONE,
+    STATE_FAILED,
+    UNLOAD_MODEL,
+    AskOrderState,
+    Order,
+    RecordIntent,
+    RecordOutcome,
+    SendOrder,
+)
+from .invariants import MEMORY_NOT_OVERCOMMITTED, MODELS_REACHABLE, require
+from .pending_order import PendingOrder
+
+
+class EngineLedger:
+    """Orders to the engines of one zone under one lease.
+
+    Parameters
+    ----------
+    zone : str
+    now_ms : float
+        Time at which the lease was taken.
+    """
+
+    __slots__ = (
+        "_zone",
+        "_started_ms",
+        "_engines",
+        "_pending",
+        "_bases",
+        "_homes",
+        "_homes_ms",
+    )
+
+    def __init__(self, zone, now_ms):
+        self._zone = zone
+        self._started_ms = now_ms
+        self._engines = {}
+        self._pending = {}
+        self._bases = {}
+        self._homes = {}
+        self._homes_ms = now_ms
+
+    def set_configuration(self, configuration, homes, now_ms):
+        """Take the engines and adapters of a configuration.
+
+        Parameters
+        ----------
+        configuration : Configuration
+        homes : dict
+            Model -> zone whose holder never removes its last ready copy there.
+        now_ms : float
+        """
+        engines = {b.name: b for b in configuration.backends.values() if b.memory_mb}
+        for name in set(self._engines) - set(engines):
+            del self._engines[name]
+        for name, backend in engines.items():
+            if name in self._engines:
+                self._engines[name].backend = backend
+            else:
+                self._engines[name] = EngineMemory(backend, self._started_ms)
+        self._bases = {a.name: a.base for a in configuration.adapters.values()}
+        if homes != self._homes:
+            self._homes = dict(homes)
+            self._homes_ms = now_ms
+
+    def rebuild(self, intents, now_ms):
+        """Take over the unsettled orders of earlier holders.
+
+        Parameters
+        ----------
+        intents : iterable of (int, IntendOrder)
+            With their offsets.
+        now_ms : float
+        """
+        for offset, record in intents:
+            base = self._bases.get(record.name, "")
+            order = Order(
+                record.order_id,
+                record.engine,
+                record.action,
+                record.name,
+                record.version,
+                record.memory_mb,
+                base,
+                offset + 1,
+            )
+            pending = self._pending[order.order_id] = PendingOrder(order)
+            pending.recorded_ms = now_ms
+            # The earlier holder may have sent it until its lease ended.
+            pending.copies[0] = now_ms
+            pending.last_sent_ms = now_ms
+
+    # Memory.
+
+    def reserved_mb(self, engine):
+        """Return the memory that residents and unsettled loads may use."""
+        memory = self._engines[engine]
+        sizes = {key: copy.memory_mb for key, copy in memory.copies.items()}
+        for pending in self._pending.values():
+            order = pending.order
+            if order.engine == engine and order.loads:
+                sizes[order.key] = max(sizes.get(order.key, 0), order.memory_mb)
+        return memory.overhead_mb + sum(sizes.values())
+
+    def free_mb(self, engine):
+        """Return the memory that a new load may use, 0 while unknown."""
+        memory = self._engines[engine]
+        if not memory.known:
+            return 0
+        return max(0, memory.capacity_mb - self.reserved_mb(engine))
+
+    def engines(self):
+        """Return the engines' memories by name, of all zones."""
+        return self._engines
+
+    def unsettled(self):
+        """Return the unsettled orders."""
+        return [pending.order for pending in self._pending.values()]
+
+    def draining(self):
+        """Return the (engine, name) pairs that an unsettled unload may remove."""
+        return {
+            (p.order.engine, p.order.name)
+            for p in self._pending.values()
+            if not p.order.loads and p.outcome is None
+        }
+
+    def ready_copies(self, name, now_ms):
+        """Return (engine, version) of the copies that certainly serve requests."""
+        unloading = {
+            (p.order.engine, p.order.key)
+            for p in self._pending.values()
+            if not p.order.loads
+        }
+        return {
+            (engine, key[1])
+            for engine, memory in self._engines.items()
+            if memory.usable(now_ms) and memory.known
+            for key in memory.copies
+            if key[0] == name
+            and memory.lists_ready(key)
+            and (engine, key) not in unloading
+        }
+
+    # Orders.
+
+    def why_not(self, order, now_ms):
+        """Return why an order may not be given now, or an empty string."""
+        memory = self._engines.get(order.engine)
+        if memory is None or memory.backend.zone != self._zone:
+            return "the engine is not in this zone"
+        if not memory.known or not memory.usable(now_ms):
+            return "no recent report of the engine"
+        for pending in self._pending.values():
+            other = pending.order
+            if other.engine != order.engine:
+                continue
+            if other.name == order.name:
+                if other.loads == order.loads or not other.loads:
+                    return "an order for the same name is not settled"
+                if pending.outcome is None:
+                    return "a load of the same name is under way"
+            if order.name == other.base and other.loads and not order.loads:
+                return "an adapter of the model is being loaded"
+            if order.base and order.base == other.name and not other.loads:
+                return "the adapter's model is being unloaded"
+        if order.loads:
+            return self._why_not_load(order, memory)
+        return self._why_not_unload(order, memory, now_ms)
+
+    def intend(self, order, now_ms):
+        """Reserve what an order needs; return the commands, none if not allowed."""
+        if order.order_id in self._pending or self.why_not(order, now_ms):
+            return []
+        self._pending[order.order_id] = PendingOrder(order)
+        self._require_memory(order)
+        return [RecordIntent(order)]
+
+    def on_intended(self, order_id, offset, now_ms):
+        """Note that the intent is in the log at `offset`."""
+        pending = self._pending[order_id]
+        pending.order.fence = offset + 1
+        pending.recorded_ms = now_ms
+
+    def on_not_recorded(self, order_id):
+        """Forget an intent that is certainly not in the log."""
+        self._pending.pop(order_id, None)
+
+    def on_sent(self, order_id, now_ms):
+        """Note that a copy is about to be sent; return the copy's number."""
+        pending = self._pending[order_id]
+        pending.copy_number += 1
+        pending.copies[pending.copy_number] = now_ms
+        pending.last_sent_ms = now_ms
+        return pending.copy_number
+
+    def on_answer(self, order_id, copy_number, answer, now_ms):
+        """Take an engine's answer to one copy of an order."""
+        pending = self._pending.get(order_id)
+        if pending is None or answer == LOST:
+            return
+        pending.copies.pop(copy_number, None)
+        if answer == NOT_SENT:
+            return
+        if answer == ACCEPTED:
+            pending.accepted_ms = now_ms
+        else:
+            pending.refused_ms = now_ms
+        # What the answer means for the order is asked at once.
+        pending.asked_ms = float("-inf")
+
+    def on_state(self, order_id, state, asked_ms, now_ms):
+        """Take an engine's answer to the question asked at `asked_ms`."""
+        pending = self._pending.get(order_id)
+        if pending is None or pending.outcome is not None:
+            return
+        order = pending.order
+        memory = self._engines.get(order.engine)
+        if state == STATE_DONE:
+            pending.outcome = OUTCOME_DONE
+            if memory is None:
+                return
+            if order.loads:
+                kind = "adapter" if order.action == LOAD_ADAPTER else "model"
+                memory.on_loaded(order.key, kind, order.memory_mb, now_ms)
+            else:
+                memory.on_unloaded(order.key, now_ms)
+        elif state == STATE_FAILED:
+            pending.outcome = OUTCOME_FAILED
+        elif state == RUNNING:
+            pending.accepted_ms = now_ms
+        elif memory is not None:
+            pending.on_unknown(asked_ms, memory.certain_ms)
+
+    def on_settled(self, order_id):
+        """Forget an order whose outcome is in the log."""
+        self._pending.pop(order_id, None)
+
+    def on_settle_failed(self, order_id):
+        """Try again to record an outcome."""
+        if order_id in self._pending:
+            self._pending[order_id].settling = False
+
+    def on_report(self, report, now_ms):
+        """Take a load report of any zone's engine."""
+        memory = self._engines.get(report.backend)
+        if memory is None:
+            return
+        memory.on_report(report, now_ms)
+
+    def advance(self, now_ms):
+        """Return what is due: orders to send, questions, outcomes to record."""
+        commands = []
+        for pending in list(self._pending.values()):
+            if pending.recorded_ms is None or pending.settling:
+                continue
+            if pending.order.engine not in self._engines:
+                pending.copies.clear()
+                pending.outcome = pending.outcome or OUTCOME_EXPIRED
+            if pending.outcome is not None:
+                if pending.settled(self._engines.get(pending.order.engine)):
+                    pending.settling = True
+                    commands.append(RecordOutcome(pending.order, pending.outcome))
+            elif self._due_to_send(pending, now_ms):
+                commands.append(SendOrder(pending.order))
+            elif pending.last_sent_ms is not None and (
+                now_ms - pending.asked_ms >= ASK_MS
+            ):
+                pending.asked_ms = now_ms
+                commands.append(AskOrderState(pending.order))
+        return commands
+
+    def _why_not_load(self, order, memory):
+        if order.key in memory.copies:
+            return "already resident"
+        if order.memory_mb > self.free_mb(order.engine):
+            return "not enough free memory"
+        if order.base and not any(
+            key[0] == order.base and memory.lists_ready(key) for key in memory.copies
+        ):
+            return "the adapter's model is not ready"
+        return ""
+
+    def _why_not_unload(self, order, memory, now_ms):
+        if order.key not in memory.copies:
+            return "not resident"
+        if order.action != UNLOAD_MODEL:
+            return ""
+        if any(self._bases.get(key[0]) == order.name for key in memory.copies):
+            return "adapters of the model are resident"
+        if not self._removable(order, now_ms):
+            return "the last ready copy"
+        return ""
+
+    def _removable(self, order, now_ms):
+        """Whether another copy certainly remains once this one is unloaded.
+
+        Holders of different zones decide at the same time. They cannot both count on
+        the other's copy, because only the copies in a model's home zone count for
+        the other zones, and the home zone's holder counts none of theirs.
+        """
+        if now_ms - self._homes_ms < HOMES_SETTLE_MS:
+            return False
+        zones = {self._zone, self._homes.get(order.name, self._zone)}
+        return any(
+            self._engines[engine].backend.zone in zones
+            and (engine, version) != (order.engine, order.version)
+            for engine, version in self.ready_copies(order.name, now_ms)
+        )
+
+    def _due_to_send(self, pending, now_ms):
+        order = pending.order
+        memory = self._engines[order.engine]
+        if not memory.known or pending.answered:
+            return False
+        if pending.last_sent_ms is not None:
+            asked_since = pending.asked_ms > pending.last_sent_ms
+            if not asked_since or now_ms - pending.last_sent_ms < RESEND_MS:
+                return False
+        if memory.checks_fence and self._overtakes(pending):
+            return False
+        if order.loads:
+            if self.reserved_mb(order.engine) > memory.capacity_mb:
+                return False
+            self._require_memory(order)
+            return True
+        if now_ms - pending.recorded_ms < DRAIN_MS:
+            return False
+        if order.action != UNLOAD_MODEL:
+            return True
+        if not self._removable(order, now_ms):
+            if pending.last_sent_ms is None:
+                pending.outcome = OUTCOME_EXPIRED
+            return False
+        require(
+            bool(self.ready_copies(order.name, now_ms)),
+            MODELS_REACHABLE,
+            model=order.name,
+            engine=order.engine,
+        )
+        return True
+
+    def _overtakes(self, pending):
+        """Whether an older order would be refused if this one arrived first."""
+        return any(
+            other.order.engine == pending.order.engine
+            and other.recorded_ms is not None
+            and other.order.fence < pending.order.fence
+            and other.outcome is None
+            and not other.answered
+            for other in self._pending.values()
+        )
+
+    def _require_memory(self, order):
+        memory = self._engines[order.engine]
+        require(
+            not order.loads or self.reserved_mb(order.engine) <= memory.capacity_mb,
+            MEMORY_NOT_OVERCOMMITTED,
+            engine=order.engine,
+            reserved_mb=self.reserved_mb(order.engine),
+            capacity_mb=memory.capacity_mb,
+        )
--- a/cassiamount/refusals.py
+++ b/cassiamount/refusals.py
@@ -2,7 +2,6 @@
 
 import math
 
-from .admission import QUEUE_FULL
 from .requests import Refusal
 
 RETRY_WHEN_FULL_S = 1
@@ -10,19 +9,6 @@
 RETRY_WHEN_OWNER_UNKNOWN_S = 1
 
 
-def from_queue(refused):
-    """Refuse for the reason that the admission queue gives."""
-    if refused.reason == QUEUE_FULL:
-        return queue_full()
-    return Refusal(
-        503,
-        "deadline_cannot_be_met",
-        f"the estimated wait of {refused.wait_ms:.0f} ms exceeds the deadline",
-        True,
-        max(1, math.ceil(refused.wait_ms / 1000)),
-    )
-
-
 def queue_full():
     """Refuse because too many requests wait on this VM."""
     return Refusal(
--- a/cassiamount/routing.py
+++ b/cassiamount/routing.py
@@ -1,5 +1,6 @@
 """Selection of a replica for each request."""
 
+from .admission import route_of
 from .invariants import LEAVING_BACKEND_IDLE, require
 from .prefix_index import PrefixIndex
 from .replica_state import ReplicaState
@@ -15,8 +16,6 @@
 RUNNING_COST_MS = 8.0
 # Duration of a request until a replica's own average is known.
 DEFAULT_DURATION_MS = 1_000.0
-# Time to load an adapter on an engine that does not hold it.
-ADAPTER_LOAD_MS = 8.0
 # A report older than this says little; the replica is used only if others are worse.
 STALE_REPORT_MS = 3_000.0
 STALE_PENALTY_MS = 200.0
@@ -89,8 +88,6 @@
         "_zone",
         "_zone_distance_ms",
         "_replicas",
-        "_listed",
-        "_drained",
         "_leaving",
         "_draining",
         "_routes",
@@ -105,25 +102,14 @@
         self._replicas = {}
         # Name -> time since which the VM list or an operator says "leaving".
         self._leaving = {}
-        self._listed = frozenset()
-        self._drained = frozenset()
         self._draining = frozenset()
         # Service or model -> names of the replicas that offer it.
         self._routes = {}
         self._resident_on = {}
         self._now_ms = 0.0
 
-    def set_configuration(self, configuration, drained=()):
-        """Take the backend servers of a configuration.
-
-        Parameters
-        ----------
-        configuration : Configuration
-        drained : iterable of str
-            Backend servers that an operator took out of use.
-        """
-        self._drained = frozenset(drained)
-        self._update_leaving()
+    def set_configuration(self, configuration):
+        """Take the backend servers of a configuration."""
         for name in set(self._replicas) - set(configuration.backends):
             self._drop_routes(name)
             del self._replicas[name]
@@ -140,9 +126,8 @@
             self._index(name)
 
     def set_leaving(self, names):
-        """Replace the backend servers that the VM list gives as leaving."""
-        self._listed = frozenset(names)
-        self._update_leaving()
+        """Replace the backend servers that the VM list or an operator takes out."""
+        self._leaving = {name: self._leaving.get(name, self._now_ms) for name in names}
 
     def set_draining(self, pairs):
         """Replace the (backend, model or adapter) pairs about to be unloaded."""
@@ -155,13 +140,6 @@
         if replica is not None and replica.on_report(report, now_ms):
             self._index(report.backend)
 
-    def on_cache_events(self, backend, events):
-        """Take events about an engine's prefix cache."""
-        replica = self._replicas.get(backend)
-        if replica is not None:
-            incarnation = replica.report.incarnation if replica.report else ""
-            self.prefixes.on_events(backend, incarnation, events)
-
     def on_sent(self, ticket, backend):
         """Count a dispatch to `backend`."""
         require(
@@ -198,11 +176,13 @@
         Choice or NoReplica
         """
         self._now_ms = max(self._now_ms, now_ms)
-        route = ticket.service or ticket.model
+        # Engines refuse a request whose adapter is not ready; the base model of a
+        # ready adapter is ready too.
+        route = route_of(ticket)
         offering = self._routes.get(route, ())
         if not offering:
             return NoReplica(NOT_RESIDENT if ticket.model else UNAVAILABLE)
-        usable = self._usable(route, offering, now_ms, exclude)
+        usable = self._usable(ticket, offering, now_ms, exclude)
         if not usable:
             return NoReplica(UNAVAILABLE)
         free = [
@@ -227,18 +207,13 @@
         """Return the estimated number of requests at a backend server."""
         return self._replicas[backend].load()
 
-    def _update_leaving(self):
-        self._leaving = {
-            name: self._leaving.get(name, self._now_ms)
-            for name in self._listed | self._drained
-        }
-
-    def _usable(self, route, offering, now_ms, exclude):
+    def _usable(self, ticket, offering, now_ms, exclude):
         present = [
             self._replicas[name]
             for name in offering
             if name not in self._leaving
-            and (name, route) not in self._draining
+            and (name, ticket.model) not in self._draining
+            and (name, ticket.adapter) not in self._draining
             and not self._replicas[name].reports_leaving
         ]
         ejected = {r.backend.name for r in present if r.ejected(now_ms)}
@@ -280,8 +255,6 @@
             cached = self.prefixes.cached_tokens(backend.name, ticket.prefix_hashes)
             cached = min(cached, ticket.prompt_tokens)
             wait_ms += (ticket.prompt_tokens - cached) / PREFILL_TOKENS_PER_MS
-            if ticket.adapter and not self._holds(backend.name, ticket.adapter):
-                wait_ms += ADAPTER_LOAD_MS
         if backend.zone != self._zone:
             wait_ms += self._zone_distance_ms
         wait_ms += replica.error_penalty_ms(now_ms)
@@ -289,11 +262,6 @@
             wait_ms += STALE_PENALTY_MS
         return Choice(backend.name, backend.address, wait_ms, cached)
 
-    def _holds(self, backend, name):
-        return name in self._resident_on.get(backend, ()) and (
-            (backend, name) not in self._draining
-        )
-
     def _index(self, name):
         replica = self._replicas[name]
         if replica.backend.kind == "service":
