--- a/cassiamount/budget_link.py
+++ b/cassiamount/budget_link.py
@@ -19,7 +19,7 @@
         The dispatcher's.
     coordinator : Coordinator
         Has ``async ask(asks)``, which returns answers by team, and ``async
-        report(report)``, which returns whether the report need not be sent again.
+        report(reports)``, which returns those that need not be sent again.
     """
 
     def __init__(self, mailbox, coordinator):
@@ -34,11 +34,10 @@
 
     def report(self, reports):
         """Send reports that are not on their way already."""
-        for report in reports:
-            key = (report.owner, report.sequence)
-            if key not in self._reporting:
-                self._reporting.add(key)
-                self._start(self._report(report, key))
+        new = [r for r in reports if (r.owner, r.sequence) not in self._reporting]
+        if new:
+            self._reporting.update((r.owner, r.sequence) for r in new)
+            self._start(self._report(new))
 
     async def _ask(self, asks):
         answers = {}
@@ -50,14 +49,13 @@
             teams = frozenset(ask.team for ask in asks)
             self._mailbox.send(GrantsArrived(teams, answers))
 
-    async def _report(self, report, key):
+    async def _report(self, reports):
         try:
-            if await self._coordinator.report(report):
-                self._mailbox.send(ReportsDone([report]))
-        except PeerUnavailable as error:
-            log.info("report_not_delivered", owner=report.owner, error=str(error))
+            done = await self._coordinator.report(reports)
+            if done:
+                self._mailbox.send(ReportsDone(done))
         finally:
-            self._reporting.discard(key)
+            self._reporting.difference_update((r.owner, r.sequence) for r in reports)
 
     def _start(self, coroutine):
         task = asyncio.create_task(coroutine)
--- a/cassiamount/coordinator.py
+++ b/cassiamount/coordinator.py
@@ -332,7 +332,7 @@
 
     def _rank(self, lease):
         def weight(identity):
-            return xxhash.xxh64_intdigest(f"{lease} {identity}")
+            return xxhash.xxh64_intdigest(f"{lease} {identity}".encode())
 
         own = weight(self.identity)
         return sum(weight(each) > own for each in self._fold.roster())
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -104,7 +104,7 @@
     environment = {
         **os.environ,
         "CASSIAMOUNT_LOG_ADDRESS": f"{HOST}:{LOG_PORT}",
-        "CASSIAMOUNT_ADMIN_ADDRESSES": " ".join(f"{HOST}:{d[4]}" for d in DAEMONS),
+        "CASSIAMOUNT_ADMIN_ADDRESS": " ".join(f"{HOST}:{d[4]}" for d in DAEMONS),
     }
     print(f"$ cassiamount {' '.join(map(str, arguments))}")
     done = subprocess.run(
@@ -130,6 +130,7 @@
             "standins.engine",
             *("--name", name, "--port", port, "--memory-mb", 40000),
             *("--weight-store", f"http://{HOST}:{WEIGHTS_PORT}"),
+            *("--preload", "loom-7b:1:16000", "--preload", "hem-check:1:80:loom-7b"),
             *options,
         )
     name, port = SERVICE
@@ -171,10 +172,7 @@
             "vm_list_address": f"{HOST}:{VM_LIST_PORT}",
             "weight_store_address": f"{HOST}:{WEIGHTS_PORT}",
             "balancer_wait_ms": 200,
-            "trace_exporter": {
-                "kind": "file",
-                "target": str(deployment.directory / f"{name}.spans"),
-            },
+            "trace_exporter": {"file": str(deployment.directory / f"{name}.spans")},
         }
         path = deployment.directory / f"{name}.json"
         path.write_text(json.dumps(settings, indent=2))
@@ -185,7 +183,7 @@
     """Publish the configuration and give a key; return the key."""
     print(cassiamount("check", CONFIGURATION))
     print(cassiamount("publish", CONFIGURATION, "--base-version", 0))
-    given = cassiamount("key", "give", "--team", "stitchers", "--json")
+    given = cassiamount("key", "give", "stitchers", "--json")
     key = json.loads(given)["key"]
     print(f"  key for team stitchers: {key[:6]}... (shown once, stored as a hash)\n")
     return key
@@ -329,7 +327,7 @@
     """Print the end of each process's output."""
     for path in sorted(deployment.directory.glob("*.log")):
         print(f"--- {path.name}")
-        print("\n".join(path.read_text(errors="replace").splitlines()[-15:]))
+        print("\n".join(path.read_text(errors="replace").splitlines()[-25:]))
 
 
 if __name__ == "__main__":
