Test redirects, compressed and oversized answers of the platform

Ruled out: leaving them to review; a followed redirect would turn an unknown append into one that counts as not sent.

Change: three cases in the tests of the clients.

--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import contextlib
+import gzip
 
 import orjson
 import pytest
@@ -73,9 +74,9 @@
         server.close()
 
 
-def answer_of(status, body, content_length=None):
+def answer_of(status, body, content_length=None, header="X-None: 1"):
     length = len(body) if content_length is None else content_length
-    head = f"HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n"
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n{header}\r\n\r\n"
     return head.encode() + body
 
 
@@ -96,12 +97,16 @@
         (answer_of(400, b"{}"), PlatformUnavailable),
         (answer_of(500, b"{}"), AppendOutcomeUnknown),
         (answer_of(502, b"{}"), AppendOutcomeUnknown),
-        (answer_of(307, b""), AppendOutcomeUnknown),
+        # Nothing listens there; following it would look as if nothing was sent.
+        (
+            answer_of(307, b"", header="Location: http://127.0.0.1:1/"),
+            AppendOutcomeUnknown,
+        ),
         (answer_of(200, b"no json"), AppendOutcomeUnknown),
         (answer_of(200, b'{"offsets":[1,2]}'), AppendOutcomeUnknown),
         (answer_of(200, b'{"offsets":["1"]}'), AppendOutcomeUnknown),
         (answer_of(200, b'{"offsets":[1]}', 999), AppendOutcomeUnknown),
-        (answer_of(200, b"x" * 2000), AppendOutcomeUnknown),
+        (answer_of(200, b'{"offsets":[1]}' + b" " * 2000), AppendOutcomeUnknown),
         (b"", AppendOutcomeUnknown),
         (b"garbage\r\n\r\n", AppendOutcomeUnknown),
         (None, AppendOutcomeUnknown),
@@ -143,6 +148,10 @@
         (answer_of(200, b"<html>"), PlatformUnavailable),
         (answer_of(200, b'{"records":[{"offset":5,nonsense'), PlatformUnavailable),
         (answer_of(200, b"x" * 2000), PlatformUnavailable),
+        (
+            answer_of(200, gzip.compress(page()), header="Content-Encoding: gzip"),
+            PlatformUnavailable,
+        ),
     ],
 )
 async def test_read_errors_never_look_like_records(answer, error):
