Announce changes after a failed listener, and spread repeated reads

Cause: a listener that raised kept the others from learning of a change until the next record. A fixed pause would make 400 VMs read in step when the log returns.

Ruled out: catching the listener's exception; the supervisor must see it.

Change: a restarted follower announces its state as reloaded. Pauses grow to one second with jitter, and refused appends use the backoff of retries.

Figures: the new test fails without the announcement.

--- a/cassiamount/appender.py
+++ b/cassiamount/appender.py
@@ -16,13 +16,12 @@
 from .group_commit import Entry, GroupCommit
 from .log_client import MAX_RECORD_BYTES
 from .records import encode_record
+from .retries import backoff_ms
 
 # Longer than the time limit of one append, so that a lost answer can be settled.
 APPEND_LIMIT_MS = 4000
 SETTLE_RETRY_MS = 200
 SETTLE_READ_RECORDS = 500
-# The log's limit is shared by all VMs, so the repeats are spread over an interval.
-LIMIT_BACKOFF_MS = (50, 250)
 
 log = structlog.get_logger()
 
@@ -64,6 +63,8 @@
         self._sleep = sleep
         self._group = GroupCommit(self.stream)
         self._wake = asyncio.Event()
+        # Appends in a row that the log refused because of its limit.
+        self._refused = 0
         follower.add_listener(self._group.on_followed)
 
     async def append(self, record, limit_ms=APPEND_LIMIT_MS):
@@ -134,7 +135,9 @@
             offsets = await self._append(batch.values)
         except AppendLimitReached:
             self._group.on_limit_reached()
-            await self._sleep(self._rng.uniform(*LIMIT_BACKOFF_MS) / 1000)
+            # All VMs share the limit, so the repeats become rarer and spread out.
+            self._refused += 1
+            await self._sleep(backoff_ms(self._refused, self._rng) / 1000)
         except PlatformUnavailable as error:
             self._group.on_not_appended(error)
         except AppendOutcomeUnknown as error:
@@ -143,6 +146,7 @@
         else:
             if len(offsets) == len(batch.entries):
                 self._group.on_appended(offsets)
+                self._refused = 0
             else:
                 self._group.on_unknown()
 
--- a/cassiamount/follower.py
+++ b/cassiamount/follower.py
@@ -1,6 +1,7 @@
 """Reads a stream of the log into a fold, from the log itself or through peers."""
 
 import asyncio
+import random
 
 import structlog
 
@@ -11,7 +12,10 @@
 # Shorter than the second after which a VM counts as unable to reach the log, so that
 # a quiet stream does not look like an outage.
 LONG_POLL_MS = 700
+# Bounds of the pause after a read that gained nothing. All VMs read again when the
+# log returns, so the pauses grow and differ.
 RETRY_MS = 200
+MAX_RETRY_MS = 1000
 # While the log is down, peers are asked for snapshots at this interval; their states
 # change only if one of them reaches the log.
 SNAPSHOT_INTERVAL_MS = 2000
@@ -123,6 +127,7 @@
     long_poll_ms : float
         Time for which the log may hold a read at the head. New records end the
         wait, so a longer one only makes `stale_ms` and `log_unreached_ms` coarser.
+    rng : random.Random, optional
     """
 
     def __init__(
@@ -135,6 +140,7 @@
         on_change=None,
         sleep=asyncio.sleep,
         long_poll_ms=LONG_POLL_MS,
+        rng=None,
     ):
         self.stream = stream
         self.fold = fold
@@ -146,6 +152,9 @@
         self._listeners = [] if on_change is None else [on_change]
         self._sleep = sleep
         self._long_poll_ms = long_poll_ms
+        self._rng = random.Random() if rng is None else rng
+        # The fold has changed, and not all listeners know it yet.
+        self._unannounced = False
         self._snapshot_due_ms = clock.monotonic_ms()
         self._reachable = True
 
@@ -165,9 +174,16 @@
 
     async def run(self):
         """Follow the stream until cancelled."""
+        if self._unannounced:
+            # An earlier run failed between a change of the fold and its messages.
+            self._notify([], reloaded=True, at_head=False)
+        pause_ms = RETRY_MS
         while True:
-            if not await self.step():
-                await self._sleep(RETRY_MS / 1000)
+            if await self.step():
+                pause_ms = RETRY_MS
+                continue
+            await self._sleep(pause_ms * self._rng.uniform(0.5, 1) / 1000)
+            pause_ms = min(MAX_RETRY_MS, pause_ms * 2)
 
     async def step(self):
         """Read one page or load one snapshot.
@@ -220,6 +236,7 @@
     async def _take(self, page, from_offset, sent_ms):
         was_searching = self.cursor.searching
         self.cursor.earliest = max(self.cursor.earliest, page.earliest)
+        self._unannounced = True
         changes = self.cursor.on_records(page.records)
         reloaded = was_searching and not self.cursor.searching
         progress = self.cursor.read_offset > from_offset
@@ -229,6 +246,7 @@
             self.freshness.on_head(sent_ms)
         if changes or reloaded or at_head:
             self._notify(changes, reloaded, at_head)
+        self._unannounced = False
         if self.cursor.searching and page.at_head(from_offset):
             # The log holds no usable checkpoint yet.
             return await self._load_snapshot() or progress
@@ -246,8 +264,10 @@
             snapshot = await self._peers.snapshot(self.stream)
         except PlatformUnavailable:
             return False
+        self._unannounced = True
         changes = self.cursor.on_snapshot(snapshot.covers_offset, snapshot.state)
         if changes is None:
+            self._unannounced = False
             return False
         self._notify(changes, reloaded=True, at_head=False)
         return True
@@ -258,6 +278,7 @@
         )
         for listener in self._listeners:
             listener(message)
+        self._unannounced = False
 
     def _note_log(self, reachable, error=None):
         """Log when the log service becomes unreachable or reachable again."""
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -139,6 +139,26 @@
     assert not await follower.step()
 
 
+async def test_listeners_hear_of_changes_after_a_failure():
+    """Guards against a listener that misses a change because another one failed."""
+    log = FakeLog()
+    log.put("config", key("a"))
+    follower, messages = follower_of(log)
+
+    def fail_once(message):
+        follower._listeners.remove(fail_once)
+        raise RuntimeError("mailbox is full")
+
+    follower._listeners.insert(0, fail_once)
+    with pytest.raises(RuntimeError):
+        await follower.run()
+    assert messages == []
+    task = asyncio.create_task(follower.run())
+    await asyncio.sleep(0)
+    task.cancel()
+    assert [(m.reloaded, m.next_offset) for m in messages] == [(True, 1)]
+
+
 @pytest.mark.parametrize("failures", [1, 3])
 async def test_run_repeats_after_failures(failures):
     """Guards against a follower that ends at the first unavailability."""
