Test claims, findings, configuration and settings documents

Cause: the folds and parsers had run only in short scripts.

Ruled out: expiry of a claim by the time since the winning claim alone. Readers that start at different offsets could then disagree about the holder for as long as a key is claimed again and again, and both let a claim win within one window. A claim that loses now prolongs the hold, and a reader that starts after trimmed records counts no claim of its first window as won.

Change: claim_entries; state machine for claims with three VMs (one whose clock is 100 windows ahead), lost messages, trimming and restarts; tables and fuzzing for configuration and settings. The fuzzing found that a template whose whole team is one parameter raised TypeError; it is a finding now.

Conclusion: at-most-once holds in the state machine for the stated clocks.

--- a/cassiamount/claim_state.py
+++ b/cassiamount/claim_state.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from functools import singledispatchmethod
 
+from .claim_entries import ABANDONED, FINISHED, IN_PROGRESS, Claim, Free, Held, Mismatch
 from .errors import InvalidRecord, OffsetGap
 from .folds import Applied, Rejected
 from .invariants import AT_MOST_ONCE, require
@@ -17,108 +18,17 @@
 MAX_CLAIMS = 100_000
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
-IN_PROGRESS = "in-progress"
-FINISHED = "finished"
-ABANDONED = "abandoned"
-
-
-class Claim:
-    """A claim of an idempotency key that was first in the log.
-
-    Parameters
-    ----------
-    team, key, fingerprint, request_id : str
-    vm : str
-        ``<name>@<incarnation>`` of the VM that carries the request.
-    claimed_ms : int
-        Stream time of the claim.
-    state : str
-        ``in-progress``, ``finished`` or ``abandoned``.
-    status : int
-        HTTP status of the response; 0 while there is none.
-    content_type : str
-    body : str or None
-        Base64; None if the response was too large to be kept.
-    """
-
-    __slots__ = (
-        "team",
-        "key",
-        "fingerprint",
-        "request_id",
-        "vm",
-        "claimed_ms",
-        "state",
-        "status",
-        "content_type",
-        "body",
-    )
-
-    def __init__(
-        self,
-        team,
-        key,
-        fingerprint,
-        request_id,
-        vm,
-        claimed_ms,
-        state=IN_PROGRESS,
-        status=0,
-        content_type="",
-        body=None,
-    ):
-        self.team = team
-        self.key = key
-        self.fingerprint = fingerprint
-        self.request_id = request_id
-        self.vm = vm
-        self.claimed_ms = claimed_ms
-        self.state = state
-        self.status = status
-        self.content_type = content_type
-        self.body = body
-
-    def to_state(self):
-        """Return the JSON form."""
-        return [getattr(self, name) for name in self.__slots__]
-
-
-class Free:
-    """Nobody holds the key; a claim may be appended."""
-
-    __slots__ = ()
-
-
-class Held:
-    """An earlier request holds the key.
-
-    Parameters
-    ----------
-    claim : Claim
-        `claim.state` tells whether its response is known.
-    """
-
-    __slots__ = ("claim",)
-
-    def __init__(self, claim):
-        self.claim = claim
-
-
-class Mismatch:
-    """The key was used for another request."""
-
-    __slots__ = ("claim",)
-
-    def __init__(self, claim):
-        self.claim = claim
-
 
 class ClaimState:
     """Which request holds each idempotency key, by order in the log.
 
     The first claim of (team, key) wins. It holds the key until it is abandoned or
-    until the idempotency window has passed in stream time. A claim beyond `max_claims`
-    is rejected and not an old one forgotten, since a forgotten claim could run twice.
+    until no claim of the key was made for the idempotency window, in stream time. A
+    claim that loses prolongs the hold: readers that start at different offsets then
+    differ at most in who holds a key, and never both let a claim win within the window.
+
+    A claim beyond `max_claims` is rejected and not an old one forgotten, since a
+    forgotten claim could run twice.
 
     Parameters
     ----------
@@ -139,6 +49,8 @@
         "_max_claims",
         "_max_body_bytes",
         "_time",
+        "_trimmed",
+        "_start_ms",
         "_by_request",
         "_by_key",
         "_bodies",
@@ -157,11 +69,15 @@
         self._window_ms = window_ms
         self._max_claims = max_claims
         self._max_body_bytes = max_body_bytes
-        self._clear()
+        self._clear(trimmed=False)
 
-    def _clear(self):
+    def _clear(self, trimmed):
         self._time = StreamTime()
-        # In log order, so that the oldest claims are at the front.
+        # Whether records before the first one that was read are missing, and the
+        # stream time at the first one.
+        self._trimmed = trimmed
+        self._start_ms = None
+        # By the time of the last claim, so that the oldest ones are at the front.
         self._by_request = OrderedDict()
         self._by_key = {}
         # Requests with a kept body, in the order of their outcomes.
@@ -185,7 +101,7 @@
     def won(self, request_id):
         """Return whether this request holds its key; read it after the read-back."""
         claim = self._by_request.get(request_id)
-        return claim is not None and claim.state != ABANDONED
+        return claim is not None and claim.certain and claim.state != ABANDONED
 
     def claim_of(self, request_id):
         """Return the accepted claim of a request, or None."""
@@ -196,6 +112,7 @@
         claim = self._by_request.get(request_id)
         require(
             claim is not None
+            and claim.certain
             and claim.state == IN_PROGRESS
             and self._by_key.get((claim.team, claim.key)) is claim,
             AT_MOST_ONCE,
@@ -242,10 +159,12 @@
         """Continue at the log's earliest offset after records were trimmed.
 
         Claims need no checkpoint: the window is shorter than the log's retention, so
-        the claims that still hold are all at `earliest` or after it.
+        the claims that still hold are all at `earliest` or after it. Claims of the
+        first window after it may have lost to one that was trimmed, so none of them
+        counts as won.
         """
         if earliest > self.next_offset:
-            self._clear()
+            self._clear(trimmed=True)
             self.next_offset = earliest
 
     @singledispatchmethod
@@ -255,14 +174,15 @@
 
     @_effect.register
     def _(self, record: ClaimRequest):
-        self._time.observe(record.vm, record.wall_ms)
-        self._remove_expired()
+        self._observe(record)
         known = self._by_request.get(record.request_id)
         if known is not None:
             # The record was appended twice; after an abandonment it must not win.
             return None if known.state != ABANDONED else "the claim was abandoned"
         holder = self._by_key.get((record.team, record.key))
         if holder is not None:
+            holder.claimed_ms = self._time.now_ms
+            self._by_request.move_to_end(holder.request_id)
             return f"request {holder.request_id} holds the key"
         if len(self._by_request) >= self._max_claims:
             return f"the partition holds {self._max_claims} claims"
@@ -272,6 +192,7 @@
             record.fingerprint,
             record.request_id,
             record.vm,
+            self._is_certain(),
             self._time.now_ms,
         )
         self._by_request[claim.request_id] = claim
@@ -280,7 +201,7 @@
 
     @_effect.register
     def _(self, record: RecordOutcome):
-        self._time.observe(record.vm, record.wall_ms)
+        self._observe(record)
         claim = self._by_request.get(record.request_id)
         reason = _change_problem(claim, record)
         if reason is None:
@@ -288,7 +209,6 @@
             claim.status = record.status
             claim.content_type = record.content_type
             self._keep_body(claim, record.body)
-        self._remove_expired()
         return reason
 
     @_effect.register
@@ -312,6 +232,19 @@
             # The status stays known, so the request still does not run again.
             oldest.body = None
 
+    def _observe(self, record):
+        self._time.observe(record.vm, record.wall_ms)
+        now_ms = self._time.now_ms
+        # The time falls when a second writer shows that the first one's clock is fast.
+        self._start_ms = (
+            now_ms if self._start_ms is None else min(self._start_ms, now_ms)
+        )
+        self._remove_expired()
+
+    def _is_certain(self):
+        elapsed_ms = self._time.now_ms - self._start_ms
+        return not self._trimmed or elapsed_ms > self._window_ms
+
     def _expired(self, claim):
         return self._time.now_ms - claim.claimed_ms > self._window_ms
 
@@ -330,6 +263,8 @@
         """Return the JSON form for snapshots."""
         return {
             "time": self._time.to_state(),
+            "trimmed": self._trimmed,
+            "start_ms": self._start_ms,
             "claims": [claim.to_state() for claim in self._by_request.values()],
             "bodies": list(self._bodies),
         }
@@ -353,6 +288,7 @@
             return
         try:
             time = StreamTime.from_state(state["time"])
+            trimmed, start_ms = bool(state["trimmed"]), state["start_ms"]
             claims = [Claim(*parts) for parts in state["claims"]]
             by_request = OrderedDict((claim.request_id, claim) for claim in claims)
             bodies = OrderedDict((id, by_request[id]) for id in state["bodies"])
@@ -360,6 +296,8 @@
         except (KeyError, TypeError, ValueError) as error:
             raise InvalidRecord(f"malformed state of {self.stream}: {error}") from error
         self._time = time
+        self._trimmed = trimmed
+        self._start_ms = start_ms
         self._by_request = by_request
         self._by_key = {
             (claim.team, claim.key): claim
--- a/cassiamount/templates.py
+++ b/cassiamount/templates.py
@@ -66,6 +66,12 @@
             if problem:
                 place = (*path, "parameters", name, "default")
                 problems.append(Problem(place, problem))
+    if _is_reference(template["team"]):
+        message = "a template's team is an object with fields, not one parameter"
+        problems.append(Problem((*path, "team"), message))
+    if "name" in template["team"]:
+        message = "a template names no team"
+        problems.append(Problem((*path, "team", "name"), message, at_key=True))
     for place, name in _references(template["team"], (*path, "team")):
         if not isinstance(name, str) or name not in declared:
             message = f"the template declares no parameter {shorten(repr(name), 80)}"
--- a/tests/documents.py
+++ b/tests/documents.py
@@ -2,6 +2,10 @@
 
 import copy
 
+from hypothesis import strategies as st
+
+from .test_records import JSON
+
 DOCUMENT = {
     "zones": [{"name": "zone-a", "weight": 1}],
     "models": [{"name": "loom", "version": "1", "memory_mb": 16, "load_ms": 40}],
@@ -71,6 +75,8 @@
     for step in path[:-1]:
         target = target[step]
     last = path[-1]
+    if isinstance(target, dict) and not isinstance(last, str):
+        raise TypeError("a field name of JSON is text")
     if value is ...:
         del target[last]
     elif isinstance(target, list) and last == len(target):
@@ -78,3 +84,34 @@
     else:
         target[last] = value
     return document
+
+
+def paths_of(value, path=()):
+    """Yield the paths of all parts of a JSON value."""
+    yield path
+    if isinstance(value, (dict, list)):
+        steps = value if isinstance(value, dict) else range(len(value))
+        for step in steps:
+            yield from paths_of(value[step], (*path, step))
+
+
+def mutated(document):
+    """Return a strategy of documents with up to three parts replaced or removed."""
+    return st.lists(
+        st.tuples(
+            st.sampled_from([path for path in paths_of(document) if path]),
+            st.just(...) | JSON | st.sampled_from(["loom", {"$param": "rate"}, 0, -1]),
+        ),
+        min_size=1,
+        max_size=3,
+    ).map(lambda edits: apply_edits(document, edits))
+
+
+def apply_edits(document, edits):
+    for path, value in edits:
+        try:
+            document = changed(document, *path, value=value)
+        except (LookupError, TypeError):
+            # An earlier edit has removed this part.
+            continue
+    return document
--- /dev/null
+++ b/tests/test_claim_state.py
@@ -0,0 +1,324 @@
+"""Tests of the fold of a claims stream."""
+
+import json
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from cassiamount.claim_state import ClaimState, Free, Held, Mismatch
+from cassiamount.errors import InvalidRecord, InvariantViolation, OffsetGap
+from cassiamount.folds import Applied, Rejected
+from cassiamount.records import (
+    AbandonClaim,
+    ClaimRequest,
+    GiveKey,
+    RecordOutcome,
+)
+
+WINDOW_MS = 1_000
+RETENTION_MS = 3 * WINDOW_MS
+MAX_CLAIMS = 8
+MAX_BODY_BYTES = 10
+START_MS = 1_000_000
+# The clock of the last VM is far ahead of the others.
+SKEWS_MS = {"vm-a@1": 0, "vm-b@1": 3, "vm-c@1": 100 * WINDOW_MS}
+VMS = list(SKEWS_MS)
+SKIPPED = object()
+
+
+def new_state():
+    return ClaimState("claims-0", WINDOW_MS, MAX_CLAIMS, MAX_BODY_BYTES)
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """VMs that claim, dispatch, finish and abandon; each has a reader of its own."""
+
+    @initialize()
+    def start(self):
+        self.now_ms = START_MS
+        self.log = []
+        self.times_ms = []
+        self.earliest = 0
+        self.readers = {vm: new_state() for vm in VMS}
+        # Request -> (VM, team and key, time), from the claim's append on.
+        self.requests = {}
+        # Team and key -> requests dispatched, with their times.
+        self.dispatched = {}
+        self.ended = set()
+
+    def append(self, record):
+        self.log.append(record)
+        self.times_ms.append(self.now_ms)
+
+    def wall_ms(self, vm):
+        return self.now_ms + SKEWS_MS[vm]
+
+    @rule(step_ms=st.sampled_from([1, 50, WINDOW_MS // 2, WINDOW_MS + 5]))
+    def wait(self, step_ms):
+        self.now_ms += step_ms
+
+    @rule(vm=st.sampled_from(VMS), key=st.sampled_from("kl"), other=st.booleans())
+    def claim(self, vm, key, other):
+        state, fingerprint = self.readers[vm], "g" if other else "f"
+        if not isinstance(state.lookup("team", key, fingerprint), Free):
+            return
+        request = f"r{len(self.requests)}"
+        self.requests[request] = (vm, key)
+        wall_ms = self.wall_ms(vm)
+        self.append(
+            ClaimRequest(request, vm, "team", key, fingerprint, request, wall_ms)
+        )
+
+    @precondition(lambda self: self.requests)
+    @rule(data=st.data())
+    def dispatch(self, data):
+        request = data.draw(st.sampled_from(sorted(self.requests)))
+        vm, key = self.requests[request]
+        if request in self.ended or not self.readers[vm].won(request):
+            return
+        earlier = self.dispatched.setdefault(key, {})
+        if request not in earlier:
+            # The fold's own check, in addition to the ones here.
+            self.readers[vm].check_dispatch(request)
+            for dispatched_ms in earlier.values():
+                assert self.now_ms - dispatched_ms > WINDOW_MS - 100
+            earlier[request] = self.now_ms
+
+    @precondition(lambda self: self.requests)
+    @rule(data=st.data(), size=st.sampled_from([None, 4, 8]), vm=st.sampled_from(VMS))
+    def finish_or_abandon(self, data, size, vm):
+        request = data.draw(st.sampled_from(sorted(self.requests)))
+        owner, key = self.requests[request]
+        if request in self.ended:
+            return
+        if request in self.dispatched.get(key, ()):
+            body = None if size is None else "x" * size
+            wall_ms = self.wall_ms(owner)
+            self.ended.add(request)
+            self.append(
+                RecordOutcome(f"o{request}", owner, request, 200, "t", body, wall_ms)
+            )
+        else:
+            # Only the VM that claimed may abandon; the record of another is ignored.
+            if vm == owner:
+                self.ended.add(request)
+            self.append(AbandonClaim(f"a{request}{vm}", vm, request))
+
+    @precondition(lambda self: self.earliest < len(self.log))
+    @rule(data=st.data())
+    def append_again(self, data):
+        position = data.draw(st.integers(self.earliest, len(self.log) - 1))
+        # A writer settles a lost response within seconds.
+        if self.now_ms - self.times_ms[position] < WINDOW_MS:
+            self.append(self.log[position])
+
+    @rule()
+    def append_undecodable(self):
+        self.append(SKIPPED)
+
+    @rule(vm=st.sampled_from(VMS), count=st.integers(1, 8))
+    def read(self, vm, count):
+        state = self.readers[vm]
+        state.restart(self.earliest)
+        for _ in range(min(count, len(self.log) - state.next_offset)):
+            self.deliver(state, state.next_offset)
+
+    def deliver(self, state, offset):
+        if self.log[offset] is SKIPPED:
+            state.skip(offset)
+        else:
+            state.apply(offset, self.log[offset])
+
+    @rule(vm=st.sampled_from(VMS), data=st.data())
+    def deliver_out_of_order(self, vm, data):
+        state = self.readers[vm]
+        before = state.to_state()
+        if self.earliest < len(self.log):
+            offset = data.draw(st.integers(self.earliest, len(self.log) - 1))
+            if offset < state.next_offset:
+                self.deliver(state, offset)
+            elif offset > state.next_offset:
+                with pytest.raises(OffsetGap):
+                    self.deliver(state, offset)
+        assert state.to_state() == before
+
+    @rule()
+    def trim(self):
+        while (
+            self.earliest < len(self.log)
+            and self.times_ms[self.earliest] < self.now_ms - RETENTION_MS
+        ):
+            self.earliest += 1
+
+    @rule(vm=st.sampled_from(VMS), peer=st.sampled_from(VMS))
+    def restart_vm(self, vm, peer):
+        """Starts the VM's reader again; its requests in progress are lost."""
+        self.ended |= {id for id, (owner, _) in self.requests.items() if owner == vm}
+        state = self.readers[vm] = new_state()
+        if peer != vm:
+            snapshot = json.loads(json.dumps(self.readers[peer].to_state()))
+            state.load_state(self.readers[peer].next_offset - 1, snapshot)
+            assert state.digest() == self.readers[peer].digest()
+
+    @invariant()
+    def memory_is_bounded(self):
+        for state in getattr(self, "readers", {}).values():
+            assert len(state) <= MAX_CLAIMS
+            assert state.body_bytes <= MAX_BODY_BYTES
+
+    def teardown(self):
+        if not hasattr(self, "log"):
+            return
+        first, second = ClaimState("x", WINDOW_MS), ClaimState("x", WINDOW_MS)
+        for offset in range(len(self.log)):
+            self.deliver(first, offset)
+        for offset in range(len(self.log)):
+            for again in range(max(0, offset - 2), offset + 1):
+                self.deliver(second, again)
+        assert first.digest() == second.digest()
+
+
+TestClaimState = ClaimMachine.TestCase
+TestClaimState.settings = settings(
+    derandomize=True, max_examples=2000, stateful_step_count=50, deadline=None
+)
+
+
+def claim(request, vm="vm-a@1", key="k", fingerprint="f", wall_ms=START_MS):
+    return ClaimRequest(request, vm, "team", key, fingerprint, request, wall_ms)
+
+
+def outcome(request, vm="vm-a@1", body="abcd", wall_ms=START_MS):
+    return RecordOutcome("o" + request, vm, request, 200, "text/plain", body, wall_ms)
+
+
+def state_with(*records):
+    state = new_state()
+    results = [state.apply(offset, record) for offset, record in enumerate(records)]
+    return state, results
+
+
+LATE_MS = START_MS + WINDOW_MS + 1
+
+
+@pytest.mark.parametrize(
+    ("records", "fingerprint", "expected", "request_id"),
+    [
+        ([], "f", Free, None),
+        ([claim("r1")], "f", Held, "r1"),
+        ([claim("r1"), claim("r2", "vm-b@1")], "f", Held, "r1"),
+        ([claim("r1")], "g", Mismatch, "r1"),
+        ([claim("r1"), AbandonClaim("a", "vm-a@1", "r1")], "f", Free, None),
+        ([claim("r1"), AbandonClaim("a", "vm-b@1", "r1")], "f", Held, "r1"),
+        # A delayed repetition of an abandoned claim must not win.
+        (
+            [claim("r1"), AbandonClaim("a", "vm-a@1", "r1"), claim("r1")],
+            "f",
+            Free,
+            None,
+        ),
+        ([claim("r1"), claim("r2", key="l", wall_ms=LATE_MS)], "f", Free, None),
+        # One VM's clock that runs ahead expires nothing.
+        (
+            [claim("r1"), claim("r2", "vm-c@1", "l", wall_ms=10 * LATE_MS)],
+            "f",
+            Held,
+            "r1",
+        ),
+        # A claim that loses prolongs the hold.
+        (
+            [
+                claim("r1"),
+                claim("r2", wall_ms=START_MS + WINDOW_MS // 2),
+                claim("r3", key="l", wall_ms=LATE_MS),
+            ],
+            "f",
+            Held,
+            "r1",
+        ),
+    ],
+)
+def test_second_arrival(records, fingerprint, expected, request_id):
+    """Guards against a second run, and against a key that is never free again."""
+    state, _ = state_with(*records)
+    found = state.lookup("team", "k", fingerprint)
+    assert type(found) is expected
+    if request_id is not None:
+        assert found.claim.request_id == request_id
+
+
+@pytest.mark.parametrize(
+    ("record", "reason"),
+    [
+        (claim("r2"), "request r1 holds the key"),
+        (outcome("r9"), "holds no claim"),
+        (outcome("r1", "vm-b@1"), "belongs to vm-a@1"),
+        (GiveKey("x", "o", "team", "hash"), "does not belong"),
+    ],
+)
+def test_rejected_record(record, reason):
+    """Guards against a record with an effect that its writer has no right to."""
+    state, results = state_with(claim("r1"), record)
+    assert isinstance(results[1], Rejected)
+    assert reason in results[1].reason
+    assert state.lookup("team", "k", "f").claim.status == 0
+
+
+def test_first_outcome_stays_and_large_bodies_are_dropped_oldest_first():
+    """Guards against an answer that changes, and against unbounded memory."""
+    state, results = state_with(
+        claim("r1"),
+        outcome("r1", body="12345678"),
+        outcome("r1", body="other"),
+        claim("r2", key="l"),
+        outcome("r2", body="abcd"),
+    )
+    assert [type(result) for result in results[1:3]] == [Applied, Rejected]
+    first, second = state.claim_of("r1"), state.claim_of("r2")
+    assert (first.status, first.body) == (200, None)
+    assert (second.status, second.body) == (200, "abcd")
+
+
+def test_full_partition_rejects_new_claims():
+    """Guards against an old claim that is forgotten and runs twice."""
+    claims = [claim(f"r{number}", key=f"k{number}") for number in range(MAX_CLAIMS + 1)]
+    state, results = state_with(*claims)
+    assert "holds 8 claims" in results[-1].reason
+    assert not state.won(f"r{MAX_CLAIMS}")
+    assert state.won("r0")
+
+
+def test_claim_after_trimmed_records_is_not_won():
+    """Guards against a claim that lost to one that the log no longer holds."""
+    state = new_state()
+    state.restart(5)
+    state.apply(5, claim("r1"))
+    state.apply(6, claim("r2", key="l", wall_ms=LATE_MS))
+    assert not state.won("r1")
+    assert state.won("r2")
+
+
+@pytest.mark.parametrize("records", [[], [claim("r1"), outcome("r1")]])
+def test_dispatch_without_a_claim_in_progress_is_a_violation(records):
+    """Guards against a dispatch of a request that holds no claim or has run."""
+    state, _ = state_with(*records)
+    with pytest.raises(InvariantViolation, match="at-most-once"):
+        state.check_dispatch("r1")
+
+
+def test_malformed_snapshot_changes_nothing():
+    """Guards against a half-loaded snapshot from a peer."""
+    state, _ = state_with(claim("r1"))
+    before = state.to_state()
+    for malformed in ({}, {**before, "claims": [[1]]}, {**before, "bodies": ["r1"]}):
+        with pytest.raises(InvalidRecord):
+            state.load_state(9, malformed)
+        assert state.to_state() == before
--- /dev/null
+++ b/tests/test_findings.py
@@ -0,0 +1,70 @@
+"""Tests of places in JSON documents."""
+
+import pytest
+
+from cassiamount.findings import JsonPlaces, read_json, value_problems
+
+TEXT = '{\n\t"a": [1, {"b": 2}],\n  "c": "x"\n}'
+
+
+@pytest.mark.parametrize(
+    ("path", "at_key", "place"),
+    [
+        ((), False, "f.json:1:1"),
+        (("a",), False, "f.json:2:7"),
+        (("a",), True, "f.json:2:2"),
+        (("a", 1, "b"), False, "f.json:2:17"),
+        (("c",), False, "f.json:3:8"),
+        # The deepest part that exists.
+        (("a", 9, "b"), False, "f.json:2:7"),
+        (("none",), True, "f.json:1:1"),
+    ],
+)
+def test_place_of_a_path(path, at_key, place):
+    """Guards against findings that point at the wrong place."""
+    assert JsonPlaces(TEXT, "f.json").place(path, at_key) == place
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ('{"a": 1,\n "a": 2}', "f:2:2: duplicate field 'a'"),
+        ('[{"b": {"a": 1, "a": 1}}]', "f:1:17: duplicate field 'a'"),
+        ('{"a": }', "f:1:7: not JSON: Expecting value"),
+        ("", "f:1:1: not JSON: Expecting value"),
+        ('{"a": NaN}', "f:1:1: not JSON: NaN is no JSON number"),
+        ("1" * 5000, "f:1:1: not JSON: Exceeds the limit"),
+        ("[" * 100_000, "f:1:1: not JSON: maximum recursion depth"),
+        # YAML allows no keys of this length, so there is no better place.
+        (f'{{"{"k" * 2000}": 1, "{"k" * 2000}": 2}}', "f:1:1: duplicate field"),
+    ],
+)
+def test_text_that_is_not_accepted(text, expected):
+    """Guards against an exception or a silent choice among duplicate fields."""
+    (finding,) = read_json(text, "f").unwrap_err()
+    assert str(finding).startswith(expected)
+
+
+@pytest.mark.parametrize(
+    ("value", "path", "message"),
+    [
+        ({"a": [2**60]}, ("a", 0), "out of range"),
+        ([1e999], (0,), "out of range"),
+        ({"a": "\ud800"}, ("a",), "surrogate"),
+        ({"\ud800": 1}, (), "not Unicode"),
+    ],
+)
+def test_value_that_cannot_be_stored(value, path, message):
+    """Guards against a document that the log or another VM cannot read back."""
+    (problem,) = value_problems(value)
+    assert problem.path == path
+    assert message in problem.message
+
+
+def test_deep_nesting_is_a_problem():
+    """Guards against a recursion error while a document is checked."""
+    value = []
+    for _ in range(5000):
+        value = [value]
+    (problem,) = value_problems(value)
+    assert "nested deeper" in problem.message
