--- a/cassiamount/dispatcher.py
+++ b/cassiamount/dispatcher.py
@@ -113,6 +113,8 @@
         self._burst_share = burst_share
         self._demand = demand
         self._configuration = None
+        self._drained = frozenset()
+        self._listed_leaving = frozenset()
         self._entries = {}
         self._short = {}
         self._asked = set()
@@ -167,6 +169,16 @@
         """Number of requests that wait for a backend server or for budget."""
         return len(self._queued) + sum(len(short) for short in self._short.values())
 
+    def held_tokens(self):
+        """Return the tokens that this VM holds, by team."""
+        if self._configuration is None:
+            return {}
+        now_ms = self._clock.monotonic_ms()
+        return {
+            team: self._holder.available(team, now_ms)
+            for team in self._configuration.teams
+        }
+
     # The task.
 
     async def run(self):
@@ -269,6 +281,8 @@
             self._holder.remove_team(name)
         self._configuration = configuration
         self._router.set_configuration(configuration)
+        self._drained = message.drained
+        self._router.set_leaving(self._drained | self._listed_leaving)
         weights = {team.name: team.weight for team in configuration.teams.values()}
         self._queue.set_weights(weights)
 
@@ -288,7 +302,8 @@
 
     @_apply.register
     def _(self, message: LeavingBackends, request):
-        self._router.set_leaving(message.names)
+        self._listed_leaving = message.names
+        self._router.set_leaving(self._drained | self._listed_leaving)
 
     @_apply.register
     def _(self, message: DrainingModels, request):
--- a/cassiamount/routing.py
+++ b/cassiamount/routing.py
@@ -1,5 +1,6 @@
 """Selection of a replica for each request."""
 
+from .admission import route_of
 from .invariants import LEAVING_BACKEND_IDLE, require
 from .prefix_index import PrefixIndex
 from .replica_state import ReplicaState
@@ -15,8 +16,6 @@
 RUNNING_COST_MS = 8.0
 # Duration of a request until a replica's own average is known.
 DEFAULT_DURATION_MS = 1_000.0
-# Time to load an adapter on an engine that does not hold it.
-ADAPTER_LOAD_MS = 8.0
 # A report older than this says little; the replica is used only if others are worse.
 STALE_REPORT_MS = 3_000.0
 STALE_PENALTY_MS = 200.0
@@ -177,11 +176,13 @@
         Choice or NoReplica
         """
         self._now_ms = max(self._now_ms, now_ms)
-        route = ticket.service or ticket.model
+        # Engines refuse a request whose adapter is not ready; the base model of a
+        # ready adapter is ready too.
+        route = route_of(ticket)
         offering = self._routes.get(route, ())
         if not offering:
             return NoReplica(NOT_RESIDENT if ticket.model else UNAVAILABLE)
-        usable = self._usable(route, offering, now_ms, exclude)
+        usable = self._usable(ticket, offering, now_ms, exclude)
         if not usable:
             return NoReplica(UNAVAILABLE)
         free = [
@@ -206,12 +207,13 @@
         """Return the estimated number of requests at a backend server."""
         return self._replicas[backend].load()
 
-    def _usable(self, route, offering, now_ms, exclude):
+    def _usable(self, ticket, offering, now_ms, exclude):
         present = [
             self._replicas[name]
             for name in offering
             if name not in self._leaving
-            and (name, route) not in self._draining
+            and (name, ticket.model) not in self._draining
+            and (name, ticket.adapter) not in self._draining
             and not self._replicas[name].reports_leaving
         ]
         ejected = {r.backend.name for r in present if r.ejected(now_ms)}
@@ -253,8 +255,6 @@
             cached = self.prefixes.cached_tokens(backend.name, ticket.prefix_hashes)
             cached = min(cached, ticket.prompt_tokens)
             wait_ms += (ticket.prompt_tokens - cached) / PREFILL_TOKENS_PER_MS
-            if ticket.adapter and not self._holds(backend.name, ticket.adapter):
-                wait_ms += ADAPTER_LOAD_MS
         if backend.zone != self._zone:
             wait_ms += self._zone_distance_ms
         wait_ms += replica.error_penalty_ms(now_ms)
@@ -262,11 +262,6 @@
             wait_ms += STALE_PENALTY_MS
         return Choice(backend.name, backend.address, wait_ms, cached)
 
-    def _holds(self, backend, name):
-        return name in self._resident_on.get(backend, ()) and (
-            (backend, name) not in self._draining
-        )
-
     def _index(self, name):
         replica = self._replicas[name]
         if replica.backend.kind == "service":
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -23,13 +23,6 @@
     )
 
 
-def take_all(queue, now_ms=0.0):
-    taken = []
-    while (next_ticket := queue.take(now_ms, lambda _: True)) is not None:
-        taken.append(next_ticket)
-    return taken
-
-
 def test_teams_share_by_tokens_served():
     """Guards against a team with long or many requests that starves another."""
     queue = AdmissionQueue()
@@ -58,6 +51,17 @@
     assert 15 <= teams["late"] <= 25
 
 
+def test_refused_request_earns_no_service():
+    """Guards against a team over its rate that gains priority by refusals."""
+    queue = AdmissionQueue()
+    for number in range(20):
+        queue.offer(ticket(number, "over"), 0.0)
+        queue.offer(ticket(number, "within"), 0.0)
+        queue.settle(ticket(100 + number, "over"), 0)
+    teams = Counter(queue.take(0.0, lambda _: True).team for _ in range(20))
+    assert teams["over"] == teams["within"]
+
+
 @pytest.mark.parametrize(("reserve", "least"), [(0.05, 4), (0.0, 0)])
 def test_lower_class_gets_its_reserve(reserve, least):
     """Guards against batch requests that never run while others wait."""
@@ -141,7 +145,15 @@
 
     @rule(models=st.sets(st.sampled_from("xy")))
     def take(self, models):
-        taken = self.queue.take(self.now_ms, lambda waiting: waiting.model in models)
+        asked = []
+
+        def ready(waiting):
+            asked.append(waiting)
+            return waiting.model in models
+
+        taken = self.queue.take(self.now_ms, ready)
+        assert taken is None or asked[-1] is taken
+        assert len({t.model for t in asked}) == len(asked)
         possible = [t for t in self.waiting.values() if t.model in models]
         assert (taken is None) == (not possible)
         if taken is not None:
