Release a lease only after watching it, and restart claims at the log's head

Cause: an operator may believe a holder gone that still renews; and the blind time of a whole window after a restart refused calls on quiet streams.

Ruled out: writing ReleaseLease in the holder's name (zone_state accepts it from anybody and trusts a note from the holder only, so the operator's own name is true); deciding by times whether a claim may have lost to a trimmed one (stream time stands still on quiet streams).

Change: release_lease reads holder and fence, watches the lease for 10 s and refuses if it was renewed. ClaimState.restart takes the log's head; claims below it are not counted as won.

--- a/cassiamount/claim_state.py
+++ b/cassiamount/claim_state.py
@@ -49,8 +49,7 @@
         "_max_claims",
         "_max_body_bytes",
         "_time",
-        "_trimmed",
-        "_start_ms",
+        "_certain_from",
         "_by_request",
         "_by_key",
         "_bodies",
@@ -69,14 +68,12 @@
         self._window_ms = window_ms
         self._max_claims = max_claims
         self._max_body_bytes = max_body_bytes
-        self._clear(trimmed=False)
+        self._clear(certain_from=0)
 
-    def _clear(self, trimmed):
+    def _clear(self, certain_from):
         self._time = StreamTime()
-        # Whether records before the first one that was read are missing, and the
-        # stream time at the first one.
-        self._trimmed = trimmed
-        self._start_ms = None
+        # Claims before this offset may have lost to one that was trimmed.
+        self._certain_from = certain_from
         # By the time of the last claim, so that the oldest ones are at the front.
         self._by_request = OrderedDict()
         self._by_key = {}
@@ -155,16 +152,22 @@
             raise OffsetGap(self.stream, self.next_offset, offset)
         self.next_offset = offset + 1
 
-    def restart(self, earliest):
+    def restart(self, earliest, head):
         """Continue at the log's earliest offset after records were trimmed.
 
         Claims need no checkpoint: the window is shorter than the log's retention, so
-        the claims that still hold are all at `earliest` or after it. Claims of the
-        first window after it may have lost to one that was trimmed, so none of them
-        counts as won.
+        a claim that is made from now on cannot lose to one that was trimmed. Those
+        that are in the log already may have, so none of them counts as won.
+
+        Parameters
+        ----------
+        earliest : int
+            First offset that the log still holds.
+        head : int
+            Offset that the next appended record will get, read now.
         """
         if earliest > self.next_offset:
-            self._clear(trimmed=True)
+            self._clear(certain_from=head)
             self.next_offset = earliest
 
     @singledispatchmethod
@@ -192,7 +195,7 @@
             record.fingerprint,
             record.request_id,
             record.vm,
-            self._is_certain(),
+            self.next_offset > self._certain_from,
             self._time.now_ms,
         )
         self._by_request[claim.request_id] = claim
@@ -234,17 +237,8 @@
 
     def _observe(self, record):
         self._time.observe(record.vm, record.wall_ms)
-        now_ms = self._time.now_ms
-        # The time falls when a second writer shows that the first one's clock is fast.
-        self._start_ms = (
-            now_ms if self._start_ms is None else min(self._start_ms, now_ms)
-        )
         self._remove_expired()
 
-    def _is_certain(self):
-        elapsed_ms = self._time.now_ms - self._start_ms
-        return not self._trimmed or elapsed_ms > self._window_ms
-
     def _expired(self, claim):
         return self._time.now_ms - claim.claimed_ms > self._window_ms
 
@@ -263,8 +257,7 @@
         """Return the JSON form for snapshots."""
         return {
             "time": self._time.to_state(),
-            "trimmed": self._trimmed,
-            "start_ms": self._start_ms,
+            "certain_from": self._certain_from,
             "claims": [claim.to_state() for claim in self._by_request.values()],
             "bodies": list(self._bodies),
         }
@@ -288,7 +281,7 @@
             return
         try:
             time = StreamTime.from_state(state["time"])
-            trimmed, start_ms = bool(state["trimmed"]), state["start_ms"]
+            certain_from = int(state["certain_from"])
             claims = [Claim(*parts) for parts in state["claims"]]
             by_request = OrderedDict((claim.request_id, claim) for claim in claims)
             bodies = OrderedDict((id, by_request[id]) for id in state["bodies"])
@@ -296,8 +289,7 @@
         except (KeyError, TypeError, ValueError) as error:
             raise InvalidRecord(f"malformed state of {self.stream}: {error}") from error
         self._time = time
-        self._trimmed = trimmed
-        self._start_ms = start_ms
+        self._certain_from = certain_from
         self._by_request = by_request
         self._by_key = {
             (claim.team, claim.key): claim
--- a/cassiamount/cli.py
+++ b/cassiamount/cli.py
@@ -335,10 +335,14 @@
     fence: int,
     vms_are_gone: Annotated[bool, Parameter(negative="")],
     log_address: LogAddress,
+    operator: Operator = "operator",
     as_json: AsJson = False,
 ):
     """Release a lease whose holder is gone.
 
+    The command first watches the lease for 10 seconds and does nothing if somebody
+    renews it.
+
     Parameters
     ----------
     zone
@@ -359,7 +363,7 @@
     return change(
         lambda api: api.release_lease(zone, lease, holder, fence),
         log_address,
-        "",
+        operator,
         output,
     )
 
--- a/cassiamount/operator_api.py
+++ b/cassiamount/operator_api.py
@@ -1,5 +1,6 @@
 """What operators do, as an asynchronous API that other programs can embed."""
 
+import asyncio
 import uuid
 
 from result import Err, Ok
@@ -18,8 +19,12 @@
     WithdrawKey,
 )
 from .stream_reader import StreamReader
+from .zone_state import ZoneState
 
 CONFIG_STREAM = "config"
+# More than twice the duration of a lease: a live holder renews within it, and the
+# tokens that a dead one gave have expired.
+RELEASE_WATCH_S = 10.0
 
 __all__ = [
     "Done",
@@ -240,11 +245,13 @@
             return Err(Refused(result.reason))
         return Ok(Done(result.offset))
 
-    async def release_lease(self, zone, lease, holder, fence):
+    async def release_lease(self, zone, lease, holder, fence, watch_s=RELEASE_WATCH_S):
         """Release a lease for a holder that is gone.
 
         The caller states that the holder and the VMs that it gave tokens to have
-        stopped; the budget could be overspent if they had not.
+        stopped; the budget could be overspent if they had not. The lease is watched
+        first, which finds a holder that still renews it, and lets the tokens that the
+        holder gave expire. It does not find a holder that is cut off from the log.
 
         Parameters
         ----------
@@ -252,16 +259,23 @@
         holder : str
             ``<name>@<incarnation>``, as ``status`` shows it.
         fence : int
+        watch_s : float
 
         Returns
         -------
         Result[Done, Refused]
         """
-        from .zone_state import ZoneState
-
         reader = StreamReader(self._log, f"zone-{zone}", ZoneState(zone))
         await reader.catch_up()
-        record = ReleaseLease(_new_id(), holder, lease, fence)
+        before = reader.fold.leases.get(lease)
+        if before is None or (before.holder, before.fence) != (holder, fence):
+            return Err(Refused(f"{lease} is not held by {holder} with fence {fence}"))
+        seen_offset = before.seen_offset
+        await asyncio.sleep(watch_s)
+        await reader.catch_up()
+        if reader.fold.leases[lease].seen_offset != seen_offset:
+            return Err(Refused(f"{lease} was claimed or renewed; somebody holds it"))
+        record = ReleaseLease(_new_id(), self._writer, lease, fence)
         result = await reader.append(record)
         if isinstance(result, Rejected):
             return Err(Refused(result.reason))
--- a/tests/test_claim_state.py
+++ b/tests/test_claim_state.py
@@ -24,7 +24,7 @@
 )
 
 WINDOW_MS = 1_000
-RETENTION_MS = 3 * WINDOW_MS
+RETENTION_MS = WINDOW_MS + 200
 MAX_CLAIMS = 8
 MAX_BODY_BYTES = 10
 START_MS = 1_000_000
@@ -127,7 +127,7 @@
     @rule(vm=st.sampled_from(VMS), count=st.integers(1, 8))
     def read(self, vm, count):
         state = self.readers[vm]
-        state.restart(self.earliest)
+        state.restart(self.earliest, len(self.log))
         for _ in range(min(count, len(self.log) - state.next_offset)):
             self.deliver(state, state.next_offset)
 
@@ -299,9 +299,9 @@
 def test_claim_after_trimmed_records_is_not_won():
     """Guards against a claim that lost to one that the log no longer holds."""
     state = new_state()
-    state.restart(5)
+    state.restart(5, 6)
     state.apply(5, claim("r1"))
-    state.apply(6, claim("r2", key="l", wall_ms=LATE_MS))
+    state.apply(6, claim("r2", key="l"))
     assert not state.won("r1")
     assert state.won("r2")
 
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cassiamount import stream_reader
+from cassiamount import operator_api, stream_reader
 from cassiamount.config_state import ConfigState
 from cassiamount.errors import AppendOutcomeUnknown, PlatformUnavailable
 from cassiamount.operator_api import (
@@ -13,8 +13,15 @@
     OperatorApi,
     Refused,
 )
-from cassiamount.records import Checkpoint, encode_record
+from cassiamount.records import (
+    Checkpoint,
+    ClaimLease,
+    RegisterVm,
+    RenewLease,
+    encode_record,
+)
 from cassiamount.stream_reader import CheckpointMissing
+from cassiamount.zone_state import ZoneState
 
 from .documents import DOCUMENT, changed
 from .fake_log import DOWN, LIMIT, LOST_AFTER, LOST_BEFORE, FakeLog
@@ -167,6 +174,43 @@
     assert result.withdrawn_keys == [given.key_hash]
 
 
+ZONE_RECORDS = [
+    RegisterVm("1", "vm-1@f", "127.0.0.1:1", "f"),
+    ClaimLease("2", "vm-1@f", "budget/0", 0, 0),
+    RenewLease("3", "vm-1@f", "budget/0", 2),
+]
+
+
+@pytest.mark.parametrize(
+    ("holder", "fence", "renewed", "reason"),
+    [
+        ("vm-1@f", 2, False, None),
+        ("vm-1@f", 2, True, "was claimed or renewed"),
+        ("vm-1@e", 2, False, "is not held by vm-1@e"),
+        ("vm-1@f", 1, False, "with fence 1"),
+    ],
+)
+async def test_release_lease(log, monkeypatch, holder, fence, renewed, reason):
+    """Guards against a lease that is taken from a holder that still uses it."""
+    await log.append("zone-a", [encode_record(record) for record in ZONE_RECORDS])
+
+    async def sleep(seconds):
+        if renewed:
+            record = RenewLease("4", "vm-1@f", "budget/0", 2)
+            await log.append("zone-a", [encode_record(record)])
+
+    monkeypatch.setattr(operator_api.asyncio, "sleep", sleep)
+    result = await OperatorApi(log).release_lease("a", "budget/0", holder, fence)
+    if reason is None:
+        assert result.unwrap().offset == 3
+        state = ZoneState("a")
+        await stream_reader.StreamReader(log, "zone-a", state).catch_up()
+        assert state.leases["budget/0"].released
+    else:
+        assert reason in result.unwrap_err().reason
+        assert all(value["kind"] != "release-lease" for value in log.streams["zone-a"])
+
+
 async def trimmed_log(log, covers_offset, earliest):
     """Fill a log with drains and a checkpoint, and trim it."""
     api = await published(log)
