--- a/cassiamount/cli_output.py
+++ b/cassiamount/cli_output.py
@@ -9,6 +9,9 @@
 
 from .status import UnreachableVm
 
+# Columns of tables when the output is no terminal.
+PIPE_WIDTH = 160
+
 
 class Output:
     """Writes results to standard output and errors to standard error.
@@ -23,7 +26,8 @@
 
     def __init__(self, as_json=False):
         self.as_json = as_json
-        self._console = Console(highlight=False, soft_wrap=True)
+        width = None if sys.stdout.isatty() else PIPE_WIDTH
+        self._console = Console(highlight=False, soft_wrap=True, width=width)
         self._errors = Console(stderr=True, highlight=False, soft_wrap=True)
 
     def result(self, value, lines=(), tables=()):
@@ -83,7 +87,8 @@
     """Return a table whose cells are plain text."""
     result = Table(title=title, title_justify="left")
     for column in columns:
-        result.add_column(column)
+        # Cells fold instead of being cut, since operators copy hashes and fences.
+        result.add_column(column, overflow="fold")
     for row in rows:
         result.add_row(*(Text("-" if cell is None else str(cell)) for cell in row))
     return result
