Fit the coordinator to the node

Cause: the node gives the coordinator a follower, an appender and the VM list's client. Change: MemberWatch holds registration, probes, suspicion and the VM list; the holder of the placement lease probes every VM of its zone, because probes carry the demand. ZoneState raises OffsetGap and InvalidRecord like the other folds.

--- a/cassiamount/budget_exchange.py
+++ b/cassiamount/budget_exchange.py
@@ -176,19 +176,15 @@
                 answers.update(await self._ask_peer(address, group, holder))
         return answers or None
 
-    async def report(self, reports):
-        """Send reports of this VM to their owners.
+    async def report(self, report):
+        """Send a report of this VM to the owner that it is for.
 
         Returns
         -------
-        list of Report
-            Those that are done: answered, or of no use to any owner.
+        bool
+            Whether the report is done: answered, or of no use to any owner.
         """
-        done = []
-        for report in reports:
-            if await self._deliver(self._identity, report):
-                done.append(report)
-        return done
+        return await self._deliver(self._identity, report)
 
     async def take_report(self, holder, report, forwarded):
         """Apply a report of another VM or zone, or pass it on within the zone.
--- a/cassiamount/coordinator.py
+++ b/cassiamount/coordinator.py
@@ -1,29 +1,28 @@
 """The task that drives leases, budgets, promises, registration and suspicion."""
 
 import asyncio
+import random
 
 import structlog
 import xxhash
 
+from .background import BackgroundTasks
 from .budget_exchange import BudgetExchange
 from .errors import AppendOutcomeUnknown, PlatformUnavailable
 from .lease_client import LeaseClient
 from .lease_commands import AskPromises, PromiseAnswer
-from .membership import Membership
+from .member_watch import MemberWatch
 from .peer_messages import PeerUnavailable
-from .records import RegisterVm, ReleaseVm
+from .records import ReleaseVm
 from .status import LeaseStatus
 from .timing import LEASE_MS
-from .zone_state import PLACEMENT_LEASE, vm_name
+from .zone_state import PLACEMENT_LEASE
 
 TICK_MS = 100
 # An append that was not read back by then counts as unknown; the record is kept.
 APPEND_TIMEOUT_MS = LEASE_MS / 2
 # A fold that is staler than this would claim leases that were renewed since.
-MAX_CLAIM_STALENESS_MS = 1_000
-REGISTER_INTERVAL_MS = 2_000
-# Two processes that run under one name must not replace each other for ever.
-MAX_REGISTER_INTERVAL_MS = 60_000
+MAX_CLAIM_STALENESS_MS = 2_000
 
 log = structlog.get_logger()
 
@@ -51,8 +50,7 @@
     """Coordinates one VM with the others of its zone and with the other zones.
 
     The object outlives its task: it knows promises that were given and records that
-    may still arrive in the log. `on_zone_change` must be called after each change of
-    the fold, before other code acts on it.
+    may still arrive in the log.
 
     Parameters
     ----------
@@ -60,19 +58,17 @@
         ``<name>@<incarnation>``.
     zone, address : str
         The address where other VMs reach this one.
-    fold : ZoneState
-    appender : Appender
+    follower, appender : Follower, Appender
         Of the zone's stream.
     peers : PeerClient
+    vm_list : VmListClient
     clock : SystemClock or ManualClock
-    rng : random.Random
     budget_partitions : int
-    log_unreached_ms : callable
-        Returns the time since this VM reached the log itself.
-    stale_ms : callable
-        Returns the time since the fold was at the head of its stream, or None.
-    on_probe : callable, optional
-        Gets each `ProbeInfo` of another VM.
+    log_reached_ms : callable
+        Returns the monotonic time at which this VM reached the log last.
+    on_leaving_backends : callable, optional
+        Gets the names of the leaving backend servers when they change.
+    rng : random.Random, optional
     """
 
     def __init__(
@@ -80,53 +76,60 @@
         identity,
         zone,
         address,
-        fold,
+        follower,
         appender,
         peers,
+        vm_list,
         clock,
-        rng,
         budget_partitions,
-        log_unreached_ms,
-        stale_ms,
-        on_probe=None,
+        log_reached_ms,
+        on_leaving_backends=None,
+        rng=None,
     ):
         self.identity = identity
         self.leaving = False
-        self._address = address
-        self._fold = fold
+        self._zone = zone
+        self._follower = follower
+        self._fold = follower.fold
         self._appender = appender
         self._peers = peers
         self._clock = clock
-        self._log_unreached_ms = log_unreached_ms
-        self._stale_ms = stale_ms
-        self._on_probe = on_probe
+        self._log_reached_ms = log_reached_ms
         self._record_number = 0
-        self._zone = zone
-        self._membership = Membership(identity, zone, self._new_id)
+        self._tasks = BackgroundTasks()
+        self.members = MemberWatch(
+            identity,
+            zone,
+            address,
+            self._fold,
+            self._append_once,
+            peers,
+            vm_list,
+            clock,
+            self._tasks,
+            self._new_id,
+            on_leaving_backends,
+        )
         budgets = [
             LeaseClient(identity, f"budget/{number}", self._new_id, True)
             for number in range(budget_partitions)
         ]
         placement = LeaseClient(identity, PLACEMENT_LEASE, self._new_id, False)
         self._clients = {client.lease: client for client in [*budgets, placement]}
-        self._placement = placement
         self.budgets = BudgetExchange(
             identity,
             zone,
             budgets,
-            fold,
+            self._fold,
             peers,
             clock,
-            rng,
-            self._member_address,
-            self._membership.entry_addresses,
+            random.Random() if rng is None else rng,
+            self.members.address_of,
+            self.members.zone_addresses,
         )
-        self._addresses = {}
         self._appending = set()
-        self._tasks = set()
         self._loan_task = None
-        self._register_due_ms = 0.0
-        self._register_interval_ms = REGISTER_INTERVAL_MS
+        follower.add_listener(self._on_followed)
 
     # For the rest of the daemon.
 
@@ -143,16 +146,15 @@
                 self.tick()
                 await asyncio.sleep(TICK_MS / 1000)
         finally:
-            for task in self._tasks:
-                task.cancel()
+            self._tasks.cancel()
 
     async def ask(self, asks):
         """Ask for blocks; see `BudgetExchange.ask`."""
         return await self.budgets.ask(asks)
 
-    async def report(self, reports):
-        """Send reports and return those that are done."""
-        return await self.budgets.report(reports)
+    async def report(self, report):
+        """Send a report; see `BudgetExchange.report`."""
+        return await self.budgets.report(report)
 
     def set_configuration(self, configuration):
         """Take rates, bursts and the zone's share from a configuration."""
@@ -166,48 +168,33 @@
             }
         )
 
-    def on_vm_list(self, listed):
-        """Take the platform's VM list."""
-        self._membership.on_vm_list(listed)
-
-    def on_zone_change(self):
-        """Take note of records that the follower applied."""
-        now_ms = self._clock.monotonic_ms()
-        for client in self._clients.values():
-            stop = client.observe(self._fold.leases.get(client.lease), now_ms)
-            if stop is not None:
-                log.info("lease_lost", lease=stop.lease, reason=stop.reason)
-        self._membership.on_members(self._fold.members)
-        for member in self._fold.members.values():
-            self._addresses[member.identity] = member.address
-        self.budgets.sync(now_ms)
-
-    def placement_fence(self):
-        """Return the fence under which this VM may decide placement now, or None."""
-        if self._placement.may_use(self._clock.monotonic_ms()):
-            return self._placement.fence
-        return None
+    def lease(self, name):
+        """Return the `LeaseClient` of a lease of the zone."""
+        return self._clients[name]
 
     def own_leaving_backends(self):
         """Return the backend servers that the VM list says are leaving."""
-        return self._membership.own_leaving_backends()
+        return self.members.membership.own_leaving_backends()
 
     def leaving_backends(self):
         """Return those that the VM list or a peer says are leaving."""
-        return self._membership.leaving_backends()
-
-    def vm_state(self, name):
-        """Return whether a VM of the zone is live, leaving, gone or unknown."""
-        return self._membership.state_of(name, self._clock.monotonic_ms())
+        return self.members.membership.leaving_backends()
 
     def peer_addresses(self):
-        """Return the addresses of the other entry VMs by zone and name."""
-        zones = self._membership.entry_addresses()
-        own_name = vm_name(self.identity)
-        return {
-            zone: {name: each for name, each in named.items() if name != own_name}
-            for zone, named in zones.items()
-        }
+        """Return the addresses of all other entry VMs."""
+        return self.members.peer_addresses()
+
+    def zone_peer_addresses(self):
+        """Return the addresses of the other entry VMs of the zone."""
+        return self.members.peer_addresses(self._zone)
+
+    def peer_demand(self):
+        """Return the demand that other VMs of the zone told, by identity and model."""
+        return self.members.peer_demand()
+
+    def vm_gone(self, identity):
+        """Whether a VM of any zone is known not to run any more."""
+        return self.members.vm_gone(identity)
 
     def status(self):
         """Return the `CoordinationStatus`."""
@@ -273,7 +260,8 @@
         if client is None or lease == PLACEMENT_LEASE:
             return PromiseAnswer(False, "the lease cannot be extended")
         now_ms = self._clock.monotonic_ms()
-        reached_ms = now_ms - self._log_unreached_ms()
+        self._observe(now_ms)
+        reached_ms = self._log_reached_ms()
         return client.watcher.promise(
             holder, promiser, fence, duration_ms, now_ms, reached_ms
         )
@@ -283,52 +271,49 @@
     def tick(self):
         """Start what is due; called at intervals by `run`."""
         now_ms = self._clock.monotonic_ms()
-        self.on_zone_change()
+        self._observe(now_ms)
         if self.budgets.violation is not None:
             violation, self.budgets.violation = self.budgets.violation, None
             raise violation
-        fresh = self._is_fresh()
+        fresh = (
+            self._follower.freshness.current
+            and self._follower.stale_ms <= MAX_CLAIM_STALENESS_MS
+        )
         registered = self.identity in self._fold.roster()
-        if fresh and not registered and not self.leaving:
-            self._register(now_ms)
         may_claim = fresh and registered and not self.leaving
         for client in self._clients.values():
             if client.holder is None and not may_claim:
                 continue
             for command in client.tick(now_ms, self._rank(client.lease)):
                 self._execute(client, command)
-        for target in self._membership.probes(now_ms):
-            self._start(self._probe(target))
-        if fresh:
-            for record in self._membership.suspicions(now_ms):
-                log.info("vm_suspected", vm=record.suspect)
-                self._start(self._append_once(record))
+        # The holder of the placement lease needs the demand at every VM.
+        everyone = self._clients[PLACEMENT_LEASE].holder is not None
+        self.members.tick(now_ms, fresh, self.leaving, everyone)
         if self._loan_task is None or self._loan_task.done():
-            self._loan_task = self._start(self.budgets.send_loan_reports())
+            self._loan_task = self._tasks.start(self.budgets.send_loan_reports())
+
+    def _on_followed(self, followed):
+        self._observe(self._clock.monotonic_ms())
+        for change in followed.changes:
+            if change.record is None:
+                continue
+            for client in self._clients.values():
+                client.append_read(change.record.id)
+
+    def _observe(self, now_ms):
+        for client in self._clients.values():
+            stop = client.observe(self._fold.leases.get(client.lease), now_ms)
+            if stop is not None:
+                log.info("lease_lost", lease=stop.lease, reason=stop.reason)
+        self.members.observe()
+        self.budgets.sync(now_ms)
 
     def _execute(self, client, command):
         if isinstance(command, AskPromises):
             for promiser in command.promisers:
-                self._start(self._ask_promise(client, command, promiser))
+                self._tasks.start(self._ask_promise(client, command, promiser))
         elif command.record.id not in self._appending:
-            self._start(self._append_for(client, command.record))
-
-    def _register(self, now_ms):
-        if now_ms < self._register_due_ms:
-            return
-        self._register_due_ms = now_ms + self._register_interval_ms
-        doubled_ms = self._register_interval_ms * 2
-        self._register_interval_ms = min(doubled_ms, MAX_REGISTER_INTERVAL_MS)
-        incarnation = self.identity.rpartition("@")[2]
-        self._start(
-            self._append_once(
-                RegisterVm(self._new_id(), self.identity, self._address, incarnation)
-            )
-        )
-
-    def _is_fresh(self):
-        stale_ms = self._stale_ms()
-        return stale_ms is not None and stale_ms <= MAX_CLAIM_STALENESS_MS
+            self._tasks.start(self._append_for(client, command.record))
 
     def _rank(self, lease):
         def weight(identity):
@@ -337,39 +322,24 @@
         own = weight(self.identity)
         return sum(weight(each) > own for each in self._fold.roster())
 
-    def _member_address(self, identity):
-        return self._addresses.get(identity)
-
     def _new_id(self):
         self._record_number += 1
         return f"{self.identity}#c{self._record_number}"
 
-    def _start(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._ended)
-        return task
-
-    def _ended(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("coordination_failed", error=repr(task.exception()))
-
     async def _append_for(self, client, record):
         """Append a claim or renewal and tell the lease what is known of it."""
         self._appending.add(record.id)
         try:
-            async with asyncio.timeout(APPEND_TIMEOUT_MS / 1000):
-                await self._appender.append(record)
+            await self._appender.append(record, APPEND_TIMEOUT_MS)
         except PlatformUnavailable:
             client.append_failed(record, maybe_in_log=False)
-        except (AppendOutcomeUnknown, TimeoutError):
+        except AppendOutcomeUnknown:
             client.append_failed(record, maybe_in_log=True)
         except asyncio.CancelledError:
             client.append_failed(record, maybe_in_log=True)
             raise
         else:
-            self.on_zone_change()
+            self._observe(self._clock.monotonic_ms())
             client.append_read(record.id)
         finally:
             self._appending.discard(record.id)
@@ -377,15 +347,14 @@
     async def _append_once(self, record):
         """Append a record that can be given up; return whether it was read back."""
         try:
-            async with asyncio.timeout(APPEND_TIMEOUT_MS / 1000):
-                await self._appender.append(record)
-        except (PlatformUnavailable, AppendOutcomeUnknown, TimeoutError) as error:
+            await self._appender.append(record, APPEND_TIMEOUT_MS)
+        except (PlatformUnavailable, AppendOutcomeUnknown) as error:
             log.warning("append_failed", record=record.kind, error=repr(error))
             return False
         return True
 
     async def _ask_promise(self, client, ask, promiser):
-        address = self._member_address(promiser)
+        address = self.members.address_of(promiser)
         if address is None:
             return
         try:
@@ -393,19 +362,3 @@
         except PeerUnavailable:
             return
         client.on_promise(ask.fence, ask.round_number, promiser, answer.promised)
-
-    async def _probe(self, target):
-        try:
-            info = await self._peers.probe(target.address, self.identity)
-        except PeerUnavailable:
-            self._membership.on_probe_failure(target.name, self._clock.monotonic_ms())
-            return
-        self._membership.on_probe_answer(
-            target.name,
-            info.vm,
-            info.leaving,
-            self._clock.monotonic_ms(),
-            info.leaving_backends,
-        )
-        if self._on_probe is not None:
-            self._on_probe(info)
--- /dev/null
+++ b/cassiamount/member_watch.py
@@ -0,0 +1,208 @@
+"""Registers a VM, probes others, reads the VM list, writes suspicions."""
+
+import structlog
+
+from .errors import PlatformUnavailable
+from .membership import GONE, Membership
+from .peer_messages import PeerUnavailable
+from .records import RegisterVm
+from .zone_state import vm_name
+
+VM_LIST_INTERVAL_MS = 1_000
+REGISTER_INTERVAL_MS = 2_000
+# Two processes that run under one name must not replace each other for ever.
+MAX_REGISTER_INTERVAL_MS = 60_000
+CHANNEL_CLEANUP_MS = 30_000
+
+log = structlog.get_logger()
+
+
+class MemberWatch:
+    """The part of a `Coordinator` that concerns members.
+
+    Parameters
+    ----------
+    identity, zone, address : str
+    fold : ZoneState
+    append : callable
+        Coroutine function; appends a record that can be given up.
+    peers : PeerClient
+    vm_list : VmListClient
+    clock : SystemClock or ManualClock
+    tasks : BackgroundTasks
+    new_id : callable
+        Returns a unique record id.
+    on_leaving_backends : callable, optional
+    """
+
+    def __init__(
+        self,
+        identity,
+        zone,
+        address,
+        fold,
+        append,
+        peers,
+        vm_list,
+        clock,
+        tasks,
+        new_id,
+        on_leaving_backends=None,
+    ):
+        self.membership = Membership(identity, zone, new_id)
+        self._identity = identity
+        self._zone = zone
+        self._address = address
+        self._fold = fold
+        self._append = append
+        self._peers = peers
+        self._vm_list = vm_list
+        self._clock = clock
+        self._tasks = tasks
+        self._new_id = new_id
+        self._on_leaving_backends = on_leaving_backends
+        self._told_leaving = frozenset()
+        self._addresses = {}
+        self._demand = {}
+        self._listing = None
+        self._has_vm_list = False
+        self._list_due_ms = float("-inf")
+        self._cleanup_due_ms = float("-inf")
+        self._register_due_ms = float("-inf")
+        self._register_interval_ms = REGISTER_INTERVAL_MS
+
+    def observe(self):
+        """Take note of the members that the fold shows."""
+        self.membership.on_members(self._fold.members)
+        for member in self._fold.members.values():
+            self._addresses[member.identity] = member.address
+
+    def tick(self, now_ms, fresh, leaving, everyone):
+        """Start what is due.
+
+        Parameters
+        ----------
+        now_ms : float
+        fresh : bool
+            Whether the fold is close to the head of its stream.
+        leaving : bool
+            Whether this VM is stopping.
+        everyone : bool
+            Whether to probe all VMs of the zone.
+        """
+        if self._identity in self._fold.roster():
+            if now_ms >= self._register_due_ms:
+                self._register_interval_ms = REGISTER_INTERVAL_MS
+        elif fresh and not leaving:
+            self._register(now_ms)
+        for target in self.membership.probes(now_ms, everyone):
+            self._tasks.start(self._probe(target))
+        if fresh and not leaving:
+            for record in self.membership.suspicions(now_ms):
+                log.info("vm_suspected", vm=record.suspect)
+                self._tasks.start(self._append(record))
+        if now_ms >= self._list_due_ms and (
+            self._listing is None or self._listing.done()
+        ):
+            self._list_due_ms = now_ms + VM_LIST_INTERVAL_MS
+            self._listing = self._tasks.start(self._read_vm_list())
+        if now_ms >= self._cleanup_due_ms:
+            self._cleanup_due_ms = now_ms + CHANNEL_CLEANUP_MS
+            self._forget_the_gone()
+        self._tell_leaving()
+
+    def address_of(self, identity):
+        """Return the address under which an identity was registered, or None."""
+        return self._addresses.get(identity)
+
+    def zone_addresses(self):
+        """Return the addresses of entry VMs by zone and name."""
+        return self.membership.entry_addresses()
+
+    def peer_addresses(self, only_zone=None):
+        """Return the addresses of the other entry VMs, of one zone or of all."""
+        own_name = vm_name(self._identity)
+        return sorted(
+            address
+            for zone, named in self.membership.entry_addresses().items()
+            for name, address in named.items()
+            if name != own_name and only_zone in (None, zone)
+        )
+
+    def peer_demand(self):
+        """Return what probes told of the demand, by identity and model."""
+        return dict(self._demand)
+
+    def vm_gone(self, identity):
+        """Whether the process with this identity is known not to run any more.
+
+        A VM of another zone is gone when the VM list no longer has its name.
+        """
+        if identity == self._identity:
+            return False
+        name = vm_name(identity)
+        if identity in self._fold.roster():
+            now_ms = self._clock.monotonic_ms()
+            return self.membership.state_of(name, now_ms) == GONE
+        if name in self._fold.members or identity in self._addresses:
+            return True
+        return self._has_vm_list and not self.membership.is_listed(name)
+
+    def _register(self, now_ms):
+        if now_ms < self._register_due_ms:
+            return
+        self._register_due_ms = now_ms + self._register_interval_ms
+        doubled_ms = self._register_interval_ms * 2
+        self._register_interval_ms = min(doubled_ms, MAX_REGISTER_INTERVAL_MS)
+        incarnation = self._identity.rpartition("@")[2]
+        record = RegisterVm(self._new_id(), self._identity, self._address, incarnation)
+        self._tasks.start(self._append(record))
+
+    def _tell_leaving(self):
+        leaving = self.membership.leaving_backends()
+        if leaving != self._told_leaving and self._on_leaving_backends is not None:
+            self._told_leaving = leaving
+            self._on_leaving_backends(leaving)
+
+    def _forget_the_gone(self):
+        roster = self._fold.roster()
+        leases = self._fold.leases.values()
+        named = roster.union(*(lease.roster for lease in leases))
+        named |= {lease.holder for lease in leases}
+        self._addresses = {
+            identity: address
+            for identity, address in self._addresses.items()
+            if identity in named
+        }
+        self._demand = {
+            identity: demand
+            for identity, demand in self._demand.items()
+            if identity in roster
+        }
+        addresses = {*self._addresses.values(), *self.peer_addresses()}
+        self._tasks.start(self._peers.keep_only(addresses))
+
+    async def _read_vm_list(self):
+        try:
+            listed = await self._vm_list.list_vms()
+        except PlatformUnavailable as error:
+            log.info("vm_list_unavailable", error=str(error))
+            return
+        self.membership.on_vm_list(listed)
+        self._has_vm_list = True
+        self._tell_leaving()
+
+    async def _probe(self, target):
+        try:
+            info = await self._peers.probe(target.address, self._identity)
+        except PeerUnavailable:
+            self.membership.on_probe_failure(target.name, self._clock.monotonic_ms())
+            return
+        self.membership.on_probe_answer(
+            target.name,
+            info.vm,
+            info.leaving,
+            self._clock.monotonic_ms(),
+            info.leaving_backends,
+        )
+        self._demand[info.vm] = info.demand_tokens
--- a/cassiamount/membership.py
+++ b/cassiamount/membership.py
@@ -105,9 +105,15 @@
                 del self._probed[name]
         self._members = dict(members)
 
-    def probes(self, now_ms):
+    def probes(self, now_ms, everyone=False):
         """Return the VMs of the zone to probe now.
 
+        Parameters
+        ----------
+        now_ms : float
+        everyone : bool
+            Probe all VMs of the zone and not only some that follow this one.
+
         Returns
         -------
         list of ProbeTarget
@@ -128,7 +134,9 @@
         # Members first: only they can be suspected.
         ring.sort(key=lambda name: name not in self._members)
         self._forget_unprobed(set(names))
-        return [ProbeTarget(name, addresses[name]) for name in ring[:PROBED_SUCCESSORS]]
+        if not everyone:
+            ring = ring[:PROBED_SUCCESSORS]
+        return [ProbeTarget(name, addresses[name]) for name in ring]
 
     def _forget_unprobed(self, names):
         self._probed = {
@@ -244,6 +252,10 @@
         """
         return frozenset(self._leaving_backends)
 
+    def is_listed(self, name):
+        """Whether the VM list has an entry VM of any zone under this name."""
+        return name in self._listed
+
     def entry_addresses(self):
         """Return the addresses of the listed entry VMs by zone and name.
 
--- a/cassiamount/zone_state.py
+++ b/cassiamount/zone_state.py
@@ -7,6 +7,7 @@
 import xxhash
 from result import UnwrapError
 
+from .errors import InvalidRecord, OffsetGap
 from .folds import Applied, Rejected, SeenIds
 from .records import (
     Checkpoint,
@@ -158,7 +159,7 @@
 
         Raises
         ------
-        ValueError
+        OffsetGap
             If records between are missing.
         """
         if offset < self.next_offset:
@@ -180,7 +181,7 @@
 
     def _advance(self, offset):
         if offset != self.next_offset:
-            raise ValueError(f"expected offset {self.next_offset}, got {offset}")
+            raise OffsetGap(f"zone-{self.zone}", self.next_offset, offset)
         self.next_offset = offset + 1
 
     def _rejected(self, offset, reason):
@@ -340,16 +341,16 @@
 
         Raises
         ------
-        ValueError
-            If the state cannot be read; nothing changes then.
+        InvalidRecord
+            If the state is malformed; nothing changes then.
         """
         if covers_offset < self.next_offset:
             return False
         loaded = ZoneState(self.zone)
         try:
             loaded._load(state)
-        except (KeyError, TypeError, AttributeError, UnwrapError) as error:
-            raise ValueError(f"malformed state of zone {self.zone}") from error
+        except (KeyError, ValueError, TypeError, AttributeError, UnwrapError) as error:
+            raise InvalidRecord(f"malformed state of zone {self.zone}") from error
         for name in ("members", "leases", "orders", "residency", "_seen"):
             setattr(self, name, getattr(loaded, name))
         self.next_offset = covers_offset + 1
@@ -357,7 +358,7 @@
 
     def _load(self, state):
         if state["format"] != STATE_FORMAT:
-            raise ValueError(f"unknown format {state['format']!r:.40}")
+            raise TypeError(f"unknown format {state['format']!r:.40}")
         for name, (incarnation, address) in state["members"].items():
             self.members[name] = Member(name, incarnation, address)
         for name, fields in state["leases"].items():
