--- a/cassiamount/budget_exchange.py
+++ b/cassiamount/budget_exchange.py
@@ -18,7 +18,7 @@
 
 def budget_partition(team, partitions):
     """Return the partition of a team."""
-    return xxhash.xxh64_intdigest(team) % partitions
+    return xxhash.xxh64_intdigest(team.encode()) % partitions
 
 
 class BudgetExchange:
--- a/cassiamount/coordinator.py
+++ b/cassiamount/coordinator.py
@@ -146,7 +146,11 @@
                 self.tick()
                 await asyncio.sleep(TICK_MS / 1000)
         finally:
-            self._tasks.cancel()
+            self.close()
+
+    def close(self):
+        """Cancel what is on its way to other VMs and to the log."""
+        self._tasks.cancel()
 
     async def ask(self, asks):
         """Ask for blocks; see `BudgetExchange.ask`."""
@@ -317,7 +321,7 @@
 
     def _rank(self, lease):
         def weight(identity):
-            return xxhash.xxh64_intdigest(f"{lease} {identity}")
+            return xxhash.xxh64_intdigest(f"{lease} {identity}".encode())
 
         own = weight(self.identity)
         return sum(weight(each) > own for each in self._fold.roster())
--- a/tests/machines/budget_machine.py
+++ b/tests/machines/budget_machine.py
@@ -1,6 +1,7 @@
 """Budgets of one team over two zones, with an independent check of every interval."""
 
 import itertools
+import random
 
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -30,10 +31,13 @@
 
 
 def highest_excess(charges, rate_tokens_per_s):
-    """Return the most that any interval of charges has beyond rate x interval."""
+    """Return the most that any interval of charges has beyond rate x interval.
+
+    `charges` is in order of time.
+    """
     worst = excess = 0.0
     last_ms = None
-    for at_ms, count in sorted(charges):
+    for at_ms, count in charges:
         if last_ms is not None:
             excess = max(0.0, excess - rate_tokens_per_s * (at_ms - last_ms) / 1000)
         excess += count
@@ -242,6 +246,33 @@
         self.true_ms += 200.0
         self.all_reports_arrive()
 
+    @rule(seed=st.integers(0, 10_000), slots=st.integers(1, 10))
+    def traffic(self, seed, slots):
+        rng = random.Random(seed)
+        repeat = rng.choice((0.0, 0.3))
+        lost = rng.choice((0.0, 0.3))
+        for _ in range(slots):
+            self.true_ms += rng.choice((1.0, 50.0, 250.0, 1000.0, 2100.0))
+            for zone in ZONES:
+                if rng.random() < 0.9:
+                    self.renew_lease(zone)
+            for _ in range(rng.randint(0, 3)):
+                zone = "za" if rng.random() < 0.8 else "zb"
+                self.ask_and_charge(
+                    rng.randrange(3), zone, rng.choice((40, 100, 200)), 1.0
+                )
+            self.every_interval_is_within_rate_and_burst()
+            while self.open and rng.random() < 0.4:
+                index = rng.randrange(len(self.open))
+                self.settle(index, rng.choice((0.0, 0.4, 1.0)))
+            if rng.random() < 0.7:
+                for number in range(3):
+                    self.report(number)
+                while self.reports and rng.random() > lost:
+                    index = rng.randrange(len(self.reports))
+                    keep = rng.random() < repeat
+                    self.report_arrives(index, keep, rng.random() < 0.8)
+
     @rule()
     def all_reports_arrive(self):
         for number in range(3):
