--- a/cassiamount/placement_adapters.py
+++ b/cassiamount/placement_adapters.py
@@ -5,12 +5,13 @@
 
 # Adapters in flight over all zones up to which each loads in several milliseconds.
 FLEET_CONCURRENT_ADAPTERS = 64
-# Adapters with less than this share of the demand are not loaded ahead of requests.
+# Adapters with more than this share of the demand are loaded wherever their model
+# is; every other adapter has one copy in each zone that holds its model.
 ADAPTER_SHARE = 0.002
 
 
 def plan_adapters(adapters, demand, views, reserved_mb, evicted, zone_share):
-    """Return loads of adapters in demand wherever their model is ready.
+    """Return loads of adapters on engines where their models are ready.
 
     Parameters
     ----------
@@ -35,33 +36,38 @@
     for view in views:
         limit -= sum(1 for name in view.held.keys() - view.ready if name in adapters)
     total = sum(rate for name, rate in demand.items() if name not in adapters) or 1.0
-    wanted = sorted(
-        (a for a in adapters.values() if demand.get(a.name, 0) / total > ADAPTER_SHARE),
-        key=lambda adapter: -demand[adapter.name],
-    )
     moves = []
-    for adapter in wanted:
-        for view in views:
+    ordered = sorted(adapters.values(), key=lambda a: (-demand.get(a.name, 0), a.name))
+    for adapter in ordered:
+        hosts = [
+            view
+            for view in views
+            if adapter.base in view.ready & view.staying
+            and (view.name, adapter.base) not in evicted
+        ]
+        if demand.get(adapter.name, 0) / total <= ADAPTER_SHARE:
+            if any(adapter.name in view.held for view in hosts):
+                continue
+            hosts = sorted(hosts, key=lambda view: -view.free_mb)[:1]
+        for view in hosts:
             if limit <= 0:
                 return moves
-            if adapter.base not in view.ready & view.staying:
-                continue
-            if adapter.name in view.held or (view.name, adapter.base) in evicted:
-                continue
-            if adapter.memory_mb > view.free_mb - reserved_mb.get(view.name, 0):
-                continue
-            view.free_mb -= adapter.memory_mb
-            view.held[adapter.name] = adapter.version
-            limit -= 1
-            moves.append(
-                Move(
-                    view.name,
-                    LOAD_ADAPTER,
-                    adapter.name,
-                    adapter.version,
-                    adapter.memory_mb,
-                    adapter.base,
-                    "demand",
-                )
-            )
+            free_mb = view.free_mb - reserved_mb.get(view.name, 0)
+            if adapter.name not in view.held and adapter.memory_mb <= free_mb:
+                view.free_mb -= adapter.memory_mb
+                view.held[adapter.name] = adapter.version
+                limit -= 1
+                moves.append(_load(view, adapter))
     return moves
+
+
+def _load(view, adapter):
+    return Move(
+        view.name,
+        LOAD_ADAPTER,
+        adapter.name,
+        adapter.version,
+        adapter.memory_mb,
+        adapter.base,
+        "demand",
+    )
--- /dev/null
+++ b/cassiamount/placement_task.py
@@ -0,0 +1,279 @@
+"""The task of the placement lease's holder: plans, records and sends orders."""
+
+import asyncio
+from functools import singledispatchmethod
+
+import structlog
+
+from .demand import DemandTracker
+from .dispatch_messages import ConfigurationChanged, LoadReported
+from .engine_orders import (
+    LOST,
+    NOT_SENT,
+    AskOrderState,
+    Order,
+    RecordIntent,
+    RecordOutcome,
+    SendOrder,
+)
+from .errors import AppendOutcomeUnknown, OrderOutcomeUnknown, PlatformUnavailable
+from .orders import EngineLedger
+from .placement import PlacementPolicy
+from .placement_messages import (
+    DemandTotals,
+    IntentNotRecorded,
+    IntentRecorded,
+    OrderAnswered,
+    OrderStateKnown,
+    OutcomeRecorded,
+    PlacementTick,
+)
+from .placement_view import home_zones, views_of
+from .records import IntendOrder, SettleOrder
+
+# Interval of the ledger's work and of the plans.
+TICK_MS = 100
+PLAN_MS = 1_000
+# An engine that does not answer within this time counts as silent.
+ANSWER_LIMIT_S = 5.0
+# Pause before an append whose outcome is unknown is tried again under its id.
+APPEND_AGAIN_S = 0.5
+
+log = structlog.get_logger()
+
+
+class PlacementTask:
+    """Runs while this VM holds the lease ``placement`` of its zone.
+
+    Parameters
+    ----------
+    zone : str
+    vm : str
+        Writer's name in records.
+    lease : object
+        ``usable(now_ms)`` and ``fence``.
+    unsettled : iterable of (int, IntendOrder)
+        Orders of earlier holders without outcome, with their offsets, read up to
+        this lease's own claim.
+    configuration : Configuration
+    mailbox : Mailbox
+        Receives `LoadReported`, `ConfigurationChanged` and `DemandTotals`.
+    appender : object
+        ``async append(record) -> offset`` to the zone's stream.
+    engines : object
+        ``async order(engine_address, order) -> answer`` and
+        ``async order_state(engine_address, order_id) -> state``.
+    clock : SystemClock or ManualClock
+    """
+
+    def __init__(
+        self,
+        zone,
+        vm,
+        lease,
+        unsettled,
+        configuration,
+        mailbox,
+        appender,
+        engines,
+        clock,
+    ):
+        self.mailbox = mailbox
+        self._vm = vm
+        self._lease = lease
+        self._appender = appender
+        self._engines = engines
+        self._clock = clock
+        now_ms = clock.monotonic_ms()
+        self.ledger = EngineLedger(zone, now_ms)
+        self._policy = PlacementPolicy(zone)
+        self._demand = DemandTracker()
+        self._addresses = {}
+        self._calls = set()
+        self._number = 0
+        self._plan_ms = now_ms
+        self._configure(configuration, now_ms)
+        self.ledger.rebuild(unsettled, now_ms)
+
+    async def run(self):
+        """Work until the lease ends."""
+        ticker = asyncio.create_task(self._tick())
+        try:
+            while self._lease.usable(self._clock.monotonic_ms()):
+                self._apply(await self.mailbox.receive())
+        finally:
+            ticker.cancel()
+            for call in self._calls:
+                call.cancel()
+
+    async def _tick(self):
+        while True:
+            self.mailbox.send(PlacementTick())
+            await asyncio.sleep(TICK_MS / 1000)
+
+    @singledispatchmethod
+    def _apply(self, message):
+        raise TypeError(f"the placement does not know {type(message).__name__}")
+
+    @_apply.register
+    def _(self, message: LoadReported):
+        self.ledger.on_report(message.report, self._clock.monotonic_ms())
+
+    @_apply.register
+    def _(self, message: ConfigurationChanged):
+        self._configure(message.configuration, self._clock.monotonic_ms())
+
+    @_apply.register
+    def _(self, message: DemandTotals):
+        now_ms = self._clock.monotonic_ms()
+        self._demand.on_totals(message.vm, message.totals, now_ms)
+
+    @_apply.register
+    def _(self, message: IntentRecorded):
+        now_ms = self._clock.monotonic_ms()
+        self.ledger.on_intended(message.order_id, message.offset, now_ms)
+
+    @_apply.register
+    def _(self, message: IntentNotRecorded):
+        self.ledger.on_not_recorded(message.order_id)
+
+    @_apply.register
+    def _(self, message: OrderAnswered):
+        now_ms = self._clock.monotonic_ms()
+        self.ledger.on_answer(
+            message.order_id, message.copy_number, message.answer, now_ms
+        )
+
+    @_apply.register
+    def _(self, message: OrderStateKnown):
+        now_ms = self._clock.monotonic_ms()
+        self.ledger.on_state(message.order_id, message.state, message.asked_ms, now_ms)
+
+    @_apply.register
+    def _(self, message: OutcomeRecorded):
+        if message.recorded:
+            self.ledger.on_settled(message.order_id)
+        else:
+            self.ledger.on_settle_failed(message.order_id)
+
+    @_apply.register
+    def _(self, message: PlacementTick):
+        now_ms = self._clock.monotonic_ms()
+        self._execute(self.ledger.advance(now_ms))
+        if now_ms - self._plan_ms >= PLAN_MS:
+            self._plan_ms = now_ms
+            self._plan(now_ms)
+
+    def _configure(self, configuration, now_ms):
+        homes = home_zones(configuration)
+        self.ledger.set_configuration(configuration, homes, now_ms)
+        self._policy.set_configuration(configuration, homes)
+        self._addresses = {b.name: b.address for b in configuration.backends.values()}
+
+    def _plan(self, now_ms):
+        views = views_of(self.ledger, now_ms)
+        for move in self._policy.plan(self._demand.rates(now_ms), views, now_ms):
+            self._number += 1
+            order = Order(
+                f"{self._vm}/{self._lease.fence}/{self._number}",
+                move.engine,
+                move.action,
+                move.name,
+                move.version,
+                move.memory_mb,
+                move.base,
+            )
+            log.info(
+                "placement_move",
+                engine=move.engine,
+                action=move.action,
+                name=move.name,
+                reason=move.reason,
+            )
+            self._execute(self.ledger.intend(order, now_ms))
+
+    def _execute(self, commands):
+        for command in commands:
+            order = command.order
+            if isinstance(command, RecordIntent):
+                self._call(self._record_intent(order))
+            elif isinstance(command, SendOrder):
+                self._send(order)
+            elif isinstance(command, AskOrderState):
+                self._call(self._ask(order, self._clock.monotonic_ms()))
+            elif isinstance(command, RecordOutcome):
+                self._call(self._record_outcome(order, command.outcome))
+
+    def _call(self, steps):
+        task = asyncio.create_task(steps)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _record_intent(self, order):
+        record = IntendOrder(
+            order.order_id,
+            self._vm,
+            order.order_id,
+            order.engine,
+            order.action,
+            order.name,
+            order.version,
+            order.memory_mb,
+            self._lease.fence,
+        )
+        while True:
+            try:
+                offset = await self._appender.append(record)
+            except PlatformUnavailable:
+                self.mailbox.send(IntentNotRecorded(order.order_id))
+                return
+            except AppendOutcomeUnknown:
+                await asyncio.sleep(APPEND_AGAIN_S)
+            else:
+                self.mailbox.send(IntentRecorded(order.order_id, offset))
+                return
+
+    def _send(self, order):
+        now_ms = self._clock.monotonic_ms()
+        # Asked again for each order: this task may have been paused since the loop
+        # asked, and an engine may ignore the fencing number.
+        if self._lease.usable(now_ms):
+            copy_number = self.ledger.on_sent(order.order_id, now_ms)
+            self._call(self._deliver(order, copy_number))
+
+    async def _deliver(self, order, copy_number):
+        # The call starts in a later turn of the event loop.
+        if not self._lease.usable(self._clock.monotonic_ms()):
+            return
+        address = self._addresses[order.engine]
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                answer = await self._engines.order(address, order)
+        except PlatformUnavailable:
+            answer = NOT_SENT
+        except (OrderOutcomeUnknown, TimeoutError):
+            answer = LOST
+        self.mailbox.send(OrderAnswered(order.order_id, copy_number, answer))
+
+    async def _ask(self, order, asked_ms):
+        address = self._addresses.get(order.engine)
+        if address is None:
+            return
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                state = await self._engines.order_state(address, order.order_id)
+        except (PlatformUnavailable, TimeoutError):
+            return
+        self.mailbox.send(OrderStateKnown(order.order_id, state, asked_ms))
+
+    async def _record_outcome(self, order, outcome):
+        record = SettleOrder(
+            f"{order.order_id}/{outcome}", self._vm, order.order_id, outcome
+        )
+        try:
+            await self._appender.append(record)
+        except (PlatformUnavailable, AppendOutcomeUnknown):
+            await asyncio.sleep(APPEND_AGAIN_S)
+            self.mailbox.send(OutcomeRecorded(order.order_id, False))
+        else:
+            self.mailbox.send(OutcomeRecorded(order.order_id, True))
--- a/cassiamount/placement_view.py
+++ b/cassiamount/placement_view.py
@@ -141,7 +141,7 @@
         def preference(zone, model=model):
             # Zones filled to within a tenth of each other count as equal.
             room = int(10 * (left_mb[zone] - model.memory_mb) / total_mb[zone])
-            return room, xxhash.xxh64_intdigest(f"{model.name}/{zone}")
+            return room, xxhash.xxh64_intdigest(f"{model.name}/{zone}".encode())
 
         homes[model.name] = max(left_mb, key=preference)
         left_mb[homes[model.name]] -= model.memory_mb
