--- a/cassiamount/placement.py
+++ b/cassiamount/placement.py
@@ -54,6 +54,7 @@
         "_exponent",
         "_caps",
         "_wanted",
+        "_seen",
         "_loaded_ms",
         "_unloaded_ms",
         "_next_load_ms",
@@ -72,6 +73,7 @@
         self._caps = {}
         # (engine, name) -> _Wanted
         self._wanted = {}
+        self._seen = set()
         self._loaded_ms = {}
         self._unloaded_ms = {}
         self._next_load_ms = 0.0
@@ -90,9 +92,10 @@
         self._zone_share = own / total if total else 1.0
         policy = configuration.policy
         weights = policy.attainment_weight + policy.fairness_weight
-        # 1 places by demand alone; towards 0 every model counts alike.
-        self._exponent = policy.attainment_weight / weights if weights else 0.5
-        self._exponent = max(0.5, self._exponent)
+        # 1 places by demand alone; towards 0 every model counts alike. Equal weights
+        # give 1: a damped demand predicts the engines' load badly.
+        share = policy.attainment_weight / weights if weights else 0.5
+        self._exponent = min(1.0, max(0.25, 2 * share))
         self._caps = {name: 0.0 for name in self._models}
         for team in configuration.teams.values():
             for name in team.models:
@@ -148,8 +151,12 @@
 
     def _note_loads(self, engines, now_ms):
         for view in engines.values():
+            # What an engine held when it was first seen was loaded before.
+            since_ms = now_ms if view.name in self._seen else now_ms - STAY_MS
+            if view.usable:
+                self._seen.add(view.name)
             for name in view.held:
-                self._loaded_ms.setdefault((view.name, name), now_ms)
+                self._loaded_ms.setdefault((view.name, name), since_ms)
         for pair in list(self._loaded_ms):
             view = engines.get(pair[0])
             if view is None or pair[1] not in view.held:
--- a/cassiamount/replica_state.py
+++ b/cassiamount/replica_state.py
@@ -14,6 +14,9 @@
 # Added to the estimated wait per recent error, and the time in which it fades.
 ERROR_PENALTY_MS = 200.0
 ERROR_FADE_MS = 10_000.0
+# Other VMs are taken to add at most this many times what this one adds to a replica
+# since its last report. More would leave replicas idle between reports.
+OTHERS_LIMIT = 6.0
 # A replica that did not accept a request is tried again after this time, which is
 # longer than the lag of the report that made it look free.
 NOT_ACCEPTED_PAUSE_MS = 100.0
@@ -114,9 +117,14 @@
         """Return the estimated number of requests at the backend server."""
         if self.report is None:
             return len(self.in_flight)
-        corrected = self.report.running + self.report.waiting
-        corrected += sum(change for _, change in self.changes)
-        return max(len(self.in_flight), corrected)
+        reported = self.report.running + self.report.waiting
+        own = sum(change for _, change in self.changes)
+        if own > 0:
+            # Other VMs send on the same report. This VM's part of what was reported
+            # tells how many times its own additions they probably make.
+            before = max(1, len(self.in_flight) - own)
+            own *= min(OTHERS_LIMIT, max(1.0, reported / before))
+        return max(len(self.in_flight), reported + own)
 
     def error_penalty_ms(self, now_ms):
         """Return the addition to the estimated wait for recent errors."""
--- a/cassiamount/routing.py
+++ b/cassiamount/routing.py
@@ -185,12 +185,7 @@
         usable = self._usable(ticket, offering, now_ms, exclude)
         if not usable:
             return NoReplica(UNAVAILABLE)
-        free = [
-            replica
-            for replica in usable
-            if replica.load() < replica.backend.max_running
-            and replica.paused_until_ms <= now_ms
-        ]
+        free = self._free(usable, now_ms)
         if not free:
             return NoReplica(BUSY)
         choice = self._cheapest(self._sample(free, rng), ticket, now_ms, rng)
@@ -226,6 +221,14 @@
             and replica.backend.name not in ejected
         ]
 
+    def _free(self, replicas, now_ms):
+        return [
+            replica
+            for replica in replicas
+            if replica.load() < replica.backend.max_running
+            and replica.paused_until_ms <= now_ms
+        ]
+
     def _sample(self, replicas, rng):
         if len(replicas) <= CANDIDATES_LIMIT:
             return replicas
