--- a/cassiamount/edge.py
+++ b/cassiamount/edge.py
@@ -69,7 +69,8 @@
         caller = Caller(send, self._new_id(), self.limits.stall_ms / 1000)
         arrival = Arrival(scope, receive, caller, self.clock.monotonic_ms())
         arrival.trace = self.tracing.request(arrival.headers, arrival.request_id)
-        span = arrival.trace.begin("edge", path=arrival.path)
+        # The path is not recorded, since it can contain the key.
+        span = arrival.trace.begin("edge", route=method.__name__)
         self.running += 1
         try:
             await self._guarded(method, arrival)
--- a/cassiamount/logs.py
+++ b/cassiamount/logs.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from .keys import KEY_PREFIX
 from .redaction import REDACTED
 
 # Fields that could hold a credential are never written, whatever their value.
@@ -13,6 +14,7 @@
     {"authorization", "api_key", "key", "token", "access_token", "cookie"}
 )
 BEARER = re.compile(r"(?i)\b(bearer\s+)[^\s\"',]+")
+GENERATED_KEY = re.compile(re.escape(KEY_PREFIX) + r"[A-Za-z0-9_\-]{16,}")
 MAX_VALUE_CHARACTERS = 2_000
 
 
@@ -23,7 +25,7 @@
             event_dict[name] = REDACTED
         elif isinstance(value, str):
             text = BEARER.sub(rf"\1{REDACTED}", value[:MAX_VALUE_CHARACTERS])
-            event_dict[name] = text
+            event_dict[name] = GENERATED_KEY.sub(REDACTED, text)
     return event_dict
 
 
--- a/cassiamount/relay.py
+++ b/cassiamount/relay.py
@@ -4,6 +4,7 @@
 
 from .answers import Answer, error_body
 from .backend_client import AttemptBroken, NotAccepted
+from .invariants import TRUTHFUL_REFUSAL, require
 from .requests import (
     ADMITTED,
     BROKEN,
@@ -219,6 +220,12 @@
 
     async def _refuse(self, job, caller, refusal):
         job.state.check_refusal(refusal)
+        require(
+            not (refusal.not_run and job.maybe_ran),
+            TRUTHFUL_REFUSAL,
+            request_id=job.ticket.request_id,
+            code=refusal.code,
+        )
         job.state.move(COMPLETE)
         await caller.refuse(refusal)
         return Answer(refusal.status, "application/json", error_body(refusal), refusal)
