Run placement in the daemon

Cause: engines of the demonstration had to be preloaded because no VM sent orders.

Ruled out: a placement task that lives as long as the daemon; it rebuilds its ledger from the recorded intents at each fence, so it is made anew for each lease.

Change: the placement runner; unsettled orders of the zone keep their offsets, because an order's fencing number is the offset of its record + 1; every VM of the zone stops routing to a model as soon as it reads the intent to unload it; the node follows the coordinator's interface.

--- a/cassiamount/budget_link.py
+++ b/cassiamount/budget_link.py
@@ -19,7 +19,7 @@
         The dispatcher's.
     coordinator : Coordinator
         Has ``async ask(asks)``, which returns answers by team, and ``async
-        report(reports)``, which returns those that need not be sent again.
+        report(report)``, which returns whether it need not be sent again.
     """
 
     def __init__(self, mailbox, coordinator):
@@ -34,10 +34,11 @@
 
     def report(self, reports):
         """Send reports that are not on their way already."""
-        new = [r for r in reports if (r.owner, r.sequence) not in self._reporting]
-        if new:
-            self._reporting.update((r.owner, r.sequence) for r in new)
-            self._start(self._report(new))
+        for report in reports:
+            key = (report.owner, report.sequence)
+            if key not in self._reporting:
+                self._reporting.add(key)
+                self._start(self._report(report, key))
 
     async def _ask(self, asks):
         answers = {}
@@ -49,13 +50,12 @@
             teams = frozenset(ask.team for ask in asks)
             self._mailbox.send(GrantsArrived(teams, answers))
 
-    async def _report(self, reports):
+    async def _report(self, report, key):
         try:
-            done = await self._coordinator.report(reports)
-            if done:
-                self._mailbox.send(ReportsDone(done))
+            if await self._coordinator.report(report):
+                self._mailbox.send(ReportsDone([report]))
         finally:
-            self._reporting.difference_update((r.owner, r.sequence) for r in reports)
+            self._reporting.discard(key)
 
     def _start(self, coroutine):
         task = asyncio.create_task(coroutine)
--- a/cassiamount/member_watch.py
+++ b/cassiamount/member_watch.py
@@ -61,6 +61,8 @@
         self._tasks = tasks
         self._new_id = new_id
         self._on_leaving_backends = on_leaving_backends
+        # Gets each `ProbeInfo` of another VM; set by the node.
+        self.on_probe = None
         self._told_leaving = frozenset()
         self._addresses = {}
         self._demand = {}
@@ -206,3 +208,5 @@
             info.leaving_backends,
         )
         self._demand[info.vm] = info.demand_tokens
+        if self.on_probe is not None:
+            self.on_probe(info)
--- a/cassiamount/node.py
+++ b/cassiamount/node.py
@@ -17,7 +17,12 @@
 from .clock import SystemClock
 from .coordinator import Coordinator
 from .demand_counter import DemandCounter
-from .dispatch_messages import ConfigurationChanged, LeavingBackends, ReturnGrants
+from .dispatch_messages import (
+    ConfigurationChanged,
+    DrainingModels,
+    LeavingBackends,
+    ReturnGrants,
+)
 from .dispatcher import Dispatcher
 from .edge import build_application
 from .engine_client import HttpEngineClient
@@ -27,20 +32,20 @@
 from .log_peers import LogPeers
 from .log_streams import LogStreams
 from .mailbox import Mailbox, call
-from .membership import GONE
 from .metrics import Metrics
 from .node_peers import NodePeerHandlers
 from .node_status import NodeStatus, ReportBoard
 from .node_view import NodeView
 from .peer_client import PeerClient
 from .peer_service import make_server
+from .placement_runner import EngineOrders, PlacementRunner
 from .relay import Relay
 from .routing import Router
 from .serving import EdgeServer, open_listener
 from .supervisor import Supervisor
 from .tracing import build_tracing
 from .vm_list_client import HttpVmListClient
-from .vm_list_poller import VmListPoller
+from .zone_state import PLACEMENT_LEASE
 
 # Time for grants and leases to be returned; without it they expire by themselves.
 LEAVE_LIMIT_MS = 3_000
@@ -71,6 +76,7 @@
             settings.trace_exporter.target,
         )
         self._stop = asyncio.Event()
+        self._draining = set()
         self._build_platform()
         self._build_requests()
         self._build_placement()
@@ -84,8 +90,8 @@
         log_peers = LogPeers(
             self.identity,
             self._peer_client,
-            self._peer_addresses,
-            self._zone_peer_addresses,
+            lambda: self._coordinator.peer_addresses(),
+            lambda: self._coordinator.zone_peer_addresses(),
             self._rng,
         )
         self.streams = LogStreams(
@@ -98,22 +104,23 @@
         )
         self.view = NodeView(self.streams.config, settings.key_staleness_limit_s)
         zone = self.streams.zone
+        zone = self.streams.zone
         self._coordinator = Coordinator(
             self.identity,
             settings.zone,
             settings.peer_address,
-            zone.fold,
+            zone.follower,
             zone.appender,
             self._peer_client,
+            self._vm_list,
             clock,
-            self._rng,
             settings.budget_partitions,
-            lambda: self.streams.log_unreached_ms,
-            lambda: zone.follower.stale_ms if zone.follower.freshness.current else None,
-            self._on_probe,
+            lambda: clock.monotonic_ms() - self.streams.log_unreached_ms,
+            self._on_leaving_backends,
+            self._rng,
         )
-        zone.follower.add_listener(lambda followed: self._coordinator.on_zone_change())
-        self._vm_list_poller = VmListPoller(self._vm_list, self._on_vm_list)
+        self._coordinator.members.on_probe = self._on_probe
+        zone.follower.add_listener(self._on_zone_followed)
 
     def _build_requests(self):
         settings = self.settings
@@ -137,7 +144,7 @@
             self.dispatcher, self._backends, self.clock, self.metrics, self._rng
         )
         self._claims = ClaimService(
-            ClaimTable(self.identity, self._vm_gone),
+            ClaimTable(self.identity, self._coordinator.vm_gone),
             self._claim_partition,
             self.clock,
             self.metrics,
@@ -165,10 +172,20 @@
 
     def _build_placement(self):
         self._board = ReportBoard(self.clock)
+        self._placement = PlacementRunner(
+            self.identity,
+            self.settings.zone,
+            self._coordinator.lease(PLACEMENT_LEASE),
+            self.streams.zone,
+            lambda: self.streams.config.fold.configuration,
+            EngineOrders(self._open_engine),
+            self._demand_totals,
+            self.clock,
+        )
         self._poller_mailbox = Mailbox("load-poller")
         self._poller = LoadPoller(
             self._poller_mailbox,
-            [self._dispatch_mailbox, self._board],
+            [self._dispatch_mailbox, self._board, self._placement],
             self._dispatch_mailbox,
             self._open_engine,
             self._rng,
@@ -178,6 +195,10 @@
     def _open_engine(self, name, address):
         return HttpEngineClient(name, f"http://{address}")
 
+    def _demand_totals(self):
+        """Return demand totals by VM for this VM and the others of its zone."""
+        return {self.identity: self.demand.totals(), **self._coordinator.peer_demand()}
+
     def _build_ports(self):
         self._handlers = NodePeerHandlers(
             self.identity,
@@ -227,49 +248,35 @@
         configuration = fold.configuration
         self._dispatch_mailbox.send(ConfigurationChanged(configuration, fold.drained))
         self._poller_mailbox.send(configuration)
+        self._placement.send(ConfigurationChanged(configuration, fold.drained))
         self._coordinator.set_configuration(configuration)
 
     def _on_config_followed(self, followed):
         if followed.changes or followed.reloaded:
             self._on_config(followed)
 
+    def _on_zone_followed(self, followed):
+        pairs = {
+            (order.record.engine, order.record.name)
+            for order in self.streams.zone.fold.orders.values()
+            if order.unloads
+        }
+        if pairs != self._draining:
+            self._draining = pairs
+            self._dispatch_mailbox.send(DrainingModels(pairs))
+
     def _on_claims_followed(self, followed):
         self._claims.state_changed()
 
-    def _on_vm_list(self, listed):
-        self._coordinator.on_vm_list(listed)
-        self._update_leaving()
+    def _on_leaving_backends(self, names):
+        self._dispatch_mailbox.send(LeavingBackends(names))
 
     def _on_probe(self, info):
-        """Take what another VM of the zone knows."""
-        self._update_leaving()
+        """Take the keys that were withdrawn directly on another VM of the zone."""
         for key_hash in info.withdrawn_key_hashes:
             if is_key_hash(key_hash) and not self.view.keys.is_withdrawn(key_hash):
                 self._withdraw_key_here(key_hash)
 
-    def _update_leaving(self):
-        names = self._coordinator.leaving_backends()
-        self._dispatch_mailbox.send(LeavingBackends(names))
-
-    def _peer_addresses(self):
-        zones = self._coordinator.peer_addresses()
-        return [address for named in zones.values() for address in named.values()]
-
-    def _zone_peer_addresses(self):
-        zones = self._coordinator.peer_addresses()
-        return list(zones.get(self.settings.zone, {}).values())
-
-    def _vm_gone(self, identity):
-        """Whether a VM that claimed an idempotency key cannot finish it any more."""
-        name = identity.rpartition("@")[0]
-        member = self.streams.zone.fold.members.get(name)
-        if member is not None:
-            if member.identity != identity:
-                return True
-            return self._coordinator.vm_state(name) == GONE
-        listed = self._coordinator.peer_addresses()
-        return not any(name in named for named in listed.values())
-
     # Start and stop.
 
     def request_stop(self):
@@ -323,7 +330,7 @@
         requests.add("load-poller", self._poller.run)
         coordination = Supervisor("coordination", self.clock)
         coordination.add("coordinator", self._coordinator.run)
-        coordination.add("vm-list", self._vm_list_poller.run)
+        coordination.add("placement", self._placement.run)
         for part in (streams, coordination, requests):
             root.add(part.name, part.run)
         return root
@@ -351,7 +358,8 @@
         try:
             async with asyncio.timeout(LEAVE_LIMIT_MS / 1000):
                 reports = await call(self._dispatch_mailbox, ReturnGrants())
-                await self._coordinator.report(reports)
+                for report in reports:
+                    await self._coordinator.report(report)
                 await self._coordinator.leave()
         except Exception as error:
             # The stop goes on: what was not returned expires.
@@ -359,6 +367,7 @@
 
     async def _close(self):
         await self._backends.close()
+        await self._placement.close()
         await self._peer_client.close()
         await self._log.close()
         await self._vm_list.close()
--- /dev/null
+++ b/cassiamount/placement_runner.py
@@ -0,0 +1,159 @@
+"""Runs the placement task while this VM holds the zone's placement lease."""
+
+import asyncio
+
+import structlog
+
+from .dispatch_messages import ConfigurationChanged
+from .mailbox import Mailbox
+from .placement_messages import DemandTotals
+from .placement_task import PlacementTask
+
+LEASE_POLL_MS = 200
+DEMAND_INTERVAL_MS = 2_000
+
+log = structlog.get_logger()
+
+
+class PlacementLease:
+    """The placement lease under one fence, as the placement task sees it.
+
+    Parameters
+    ----------
+    client : LeaseClient
+    """
+
+    __slots__ = ("fence", "_client")
+
+    def __init__(self, client):
+        self.fence = client.fence
+        self._client = client
+
+    def usable(self, now_ms):
+        """Whether this VM still holds the lease under the same fence."""
+        return self._client.fence == self.fence and self._client.may_use(now_ms)
+
+
+class EngineOrders:
+    """Sends orders to engines by address.
+
+    Parameters
+    ----------
+    open_client : callable
+        Makes an `EngineClient` for a name and an address.
+    """
+
+    def __init__(self, open_client):
+        self._open_client = open_client
+        self._clients = {}
+
+    async def order(self, address, order):
+        """Send an order once and return the engine's answer."""
+        return await self._client(address).send_order(order)
+
+    async def order_state(self, address, order_id):
+        """Return what became of an order."""
+        return await self._client(address).order_state(order_id)
+
+    async def close(self):
+        """Close the connections."""
+        clients, self._clients = self._clients, {}
+        for client in clients.values():
+            await client.close()
+
+    def _client(self, address):
+        if address not in self._clients:
+            self._clients[address] = self._open_client(address, address)
+        return self._clients[address]
+
+
+class PlacementRunner:
+    """Starts a placement task for each time that this VM gets the lease.
+
+    Parameters
+    ----------
+    identity, zone : str
+    client : LeaseClient
+        Of the lease ``placement``.
+    stream : LogStream
+        The zone's stream.
+    configuration : callable
+        Returns the configuration in force.
+    engines : EngineOrders
+    demand_totals : callable
+        Returns demand totals by VM.
+    clock : SystemClock or ManualClock
+    """
+
+    def __init__(
+        self,
+        identity,
+        zone,
+        client,
+        stream,
+        configuration,
+        engines,
+        demand_totals,
+        clock,
+    ):
+        self._identity = identity
+        self._zone = zone
+        self._client = client
+        self._stream = stream
+        self._configuration = configuration
+        self._engines = engines
+        self._demand_totals = demand_totals
+        self._clock = clock
+        self._mailbox = None
+        self._reports = {}
+
+    def send(self, message):
+        """Pass a message on to the task; keep the last reports for a later one."""
+        if not isinstance(message, ConfigurationChanged):
+            self._reports[message.report.backend] = message
+        if self._mailbox is not None:
+            self._mailbox.send(message)
+
+    async def run(self):
+        """Wait for the lease and work under it, again and again."""
+        while True:
+            held = self._client.may_use(self._clock.monotonic_ms())
+            if held and self._configuration().backends:
+                await self._work(PlacementLease(self._client))
+            else:
+                await asyncio.sleep(LEASE_POLL_MS / 1000)
+
+    async def _work(self, lease):
+        self._mailbox = Mailbox("placement")
+        orders = self._stream.fold.orders.values()
+        task = PlacementTask(
+            self._zone,
+            self._identity,
+            lease,
+            [(order.offset, order.record) for order in orders],
+            self._configuration(),
+            self._mailbox,
+            self._stream.appender,
+            self._engines,
+            self._clock,
+        )
+        for message in self._reports.values():
+            self._mailbox.send(message)
+        log.info("placement_started", fence=lease.fence)
+        demand = asyncio.create_task(self._feed_demand(self._mailbox))
+        try:
+            await task.run()
+        finally:
+            self._mailbox = None
+            demand.cancel()
+            log.info("placement_ended", fence=lease.fence)
+
+    async def _feed_demand(self, mailbox):
+        while True:
+            for vm, totals in self._demand_totals().items():
+                mailbox.send(DemandTotals(vm, totals))
+            await asyncio.sleep(DEMAND_INTERVAL_MS / 1000)
+
+    async def close(self):
+        """Close the connections to the engines."""
+        await self._engines.close()
--- a/cassiamount/zone_state.py
+++ b/cassiamount/zone_state.py
@@ -126,6 +126,28 @@
         return all(vm in roster for roster in rosters)
 
 
+class UnsettledOrder:
+    """An order to an engine whose outcome is not recorded.
+
+    Parameters
+    ----------
+    offset : int
+        Of its record.
+    record : IntendOrder
+    """
+
+    __slots__ = ("offset", "record")
+
+    def __init__(self, offset, record):
+        self.offset = offset
+        self.record = record
+
+    @property
+    def unloads(self):
+        """Whether it removes a model or adapter."""
+        return self.record.action.startswith("unload")
+
+
 class ZoneState:
     """State of one zone, folded from the records of its stream.
 
@@ -272,18 +294,18 @@
             return "only the holder of the placement lease can order"
         if record.order_id in self.orders:
             return "the order exists"
-        self.orders[record.order_id] = record
+        self.orders[record.order_id] = UnsettledOrder(offset, record)
         return None
 
     @_apply.register
     def _(self, record: SettleOrder, offset):
         if record.outcome not in SETTLE_OUTCOMES:
             return f"unknown outcome {record.outcome!r:.40}"
-        order = self.orders.pop(record.order_id, None)
-        if order is None:
+        unsettled = self.orders.pop(record.order_id, None)
+        if unsettled is None:
             return "no such unsettled order"
         if record.outcome == "done":
-            self._change_residency(order)
+            self._change_residency(unsettled.record)
         return None
 
     def _change_residency(self, order):
@@ -324,7 +346,10 @@
                 }
                 for name, lease in self.leases.items()
             },
-            "orders": [encode_record(order) for order in self.orders.values()],
+            "orders": [
+                [unsettled.offset, encode_record(unsettled.record)]
+                for unsettled in self.orders.values()
+            ],
             "residency": {
                 engine: dict(residents) for engine, residents in self.residency.items()
             },
@@ -363,9 +388,9 @@
             self.members[name] = Member(name, incarnation, address)
         for name, fields in state["leases"].items():
             self.leases[name] = Lease(**fields)
-        for value in state["orders"]:
+        for offset, value in state["orders"]:
             order = decode_record(value).expect("an order in a snapshot")
-            self.orders[order.order_id] = order
+            self.orders[order.order_id] = UnsettledOrder(offset, order)
         self.residency = {
             engine: dict(residents) for engine, residents in state["residency"].items()
         }
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -130,7 +130,6 @@
             "standins.engine",
             *("--name", name, "--port", port, "--memory-mb", 40000),
             *("--weight-store", f"http://{HOST}:{WEIGHTS_PORT}"),
-            *("--preload", "loom-7b:1:16000", "--preload", "hem-check:1:80:loom-7b"),
             *options,
         )
     name, port = SERVICE
