Give the charging of requests its own module and mend three faults in it

Cause: found by reading the dispatcher. (1) A retry that found all replicas busy was refused, which breaks off an answer that was admitted. (2) A refused retry said "outcome unknown" although the backend server had said that it did not accept the request. (3) A request larger than its zone's share of the burst was refused with Retry-After for ever, because each ask demanded the whole from one owner.

Ruled out: queueing retries behind new requests (their callers are in the middle of an answer).

Change: budget_gate holds the requests that wait for tokens; retries wait up to 10 s for a replica and go first; the entry remembers whether an attempt may have run; a request above the zone's burst collects blocks from several zones, and one above everything that can be collected is refused for good with that number.

The status page also showed level 0 for teams that were never asked for; owners now bring all buckets up to date before they are shown.

--- a/cassiamount/budget.py
+++ b/cassiamount/budget.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 
 from .budget_messages import Grant, NotOwner, Refund, Report, Shortage, Use
+from .budget_shares import LOAN_RESERVE_SHARE
 from .invariants import BUDGET_NOT_EXCEEDED, require
 from .timing import DRIFT, LEASE_MS, at_least_ms, at_most_ms
 from .token_bucket import TokenBucket
@@ -15,8 +16,6 @@
 BLOCK_LIFETIME_MS = 2_000
 # A shorter block expires on its way to the holder.
 MIN_LIFETIME_MS = 20
-# Share of the burst that a loan leaves to the lender's own zone.
-LOAN_RESERVE_SHARE = 0.25
 # Blocks whose refunds can still be applied. Older ones lose their refunds.
 CLOSED_BLOCKS_LIMIT = 50_000
 MAX_RETRY_AFTER_MS = 60_000
@@ -255,6 +254,12 @@
             note[team] = [math.floor(bucket.level_tokens), bucket.outstanding_tokens]
         return note
 
+    def advance_levels(self, now_ms):
+        """Bring all buckets up to date; grants do that only for their own team."""
+        self.advance(now_ms)
+        for bucket in self._buckets.values():
+            bucket.advance(now_ms)
+
     def levels(self):
         """Return level and outstanding tokens by team, for status pages."""
         return {
--- a/cassiamount/budget_exchange.py
+++ b/cassiamount/budget_exchange.py
@@ -109,7 +109,9 @@
     def levels(self):
         """Return level and outstanding tokens of the owned teams."""
         levels = {}
+        now_ms = self._clock.monotonic_ms()
         for owner in self._owners.values():
+            owner.advance_levels(now_ms)
             levels.update(owner.levels())
         return levels
 
--- /dev/null
+++ b/cassiamount/budget_gate.py
@@ -0,0 +1,210 @@
+"""Charges requests to the tokens that this VM holds, and asks owners for more."""
+
+from . import refusals
+from .budget_messages import Ask, Grant, Shortage
+from .budget_shares import reachable_burst, zone_share
+
+# A shortage that ends within this time is waited out; a longer one is refused at once.
+MAX_WAIT_MS = 200
+# Each answer of the owner serves the requests ahead first, so a request may have to ask
+# more than once.
+MAX_REPEATED_ASKS = 3
+# A request larger than its zone's burst collects blocks from several zones.
+MAX_COLLECTING_ASKS = 12
+
+
+class BudgetGate:
+    """Requests of one VM that wait to be charged.
+
+    The gate's owner calls it; entries have `ticket`, `charge`, `asks_left`,
+    `ask_again_ms` and `used_tokens`.
+
+    Parameters
+    ----------
+    clock : SystemClock or ManualClock
+    holder : BudgetHolder
+    link : BudgetLink
+        ``ask(list of Ask)`` starts an ask; the answers come to `on_grants`.
+        ``report(list of Report)`` sends reports; those done come to
+        `on_reports_done`.
+    zone : str
+    admitted : callable
+        Gets each entry whose request was charged.
+    refused : callable
+        Gets an entry and its `Refusal`.
+    is_waiting : callable
+        Whether an entry still waits; its caller may have gone.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_holder",
+        "_link",
+        "_zone",
+        "_admitted",
+        "_refused",
+        "_is_waiting",
+        "_configuration",
+        "_short",
+        "_asked",
+    )
+
+    def __init__(self, clock, holder, link, zone, admitted, refused, is_waiting):
+        self._clock = clock
+        self._holder = holder
+        self._link = link
+        self._zone = zone
+        self._admitted = admitted
+        self._refused = refused
+        self._is_waiting = is_waiting
+        self._configuration = None
+        self._short = {}
+        self._asked = set()
+
+    @property
+    def waiting(self):
+        """Number of requests that wait for tokens."""
+        return sum(len(entries) for entries in self._short.values())
+
+    def held_tokens(self):
+        """Return the tokens that this VM holds, by team."""
+        if self._configuration is None:
+            return {}
+        now_ms = self._clock.monotonic_ms()
+        return {
+            team: self._holder.available(team, now_ms)
+            for team in self._configuration.teams
+        }
+
+    def set_configuration(self, configuration):
+        """Take the teams of a configuration."""
+        now_ms = self._clock.monotonic_ms()
+        share = zone_share(configuration, self._zone)
+        for team in configuration.teams.values():
+            self._holder.set_team(team.name, team.burst_tokens * share, now_ms)
+        before = set(self._configuration.teams) if self._configuration else set()
+        for name in before - set(configuration.teams):
+            self._holder.remove_team(name)
+        self._configuration = configuration
+
+    def admit(self, entry):
+        """Charge a request, or let it wait for an owner's answer, or refuse it."""
+        ticket = entry.ticket
+        team = self._configuration.teams.get(ticket.team)
+        if team is None:
+            self._refused(entry, refusals.invalid_key())
+            return
+        reachable_tokens = reachable_burst(self._configuration, team, self._zone)
+        if ticket.cost_tokens > reachable_tokens:
+            refusal = refusals.exceeds_burst(ticket.cost_tokens, reachable_tokens)
+            self._refused(entry, refusal)
+            return
+        collects = ticket.cost_tokens > self._zone_burst(team)
+        entry.asks_left = MAX_COLLECTING_ASKS if collects else MAX_REPEATED_ASKS
+        # Behind the requests that came first, so that small ones do not starve a
+        # large one.
+        if self._short.get(ticket.team) or not self._charge(entry):
+            self._short.setdefault(ticket.team, []).append(entry)
+            self._ask()
+
+    def on_grants(self, asked, answers):
+        """Take the answers of owners to an ask.
+
+        Parameters
+        ----------
+        asked : iterable of str
+            Teams that were asked for.
+        answers : dict of str to Grant, Shortage or NotOwner
+        """
+        self._asked.difference_update(asked)
+        now_ms = self._clock.monotonic_ms()
+        for team, answer in answers.items():
+            if isinstance(answer, Grant):
+                self._holder.add_grant(team, answer, now_ms)
+        for team in asked:
+            for entry in self._short.pop(team, []):
+                self._after_answer(entry, answers.get(team))
+        self._ask()
+
+    def tick(self):
+        """Ask for what is due and send reports."""
+        self._ask()
+        reports = self._holder.reports(self._clock.monotonic_ms())
+        if reports:
+            self._link.report(reports)
+
+    def on_reports_done(self, reports):
+        """Forget reports that need not be sent again."""
+        for report in reports:
+            self._holder.report_done(report)
+
+    def return_all(self):
+        """Return all unused tokens; give the reports that say so."""
+        return self._holder.return_all(self._clock.monotonic_ms())
+
+    def settle(self, entry):
+        """End the charge of an entry, if it has one."""
+        if entry.charge is not None:
+            now_ms = self._clock.monotonic_ms()
+            self._holder.settle(entry.charge, entry.used_tokens, now_ms)
+            entry.charge = None
+
+    def _zone_burst(self, team):
+        return team.burst_tokens * zone_share(self._configuration, self._zone)
+
+    def _charge(self, entry):
+        ticket = entry.ticket
+        entry.charge = self._holder.charge(
+            ticket.team, ticket.cost_tokens, self._clock.monotonic_ms()
+        )
+        if entry.charge is None:
+            return False
+        self._admitted(entry)
+        return True
+
+    def _after_answer(self, entry, answer):
+        if not self._is_waiting(entry) or self._charge(entry):
+            return
+        if isinstance(answer, Grant):
+            # Requests ahead took the block, or it was a part of what is needed.
+            retry_after_ms = 0.0
+        elif isinstance(answer, Shortage):
+            retry_after_ms = answer.retry_after_ms
+        else:
+            self._refused(entry, refusals.budget_unavailable())
+            return
+        if entry.asks_left and retry_after_ms <= MAX_WAIT_MS:
+            entry.asks_left -= 1
+            entry.ask_again_ms = self._clock.monotonic_ms() + retry_after_ms
+            self._short.setdefault(entry.ticket.team, []).append(entry)
+        else:
+            self._refused(entry, refusals.rate_exceeded(retry_after_ms))
+
+    def _ask(self):
+        now_ms = self._clock.monotonic_ms()
+        asks = [
+            ask
+            for ask in self._holder.asks(now_ms)
+            if ask.team not in self._asked and ask.team not in self._short
+        ]
+        for team, entries in self._short.items():
+            due = [
+                entry
+                for entry in entries
+                if entry.ask_again_ms <= now_ms and self._is_waiting(entry)
+            ]
+            if due and team not in self._asked:
+                asks.append(self._ask_for(team, due, now_ms))
+        if asks:
+            self._asked.update(ask.team for ask in asks)
+            self._link.ask(asks)
+
+    def _ask_for(self, name, entries, now_ms):
+        costs = [entry.ticket.cost_tokens for entry in entries]
+        left_tokens = self._holder.available(name, now_ms)
+        missing_tokens = max(1, sum(costs) - left_tokens)
+        want_tokens = self._holder.want(name, now_ms, missing_tokens)
+        team = self._configuration.teams.get(name)
+        if team is not None and costs[0] > self._zone_burst(team):
+            return Ask(name, want_tokens, 1)
+        return Ask(name, want_tokens, max(1, costs[0] - left_tokens))
--- a/cassiamount/coordinator.py
+++ b/cassiamount/coordinator.py
@@ -8,6 +8,7 @@
 
 from .background import BackgroundTasks
 from .budget_exchange import BudgetExchange
+from .budget_shares import zone_share
 from .errors import AppendOutcomeUnknown, PlatformUnavailable
 from .lease_client import LeaseClient
 from .lease_commands import AskPromises, PromiseAnswer
@@ -162,9 +163,7 @@
 
     def set_configuration(self, configuration):
         """Take rates, bursts and the zone's share from a configuration."""
-        zone = configuration.zones.get(self._zone)
-        total = sum(each.weight for each in configuration.zones.values())
-        share = zone.weight / total if zone is not None and total else 0.0
+        share = zone_share(configuration, self._zone)
         self.budgets.set_shares(
             {
                 team.name: (team.rate_tokens_per_s * share, team.burst_tokens * share)
--- a/cassiamount/dispatcher.py
+++ b/cassiamount/dispatcher.py
@@ -12,7 +12,7 @@
 
 from . import refusals
 from .admission import Refused
-from .budget_messages import Ask, Grant, Shortage
+from .budget_gate import BudgetGate
 from .dispatch_messages import (
     CacheEvents,
     ConfigurationChanged,
@@ -28,14 +28,12 @@
     Withdraw,
 )
 from .mailbox import Call, MailboxFull
-from .requests import CANCELLED, AttemptEnded, Dispatch, Refusal
-from .routing import NoReplica
-
-# A shortage that ends within this time is waited out; a longer one is refused at once.
-MAX_BUDGET_WAIT_MS = 200
-# Each answer of the owner serves the requests ahead first, so a request may have to ask
-# more than once.
-MAX_REPEATED_ASKS = 3
+from .requests import CANCELLED, NOT_ACCEPTED, AttemptEnded, Dispatch, Refusal
+from .routing import BUSY, NoReplica
+
+# A retry that finds all replicas busy waits this long, because the request was admitted
+# and other requests free replicas within seconds.
+RETRY_WAIT_MS = 10_000
 # Interval of the background work: reports to the budget's owner, refills of blocks,
 # expiry of queued tickets.
 TICK_MS = 50
@@ -54,16 +52,30 @@
         "ask_again_ms",
         "used_tokens",
         "backend",
+        "maybe_ran",
     )
 
     def __init__(self, call, ticket):
         self.call = call
         self.ticket = ticket
         self.charge = None
-        self.asks_left = MAX_REPEATED_ASKS
+        self.asks_left = 0
         self.ask_again_ms = 0.0
         self.used_tokens = 0
         self.backend = ""
+        self.maybe_ran = False
+
+
+class _Waiting:
+    """A request that waits for another attempt."""
+
+    __slots__ = ("entry", "attempt", "failed_backend", "until_ms")
+
+    def __init__(self, entry, attempt, failed_backend, until_ms):
+        self.entry = entry
+        self.attempt = attempt
+        self.failed_backend = failed_backend
+        self.until_ms = until_ms
 
 
 class Dispatcher:
@@ -79,12 +91,8 @@
     holder : BudgetHolder
     key_holds : callable
         Whether a key hash is in force; asked again at each dispatch.
-    budget : object
-        ``ask(list of Ask)`` starts an ask whose answers arrive as `GrantsArrived`;
-        ``report(list of Report)`` sends what the holder reports, and `ReportsDone`
-        follows.
-    burst_share : callable
-        Gives the zone's share of a team's burst for a `Configuration` and a `Team`.
+    link : BudgetLink
+    zone : str
     demand : callable
         Called with model, adapter and cost in tokens of each submitted request.
     """
@@ -98,8 +106,8 @@
         router,
         holder,
         key_holds,
-        budget,
-        burst_share,
+        link,
+        zone,
         demand,
     ):
         self.mailbox = mailbox
@@ -107,18 +115,17 @@
         self._rng = rng
         self._queue = queue
         self._router = router
-        self._holder = holder
         self._key_holds = key_holds
-        self._budget = budget
-        self._burst_share = burst_share
+        self._gate = BudgetGate(
+            clock, holder, link, zone, self._offer, self._refuse, self._is_waiting
+        )
         self._demand = demand
         self._configuration = None
         self._drained = frozenset()
         self._listed_leaving = frozenset()
         self._entries = {}
-        self._short = {}
-        self._asked = set()
         self._queued = set()
+        self._retries = []
 
     # Called by requests.
 
@@ -167,17 +174,11 @@
     @property
     def queued(self):
         """Number of requests that wait for a backend server or for budget."""
-        return len(self._queued) + sum(len(short) for short in self._short.values())
+        return len(self._queued) + len(self._retries) + self._gate.waiting
 
     def held_tokens(self):
         """Return the tokens that this VM holds, by team."""
-        if self._configuration is None:
-            return {}
-        now_ms = self._clock.monotonic_ms()
-        return {
-            team: self._holder.available(team, now_ms)
-            for team in self._configuration.teams
-        }
+        return self._gate.held_tokens()
 
     # The task.
 
@@ -216,7 +217,7 @@
         entry = _Entry(request, ticket)
         self._entries[ticket.request_id] = entry
         if ticket.team:
-            self._charge(entry)
+            self._gate.admit(entry)
         else:
             self._offer(entry)
 
@@ -225,14 +226,14 @@
         ticket = message.ticket
         entry = self._entries.get(ticket.request_id)
         if entry is None:
-            entry = self._entries[ticket.request_id] = _Entry(request, ticket)
-        entry.call = request
-        choice = self._choose_again(ticket, message.failed_backend)
-        if isinstance(choice, NoReplica):
+            # Refused before, so nothing of it is known; its tokens were settled.
             request.reply(refusals.no_replica(not_run=False))
-            self._settle(entry)
-        else:
-            self._dispatch(entry, choice, message.attempt)
+            return
+        entry.call = request
+        until_ms = self._clock.monotonic_ms() + RETRY_WAIT_MS
+        self._retries.append(
+            _Waiting(entry, message.attempt, message.failed_backend, until_ms)
+        )
 
     @_apply.register
     def _(self, message: Withdraw, request):
@@ -254,48 +255,33 @@
             return
         entry.backend = ""
         entry.used_tokens = max(entry.used_tokens, message.used_tokens)
+        entry.maybe_ran |= message.outcome != NOT_ACCEPTED
         if message.final:
             self._settle(entry)
 
     @_apply.register
     def _(self, message: GrantsArrived, request):
-        self._asked -= message.asked
-        now_ms = self._clock.monotonic_ms()
-        for team, answer in message.answers.items():
-            if isinstance(answer, Grant):
-                self._holder.add_grant(team, answer, now_ms)
-        for team in message.asked:
-            for entry in self._short.pop(team, []):
-                self._charge_after_answer(entry, message.answers.get(team))
-        self._ask_for_budget()
+        self._gate.on_grants(message.asked, message.answers)
+
+    @_apply.register
+    def _(self, message: ReportsDone, request):
+        self._gate.on_reports_done(message.reports)
+
+    @_apply.register
+    def _(self, message: ReturnGrants, request):
+        request.reply(self._gate.return_all())
 
     @_apply.register
     def _(self, message: ConfigurationChanged, request):
         configuration = message.configuration
-        now_ms = self._clock.monotonic_ms()
-        removed = set(self._configuration.teams) if self._configuration else set()
-        for team in configuration.teams.values():
-            burst_tokens = self._burst_share(configuration, team)
-            self._holder.set_team(team.name, burst_tokens, now_ms)
-        for name in removed - set(configuration.teams):
-            self._holder.remove_team(name)
         self._configuration = configuration
+        self._gate.set_configuration(configuration)
         self._router.set_configuration(configuration)
         self._drained = message.drained
         self._router.set_leaving(self._drained | self._listed_leaving)
         weights = {team.name: team.weight for team in configuration.teams.values()}
         self._queue.set_weights(weights)
 
-    @_apply.register
-    def _(self, message: ReportsDone, request):
-        for report in message.reports:
-            self._holder.report_done(report)
-
-    @_apply.register
-    def _(self, message: ReturnGrants, request):
-        reports = self._holder.return_all(self._clock.monotonic_ms())
-        request.reply(reports)
-
     @_apply.register
     def _(self, message: LoadReported, request):
         self._router.on_report(message.report, self._clock.monotonic_ms())
@@ -321,77 +307,7 @@
         for ticket in self._queue.expire(now_ms):
             entry = self._entries[ticket.request_id]
             self._refuse(entry, refusals.deadline_passed())
-        self._ask_for_budget()
-        reports = self._holder.reports(now_ms)
-        if reports:
-            self._budget.report(reports)
-
-    # Budget.
-
-    def _charge(self, entry):
-        ticket = entry.ticket
-        team = self._configuration.teams.get(ticket.team)
-        if team is None:
-            self._refuse(entry, refusals.invalid_key())
-        elif ticket.cost_tokens > team.burst_tokens:
-            refusal = refusals.exceeds_burst(ticket.cost_tokens, team.burst_tokens)
-            self._refuse(entry, refusal)
-        elif self._short.get(ticket.team) or not self._try_charge(entry):
-            # Behind the requests that came first, so that small ones do not starve
-            # a large one.
-            self._short.setdefault(ticket.team, []).append(entry)
-            self._ask_for_budget()
-
-    def _try_charge(self, entry):
-        ticket = entry.ticket
-        entry.charge = self._holder.charge(
-            ticket.team, ticket.cost_tokens, self._clock.monotonic_ms()
-        )
-        if entry.charge is None:
-            return False
-        self._offer(entry)
-        return True
-
-    def _charge_after_answer(self, entry, answer):
-        if entry.ticket.request_id not in self._entries or self._try_charge(entry):
-            return
-        if isinstance(answer, Grant):
-            # Requests ahead took the block; the owner may have more.
-            retry_after_ms = 0.0
-        elif isinstance(answer, Shortage):
-            retry_after_ms = answer.retry_after_ms
-        else:
-            self._refuse(entry, refusals.budget_unavailable())
-            return
-        if entry.asks_left and retry_after_ms <= MAX_BUDGET_WAIT_MS:
-            entry.asks_left -= 1
-            entry.ask_again_ms = self._clock.monotonic_ms() + retry_after_ms
-            self._short.setdefault(entry.ticket.team, []).append(entry)
-        else:
-            self._refuse(entry, refusals.rate_exceeded(retry_after_ms))
-
-    def _ask_for_budget(self):
-        now_ms = self._clock.monotonic_ms()
-        asks = [
-            ask
-            for ask in self._holder.asks(now_ms)
-            if ask.team not in self._asked and ask.team not in self._short
-        ]
-        for team, entries in self._short.items():
-            costs = [
-                entry.ticket.cost_tokens
-                for entry in entries
-                if entry.ask_again_ms <= now_ms
-                and entry.ticket.request_id in self._entries
-            ]
-            if costs and team not in self._asked:
-                left_tokens = self._holder.available(team, now_ms)
-                missing_tokens = max(1, sum(costs) - left_tokens)
-                want_tokens = self._holder.want(team, now_ms, missing_tokens)
-                asks.append(Ask(team, want_tokens, max(1, costs[0] - left_tokens)))
-        if asks:
-            self._asked.update(ask.team for ask in asks)
-            self._budget.ask(asks)
+        self._gate.tick()
 
     # Queue and dispatch.
 
@@ -404,7 +320,27 @@
         for ticket, refusal in result.displaced:
             self._refuse(self._entries[ticket.request_id], refusal)
 
+    def _is_waiting(self, entry):
+        return entry.ticket.request_id in self._entries
+
+    def _dispatch_retries(self):
+        now_ms = self._clock.monotonic_ms()
+        waiting, self._retries = self._retries, []
+        for retry in waiting:
+            if not self._is_waiting(retry.entry):
+                continue
+            choice = self._choose_again(retry.entry.ticket, retry.failed_backend)
+            if not isinstance(choice, NoReplica):
+                self._dispatch(retry.entry, choice, retry.attempt)
+            elif choice.reason == BUSY and now_ms < retry.until_ms:
+                self._retries.append(retry)
+            else:
+                refusal = refusals.no_replica(not_run=not retry.entry.maybe_ran)
+                self._refuse(retry.entry, refusal)
+
     def _dispatch_queued(self):
+        # Admitted earlier, perhaps in the middle of their answer.
+        self._dispatch_retries()
         while True:
             now_ms = self._clock.monotonic_ms()
             choices = {}
@@ -449,7 +385,4 @@
         self._entries.pop(entry.ticket.request_id, None)
         self._queue.settle(entry.ticket, entry.used_tokens)
         self._queued.discard(entry.ticket.request_id)
-        if entry.charge is not None:
-            now_ms = self._clock.monotonic_ms()
-            self._holder.settle(entry.charge, entry.used_tokens, now_ms)
-            entry.charge = None
+        self._gate.settle(entry)
--- a/cassiamount/node.py
+++ b/cassiamount/node.py
@@ -136,7 +136,7 @@
             BudgetHolder(self.identity),
             lambda key_hash: self.view.keys.team_of_hash(key_hash) is not None,
             self._link,
-            lambda configuration, team: zone_burst(configuration, team, settings.zone),
+            settings.zone,
             self.demand.count,
         )
         self._backends = BackendClient(self.metrics)
@@ -372,11 +372,3 @@
         await self._log.close()
         await self._vm_list.close()
         self._tracing.shutdown()
-
-
-def zone_burst(configuration, team, zone):
-    """Return a zone's share of a team's burst, in tokens."""
-    total = sum(each.weight for each in configuration.zones.values())
-    if zone not in configuration.zones or not total:
-        return 0
-    return team.burst_tokens * configuration.zones[zone].weight / total
--- a/cassiamount/refusals.py
+++ b/cassiamount/refusals.py
@@ -49,13 +49,13 @@
     )
 
 
-def exceeds_burst(cost_tokens, burst_tokens):
-    """Refuse a request that can never fit into the team's burst."""
+def exceeds_burst(cost_tokens, reachable_tokens):
+    """Refuse a request that can never get enough tokens at once."""
     return Refusal(
         400,
         "exceeds_burst",
-        f"the request may need {cost_tokens} tokens, more than the team's burst "
-        f"of {burst_tokens} tokens; lower max_tokens or shorten the prompt",
+        f"the request may need {cost_tokens} tokens; the team's burst gives one "
+        f"request at most {reachable_tokens}; lower max_tokens or shorten the prompt",
     )
 
 
