--- a/cassiamount/budget_holder.py
+++ b/cassiamount/budget_holder.py
@@ -14,6 +14,9 @@
 # Tokens that were not touched for this long go back to the owner, where other VMs
 # can have them.
 IDLE_RETURN_MS = 400
+# Distance between asks of a team that only refill a block. An answer that is short
+# must not be followed by the next ask at once.
+REFILL_INTERVAL_MS = 100
 # Reports of one VM to one owner, repeated or new, are at least this far apart.
 REPORT_INTERVAL_MS = 200
 
@@ -76,6 +79,7 @@
         "needed_tokens",
         "use_tokens_per_ms",
         "averaged_ms",
+        "refilled_ms",
     )
 
     def __init__(self, burst_tokens, now_ms):
@@ -84,6 +88,7 @@
         self.needed_tokens = 0
         self.use_tokens_per_ms = 0.0
         self.averaged_ms = now_ms
+        self.refilled_ms = float("-inf")
 
 
 class BudgetHolder:
@@ -229,8 +234,8 @@
     def asks(self, now_ms):
         """Return what to ask the owners for now.
 
-        A team is in it if a charge failed for lack of tokens since the last call, or
-        if less than half a block is left.
+        A team is in it if a charge failed for lack of tokens since the last call, or,
+        at intervals, if less than half a block is left.
 
         Returns
         -------
@@ -241,7 +246,9 @@
         for team, tokens in self._teams.items():
             needed_tokens, tokens.needed_tokens = tokens.needed_tokens, 0
             missing_tokens = max(0, needed_tokens - self.available(team, now_ms))
-            if missing_tokens or team in refill:
+            due_ms = tokens.refilled_ms + REFILL_INTERVAL_MS
+            if missing_tokens or (team in refill and now_ms >= due_ms):
+                tokens.refilled_ms = now_ms
                 want_tokens = self.want(team, now_ms, missing_tokens)
                 asks.append(Ask(team, want_tokens, max(1, missing_tokens)))
         return asks
