--- a/bench/world.py
+++ b/bench/world.py
@@ -247,6 +247,12 @@
                     holder.demand.on_totals(vm.name, vm.totals, self.clock.now_ms)
                     for route, count in vm.queue.waiting_by_route().items():
                         waiting[route] = waiting.get(route, 0) + count
+            for engine in self.engines.values():
+                # Routers that do not wait for a free replica queue at the engines.
+                for queue in engine.waiting.values():
+                    for attempt in queue:
+                        model = attempt.offer.ticket.model
+                        waiting[model] = waiting.get(model, 0) + 1
             if self.policies.placement == "lru":
                 holder.policy.waiting = waiting
                 holder.policy.last_used_ms = self._last_used_ms
--- a/cassiamount/placement_load.py
+++ b/cassiamount/placement_load.py
@@ -1,9 +1,9 @@
 """Predicted load of engines for a placement of models."""
 
 # Rounds of the approximate balance of each model's demand over its copies.
-BALANCE_ROUNDS = 6
+BALANCE_ROUNDS = 4
 # Models and engines considered for one move.
-MODELS_CONSIDERED = 6
+MODELS_CONSIDERED = 4
 ENGINES_CONSIDERED = 8
 
 
@@ -48,8 +48,10 @@
         return sorted(self._copies, key=heat, reverse=True)[:MODELS_CONSIDERED]
 
     def coolest_engines(self):
-        """Return the views with the least load."""
-        names = sorted(self._views, key=lambda name: (self._loads[name], name))
+        """Return the views with the least load, below the mean load."""
+        mean = sum(self._loads.values()) / max(1, len(self._loads))
+        names = [name for name, load in self._loads.items() if load < mean]
+        names.sort(key=lambda name: (self._loads[name], name))
         return [self._views[name] for name in names[:ENGINES_CONSIDERED]]
 
     def gain(self, name, view, victims):
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,214 @@
+"""Tests of single rules of the engine ledger."""
+
+import pytest
+
+from cassiamount.configuration import configuration_from_document
+from cassiamount.engine_orders import (
+    ACCEPTED,
+    DRAIN_MS,
+    LOAD_MODEL,
+    LOST,
+    ORDER_LATENESS_MS,
+    RUNNING,
+    STATE_DONE,
+    UNKNOWN,
+    UNLOAD_MODEL,
+    Order,
+    RecordIntent,
+    RecordOutcome,
+    SendOrder,
+)
+from cassiamount.load_report import LoadReport, Resident
+from cassiamount.orders import EngineLedger
+from cassiamount.records import IntendOrder
+from tests.test_orders import document
+
+HOMES = {"x": "z1", "y": "z1", "z": "z2"}
+START_MS = 20_000.0
+
+
+class Driver:
+    """A ledger of zone z1 with engines e1, e2 (z1) and e3, e4 (z2)."""
+
+    def __init__(self, holds, checks_fence=False, reports=True):
+        self.now_ms = 0.0
+        self.holds = holds
+        self.checks_fence = checks_fence
+        self.ledger = EngineLedger("z1", 0.0)
+        configuration = configuration_from_document(document())
+        self.ledger.set_configuration(configuration, HOMES, 0.0)
+        if reports:
+            self.wait(START_MS)
+
+    def report(self, engine, names, lag_ms=0.0):
+        residents = [Resident(n, "model", "1", "ready", 40) for n in names]
+        self.ledger.on_report(
+            LoadReport(
+                engine,
+                "i",
+                memory_used_mb=40 * len(residents),
+                memory_capacity_mb=100,
+                residents=residents,
+                checks_fence=self.checks_fence,
+                as_of_ms=self.now_ms - lag_ms,
+            ),
+            self.now_ms,
+        )
+
+    def wait(self, by_ms):
+        """Let time pass with reports of what the engines really hold."""
+        for _ in range(int(by_ms // 500)):
+            self.now_ms += 500.0
+            for engine in ("e1", "e2", "e3", "e4"):
+                self.report(engine, self.holds.get(engine, ""))
+
+    def intend(self, action, engine, name):
+        order = Order(f"{action}{engine}{name}", engine, action, name, "1", 40)
+        commands = self.ledger.intend(order, self.now_ms)
+        if commands:
+            assert isinstance(commands[0], RecordIntent)
+            self.ledger.on_intended(order.order_id, 7, self.now_ms)
+        return order if commands else None
+
+    def due(self, kind):
+        commands = self.ledger.advance(self.now_ms)
+        return [c.order.name for c in commands if isinstance(c, kind)]
+
+    def send(self, order, *answers):
+        for answer in answers:
+            copy = self.ledger.on_sent(order.order_id, self.now_ms)
+            self.ledger.on_answer(order.order_id, copy, answer, self.now_ms)
+
+    def state(self, order, state, asked_ms=None):
+        asked_ms = self.now_ms if asked_ms is None else asked_ms
+        self.ledger.on_state(order.order_id, state, asked_ms, self.now_ms)
+
+
+def test_unanswered_copy_keeps_memory_after_a_later_unload():
+    """Guards against a late copy that loads into memory given to another model."""
+    driver = Driver({"e1": "", "e2": "x"})
+    load = driver.intend(LOAD_MODEL, "e1", "x")
+    driver.send(load, LOST, ACCEPTED)
+    driver.state(load, STATE_DONE)
+    driver.holds["e1"] = "x"
+    driver.wait(6_000.0)
+    unload = driver.intend(UNLOAD_MODEL, "e1", "x")
+    driver.wait(DRAIN_MS)
+    driver.send(unload, ACCEPTED)
+    driver.state(unload, STATE_DONE)
+    driver.holds["e1"] = ""
+    driver.wait(8_000.0)
+    assert driver.ledger.free_mb("e1") == 60
+    assert driver.due(RecordOutcome) == ["x"]
+    driver.ledger.on_settled(unload.order_id)
+    driver.wait(ORDER_LATENESS_MS)
+    assert driver.due(RecordOutcome) == ["x"]
+    driver.ledger.on_settled(load.order_id)
+    assert driver.ledger.free_mb("e1") == 100
+
+
+def test_engine_that_checks_fences_settles_at_once():
+    """Guards against memory held for copies that the engine would refuse."""
+    driver = Driver({"e2": "x"}, checks_fence=True)
+    load = driver.intend(LOAD_MODEL, "e1", "x")
+    driver.send(load, LOST, ACCEPTED)
+    driver.state(load, STATE_DONE)
+    assert driver.due(RecordOutcome) == ["x"]
+
+
+def test_lagging_report_frees_no_memory():
+    """Guards against a report taken before a load that hides the load."""
+    driver = Driver({"e2": "x"})
+    load = driver.intend(LOAD_MODEL, "e1", "x")
+    driver.send(load, ACCEPTED)
+    driver.state(load, STATE_DONE)
+    driver.ledger.on_settled(load.order_id)
+    driver.now_ms += 1_000.0
+    driver.report("e1", "", lag_ms=900.0)
+    assert driver.ledger.free_mb("e1") == 60
+
+
+def test_lagging_report_restores_no_copy():
+    """Guards against an unloaded copy that counts as the one that remains."""
+    driver = Driver({"e1": "x", "e2": "x"})
+    unload = driver.intend(UNLOAD_MODEL, "e1", "x")
+    driver.wait(DRAIN_MS)
+    driver.send(unload, ACCEPTED)
+    driver.state(unload, STATE_DONE)
+    driver.ledger.on_settled(unload.order_id)
+    driver.now_ms += 1_000.0
+    driver.report("e1", "x", lag_ms=900.0)
+    assert driver.intend(UNLOAD_MODEL, "e2", "x") is None
+
+
+def test_copy_being_unloaded_does_not_count():
+    """Guards against two unloads that rely on each other's copy."""
+    driver = Driver({"e1": "x", "e2": "x"})
+    assert driver.intend(UNLOAD_MODEL, "e1", "x")
+    assert driver.intend(UNLOAD_MODEL, "e2", "x") is None
+
+
+@pytest.mark.parametrize(("name", "allowed"), [("x", False), ("z", True)])
+def test_home_zone_counts_no_foreign_copy(name, allowed):
+    """Guards against holders of two zones that remove both copies at once."""
+    driver = Driver({"e1": name, "e3": name})
+    assert bool(driver.intend(UNLOAD_MODEL, "e1", name)) == allowed
+
+
+def test_unload_waits_for_the_drain_and_is_checked_again():
+    """Guards against requests that lose their model, and a copy lost meanwhile."""
+    driver = Driver({"e1": "x", "e2": "x"})
+    driver.intend(UNLOAD_MODEL, "e1", "x")
+    driver.wait(DRAIN_MS - 500)
+    assert driver.ledger.draining() == {("e1", "x")}
+    assert driver.due(SendOrder) == []
+    driver.holds["e2"] = ""
+    driver.wait(500)
+    assert driver.due(SendOrder) == []
+    assert driver.ledger.draining() == set()
+
+
+def test_answer_to_an_early_question_settles_nothing():
+    """Guards against a load taken for lost that is under way."""
+    driver = Driver({})
+    load = driver.intend(LOAD_MODEL, "e1", "x")
+    driver.send(load, ACCEPTED)
+    driver.state(load, UNKNOWN, asked_ms=driver.now_ms)
+    driver.now_ms += 100.0
+    assert driver.due(RecordOutcome) == []
+    driver.state(load, RUNNING)
+    driver.now_ms += 100.0
+    driver.state(load, UNKNOWN)
+    assert driver.due(RecordOutcome) == ["x"]
+
+
+def test_unknown_order_is_not_given_up_before_the_lateness_bound():
+    """Guards against memory freed for a copy that still arrives."""
+    driver = Driver({})
+    load = driver.intend(LOAD_MODEL, "e1", "x")
+    driver.send(load, LOST)
+    driver.wait(ORDER_LATENESS_MS - 500)
+    driver.state(load, UNKNOWN)
+    assert driver.due(RecordOutcome) == [] and driver.ledger.free_mb("e1") == 60
+    driver.wait(6_000.0)
+    driver.state(load, UNKNOWN)
+    assert driver.due(RecordOutcome) == ["x"]
+
+
+def test_successor_waits_for_reports_and_keeps_unsettled_orders():
+    """Guards against a successor that gives away memory its predecessor used."""
+    driver = Driver({}, reports=False)
+    record = IntendOrder("i", "v", "old", "e1", LOAD_MODEL, "x", "1", 40, 1)
+    driver.ledger.rebuild([(3, record)], 0.0)
+    driver.wait(4_000.0)
+    assert driver.ledger.free_mb("e2") == 0
+    driver.wait(4_000.0)
+    assert driver.ledger.free_mb("e2") == 100
+    assert driver.ledger.free_mb("e1") == 60
+
+
+def test_memory_is_never_promised_twice():
+    """Guards against loads that fit one by one but not together."""
+    driver = Driver({"e1": "x"})
+    assert driver.intend(LOAD_MODEL, "e1", "y")
+    assert driver.intend(LOAD_MODEL, "e1", "z") is None
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -291,6 +291,6 @@
 
 
 OrdersMachine.TestCase.settings = settings(
-    derandomize=True, max_examples=100, stateful_step_count=50, deadline=None
+    derandomize=True, max_examples=1_200, stateful_step_count=50, deadline=None
 )
 TestOrdersMachine = OrdersMachine.TestCase
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -57,10 +57,10 @@
 
 def test_sent_requests_correct_a_lagging_report():
     """Guards against a herd on the replica whose last report was the lowest."""
-    router = make_router(("e1", "e2"), e2=2)
-    for number in range(4):
-        assert chosen(router) == ("e1" if number < 3 else "e2")
-        router.on_sent(Ticket(str(number), "t", model="m"), "e1")
+    router = make_router(("e1", "e2"), e1=1, e2=2)
+    for number, expected in enumerate(["e1", "e1", "e2"]):
+        assert chosen(router) == expected
+        router.on_sent(Ticket(str(number), "t", model="m"), expected)
 
 
 def test_choices_among_similar_replicas_vary():
@@ -106,7 +106,10 @@
         for number in range(3):
             router.on_sent(Ticket(str(number), "t", model="m"), "e1")
             router.on_ended(AttemptEnded(str(number), "e1", BROKEN), 1.0)
-        assert {chosen(router, 2.0, seed) for seed in range(8)} == {expected}
+        # A cached prefix outweighs the penalty for the errors.
+        prompt = {"prompt_tokens": 9_000, "prefix_hashes": range(70)}
+        router.prefixes.on_sent("e1", range(70))
+        assert {chosen(router, 2.0, seed, **prompt) for seed in range(8)} == {expected}
 
 
 def test_plain_service_needs_no_report():
