Follow the current demand in placement

Cause: a hot model of the last minutes kept most of the planned demand, so the next one got its second copies 25 s late.

Ruled out: no slow average at all; it decides which copies are worth keeping.

Change: windows of 8 s and 90 s in place of 15 s and 180 s; the slow one counts 0.4.

--- a/bench/world.py
+++ b/bench/world.py
@@ -62,6 +62,7 @@
         self.tally = Tally(self.configuration)
         self.offset = 0
         self.intents = {}
+        self.open_requests = 0
         self.owner_fence = 0
         store = WeightStore()
         fleet = []
@@ -94,13 +95,16 @@
         """Serve the offers and return the tally."""
         for offer in offers:
             self.tally.on_offer(offer)
+            self.open_requests += 1
             self.clock.after(
                 WARM_UP_MS + offer.at_ms + self.deployment.client_ms,
                 self._offer,
                 offer,
                 0,
             )
-        self.clock.run(WARM_UP_MS + duration_ms + 70_000.0)
+        self.clock.run(WARM_UP_MS + duration_ms)
+        while self.open_requests and self.clock.now_ms < WARM_UP_MS + 3 * duration_ms:
+            self.clock.run(self.clock.now_ms + 1_000.0)
         self.tally.loads = sum(engine.loads for engine in self.engines.values())
         self.tally.broken = [v for e in self.engines.values() for v in e.violations]
         return self.tally
@@ -146,11 +150,13 @@
         self.tally.on_use(team, charged_ms, tokens)
 
     def on_end(self, offer, result, attempt):
+        self.open_requests -= 1
         self.tally.on_end(offer, result, attempt, self.deployment.client_ms)
         if self.retrying and result not in ("served", "broken"):
             tries = self.tally.tries[offer.ticket.request_id]
             if tries < RETRIES:
                 delay_ms = self.rng.uniform(200, 1_000)
+                self.open_requests += 1
                 self.clock.after(delay_ms, self._offer, offer, tries)
 
     def _offer(self, offer, tries):
--- a/cassiamount/demand.py
+++ b/cassiamount/demand.py
@@ -2,8 +2,10 @@
 
 import math
 
-FAST_MS = 15_000.0
-SLOW_MS = 180_000.0
+FAST_MS = 8_000.0
+SLOW_MS = 90_000.0
+# The slow average counts in part: what was needed lately keeps some value.
+SLOW_SHARE = 0.4
 # VMs whose totals are remembered; the one heard of least recently is dropped.
 VMS_LIMIT = 2_000
 
@@ -75,7 +77,7 @@
         rates = {}
         for name, averages in list(self._averages.items()):
             averages.decay(now_ms)
-            rate = max(averages.fast, averages.slow)
+            rate = max(averages.fast, SLOW_SHARE * averages.slow)
             if rate < 0.01:
                 del self._averages[name]
             else:
