Scale ends as well as dispatches of this VM to what others do

Cause: between two reports a VM counted the dispatches of others but not their ends, and held requests back although slots were free.

--- a/cassiamount/replica_state.py
+++ b/cassiamount/replica_state.py
@@ -14,8 +14,8 @@
 # Added to the estimated wait per recent error, and the time in which it fades.
 ERROR_PENALTY_MS = 200.0
 ERROR_FADE_MS = 10_000.0
-# Other VMs are taken to add at most this many times what this one adds to a replica
-# since its last report. More would leave replicas idle between reports.
+# Other VMs are taken to change a replica's load by at most this many times what this
+# one changes it by since the last report. More would leave replicas idle or crowded.
 OTHERS_LIMIT = 6.0
 # A replica that did not accept a request is tried again after this time, which is
 # longer than the lag of the report that made it look free.
@@ -119,11 +119,10 @@
             return len(self.in_flight)
         reported = self.report.running + self.report.waiting
         own = sum(change for _, change in self.changes)
-        if own > 0:
-            # Other VMs send on the same report. This VM's part of what was reported
-            # tells how many times its own additions they probably make.
-            before = max(1, len(self.in_flight) - own)
-            own *= min(OTHERS_LIMIT, max(1.0, reported / before))
+        # Other VMs send on the same report, and their requests end too. This VM's part
+        # of what was reported tells how many times its own change they probably make.
+        before = max(1, len(self.in_flight) - own)
+        own *= min(OTHERS_LIMIT, max(1.0, reported / before))
         return max(len(self.in_flight), reported + own)
 
     def error_penalty_ms(self, now_ms):
