Date claims by their writer's clock where the stream time lags

The stream time is the second-latest writer's; it stands still while one VM writes and jumps when the other one writes again, and a claim that was dated before the jump expired at once.

Ruled out: the latest writer's time for expiry (one fast clock would expire all claims); the median of the last walls (it lags in the same way on quiet streams).

Change: a claim gets the later of its writer's time and the stream time, and never a later one than a claim after it, so a fast clock cannot hold keys for long. A VM whose clock is behind shortens the window by at most as much.

--- a/cassiamount/claim_entries.py
+++ b/cassiamount/claim_entries.py
@@ -16,7 +16,7 @@
     certain : bool
         False if an earlier claim of the key may have been trimmed from the log.
     claimed_ms : int
-        Stream time of the last claim of the key, whether it won or lost.
+        Time of the last claim of the key, whether it won or lost.
     state : str
         ``in-progress``, ``finished`` or ``abandoned``.
     status : int
--- a/cassiamount/claim_state.py
+++ b/cassiamount/claim_state.py
@@ -184,8 +184,8 @@
             return None if known.state != ABANDONED else "the claim was abandoned"
         holder = self._by_key.get((record.team, record.key))
         if holder is not None:
-            holder.claimed_ms = self._time.now_ms
             self._by_request.move_to_end(holder.request_id)
+            self._set_time(holder, record)
             return f"request {holder.request_id} holds the key"
         if len(self._by_request) >= self._max_claims:
             return f"the partition holds {self._max_claims} claims"
@@ -196,9 +196,10 @@
             record.request_id,
             record.vm,
             self.next_offset > self._certain_from,
-            self._time.now_ms,
+            record.wall_ms,
         )
         self._by_request[claim.request_id] = claim
+        self._set_time(claim, record)
         self._by_key[claim.team, claim.key] = claim
         return None
 
@@ -239,6 +240,19 @@
         self._time.observe(record.vm, record.wall_ms)
         self._remove_expired()
 
+    def _set_time(self, claim, record):
+        """Date the newest claim.
+
+        The stream time stands still while few VMs write and then jumps, so the
+        writer's own time counts if it is later. A claim before this one was not made
+        later, whatever its writer's clock said.
+        """
+        claim.claimed_ms = max(record.wall_ms, self._time.now_ms)
+        for earlier in reversed(self._by_request.values()):
+            if earlier is not claim and earlier.claimed_ms <= claim.claimed_ms:
+                return
+            earlier.claimed_ms = claim.claimed_ms
+
     def _expired(self, claim):
         return self._time.now_ms - claim.claimed_ms > self._window_ms
 
