Close two gaps in the claim tests that mutations showed

Change: a table row and a test; both mutations fail now (test_second_arrival[records10-f-Free-None], test_snapshot_that_covers_no_more_changes_nothing).

--- a/tests/test_claim_state.py
+++ b/tests/test_claim_state.py
@@ -261,6 +261,18 @@
             Held,
             "r1",
         ),
+        # Nor does that VM hold a key for longer than the others.
+        (
+            [
+                claim("r0", key="l"),
+                claim("r1", "vm-c@1", wall_ms=10 * LATE_MS),
+                claim("r2", key="m"),
+                claim("r3", key="n", wall_ms=LATE_MS),
+            ],
+            "f",
+            Free,
+            None,
+        ),
         # A claim that loses prolongs the hold.
         (
             [
@@ -350,3 +362,10 @@
         with pytest.raises(InvalidRecord):
             state.load_state(9, malformed)
         assert state.to_state() == before
+
+
+def test_snapshot_that_covers_no_more_changes_nothing():
+    """Guards against claims that a lagging peer's snapshot takes back."""
+    state, _ = state_with(claim("r1"))
+    state.load_state(0, new_state().to_state())
+    assert state.won("r1")
