--- a/cassiamount/dispatcher.py
+++ b/cassiamount/dispatcher.py
@@ -37,6 +37,8 @@
 # Interval of the background work: reports to the budget's owner, refills of blocks,
 # expiry of queued tickets.
 TICK_MS = 50
+# The same while no request waits or runs: only reports are left to be sent.
+IDLE_TICK_MS = 500
 
 log = structlog.get_logger()
 
@@ -196,7 +198,8 @@
 
     async def _tick(self):
         while True:
-            await asyncio.sleep(TICK_MS / 1000)
+            interval_ms = TICK_MS if self._entries else IDLE_TICK_MS
+            await asyncio.sleep(interval_ms / 1000)
             self.mailbox.send(Tick())
 
     def handle(self, message):
--- a/cassiamount/log_streams.py
+++ b/cassiamount/log_streams.py
@@ -5,7 +5,7 @@
 from .checkpoints import CheckpointSchedule
 from .claim_state import ClaimState
 from .config_state import ConfigState
-from .follower import Follower
+from .follower import LONG_POLL_MS, Follower
 from .zone_state import ZoneState
 
 CONFIG_STREAM = "config"
@@ -13,6 +13,10 @@
 # several hundred appends a second for everyone.
 CLAIM_APPEND_INTERVAL_MS = 20
 ZONE_APPEND_INTERVAL_MS = 20
+# The log answers a long poll as soon as there is a record, so a longer one delays
+# nothing. The zone's stream keeps the short default: its reads also tell whether the
+# log can be reached, which leases need to know within a second.
+QUIET_LONG_POLL_MS = 4_000
 
 
 def zone_stream(zone):
@@ -96,7 +100,17 @@
         return self._open(name, fold, CLAIM_APPEND_INTERVAL_MS, False)
 
     def _open(self, name, fold, append_interval_ms, has_checkpoints):
-        follower = Follower(name, fold, self._log, self._peers, self._clock)
+        long_poll_ms = (
+            LONG_POLL_MS if isinstance(fold, ZoneState) else QUIET_LONG_POLL_MS
+        )
+        follower = Follower(
+            name,
+            fold,
+            self._log,
+            self._peers,
+            self._clock,
+            long_poll_ms=long_poll_ms,
+        )
         appender = Appender(
             follower, self._log, self._peers, interval_ms=append_interval_ms
         )
