--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -4,11 +4,14 @@
 import signal
 import socket
 import sys
+import uuid
 from pathlib import Path
 
 import aiohttp
 import orjson
 
+from cassiamount.records import PublishConfiguration, encode_record
+
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 START_LIMIT_S = 30
@@ -112,6 +115,22 @@
         return await self.call("GET", "/admin/executions")
 
 
+class LogStandin(Standin):
+    """The log, with the operators' records."""
+
+    async def append(self, stream, *records):
+        body = {"records": [encode_record(record) for record in records]}
+        answer = await self.call("POST", f"/streams/{stream}/records", body)
+        return answer["offsets"]
+
+    async def publish(self, document, base_version=0):
+        """Append a configuration and return the version that it gets if accepted."""
+        record = PublishConfiguration(
+            uuid.uuid4().hex, "operator", base_version, document
+        )
+        return (await self.append("config", record))[0] + 1
+
+
 class Daemon(OwnedProcess):
     """A running ``cassiamountd``."""
 
@@ -122,22 +141,26 @@
         self.admin_url = f"http://{settings['admin_address']}"
         self._http = http
 
-    async def ready(self):
-        """Return whether the daemon answers that it is ready."""
+    async def answers(self, path):
+        """Return whether the operators' port answers a path with status 200."""
         try:
-            async with self._http.get(self.admin_url + "/readyz") as response:
+            async with self._http.get(self.admin_url + path) as response:
                 return response.status == 200
         except (aiohttp.ClientError, TimeoutError):
             return False
 
-    async def wait_ready(self, limit_s=START_LIMIT_S):
-        """Wait until the daemon is ready; fail with its log if it ends."""
+    async def wait_for(self, path, limit_s=START_LIMIT_S):
+        """Wait for ``/livez`` or ``/readyz``; fail with the log if the daemon ends.
+
+        A daemon is ready once it has read a configuration.
+        """
 
-        async def ready_or_ended():
-            return not self.running or await self.ready()
+        async def answers_or_ended():
+            return not self.running or await self.answers(path)
 
-        if not await wait_until(ready_or_ended, limit_s) or not self.running:
-            raise ProcessFailed(f"{self.name} is not ready\n{self.log_tail()}")
+        if not await wait_until(answers_or_ended, limit_s) or not self.running:
+            message = f"{self.name}: no status 200 from {path}"
+            raise ProcessFailed(f"{message}\n{self.log_tail()}")
 
     async def status(self):
         async with self._http.get(self.admin_url + "/status") as response:
@@ -202,17 +225,20 @@
         except (TimeoutError, ValueError):
             raise ProcessFailed(f"{name} did not start\n{owned.log_tail()}") from None
         address = f"{HOST}:{line['port']}"
-        standin = Standin(name, process, output, address, self.http)
+        cls = LogStandin if module == "log" else Standin
+        standin = cls(name, process, output, address, self.http)
         self._processes[self._processes.index(owned)] = standin
         return standin
 
-    async def start_daemon(self, settings, wait_ready=True):
+    async def start_daemon(self, settings, wait_for="/readyz"):
         """Start ``cassiamountd``; own addresses that are not set are chosen.
 
         Parameters
         ----------
         settings : dict
             Document of the settings file.
+        wait_for : str or None
+            See `Daemon.wait_for`.
         """
         for field in ("listen_address", "peer_address", "admin_address"):
             settings.setdefault(field, free_address())
@@ -223,8 +249,8 @@
         process, output = await self._start(name, arguments, capture=False)
         daemon = Daemon(name, process, output, settings, self.http)
         self._processes.append(daemon)
-        if wait_ready:
-            await daemon.wait_ready()
+        if wait_for is not None:
+            await daemon.wait_for(wait_for)
         return daemon
 
 
