Keep room for the next hot model; split the placement policy

Cause: a replacement waits 3 s for the drain of what it replaces before its load.

Change: further copies with little demand are unloaded so that the largest model fits; second-zone copies use only what is beyond that.

--- /dev/null
+++ b/cassiamount/placement_state.py
@@ -0,0 +1,211 @@
+"""What the placement policy remembers, and the moves it is made of."""
+
+from .engine_orders import LOAD_MODEL, UNLOAD_ADAPTER, UNLOAD_MODEL
+from .placement_view import Move
+
+# Limits of the weight store over all zones.
+FLEET_LOADS_PER_S = 2.0
+FLEET_CONCURRENT_LOADS = 8
+# an engine that gave it up recently.
+STAY_MS = 30_000.0
+# A wanted load waits this long for the memory that its unloads free.
+WANTED_MS = 45_000.0
+# Memory kept free, as a share of an engine's, so that the load of a hot model starts
+# without the drain of another.
+ROOM_SHARE = 0.2
+
+
+class Wanted:
+    """A load that waits for the memory of what it replaces."""
+
+    __slots__ = ("name", "engine", "victims", "until_ms", "reason")
+
+    def __init__(self, name, engine, victims, until_ms, reason):
+        self.name = name
+        self.engine = engine
+        self.victims = victims
+        self.until_ms = until_ms
+        self.reason = reason
+
+
+class PlacementState:
+    """Configuration, replacements under way and memory of recent moves.
+
+    Parameters
+    ----------
+    zone : str
+    """
+
+    __slots__ = (
+        "_zone",
+        "_models",
+        "_adapters",
+        "_homes",
+        "_zone_share",
+        "_exponent",
+        "_caps",
+        "_wanted",
+        "_seen",
+        "_loaded_ms",
+        "_unloaded_ms",
+        "_next_load_ms",
+        "_next_spare_ms",
+        "_missing_since_ms",
+        "_yield_since_ms",
+    )
+
+    def __init__(self, zone):
+        self._zone = zone
+        self._models = {}
+        self._adapters = {}
+        self._homes = {}
+        self._zone_share = 1.0
+        self._exponent = 1.0
+        self._caps = {}
+        # (engine, name) -> _Wanted
+        self._wanted = {}
+        self._seen = set()
+        self._loaded_ms = {}
+        self._unloaded_ms = {}
+        self._next_load_ms = 0.0
+        self._next_spare_ms = 0.0
+        self._missing_since_ms = {}
+        self._yield_since_ms = None
+
+    def set_configuration(self, configuration, homes):
+        """Take models, adapters and the operators' weights."""
+        self._models = dict(configuration.models)
+        self._adapters = dict(configuration.adapters)
+        self._homes = dict(homes)
+        zones = configuration.zones
+        total = sum(zone.weight for zone in zones.values())
+        own = zones[self._zone].weight if self._zone in zones else 0
+        self._zone_share = own / total if total else 1.0
+        policy = configuration.policy
+        weights = policy.attainment_weight + policy.fairness_weight
+        # 1 places by demand alone; towards 0 every model counts alike. Equal weights
+        # give 1: a damped demand predicts the engines' load badly.
+        share = policy.attainment_weight / weights if weights else 0.5
+        self._exponent = min(1.0, max(0.25, 2 * share))
+        self._caps = {name: 0.0 for name in self._models}
+        for team in configuration.teams.values():
+            for name in team.models:
+                if name in self._caps:
+                    self._caps[name] += team.rate_tokens_per_s
+
+    def _weights(self, demand):
+        """Return each model's weight: its demand within the teams' rates, damped."""
+        totals = {name: demand.get(name, 0.0) for name in self._models}
+        weights = {}
+        for name, rate in totals.items():
+            capped = min(rate, self._caps.get(name) or rate)
+            weights[name] = max(capped, 0.01) ** self._exponent
+        total = sum(weights.values()) or 1.0
+        return {name: weight / total for name, weight in weights.items()}
+
+    def _note_loads(self, engines, now_ms):
+        for view in engines.values():
+            # What an engine held when it was first seen was loaded before.
+            since_ms = now_ms if view.name in self._seen else now_ms - STAY_MS
+            if view.usable:
+                self._seen.add(view.name)
+            for name in view.held:
+                self._loaded_ms.setdefault((view.name, name), since_ms)
+        for pair in list(self._loaded_ms):
+            view = engines.get(pair[0])
+            if view is None or pair[1] not in view.held:
+                del self._loaded_ms[pair]
+                self._unloaded_ms[pair] = now_ms
+        for pair, since_ms in list(self._unloaded_ms.items()):
+            if now_ms - since_ms > STAY_MS:
+                del self._unloaded_ms[pair]
+
+    def _load_budget(self, engines, now_ms):
+        """Return how many model loads may start now."""
+        if now_ms < self._next_load_ms:
+            return 0
+        loading = sum(
+            1
+            for view in self._own(engines)
+            for name in view.held.keys() - view.ready
+            if name in self._models and name not in view.leaving_names
+        )
+        concurrent = max(1, int(FLEET_CONCURRENT_LOADS * self._zone_share))
+        return 1 if loading < concurrent else 0
+
+    def _own(self, engines):
+        return [v for v in engines.values() if v.zone == self._zone and v.usable]
+
+    def _copies(self, engines):
+        """Return model -> views with a ready copy that stays."""
+        copies = {}
+        for view in engines.values():
+            if view.usable:
+                for name in view.ready & view.staying:
+                    copies.setdefault(name, []).append(view)
+        return copies
+
+    def _spare_copy(self, name, view, copies):
+        zones = {self._zone, self._homes.get(name, self._zone)}
+        return any(
+            other is not view and other.zone in zones for other in copies.get(name, ())
+        )
+
+    def _wanted_mb(self, engine):
+        return sum(
+            self._models[wanted.name].memory_mb
+            for wanted in self._wanted.values()
+            if wanted.engine == engine and wanted.name in self._models
+        )
+
+    def _room_mb(self, view):
+        """Return the memory kept free for the next hot model."""
+        largest_mb = max((m.memory_mb for m in self._models.values()), default=0)
+        return min(largest_mb, view.capacity_mb * ROOM_SHARE)
+
+    def _replace(self, view, victims, model, reason, now_ms, moves):
+        if not victims:
+            self._load(view, model, reason, now_ms, moves)
+            return
+        wanted = Wanted(model.name, view.name, victims, now_ms + WANTED_MS, reason)
+        self._wanted[(view.name, model.name)] = wanted
+        self._unload_victims(view, wanted, moves)
+
+    def _unload_victims(self, view, wanted, moves):
+        for name in wanted.victims:
+            if name not in view.staying:
+                continue
+            adapters = [
+                held
+                for held in view.staying
+                if held in self._adapters and self._adapters[held].base == name
+            ]
+            for held in adapters or [name]:
+                action = UNLOAD_ADAPTER if adapters else UNLOAD_MODEL
+                memory_mb = view.memory_mb.get(held, 0)
+                moves.append(
+                    Move(
+                        view.name,
+                        action,
+                        held,
+                        view.held[held],
+                        memory_mb,
+                        reason=wanted.reason,
+                    )
+                )
+
+    def _load(self, view, model, reason, now_ms, moves):
+        per_s = FLEET_LOADS_PER_S * max(self._zone_share, 0.01)
+        self._next_load_ms = now_ms + 1000 / per_s
+        view.free_mb -= model.memory_mb
+        view.held[model.name] = model.version
+        moves.append(
+            Move(
+                view.name,
+                LOAD_MODEL,
+                model.name,
+                model.version,
+                model.memory_mb,
+                reason=reason,
+            )
+        )
