Let newer requests pass late ones in the admission queue

Ruled out: refusing what would miss its first-token target, because it refuses requests within the rates whenever a model becomes hot.

Change: when the oldest request of a team's queue is late (5% of its time to the deadline), the newest goes first three times of four.

--- a/cassiamount/admission.py
+++ b/cassiamount/admission.py
@@ -9,6 +9,11 @@
 from .requests import PRIORITIES
 
 QUEUE_LIMIT = 2_000
+# A request that waited for this share of its time to the deadline is late. Newer ones
+# then go first, because serving late ones first would make every request late.
+LATE_SHARE = 0.05
+# Of late requests at the head, one in this many is served in order of arrival.
+OLDEST_EVERY = 4
 # Share of the tokens served that goes to the classes below the one being served
 # while they wait, so that no class starves.
 LOWER_CLASS_RESERVE = 0.05
@@ -37,10 +42,11 @@
     A route without a free replica then delays no request for another route.
     """
 
-    __slots__ = ("routes", "length")
+    __slots__ = ("routes", "length", "removed")
 
     def __init__(self):
         self.routes = {}
+        self.removed = 0
         self.length = 0
 
     def push(self, entry):
@@ -57,14 +63,23 @@
         if not queue:
             del self.routes[entry.route]
         self.length -= 1
+        self.removed += 1
 
-    def heads(self):
-        """Return the first entry of each route, oldest first."""
+    def heads(self, now_ms):
+        """Return the next entry of each route, oldest first."""
         return sorted(
-            (queue[0] for queue in self.routes.values()),
+            (self._next(queue, now_ms) for queue in self.routes.values()),
             key=lambda entry: entry.sequence,
         )
 
+    def _next(self, queue, now_ms):
+        ticket = queue[0].ticket
+        patience_ms = ticket.deadline_ms - ticket.arrived_ms
+        late = now_ms - ticket.arrived_ms > LATE_SHARE * patience_ms
+        if late and self.removed % OLDEST_EVERY:
+            return queue[-1]
+        return queue[0]
+
     def newest(self):
         """Return the entry that arrived last."""
         return max(
@@ -184,9 +199,9 @@
             blocked.add(entry.route)
             return False
 
-        entry = self._next_reserved(can_send)
+        entry = self._next_reserved(can_send, now_ms)
         if entry is None:
-            entry = self._next_by_class(can_send)
+            entry = self._next_by_class(can_send, now_ms)
         if entry is None:
             return None
         self._remove(entry)
@@ -297,7 +312,7 @@
     def _weight(self, team):
         return self._weights.get(team, 1.0)
 
-    def _next_reserved(self, can_send):
+    def _next_reserved(self, can_send, now_ms):
         for priority in PRIORITIES[1:]:
             credit = self._credits[priority]
             if not self._classes[priority]:
@@ -308,22 +323,23 @@
                     lambda entry, credit=credit: (
                         entry.ticket.cost_tokens <= credit and can_send(entry)
                     ),
+                    now_ms,
                 )
                 if entry is not None:
                     return entry
         return None
 
-    def _next_by_class(self, can_send):
+    def _next_by_class(self, can_send, now_ms):
         for priority in PRIORITIES:
-            entry = self._fairest(priority, can_send)
+            entry = self._fairest(priority, can_send, now_ms)
             if entry is not None:
                 return entry
         return None
 
-    def _fairest(self, priority, can_send):
+    def _fairest(self, priority, can_send, now_ms):
         teams = self._classes[priority]
         for team in sorted(teams, key=lambda team: self._virtual[team]):
-            for entry in teams[team].heads():
+            for entry in teams[team].heads(now_ms):
                 if can_send(entry):
                     return entry
         return None
