--- /dev/null
+++ b/tests/documents.py
@@ -0,0 +1,117 @@
+"""Small valid documents that tests change."""
+
+import copy
+
+from hypothesis import strategies as st
+
+from .test_records import JSON
+
+DOCUMENT = {
+    "zones": [{"name": "zone-a", "weight": 1}],
+    "models": [{"name": "loom", "version": "1", "memory_mb": 16, "load_ms": 40}],
+    "adapters": [{"name": "hem", "base": "loom", "version": "1", "memory_mb": 2}],
+    "backends": [
+        {
+            "name": "engine-1",
+            "zone": "zone-a",
+            "address": "127.0.0.1:9101",
+            "kind": "engine",
+            "memory_mb": 40,
+            "max_running": 16,
+        },
+        {
+            "name": "orders-1",
+            "zone": "zone-a",
+            "address": "127.0.0.1:9201",
+            "kind": "service",
+            "service": "orders",
+            "max_running": 16,
+        },
+    ],
+    "services": [
+        {"name": "orders", "routes": [{"path": "/stock", "methods": ["GET"]}]}
+    ],
+    "templates": [
+        {
+            "name": "standard",
+            "parameters": {
+                "rate": {"type": "integer"},
+                "models": {"type": "array", "default": ["loom"]},
+            },
+            "team": {
+                "models": {"$param": "models"},
+                "adapters": ["hem"],
+                "services": ["orders"],
+                "rate_tokens_per_s": {"$param": "rate"},
+                "burst_tokens": 4000,
+            },
+        }
+    ],
+    "teams": [
+        {"name": "stitchers", "template": "standard", "parameters": {"rate": 20}},
+        {"name": "riggers", "rate_tokens_per_s": 10, "burst_tokens": 100},
+    ],
+}
+
+SETTINGS = {
+    "vm_name": "vm-1",
+    "zone": "zone-a",
+    "listen_address": "127.0.0.1:8001",
+    "peer_address": "127.0.0.1:8002",
+    "admin_address": "127.0.0.1:8003",
+    "log_address": "127.0.0.1:9001",
+    "vm_list_address": "127.0.0.1:9002",
+    "weight_store_address": "127.0.0.1:9003",
+}
+
+
+def changed(document, *path, value):
+    """Return a copy of `document` with the value at `path` replaced.
+
+    A step past the end of a list appends; the value ``...`` removes the field.
+    """
+    document = copy.deepcopy(document)
+    target = document
+    for step in path[:-1]:
+        target = target[step]
+    last = path[-1]
+    if isinstance(target, dict) and not isinstance(last, str):
+        raise TypeError("a field name of JSON is text")
+    if value is ...:
+        del target[last]
+    elif isinstance(target, list) and last == len(target):
+        target.append(value)
+    else:
+        target[last] = value
+    return document
+
+
+def paths_of(value, path=()):
+    """Yield the paths of all parts of a JSON value."""
+    yield path
+    if isinstance(value, (dict, list)):
+        steps = value if isinstance(value, dict) else range(len(value))
+        for step in steps:
+            yield from paths_of(value[step], (*path, step))
+
+
+def mutated(document):
+    """Return a strategy of documents with up to three parts replaced or removed."""
+    return st.lists(
+        st.tuples(
+            st.sampled_from([path for path in paths_of(document) if path]),
+            st.just(...) | JSON | st.sampled_from(["loom", {"$param": "rate"}, 0, -1]),
+        ),
+        min_size=1,
+        max_size=3,
+    ).map(lambda edits: apply_edits(document, edits))
+
+
+def apply_edits(document, edits):
+    for path, value in edits:
+        try:
+            document = changed(document, *path, value=value)
+        except (LookupError, TypeError):
+            # An earlier edit has removed this part.
+            continue
+    return document
