--- a/cassiamount/placement_load.py
+++ b/cassiamount/placement_load.py
@@ -20,7 +20,7 @@
         Model -> share of the total demand.
     """
 
-    __slots__ = ("_views", "_weights", "_copies", "_loads", "_cost")
+    __slots__ = ("_views", "_weights", "_copies", "_shares", "_loads", "_cost")
 
     def __init__(self, views, weights):
         self._views = {view.name: view for view in views}
@@ -30,6 +30,7 @@
             for name in view.staying:
                 if name in weights:
                     self._copies.setdefault(name, []).append(view.name)
+        self._shares = {}
         self._loads = self._balance(self._copies)
         self._cost = _squares(self._loads)
 
@@ -55,12 +56,36 @@
         return [self._views[name] for name in names[:ENGINES_CONSIDERED]]
 
     def gain(self, name, view, victims):
-        """Return by how much a new copy with its evictions lowers the cost."""
-        copies = dict(self._copies)
-        copies[name] = [*copies.get(name, ()), view.name]
+        """Return by how much a new copy with its evictions lowers the cost.
+
+        Only the models that move are balanced again, with the loads of the others
+        as they are: a full balance for each candidate took 0.3 s with 600 engines.
+        """
+        loads = {}
+        for moved in (name, *victims):
+            for engine, part in self._shares.get(moved, {}).items():
+                loads[engine] = loads.get(engine, self._loads[engine]) - part
         for victim in victims:
-            copies[victim] = [e for e in copies[victim] if e != view.name]
-        return self._cost - _squares(self._balance(copies))
+            engines = [e for e in self._copies[victim] if e != view.name]
+            self._fill(engines, self._weights[victim], loads)
+        engines = [*self._copies.get(name, ()), view.name]
+        self._fill(engines, self._weights[name], loads)
+        return sum(
+            self._loads[engine] ** 2 - load * load for engine, load in loads.items()
+        )
+
+    def _fill(self, engines, weight, loads):
+        """Add a weight to engines so that their loads become as equal as possible."""
+        before = {engine: loads.get(engine, self._loads[engine]) for engine in engines}
+        ordered = sorted(engines, key=before.get)
+        total = weight
+        for count, engine in enumerate(ordered, start=1):
+            total += before[engine]
+            level = total / count
+            if count == len(ordered) or level <= before[ordered[count]]:
+                break
+        for engine in ordered[:count]:
+            loads[engine] = max(level, before[engine])
 
     def _balance(self, copies):
         shares = {
@@ -77,6 +102,7 @@
                 scale = self._weights[name] / (sum(inverse.values()) or 1.0)
                 shares[name] = {e: part * scale for e, part in inverse.items()}
             loads = self._sum(shares)
+        self._shares = shares
         return loads
 
     def _sum(self, shares):
