--- a/cassiamount/budget_link.py
+++ b/cassiamount/budget_link.py
@@ -19,7 +19,7 @@
         The dispatcher's.
     coordinator : Coordinator
         Has ``async ask(asks)``, which returns answers by team, and ``async
-        report(report)``, which returns whether the report need not be sent again.
+        report(report)``, which returns whether it need not be sent again.
     """
 
     def __init__(self, mailbox, coordinator):
@@ -54,8 +54,6 @@
         try:
             if await self._coordinator.report(report):
                 self._mailbox.send(ReportsDone([report]))
-        except PeerUnavailable as error:
-            log.info("report_not_delivered", owner=report.owner, error=str(error))
         finally:
             self._reporting.discard(key)
 
--- a/cassiamount/node.py
+++ b/cassiamount/node.py
@@ -17,10 +17,16 @@
 from .clock import SystemClock
 from .coordinator import Coordinator
 from .demand_counter import DemandCounter
-from .dispatch_messages import ConfigurationChanged, LeavingBackends, ReturnGrants
+from .dispatch_messages import (
+    ConfigurationChanged,
+    DrainingModels,
+    LeavingBackends,
+    ReturnGrants,
+)
 from .dispatcher import Dispatcher
 from .edge import build_application
 from .engine_client import HttpEngineClient
+from .keys import is_key_hash
 from .load_poller import LoadPoller
 from .log_client import HttpLogClient
 from .log_peers import LogPeers
@@ -32,13 +38,14 @@
 from .node_view import NodeView
 from .peer_client import PeerClient
 from .peer_service import make_server
-from .placement_task import PlacementTask
+from .placement_runner import EngineOrders, PlacementRunner
 from .relay import Relay
 from .routing import Router
 from .serving import EdgeServer, open_listener
 from .supervisor import Supervisor
 from .tracing import build_tracing
 from .vm_list_client import HttpVmListClient
+from .zone_state import PLACEMENT_LEASE
 
 # Time for grants and leases to be returned; without it they expire by themselves.
 LEAVE_LIMIT_MS = 3_000
@@ -69,6 +76,7 @@
             settings.trace_exporter.target,
         )
         self._stop = asyncio.Event()
+        self._draining = set()
         self._build_platform()
         self._build_requests()
         self._build_placement()
@@ -95,22 +103,24 @@
             lambda: self.streams.zone.fold.roster(),
         )
         self.view = NodeView(self.streams.config, settings.key_staleness_limit_s)
+        zone = self.streams.zone
+        zone = self.streams.zone
         self._coordinator = Coordinator(
             self.identity,
             settings.zone,
             settings.peer_address,
-            self.streams.zone.follower,
-            self.streams.zone.appender,
+            zone.follower,
+            zone.appender,
             self._peer_client,
             self._vm_list,
             clock,
             settings.budget_partitions,
-            self._log_reached_ms,
+            lambda: clock.monotonic_ms() - self.streams.log_unreached_ms,
             self._on_leaving_backends,
+            self._rng,
         )
-
-    def _log_reached_ms(self):
-        return self.clock.monotonic_ms() - self.streams.log_unreached_ms
+        self._coordinator.members.on_probe = self._on_probe
+        zone.follower.add_listener(self._on_zone_followed)
 
     def _build_requests(self):
         settings = self.settings
@@ -126,7 +136,7 @@
             BudgetHolder(self.identity),
             lambda key_hash: self.view.keys.team_of_hash(key_hash) is not None,
             self._link,
-            lambda configuration, team: zone_burst(configuration, team, settings.zone),
+            settings.zone,
             self.demand.count,
         )
         self._backends = BackendClient(self.metrics)
@@ -162,21 +172,20 @@
 
     def _build_placement(self):
         self._board = ReportBoard(self.clock)
-        self._placement = PlacementTask(
+        self._placement = PlacementRunner(
             self.identity,
             self.settings.zone,
-            self.clock,
-            self.streams.zone.follower,
-            self.streams.zone.appender,
-            self._coordinator.lease("placement"),
-            self._open_engine,
-            self._dispatch_mailbox,
+            self._coordinator.lease(PLACEMENT_LEASE),
+            self.streams.zone,
+            lambda: self.streams.config.fold.configuration,
+            EngineOrders(self._open_engine),
             self._demand_totals,
+            self.clock,
         )
         self._poller_mailbox = Mailbox("load-poller")
         self._poller = LoadPoller(
             self._poller_mailbox,
-            [self._dispatch_mailbox, self._board, self._placement.mailbox],
+            [self._dispatch_mailbox, self._board, self._placement],
             self._dispatch_mailbox,
             self._open_engine,
             self._rng,
@@ -187,7 +196,7 @@
         return HttpEngineClient(name, f"http://{address}")
 
     def _demand_totals(self):
-        """Return demand totals by VM, of this VM and of those it has probed."""
+        """Return demand totals by VM for this VM and the others of its zone."""
         return {self.identity: self.demand.totals(), **self._coordinator.peer_demand()}
 
     def _build_ports(self):
@@ -239,19 +248,35 @@
         configuration = fold.configuration
         self._dispatch_mailbox.send(ConfigurationChanged(configuration, fold.drained))
         self._poller_mailbox.send(configuration)
-        self._placement.mailbox.send(ConfigurationChanged(configuration, fold.drained))
+        self._placement.send(ConfigurationChanged(configuration, fold.drained))
         self._coordinator.set_configuration(configuration)
 
     def _on_config_followed(self, followed):
         if followed.changes or followed.reloaded:
             self._on_config(followed)
 
+    def _on_zone_followed(self, followed):
+        pairs = {
+            (order.record.engine, order.record.name)
+            for order in self.streams.zone.fold.orders.values()
+            if order.unloads
+        }
+        if pairs != self._draining:
+            self._draining = pairs
+            self._dispatch_mailbox.send(DrainingModels(pairs))
+
     def _on_claims_followed(self, followed):
         self._claims.state_changed()
 
     def _on_leaving_backends(self, names):
         self._dispatch_mailbox.send(LeavingBackends(names))
 
+    def _on_probe(self, info):
+        """Take the keys that were withdrawn directly on another VM of the zone."""
+        for key_hash in info.withdrawn_key_hashes:
+            if is_key_hash(key_hash) and not self.view.keys.is_withdrawn(key_hash):
+                self._withdraw_key_here(key_hash)
+
     # Start and stop.
 
     def request_stop(self):
@@ -342,15 +367,8 @@
 
     async def _close(self):
         await self._backends.close()
+        await self._placement.close()
         await self._peer_client.close()
         await self._log.close()
         await self._vm_list.close()
         self._tracing.shutdown()
-
-
-def zone_burst(configuration, team, zone):
-    """Return a zone's share of a team's burst, in tokens."""
-    total = sum(each.weight for each in configuration.zones.values())
-    if zone not in configuration.zones or not total:
-        return 0
-    return team.burst_tokens * configuration.zones[zone].weight / total
--- a/cassiamount/placement.py
+++ b/cassiamount/placement.py
@@ -12,7 +12,7 @@
 PRESSURE_SHARE = 0.6
 # A move has to lower the sum of squared engine loads by this share. Smaller gains do
 # not repay the load of the weights and the prefixes that the evicted copy cached.
-GAIN_SHARE = 0.04
+GAIN_SHARE = 0.015
 # No copy is unloaded sooner than this after its load, and no model is moved again on
 # an engine that gave it up recently.
 STAY_MS = 30_000.0
@@ -54,6 +54,7 @@
         "_exponent",
         "_caps",
         "_wanted",
+        "_seen",
         "_loaded_ms",
         "_unloaded_ms",
         "_next_load_ms",
@@ -72,6 +73,7 @@
         self._caps = {}
         # (engine, name) -> _Wanted
         self._wanted = {}
+        self._seen = set()
         self._loaded_ms = {}
         self._unloaded_ms = {}
         self._next_load_ms = 0.0
@@ -90,9 +92,10 @@
         self._zone_share = own / total if total else 1.0
         policy = configuration.policy
         weights = policy.attainment_weight + policy.fairness_weight
-        # 1 places by demand alone; towards 0 every model counts alike.
-        self._exponent = policy.attainment_weight / weights if weights else 0.5
-        self._exponent = max(0.5, self._exponent)
+        # 1 places by demand alone; towards 0 every model counts alike. Equal weights
+        # give 1: a damped demand predicts the engines' load badly.
+        share = policy.attainment_weight / weights if weights else 0.5
+        self._exponent = min(1.0, max(0.25, 2 * share))
         self._caps = {name: 0.0 for name in self._models}
         for team in configuration.teams.values():
             for name in team.models:
@@ -105,7 +108,7 @@
         Parameters
         ----------
         demand : dict
-            Model or adapter -> tokens/s.
+            Model or adapter -> Rate.
         engines : dict
             Name -> EngineView, of all zones.
         now_ms : float
@@ -115,13 +118,17 @@
         list of Move
         """
         self._note_loads(engines, now_ms)
+        current = self._weights(
+            {name: rate.current_tokens_per_s for name, rate in demand.items()}
+        )
+        demand = {name: rate.kept_tokens_per_s for name, rate in demand.items()}
         weights = self._weights(demand)
         moves = []
         budget = self._load_budget(engines, now_ms)
         budget -= self._plan_wanted(engines, now_ms, budget, moves)
         budget -= self._plan_missing(weights, engines, now_ms, budget, moves)
         if budget > 0 and not moves and not self._wanted:
-            budget -= self._plan_balance(weights, engines, now_ms, moves)
+            budget -= self._plan_balance(current, weights, engines, now_ms, moves)
         if budget > 0 and not moves and not self._wanted:
             self._plan_spare(weights, engines, now_ms, moves)
         evicted = {
@@ -148,8 +155,12 @@
 
     def _note_loads(self, engines, now_ms):
         for view in engines.values():
+            # What an engine held when it was first seen was loaded before.
+            since_ms = now_ms if view.name in self._seen else now_ms - STAY_MS
+            if view.usable:
+                self._seen.add(view.name)
             for name in view.held:
-                self._loaded_ms.setdefault((view.name, name), now_ms)
+                self._loaded_ms.setdefault((view.name, name), since_ms)
         for pair in list(self._loaded_ms):
             view = engines.get(pair[0])
             if view is None or pair[1] not in view.held:
@@ -282,14 +293,14 @@
             if wanted.engine == engine and wanted.name in self._models
         )
 
-    def _plan_balance(self, weights, engines, now_ms, moves):
+    def _plan_balance(self, current, weights, engines, now_ms, moves):
         """Add a copy of a model whose engines are under pressure."""
         usable = [view for view in engines.values() if view.usable]
         pressure = max((v.running / v.max_running for v in usable), default=0.0)
         if pressure < PRESSURE_SHARE:
             self._yield_since_ms = None
             return 0
-        loads = EngineLoads(usable, weights)
+        loads = EngineLoads(usable, current)
         best = None
         for name in loads.hottest_models():
             for view in loads.coolest_engines():
