--- a/bench/vm.py
+++ b/bench/vm.py
@@ -187,10 +187,11 @@
         offer = self.offers[ticket.request_id]
         now_ms = self.clock.now_ms
         cut = not self.world.connected(self.zone, self.world.engines[backend].zone)
-        if attempt is None or (cut and attempt.first_ms is not None):
-            outcome, attempt = BROKEN, None
-        elif attempt.first_ms is None:
+        if attempt is None or attempt.first_ms is None:
+            # Refused, or no connection: it certainly did not run there.
             outcome = NOT_ACCEPTED
+        elif cut:
+            outcome = BROKEN
         else:
             outcome = DONE
         used = ticket.prompt_tokens + offer.output_tokens
