Drain a model and its adapters together

Cause: a replacement drained the adapters for 3 s and then the model for 3 s.

Change: an unload of a model may be recorded while its adapters are being unloaded, and is sent after them. bench.decisions can run some rows alone.

Mutations on a scratch copy: without the wait for the adapters, or without the check that they are unloaded, test_model_drains_with_its_adapters_and_goes_after_them fails.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -106,30 +106,39 @@
     }
 
 
-def measure(deployment, seeds, duration_ms, groups, progress):
-    """Run everything; return rows of summaries by group."""
+def measure(deployment, seeds, duration_ms, groups, rows, progress):
+    """Run everything; return rows of summaries by group.
+
+    Only rows whose names contain one of `rows` are run, all if it is empty. A row's
+    figures depend on its seeds alone, so rows of several runs can be compared.
+    """
     result = {"policies": {}, "failures": {}, "overload": {}, "optimum": {}}
 
     def row(group, name, runs):
         result[group][name] = summarise(runs)
         progress(group, name, result[group][name])
 
+    def wanted(names):
+        return [n for n in names if not rows or any(part in n for part in rows)]
+
     if "policies" in groups:
-        for name, policies in ROWS.items():
+        for name in wanted(ROWS):
+            policies = ROWS[name]
             runs = [
                 run_once(deployment, policies, Failures(), seed, duration_ms)
                 for seed in seeds
             ]
             row("policies", name, runs)
     if "failures" in groups:
-        for name, failures in failure_rows(duration_ms).items():
+        for name in wanted(failure_rows(duration_ms)):
+            failures = failure_rows(duration_ms)[name]
             runs = [
                 run_once(deployment, CHOSEN, failures, seed, duration_ms)
                 for seed in seeds
             ]
             row("failures", name, runs)
     if "overload" in groups:
-        for name in OVERLOAD_ROWS:
+        for name in wanted(OVERLOAD_ROWS):
             for load in OVERLOADS:
                 runs = [
                     overload_once(deployment, ROWS[name], seed, load, duration_ms)
@@ -150,6 +159,7 @@
     parser.add_argument(
         "--groups", nargs="+", default=["policies", "failures", "overload", "optimum"]
     )
+    parser.add_argument("--rows", nargs="+", default=[])
     parser.add_argument("--json", action="store_true")
     parser.add_argument("--report", type=Path)
     arguments = parser.parse_args()
@@ -167,6 +177,7 @@
         seeds,
         arguments.seconds * 1000,
         arguments.groups,
+        arguments.rows,
         progress,
     )
     result["deployment"] = arguments.deployment
--- a/cassiamount/orders.py
+++ b/cassiamount/orders.py
@@ -302,7 +302,11 @@
             return "not resident"
         if order.action != UNLOAD_MODEL:
             return ""
-        if any(self._bases.get(key[0]) == order.name for key in memory.copies):
+        if any(
+            self._bases.get(key[0]) == order.name
+            and (order.engine, key[0]) not in self.draining()
+            for key in memory.copies
+        ):
             return "adapters of the model are resident"
         if not self._removable(order, now_ms):
             return "the last ready copy"
@@ -344,6 +348,9 @@
             return False
         if order.action != UNLOAD_MODEL:
             return True
+        if any(self._bases.get(key[0]) == order.name for key in memory.copies):
+            # Model and adapters drain together; the adapters go first.
+            return False
         if not self._removable(order, now_ms):
             if pending.last_sent_ms is None:
                 pending.outcome = OUTCOME_EXPIRED
@@ -361,6 +368,8 @@
         return any(
             other.order.engine == pending.order.engine
             and other.recorded_ms is not None
+            # A model waits for its adapters, whichever intent was recorded first.
+            and self._bases.get(pending.order.name) != other.order.name
             and other.order.fence < pending.order.fence
             and other.outcome is None
             and not other.answered
--- a/cassiamount/placement_state.py
+++ b/cassiamount/placement_state.py
@@ -180,8 +180,8 @@
                 for held in view.staying
                 if held in self._adapters and self._adapters[held].base == name
             ]
-            for held in adapters or [name]:
-                action = UNLOAD_ADAPTER if adapters else UNLOAD_MODEL
+            for held in [*adapters, name]:
+                action = UNLOAD_MODEL if held == name else UNLOAD_ADAPTER
                 memory_mb = view.memory_mb.get(held, 0)
                 moves.append(
                     Move(
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -12,6 +12,7 @@
     RUNNING,
     STATE_DONE,
     UNKNOWN,
+    UNLOAD_ADAPTER,
     UNLOAD_MODEL,
     Order,
     RecordIntent,
@@ -35,13 +36,19 @@
         self.holds = holds
         self.checks_fence = checks_fence
         self.ledger = EngineLedger("z1", 0.0)
-        configuration = configuration_from_document(document())
+        adapters = [{"name": "a", "base": "x", "version": "1", "memory_mb": 1}]
+        configuration = configuration_from_document(
+            {**document(), "adapters": adapters}
+        )
         self.ledger.set_configuration(configuration, HOMES, 0.0)
         if reports:
             self.wait(START_MS)
 
     def report(self, engine, names, lag_ms=0.0):
-        residents = [Resident(n, "model", "1", "ready", 40) for n in names]
+        residents = [
+            Resident(n, "adapter" if n == "a" else "model", "1", "ready", 40)
+            for n in names
+        ]
         self.ledger.on_report(
             LoadReport(
                 engine,
@@ -168,6 +175,20 @@
     assert driver.ledger.draining() == set()
 
 
+def test_model_drains_with_its_adapters_and_goes_after_them():
+    """Guards against an adapter without its model, and against two drains."""
+    driver = Driver({"e1": "xa", "e2": "x"}, checks_fence=True)
+    assert driver.intend(UNLOAD_MODEL, "e1", "x") is None
+    adapter = driver.intend(UNLOAD_ADAPTER, "e1", "a")
+    assert driver.intend(UNLOAD_MODEL, "e1", "x")
+    driver.wait(DRAIN_MS)
+    assert driver.due(SendOrder) == ["a"]
+    driver.send(adapter, ACCEPTED)
+    assert driver.due(SendOrder) == []
+    driver.state(adapter, STATE_DONE)
+    assert driver.due(SendOrder) == ["x"]
+
+
 def test_answer_to_an_early_question_settles_nothing():
     """Guards against a load taken for lost that is under way."""
     driver = Driver({})
