--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -200,7 +200,7 @@
 async def test_request_above_the_reachable_burst_is_refused_for_good():
     """Guards against a retry that can never succeed."""
     bench = Bench()
-    refusal = answer_of(bench.submit(tokens=3_600))
+    refusal = answer_of(bench.submit(tokens=4_100))
     assert (refusal.code, refusal.retry_after_s) == ("exceeds_burst", None)
 
 
