--- a/cassiamount/event_stream.py
+++ b/cassiamount/event_stream.py
@@ -62,16 +62,21 @@
                 raise MalformedStream("an event is larger than the limit")
         return [event for event in events if event]
 
-    def single(self, chunk):
-        """Return the only event of `chunk`, or None if it is not exactly one.
+    def whole(self, chunk):
+        """Return the events of a chunk that holds whole events only, else None.
 
-        Most chunks are; `feed` is for all others.
+        Most chunks do; they can be passed on as they are. `feed` is for all others.
         """
-        if self._rest or self._held or not chunk.endswith(b"\n\n"):
+        if (
+            self._rest
+            or self._held
+            or len(chunk) > self.max_event_bytes
+            or not chunk.endswith(b"\n\n")
+            or b"\r" in chunk
+        ):
             return None
-        if chunk.find(b"\n\n") != len(chunk) - 2 or b"\r" in chunk:
-            return None
-        return chunk[:-2] if len(chunk) <= self.max_event_bytes else None
+        events = chunk[:-2].split(b"\n\n")
+        return None if b"" in events else events
 
 
 class StreamProgress:
--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 
 import uvicorn
@@ -34,6 +35,7 @@
         self._in_head = True
         self._wire_bytes = 0
         self._stopping = False
+        self._timed = False
         self._timer = None
         if len(self.connections) > self.max_connections:
             self._count("connection_limit")
@@ -49,21 +51,21 @@
     def data_received(self, data):
         """Count the bytes of a head that is not complete yet."""
         if self._in_head:
-            if not self._wire_bytes:
-                self._stop_timer()
-                self._start_timer(HEAD_TIMEOUT_S)
             self._wire_bytes += len(data)
         super().data_received(data)
-        if (
-            self._in_head
-            and self._wire_bytes > self.head_bytes
-            and not self.transport.is_closing()
-        ):
+        if not self._in_head or self.transport.is_closing():
+            return
+        if self._wire_bytes > self.head_bytes:
             self._refuse_head()
+        elif self._wire_bytes and not self._timed:
+            # Most heads arrive in one piece and need no timer.
+            self._timed = True
+            self._stop_timer()
+            self._start_timer(HEAD_TIMEOUT_S)
 
     def on_headers_complete(self):
         """Check the size of a head that came in one piece."""
-        self._in_head = False
+        self._in_head = self._timed = False
         self._stop_timer()
         size = len(self.url)
         for name, value in self.headers:
@@ -194,6 +196,10 @@
                 await self._task
                 raise RuntimeError("the listener could not be started")
             await asyncio.sleep(0.005)
+        # What was loaded so far lives as long as the process; without this each full
+        # collection walks it, which holds up all streams at once.
+        gc.collect()
+        gc.freeze()
 
     async def stop(self, drain_limit_ms):
         """Finish the current requests and stop.
--- a/cassiamount/stream_copier.py
+++ b/cassiamount/stream_copier.py
@@ -46,23 +46,21 @@
             chunk = await response.chunk()
             if not chunk:
                 raise AttemptBroken("the stream ended before its end mark")
-            event = splitter.single(chunk)
-            if event is not None and not self._restarted and progress.read_alike(event):
-                # The common case: one more token, passed on as it came.
-                if attempt.first_ms is None:
-                    await self._begin(attempt)
-                await write(chunk)
-                continue
+            events = splitter.whole(chunk)
+            uncut = events is not None and not self._restarted
             ready, malformed = [], None
             try:
-                self._read(splitter.feed(chunk), ready)
+                self._read(splitter.feed(chunk) if events is None else events, ready)
             except MalformedStream as error:
                 malformed = error
             # Events before the malformed one count as delivered, so they are sent.
             if ready:
                 if attempt.first_ms is None:
                     await self._begin(attempt)
-                await write(b"\n\n".join(ready) + b"\n\n")
+                if uncut and len(ready) == len(events):
+                    await write(chunk)
+                else:
+                    await write(b"\n\n".join(ready) + b"\n\n")
             if malformed is not None:
                 raise AttemptBroken(str(malformed)) from malformed
         await self.end()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -297,7 +297,8 @@
     splitter, progress, seen = EventSplitter(max_event_bytes=200), StreamProgress(), []
     try:
         for piece in pieces:
-            for event in splitter.feed(piece):
+            whole = splitter.whole(piece)
+            for event in splitter.feed(piece) if whole is None else whole:
                 if not progress.read_alike(event):
                     progress.read(event)
                 seen.append(event)
