--- a/cassiamount/event_stream.py
+++ b/cassiamount/event_stream.py
@@ -73,10 +73,10 @@
             or len(chunk) > self.max_event_bytes
             or not chunk.endswith(b"\n\n")
             or b"\r" in chunk
+            or b"\n\n\n" in chunk
         ):
             return None
-        events = chunk[:-2].split(b"\n\n")
-        return None if b"" in events else events
+        return chunk[:-2].split(b"\n\n")
 
 
 class StreamProgress:
