Follow a trimmed stream of claims without a checkpoint

Cause: a VM that starts after a stream of claims was trimmed searched for a checkpoint for ever, because such streams hold none; every call with an Idempotency-Key in that partition was then refused.

Ruled out: checkpoints of claims. They would repeat up to an hour of claims, and the window is shorter than the retention.

Change: the cursor lets a fold that has `restart` go on from the earliest record, with the head of the page read at that offset. Claims that were in the log before count as held but not as won.

--- a/cassiamount/follower.py
+++ b/cassiamount/follower.py
@@ -235,6 +235,7 @@
 
     async def _take(self, page, from_offset, sent_ms):
         was_searching = self.cursor.searching
+        self.cursor.on_head(page.next_offset)
         self.cursor.earliest = max(self.cursor.earliest, page.earliest)
         self._unannounced = True
         changes = self.cursor.on_records(page.records)
--- a/cassiamount/stream_cursor.py
+++ b/cassiamount/stream_cursor.py
@@ -113,6 +113,16 @@
         self._buffer = []
         return True
 
+    def on_head(self, next_offset):
+        """Take the head of the log, as a page that was read in a search gives it.
+
+        A fold that has `restart` needs no checkpoint: its records lose their meaning
+        before they expire, so it goes on from the earliest one that is left.
+        """
+        if self.searching and not self._buffer and hasattr(self.fold, "restart"):
+            self.fold.restart(self._search_offset, next_offset)
+            self._search_offset = None
+
     def on_records(self, records):
         """Take the records of a page.
 
--- a/tests/test_stream_cursor.py
+++ b/tests/test_stream_cursor.py
@@ -7,11 +7,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cassiamount.claim_state import ClaimState
 from cassiamount.errors import InvariantViolation
 from cassiamount.log_client import checked_value
 from cassiamount.records import (
     RECORD_CLASSES,
     Checkpoint,
+    ClaimRequest,
     WithdrawKey,
     encode_record,
 )
@@ -144,3 +146,21 @@
     assert [bad.offset for bad in readers[0].bad_records] == [
         bad.offset for bad in readers[1].bad_records
     ]
+
+
+def test_claims_go_on_at_the_earliest_record_without_a_checkpoint():
+    """Guards against a VM that never follows a trimmed stream of claims.
+
+    Such a stream holds no checkpoints. A claim that was in the log before the VM read
+    its head may have lost to a trimmed one, so it does not count as won.
+    """
+    cursor = StreamCursor("claims-0", ClaimState("claims-0"))
+    assert cursor.on_trimmed(5)
+    cursor.on_head(7)
+    records = [
+        ClaimRequest(f"id-{n}", "vm@1", "team", f"key-{n}", "f", f"r-{n}", 1_000)
+        for n in (5, 6, 7)
+    ]
+    cursor.on_records([(n + 5, encode_record(r)) for n, r in enumerate(records)])
+    assert cursor.read_offset == 8
+    assert [cursor.fold.won(f"r-{n}") for n in (5, 6, 7)] == [False, False, True]
