--- a/cassiamount/daemon.py
+++ b/cassiamount/daemon.py
@@ -6,10 +6,13 @@
 from pathlib import Path
 
 import cyclopts
+import structlog
 
+from .errors import InvariantViolation
 from .logs import configure_logs
 from .node import Node
 from .settings import parse_settings
+from .supervisor import RestartLimitReached
 
 EXIT_FAILURE = 1
 EXIT_FINDINGS = 2
@@ -51,8 +54,12 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.request_stop)
-    cut_off = await node.run()
-    return EXIT_FAILURE if cut_off else 0
+    try:
+        await node.run()
+    except (InvariantViolation, RestartLimitReached) as error:
+        structlog.get_logger().error("stopped_with_failure", error=str(error))
+        return EXIT_FAILURE
+    return 0
 
 
 def main():
--- a/cassiamount/edge.py
+++ b/cassiamount/edge.py
@@ -183,15 +183,18 @@
     def recheck(self, arrival):
         """Return a function that checks the key again at dispatch."""
 
-        def recheck():
+        def recheck(ticket):
             name = self.view.keys.resolve(arrival.key)
             if name is None or name != arrival.team.name:
                 return Refusal(401, "invalid_key", "the key was withdrawn")
+            # What is about to run must belong to the team of the key that came with
+            # this request, whatever happened to the ticket in between.
             require(
-                name == arrival.team.name,
+                ticket.team == name and ticket.request_id == arrival.request_id,
                 KEY_SELECTS_TEAM,
                 request_id=arrival.request_id,
-                team=arrival.team.name,
+                team=name,
+                ticket_team=ticket.team,
             )
             return None
 
--- a/cassiamount/jobs.py
+++ b/cassiamount/jobs.py
@@ -39,7 +39,7 @@
         The caller's key, checked to be absent from everything that is sent; empty
         on an open route without a key.
     recheck : callable
-        Returns a Refusal if the key was withdrawn, else None.
+        Takes the ticket; returns a Refusal if the key was withdrawn, else None.
     trace : RequestTrace
     head_deadline_ms : float
         Monotonic time by which an attempt's head is due.
--- a/cassiamount/node.py
+++ b/cassiamount/node.py
@@ -26,6 +26,7 @@
 from .dispatcher import Dispatcher
 from .edge import build_application
 from .engine_client import HttpEngineClient
+from .invariants import GRACEFUL_STOP, require
 from .keys import is_key_hash
 from .load_poller import LoadPoller
 from .log_client import HttpLogClient
@@ -286,10 +287,11 @@
     async def run(self):
         """Run until `request_stop`, then stop gracefully.
 
-        Returns
-        -------
-        int
-            Requests that were cut off because the drain limit passed.
+        Raises
+        ------
+        InvariantViolation
+            If requests were cut off because the drain limit passed.
+        RestartLimitReached
         """
         self.streams.config.follower.add_listener(self._on_config_followed)
         for stream in self.streams.claims:
@@ -317,7 +319,7 @@
         log.info("stopped", cut_off=cut_off)
         if isinstance(failure, Exception):
             raise failure
-        return cut_off
+        require(cut_off == 0, GRACEFUL_STOP, cut_off=cut_off)
 
     def _supervisor(self):
         """Build the tree: the log's streams first, the users of their state after."""
--- a/cassiamount/relay.py
+++ b/cassiamount/relay.py
@@ -98,10 +98,11 @@
         decision = await self._queued(job, self.dispatcher.submit(job.ticket))
         if isinstance(decision, Dispatch):
             job.state.move(ADMITTED)
-        if isinstance(decision, Dispatch) and (refusal := job.recheck()) is not None:
-            # The key was withdrawn while the request was queued; nothing was sent.
-            await self._end(job, self._begin(job, decision), CANCELLED, final=True)
-            decision = refusal
+            refusal = job.recheck(job.ticket)
+            if refusal is not None:
+                # The key was withdrawn in the queue; nothing was sent.
+                await self._end(job, self._begin(job, decision), CANCELLED, final=True)
+                decision = refusal
         number = 0
         while isinstance(decision, Dispatch):
             number += 1
--- a/cassiamount/service_calls.py
+++ b/cassiamount/service_calls.py
@@ -8,6 +8,7 @@
 from .answers import CallerGone
 from .caller import refuse
 from .claims import StoredOutcome
+from .invariants import KEY_SELECTS_TEAM, require
 from .jobs import ServiceJob
 from .redaction import (
     contains_key,
@@ -89,7 +90,7 @@
             headers,
             body,
             arrival.key.encode(),
-            edge.recheck(arrival) if team is not None else _no_recheck,
+            edge.recheck(arrival) if team is not None else _open_route,
             arrival.trace,
             now_ms + edge.limits.whole_answer_ms,
         )
@@ -174,7 +175,14 @@
                 unwatch()
 
 
-def _no_recheck():
+def _open_route(ticket):
+    """Check that a request without a key uses no team's budget or rights."""
+    require(
+        not ticket.team,
+        KEY_SELECTS_TEAM,
+        request_id=ticket.request_id,
+        ticket_team=ticket.team,
+    )
     return None
 
 
--- /dev/null
+++ b/tests/test_ticket_team.py
@@ -0,0 +1,57 @@
+"""Tests of the check that a request runs only for the team of its key."""
+
+import pytest
+
+from cassiamount.edge import Edge
+from cassiamount.errors import InvariantViolation
+from cassiamount.requests import Ticket
+from cassiamount.service_calls import _open_route
+
+
+class Keys:
+    def __init__(self, team):
+        self.team = team
+
+    def resolve(self, key):
+        return self.team
+
+
+class View:
+    def __init__(self, team):
+        self.keys = Keys(team)
+
+
+class Arrival:
+    def __init__(self, team):
+        self.key = "ck-1"
+        self.request_id = "r1"
+        self.team = type("Team", (), {"name": team})
+
+
+def recheck(resolved_team, arrival_team):
+    edge = Edge.__new__(Edge)
+    edge.view = View(resolved_team)
+    return edge.recheck(Arrival(arrival_team))
+
+
+@pytest.mark.parametrize(
+    ("resolved", "refused"), [("a", False), (None, True), ("b", True)]
+)
+def test_key_that_no_longer_gives_the_team_is_refused(resolved, refused):
+    """Guards against running a request whose key was withdrawn or moved."""
+    result = recheck(resolved, "a")(Ticket("r1", "a"))
+    assert (result is not None) == refused
+
+
+@pytest.mark.parametrize("ticket", [Ticket("r1", "b"), Ticket("r2", "a")])
+def test_ticket_of_another_request_is_a_violation(ticket):
+    """Guards against a request that runs with another team's ticket."""
+    with pytest.raises(InvariantViolation):
+        recheck("a", "a")(ticket)
+
+
+def test_open_route_uses_no_team():
+    """Guards against an open route that spends a team's budget."""
+    assert _open_route(Ticket("r1", "")) is None
+    with pytest.raises(InvariantViolation):
+        _open_route(Ticket("r1", "a"))
