Keep the order of requests that wait for tokens; add the table of mutations

Cause: tests/mutations.py switches 20 mechanisms off, one line each. One survived: "large request is not overtaken". The test was too weak, and the mechanism too: when a block arrived that was too small for the request ahead, the ones behind used it up.

Ruled out: a separate queue for large requests, which would need a size that counts as large.

Change: serving stops at the first request that goes on waiting; an ask goes out when that one is due. The test now also checks requests that come before and after the answer.

--- a/cassiamount/budget_gate.py
+++ b/cassiamount/budget_gate.py
@@ -122,8 +122,7 @@
             if isinstance(answer, Grant):
                 self._holder.add_grant(team, answer, now_ms)
         for team in asked:
-            for entry in self._short.pop(team, []):
-                self._after_answer(entry, answers.get(team))
+            self._serve(team, answers.get(team))
         self._ask()
 
     def tick(self):
@@ -162,9 +161,18 @@
         self._admitted(entry)
         return True
 
-    def _after_answer(self, entry, answer):
+    def _serve(self, team, answer):
+        """Go through a team's requests in order, up to one that goes on waiting."""
+        entries = self._short.pop(team, [])
+        for number, entry in enumerate(entries):
+            if self._goes_on_waiting(entry, answer):
+                # The ones behind it would use up what it needs.
+                self._short[team] = entries[number:]
+                return
+
+    def _goes_on_waiting(self, entry, answer):
         if not self._is_waiting(entry) or self._charge(entry):
-            return
+            return False
         if isinstance(answer, Grant):
             # Requests ahead took the block, or it was a part of what is needed.
             retry_after_ms = 0.0
@@ -172,13 +180,13 @@
             retry_after_ms = answer.retry_after_ms
         else:
             self._refused(entry, refusals.budget_unavailable())
-            return
-        if entry.asks_left and retry_after_ms <= MAX_WAIT_MS:
-            entry.asks_left -= 1
-            entry.ask_again_ms = self._clock.monotonic_ms() + retry_after_ms
-            self._short.setdefault(entry.ticket.team, []).append(entry)
-        else:
+            return False
+        if not entry.asks_left or retry_after_ms > MAX_WAIT_MS:
             self._refused(entry, refusals.rate_exceeded(retry_after_ms))
+            return False
+        entry.asks_left -= 1
+        entry.ask_again_ms = self._clock.monotonic_ms() + retry_after_ms
+        return True
 
     def _ask(self):
         now_ms = self._clock.monotonic_ms()
@@ -188,13 +196,11 @@
             if ask.team not in self._asked and ask.team not in self._short
         ]
         for team, entries in self._short.items():
-            due = [
-                entry
-                for entry in entries
-                if entry.ask_again_ms <= now_ms and self._is_waiting(entry)
-            ]
-            if due and team not in self._asked:
-                asks.append(self._ask_for(team, due, now_ms))
+            waiting = [entry for entry in entries if self._is_waiting(entry)]
+            if team in self._asked or not waiting:
+                continue
+            if waiting[0].ask_again_ms <= now_ms:
+                asks.append(self._ask_for(team, waiting, now_ms))
         if asks:
             self._asked.update(ask.team for ask in asks)
             self._link.ask(asks)
--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,229 @@
+"""Switches mechanisms off one at a time and looks for the test that notices.
+
+``python -m tests.mutations`` copies the tree, changes one line, runs the tests that
+guard the mechanism, and prints a row for each. It exits 1 if a mutation survives.
+"""
+
+import argparse
+import json
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+COPIED = ("cassiamount", "standins", "tests", "bench", "examples", "pyproject.toml")
+
+
+class Mutation:
+    """One line that disables a mechanism, and the tests that must fail."""
+
+    __slots__ = ("name", "file", "old", "new", "tests")
+
+    def __init__(self, name, file, old, new, *tests):
+        self.name = name
+        self.file = file
+        self.old = old
+        self.new = new
+        self.tests = tests
+
+
+MUTATIONS = (
+    Mutation(
+        "outstanding blocks count against the burst",
+        "cassiamount/token_bucket.py",
+        "room_tokens = max(0.0, self.burst_tokens - self.total_tokens)",
+        "room_tokens = max(0.0, self.burst_tokens - self.level_tokens)",
+        "tests/test_budget.py",
+    ),
+    Mutation(
+        "refunds limited by the peak since the charge",
+        "cassiamount/token_bucket.py",
+        "peak_tokens = max(peak_tokens, peak)",
+        "pass",
+        "tests/test_budget.py",
+    ),
+    Mutation(
+        "reports applied once",
+        "cassiamount/budget.py",
+        "if sequence <= self._sequences.get(holder, 0):",
+        "if False:",
+        "tests/test_budget.py",
+    ),
+    Mutation(
+        "claim of a lease names the last renewal read",
+        "cassiamount/zone_state.py",
+        "if record.seen_offset < lease.seen_offset:",
+        "if False:",
+        "tests/test_leases.py",
+    ),
+    Mutation(
+        "no promise while a claim may arrive",
+        "cassiamount/leases.py",
+        "if self._unresolved is not None:\n"
+        '            return PromiseAnswer(False, "a claim may',
+        'if False:\n            return PromiseAnswer(False, "a claim may',
+        "tests/test_leases.py",
+    ),
+    Mutation(
+        "extension needs the promise of all",
+        "cassiamount/leases.py",
+        "if not self._missing:",
+        "if True:",
+        "tests/test_leases.py",
+    ),
+    Mutation(
+        "publish names the version in force",
+        "cassiamount/config_state.py",
+        "if record.base_version != self.version:",
+        "if False:",
+        "tests/test_config_state.py",
+    ),
+    Mutation(
+        "withdrawn key leaves the table",
+        "cassiamount/keys.py",
+        "self._withdrawn.add(key_hash)\n        self._teams.pop(key_hash, None)",
+        "self._withdrawn.add(key_hash)",
+        "tests/test_keys.py",
+        "tests/test_config_state.py",
+    ),
+    Mutation(
+        "key checked again at dispatch",
+        "cassiamount/dispatcher.py",
+        "if ticket.key_hash and not self._key_holds(ticket.key_hash):",
+        "if False:",
+        "tests/test_dispatcher.py",
+    ),
+    Mutation(
+        "ticket belongs to the key's team",
+        "cassiamount/edge.py",
+        "ticket.team == name and ticket.request_id == arrival.request_id,",
+        "True,",
+        "tests/test_ticket_team.py",
+    ),
+    Mutation(
+        "key removed from headers",
+        "cassiamount/redaction.py",
+        "if name not in KEY_HEADERS\n        and not",
+        "if True or not",
+        "tests/test_edge.py",
+    ),
+    Mutation(
+        "response carries the request's identifier",
+        "cassiamount/backend_client.py",
+        "if response.headers.get(REQUEST_ID_HEADER) != request_id:",
+        "if False:",
+        "tests/test_relay.py",
+        "tests/test_edge.py",
+    ),
+    Mutation(
+        "claim is won before the dispatch",
+        "cassiamount/claims.py",
+        "return AppendClaim()",
+        "return ClaimWon(request_id)",
+        "tests/test_claims.py",
+    ),
+    Mutation(
+        "refused retry says whether it may have run",
+        "cassiamount/dispatcher.py",
+        "refusals.no_replica(not_run=not retry.entry.maybe_ran)",
+        "refusals.no_replica(not_run=True)",
+        "tests/test_dispatcher.py",
+    ),
+    Mutation(
+        "leaving backend server gets no work",
+        "cassiamount/routing.py",
+        "if name not in self._leaving\n",
+        "if True\n",
+        "tests/test_routing.py",
+    ),
+    Mutation(
+        "unsettled load keeps its memory",
+        "cassiamount/orders.py",
+        "if order.engine == engine and order.loads:",
+        "if False:",
+        "tests/test_ledger.py",
+        "tests/test_orders.py",
+    ),
+    Mutation(
+        "no reading over a gap in the log",
+        "cassiamount/stream_cursor.py",
+        "if offset > self.read_offset:",
+        "if False:",
+        "tests/test_stream_cursor.py",
+    ),
+    Mutation(
+        "claims before the head of a trimmed stream are not won",
+        "cassiamount/stream_cursor.py",
+        "self.fold.restart(self._search_offset, next_offset)",
+        "self.fold.restart(self._search_offset, self._search_offset)",
+        "tests/test_stream_cursor.py",
+    ),
+    Mutation(
+        "retries are limited to a share of the traffic",
+        "cassiamount/retries.py",
+        "self.available -= 1.0",
+        "pass",
+        "tests/test_relay.py",
+    ),
+    Mutation(
+        "large request is not overtaken",
+        "cassiamount/budget_gate.py",
+        "if self._short.get(ticket.team) or not self._charge(entry):",
+        "if not self._charge(entry):",
+        "tests/test_dispatcher.py",
+    ),
+)
+
+
+class UnknownLine(Exception):
+    """The line of a mutation does not stand in its file exactly once."""
+
+
+def run(mutation, directory):
+    """Return the first failing test of a mutated copy, or None."""
+    path = directory / mutation.file
+    original = path.read_text()
+    if original.count(mutation.old) != 1:
+        raise UnknownLine(f"{mutation.name}: {mutation.file}")
+    path.write_text(original.replace(mutation.old, mutation.new))
+    command = [sys.executable, "-m", "pytest", "-x", "-q", "-p", "no:cacheprovider"]
+    try:
+        done = subprocess.run(
+            [*command, *mutation.tests], cwd=directory, capture_output=True, text=True
+        )
+    finally:
+        path.write_text(original)
+    if done.returncode == 0:
+        return None
+    failed = [line for line in done.stdout.splitlines() if line.startswith("FAILED")]
+    return failed[0].split()[1] if failed else f"pytest status {done.returncode}"
+
+
+def main():
+    """Run all mutations, or those whose name contains a text."""
+    parser = argparse.ArgumentParser(prog="tests.mutations", description=__doc__)
+    parser.add_argument("--only", default="", help="part of a name")
+    options = parser.parse_args()
+    rows = []
+    with tempfile.TemporaryDirectory(prefix="cassiamount-mutations-") as name:
+        directory = Path(name)
+        for entry in COPIED:
+            source = ROOT / entry
+            if source.is_dir():
+                ignored = shutil.ignore_patterns("__pycache__", ".hypothesis")
+                shutil.copytree(source, directory / entry, ignore=ignored)
+            else:
+                shutil.copy(source, directory / entry)
+        for mutation in MUTATIONS:
+            if options.only not in mutation.name:
+                continue
+            test = run(mutation, directory)
+            rows.append({"mutation": mutation.name, "failing_test": test})
+            print(json.dumps(rows[-1]), flush=True)
+    sys.exit(any(row["failing_test"] is None for row in rows))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -180,10 +180,12 @@
     bench = Bench()
     large, small = bench.submit(1, tokens=1_000), bench.submit(2, tokens=10)
     bench.grant(500)
-    assert answer_of(large) is None
+    assert answer_of(large) is None and answer_of(small) is None
+    later = bench.submit(3, tokens=10)
+    assert answer_of(later) is None
     bench.grant(600)
-    assert isinstance(answer_of(large), Dispatch)
-    assert isinstance(answer_of(small), Dispatch)
+    for request in (large, small, later):
+        assert isinstance(answer_of(request), Dispatch)
 
 
 async def test_request_above_the_zone_burst_collects_blocks():
