Cut VMs off in pairs and let buckets fill in the long run

Change: a holder is sometimes cut off together with another VM of its zone, and the load has idle times and peaks. The engine ledger is still not part of it.

--- a/tests/longrun.py
+++ b/tests/longrun.py
@@ -189,10 +189,13 @@
             faults.log_up = False
             self.later(rng.choice((2, 8, 30)), lambda: setattr(faults, "log_up", True))
         elif kind == "holder-cut":
-            identity = self.holder().identity
-            faults.cut_from_log.add(identity)
-            undo = faults.cut_from_log.discard
-            self.later(rng.choice((2, 6, 12)), lambda: undo(identity))
+            holder = self.holder()
+            zone = [vm.identity for vm in self.vms.values() if vm.zone == holder.zone]
+            # Sometimes with another VM, which may promise while the third one claims.
+            cut = {holder.identity, rng.choice(zone)}
+            faults.cut_from_log |= cut
+            undo = faults.cut_from_log.difference_update
+            self.later(rng.choice((2, 6, 12)), lambda: undo(cut))
         elif kind == "zone-cut":
             zone = rng.choice(ZONES)
             faults.cut_zones.add(zone)
@@ -253,10 +256,10 @@
         self.withdrawn.append((offset, key_hash))
         del self.withdrawn[:-20]
 
-    def load(self, skew):
+    def load(self, skew, intensity):
         vms = sorted(self.vms.values(), key=lambda vm: vm.name)
         for team, (rate, _) in TEAMS.items():
-            for _ in range(3):
+            for _ in range(intensity):
                 vm = vms[0] if self.rng.random() < skew else self.rng.choice(vms)
                 tokens = self.rng.choice((10, 30, 80)) * rate // 400
                 used = self.rng.randint(0, tokens)
@@ -280,7 +283,7 @@
         )
         for name, zone in vm_names():
             self.boot(name, zone)
-        skew = 0.0
+        skew, intensity = 0.0, 3
         combined = ()
         for step in range(steps):
             if step > 100:
@@ -295,25 +298,27 @@
                     for kind in combined:
                         await self.fault(kind)
                     self.faults.count("combined")
-            await self.step(step, skew)
-            if step % 200 == 0:
+            await self.step(step, skew, intensity)
+            if step % 50 == 0:
+                # Idle times fill the buckets, so that an overspend shows.
                 skew = self.rng.choice((0.0, 0.7))
+                intensity = self.rng.choice((0, 1, 10))
                 self.faults.count("demand-shift")
         self.heal()
         for step in range(HEAL_STEPS):
-            await self.step(step, 0.0)
+            await self.step(step, 0.0, 1)
             if step == HEAL_STEPS // 2:
                 self.release_stuck_leases()
         self.check_recovery()
         for vm in self.vms.values():
             await vm.stop()
 
-    async def step(self, step, skew):
+    async def step(self, step, skew, intensity):
         await asyncio.sleep(STEP_S)
         for end in [e for e in self.ends if e[0] <= self.loop.true_ms]:
             self.ends.remove(end)
             end[1]()
-        self.load(skew)
+        self.load(skew, intensity)
         self.check_leases()
         if step % 10 == 0:
             self.claim_twice()
