--- a/bench/budgets.py
+++ b/bench/budgets.py
@@ -11,16 +11,13 @@
 import json
 import random
 
-from cassiamount.budget import BudgetOwner
 from cassiamount.budget_holder import BudgetHolder
 from cassiamount.budget_messages import Ask, Grant, Shortage
-from cassiamount.lease_commands import AskPromises
-from cassiamount.leases import LeaseHolder
 from cassiamount.timing import LEASE_MS, at_least_ms, at_most_ms
 from cassiamount.token_bucket import TokenBucket
-from cassiamount.zone_state import Lease
 
-TEAM = "team"
+from .budget_zone import TEAM, Zone
+
 ZONES = ("za", "zb", "zc")
 METHODS = ("static", "each-request", "blocks")
 CONDITIONS = (
@@ -74,39 +71,6 @@
         self.asked = False
 
 
-class Zone:
-    """A zone's owner, with its lease."""
-
-    def __init__(self, name, fence, now_ms, rate, burst, level):
-        self.name = name
-        numbers = itertools.count()
-        self.lease = LeaseHolder(
-            f"{name}-owner", "budget/0", fence, now_ms, lambda: next(numbers), True
-        )
-        self.roster = frozenset(f"{name}-{number}" for number in range(3))
-        self.seen_offset = fence
-        self.owner = BudgetOwner(name, 0, fence, now_ms, self.lease.deadline_ms)
-        self.owner.take_over({TEAM: [level, 0]}, now_ms)
-        self.owner.set_team(TEAM, rate, burst, now_ms)
-        self.alive = True
-
-    def drive(self, now_ms, log_up):
-        if not self.alive:
-            return
-        command = self.lease.renew(now_ms) if log_up else None
-        if command is not None:
-            self.seen_offset += 1
-        self.lease.observe(
-            Lease(self.lease.vm, self.lease.fence, self.seen_offset, self.roster)
-        )
-        ask = self.lease.ask_promises(now_ms)
-        if isinstance(ask, AskPromises):
-            for promiser in ask.promisers:
-                self.lease.on_promise(ask.round_number, promiser, True)
-        self.owner.lease_deadline_ms = self.lease.deadline_ms
-        self.owner.advance(now_ms)
-
-
 class Run:
     """One method under one condition."""
 
@@ -165,14 +129,7 @@
         self.at(self.now_ms + at_least_ms(LEASE_MS) + 100, self.successor)
 
     def successor(self):
-        self.zones["za"] = self.make_zone("za", 0)
-        self.zones["za"].owner = BudgetOwner(
-            "za", 0, self.zones["za"].lease.fence, self.now_ms, self.now_ms + 1
-        )
-        share = len(ZONES)
-        self.zones["za"].owner.set_team(
-            TEAM, self.rate / share, self.burst // share, self.now_ms
-        )
+        self.zones["za"] = self.make_zone("za", None)
 
     def tick(self):
         for zone in self.zones.values():
@@ -362,18 +319,13 @@
     def report_loans(self):
         for zone in self.zones.values():
             reachable = self.reachable_from(zone.name)
+            identity = f"zone/{zone.name}/{zone.owner.fence}"
             for report in zone.owner.loan_reports():
                 lender = self.zones[report.owner[0]]
                 if lender in reachable and lender.owner.fence == report.owner[2]:
                     self.counts["messages"] += 2
-                    identity = f"zone/{zone.name}/{zone.owner.fence}"
-                    lender.owner.report(
-                        identity,
-                        report.sequence,
-                        report.uses,
-                        report.refunds,
-                        self.now_ms,
-                    )
+                    parts = (report.sequence, report.uses, report.refunds)
+                    lender.owner.report(identity, *parts, self.now_ms)
                     zone.owner.loan_report_done(report)
 
     def result(self):
--- a/tests/machines/virtual.py
+++ b/tests/machines/virtual.py
@@ -4,7 +4,6 @@
 import selectors
 
 from cassiamount import peer_wire as wire
-from cassiamount.budget_messages import Grant
 from cassiamount.errors import AppendOutcomeUnknown, OffsetTrimmed, PlatformUnavailable
 from cassiamount.lease_commands import PromiseAnswer
 from cassiamount.log_client import LogPage
@@ -238,8 +237,3 @@
     async def list_vms(self):
         current = [v for at_ms, v in self._versions if at_ms <= self._loop.true_ms]
         return [ListedVm(*entry) for entry in current[-1]]
-
-
-def grants_only(answers):
-    """Return the grants among answers by team."""
-    return {t: a for t, a in answers.items() if isinstance(a, Grant)}
