--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -226,7 +226,8 @@
     first = asyncio.ensure_future(site.request("POST", CHAT, json=chat()))
     while not site.dispatcher.tickets:
         await asyncio.sleep(0.01)
-    status, headers, text = await site.request("POST", CHAT, json=chat())
+    async with asyncio.timeout(5):
+        status, headers, text = await site.request("POST", CHAT, json=chat())
     assert (status, headers["Retry-After"]) == (429, "1")
     assert orjson.loads(text)["error"]["code"] == "queue_full"
     site.dispatcher.hold.set()
