--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -197,7 +197,7 @@
             [],
             call.body,
             b"",
-            lambda: None,
+            lambda ticket: None,
             NO_TRACE,
             now_ms + 60_000,
         )
