--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -9,6 +9,7 @@
 import pytest
 
 from cassiamount.arrival import EdgeLimits
+from cassiamount.redaction import strip_headers
 from cassiamount.requests import Refusal
 from cassiamount.serving import open_listener
 from standins.engine import Engine
@@ -225,7 +226,8 @@
     first = asyncio.ensure_future(site.request("POST", CHAT, json=chat()))
     while not site.dispatcher.tickets:
         await asyncio.sleep(0.01)
-    status, headers, text = await site.request("POST", CHAT, json=chat())
+    async with asyncio.timeout(5):
+        status, headers, text = await site.request("POST", CHAT, json=chat())
     assert (status, headers["Retry-After"]) == (429, "1")
     assert orjson.loads(text)["error"]["code"] == "queue_full"
     site.dispatcher.hold.set()
@@ -282,6 +284,13 @@
         assert recorder.keys_seen == [] and recorder.executions
 
 
+def test_credentials_other_than_the_key_are_dropped():
+    """Guards against a cookie or a proxy's credentials that reach a service."""
+    names = (b"cookie", b"proxy-authorization", b"x-api-key")
+    headers = [(name, b"other") for name in names]
+    assert strip_headers([*headers, (b"x-note", b"1")], b"k") == [(b"x-note", b"1")]
+
+
 async def test_open_route_needs_no_key(site):
     """Guards against a key that is demanded, or passed on, on an open route."""
     for key in (None, KEY, "ck-wrong"):
