Test a print order that is repeated after its VM died

Nothing tested with real processes that a claim which a dead VM left in the log stops a second execution, and that the repeat is answered truthfully.

The first daemon is killed with SIGKILL while the service runs the order, or while its claim is on the way to the log, and the order is repeated through a daemon of the same zone and of another zone. The stand-ins count executions by marker.

Ruled out as a fault: the first form of the test failed with 503 not_run, "the team's token budget cannot be reached", in both zones. The second daemon had just started, and its zone had not yet claimed the lease for the budget of the team of the order; the refusal was true. The deployment now waits for the budgets of all teams, and the test checks for each such refusal that nothing was executed.

--- a/tests/process_deployment.py
+++ b/tests/process_deployment.py
@@ -281,8 +281,14 @@
     def caller(self, team=TEAMS[0]):
         return Caller(self.http, self.keys[team])
 
-    async def start_daemon(self, name, zone="zone-a", **settings):
-        """Start a daemon, enter it in the VM list and wait until it answers."""
+    async def start_daemon(self, name, zone="zone-a", served=True, **settings):
+        """Start a daemon and enter it in the VM list.
+
+        Parameters
+        ----------
+        served : bool
+            Whether to wait until it answers requests of all teams.
+        """
         daemon = await self.harness.start_daemon(
             {
                 "vm_name": name,
@@ -295,16 +301,18 @@
             }
         )
         await self.list_vm(name, zone, daemon.settings["peer_address"], "entry")
-        await self.wait_served(daemon)
+        if served:
+            await self.wait_served(daemon)
         return daemon
 
     async def wait_served(self, daemon):
-        """Wait until a daemon has a budget and knows a resident model."""
+        """Wait until a daemon has all teams' budgets and knows a resident model."""
 
         async def served():
-            caller = self.caller(TEAMS[1])
+            callers = [self.caller(team) for team in TEAMS]
             answers = await asyncio.gather(
-                caller.stream(daemon, "ready", 4), caller.stock(daemon)
+                *(caller.stream(daemon, "ready", 4) for caller in callers),
+                *(caller.stock(daemon) for caller in callers),
             )
             return all(answer.status == 200 for answer in answers)
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,5 +1,6 @@
 """Process tests of stops, keys and claims: daemons and stand-ins over sockets."""
 
+import asyncio
 import contextlib
 
 import aiohttp
@@ -102,3 +103,70 @@
             assert (await other.stock(daemon)).status == 200
     _, markers = await deployment.executions()
     assert markers["after"] == 0
+
+
+@pytest.mark.parametrize("successor_zone", ["zone-a", "zone-b"])
+@pytest.mark.parametrize("dispatched", [True, False])
+async def test_a_print_order_repeated_after_its_vm_died(
+    deployment, successor_zone, dispatched
+):
+    """Guards against a second execution, and against a repeat that is not truthful.
+
+    The first daemon dies while the service runs the order, or while its claim is on
+    the way to the log.
+    """
+    await deployment.start(("zone-a", "zone-b"), engines=2, services=2)
+    first = await deployment.start_daemon("vm-a1", "zone-a")
+    second = await deployment.start_daemon("vm-2", successor_zone)
+    caller = deployment.caller()
+    if dispatched:
+        for service in deployment.services:
+            await service.add_fault("late", delay_ms=120_000, path="/print")
+    else:
+        fault = {"method": "POST", "path": "/streams/claims"}
+        await deployment.log.add_fault("slow", delay_ms=1_500, **fault)
+    order = asyncio.create_task(caller.print_order(first, "banner", "key-1"))
+
+    async def on_the_way():
+        if dispatched:
+            _, markers = await deployment.executions(deployment.services)
+            return markers["banner"] == 1
+        strikes = (await deployment.log.call("GET", "/admin/faults"))["strikes"]
+        return strikes.get("slow", 0) > 0
+
+    assert await wait_until(on_the_way), first.log_tail()
+    await first.kill()
+    assert (await order).status is None
+    await deployment.vm_list.call("DELETE", "/vms/vm-a1")
+    for standin in (deployment.log, *deployment.services):
+        await standin.clear_faults()
+    answers = []
+
+    async def settled():
+        _, before = await deployment.executions()
+        answers.append(await caller.print_order(second, "banner", "key-1"))
+        if answers[-1].not_run:
+            # Until the leases of the dead VM are taken over, there is no budget.
+            _, after = await deployment.executions()
+            assert answers[-1].status == 503 and after == before, answers
+            return False
+        return answers[-1].code != "request_in_progress"
+
+    assert await wait_until(settled), (answers, second.log_tail())
+    _, markers = await deployment.executions()
+    assert markers["banner"] <= 1
+    last = answers[-1]
+    if last.status == 200:
+        # Only the repeat itself can have run: the first one never had an answer.
+        assert not dispatched and markers["banner"] == 1, last
+    else:
+        assert (last.status, last.code) == (409, "outcome_unknown"), last
+        assert last.not_run is False
+        assert markers["banner"] == int(dispatched)
+    assert {answer.status for answer in answers[:-1]} <= {409, 503}, answers
+    again = await caller.print_order(second, "banner", "key-1")
+    assert (again.status, again.code) == (last.status, last.code)
+    other = await caller.print_order(second, "another", "key-1")
+    assert (other.status, other.code) == (422, "idempotency_mismatch")
+    _, markers = await deployment.executions()
+    assert markers["banner"] <= 1 and markers["another"] == 0
