Test the death and the pause of a VM that holds leases

Takeover and fencing were tested on the decision objects and in simulated runs, never with a process that is killed under load or paused past its lease.

One test kills the VM of a zone that holds more leases, under streams and print orders, and requires that the other VM goes on, takes over each lost lease under a newer fence, gets full budgets again, and that no request ran twice. The other one pauses the holder until its successor has all its leases, puts Grant calls into the socket of the paused process and then resumes it: no answer may have tokens, and its status may show no remaining time under an old fence.

Ruled out: a test of the pause that reads only the status, which shows what was lent only afterwards.

--- /dev/null
+++ b/tests/test_process_outages.py
@@ -0,0 +1,203 @@
+"""Process tests of dead, paused and cut-off VMs and of platform outages."""
+
+import asyncio
+import itertools
+
+import grpc
+import pytest
+import pytest_asyncio
+
+from cassiamount import peer_pb2 as pb
+from cassiamount import peer_pb2_grpc
+from tests.process_deployment import (
+    BURST_TOKENS,
+    TEAMS,
+    Deployment,
+    Load,
+    identity_of,
+    leases_of,
+)
+from tests.process_harness import ProcessHarness, wait_until
+
+pytestmark = pytest.mark.xdist_group("processes-outages")
+OUTAGE_S = 12
+
+
+@pytest_asyncio.fixture
+async def deployment(tmp_path):
+    async with ProcessHarness(tmp_path) as harness:
+        deployment = Deployment(harness)
+        try:
+            yield deployment
+        finally:
+            await deployment.close()
+
+
+async def leases_held(daemon):
+    """Return the leases that a daemon holds, by name."""
+    identity = await identity_of(daemon)
+    leases = await leases_of(daemon)
+    return {
+        name: lease for name, lease in leases.items() if lease["holder"] == identity
+    }
+
+
+async def start_pair(deployment):
+    """Start two daemons of one zone; return the one that holds more leases first."""
+    pair = [await deployment.start_daemon(name) for name in ("vm-1", "vm-2")]
+    identities = {await identity_of(daemon) for daemon in pair}
+
+    async def all_members():
+        statuses = [await daemon.status() for daemon in pair]
+        return all(set(status["members"]) == identities for status in statuses)
+
+    assert await wait_until(all_members)
+    held = [len(await leases_held(daemon)) for daemon in pair]
+    assert sum(held) > 0
+    return pair if held[0] >= held[1] else pair[::-1]
+
+
+async def wait_taken_over(survivor, lost):
+    """Wait until a daemon holds leases under newer fences than those in `lost`."""
+
+    async def taken_over():
+        held = await leases_held(survivor)
+        return all(
+            name in held and held[name]["fence"] > lease["fence"]
+            for name, lease in lost.items()
+        )
+
+    assert await wait_until(taken_over), survivor.log_tail()
+
+
+async def wait_budgets_full(daemon):
+    """Wait until the daemon owns both teams' budgets and nothing is missing."""
+
+    async def full():
+        budgets = (await daemon.status())["budgets"]
+        levels = {b["team"]: b["level_tokens"] for b in budgets if b["owned"]}
+        total = {
+            b["team"]: b["level_tokens"] + b["outstanding_tokens"] for b in budgets
+        }
+        assert all(tokens <= BURST_TOKENS + 1e-6 for tokens in total.values())
+        return all(levels.get(team, 0) >= 0.99 * BURST_TOKENS for team in TEAMS)
+
+    assert await wait_until(full), await daemon.status()
+
+
+class Orders:
+    """Sends print orders with a marker of their own until it is stopped."""
+
+    def __init__(self, caller, daemon, keyed):
+        self._caller = caller
+        self._daemon = daemon
+        self._keyed = keyed
+        self._stopping = False
+        self.answers = {}
+        self._task = asyncio.create_task(self._work())
+
+    async def _work(self):
+        for number in itertools.count():
+            if self._stopping:
+                return
+            marker = f"{self._daemon.name}-{self._keyed}-{number}"
+            key = marker if self._keyed else None
+            answer = await self._caller.print_order(self._daemon, marker, key)
+            self.answers[marker] = answer
+            await asyncio.sleep(0.02 if answer.status == 200 else 0.2)
+
+    async def finish(self):
+        self._stopping = True
+        await self._task
+        return self.answers
+
+
+def check_orders(answers, markers):
+    """Check that each order ran as often as its answer says, and at most once."""
+    for marker, answer in answers.items():
+        assert markers[marker] <= 1, (marker, answer)
+        if answer.status == 200:
+            assert markers[marker] == 1, (marker, answer)
+        elif answer.not_run:
+            assert markers[marker] == 0, (marker, answer)
+
+
+async def test_the_other_vm_of_a_zone_takes_over_from_a_dead_one(deployment):
+    """Guards against leases that stay with a dead VM and against second executions."""
+    await deployment.start(engines=2, services=2)
+    victim, survivor = await start_pair(deployment)
+    caller = deployment.caller()
+    load = Load(caller, [victim, survivor], workers=8)
+    orders = [
+        Orders(caller, daemon, keyed)
+        for daemon in (victim, survivor)
+        for keyed in (True, False)
+    ]
+    await load.go_on(survivor)
+    await load.go_on(victim)
+    lost = await leases_held(victim)
+    assert lost
+    await victim.kill()
+    await wait_taken_over(survivor, lost)
+    await load.go_on(survivor, 20)
+    answers = await load.finish()
+    for daemon, _, answer in answers:
+        if daemon is survivor:
+            assert answer.whole, answer
+            assert answer.status == 200 or answer.not_run, answer
+    results = {}
+    for stream in orders:
+        results.update(await stream.finish())
+    runs, markers = await deployment.executions()
+    check_orders(results, markers)
+    assert sum(answer.status == 200 for answer in results.values()) > 0
+    assert set(runs.values()) == {1}
+    await wait_budgets_full(survivor)
+
+
+async def grant(stub, request):
+    """Ask for tokens; wait for the answer however long the daemon is paused."""
+    return await stub.Grant(request, timeout=60)
+
+
+async def test_a_resumed_vm_lends_nothing_under_its_old_fence(deployment):
+    """Guards against a holder that goes on after a pause longer than its lease."""
+    await deployment.start(engines=2)
+    victim, survivor = await start_pair(deployment)
+    identity = await identity_of(victim)
+    holder = await identity_of(survivor)
+    lost = await leases_held(victim)
+    budgets = [name for name in lost if name.startswith("budget/")]
+    assert budgets
+    async with grpc.aio.insecure_channel(victim.settings["peer_address"]) as channel:
+        await channel.channel_ready()
+        stub = peer_pb2_grpc.PeerStub(channel)
+        asks = [pb.GrantAsk(team=team, want_tokens=64, min_tokens=1) for team in TEAMS]
+        request = pb.GrantRequest(holder=holder, asks=asks)
+        before = await grant(stub, request)
+        assert any(answer.tokens for answer in before.answers), before
+        victim.pause()
+        await wait_taken_over(survivor, lost)
+        # Already in the socket when the process goes on, so it is served before
+        # anything can tell the daemon of its successor.
+        waiting = [asyncio.create_task(grant(stub, request)) for _ in range(20)]
+        await asyncio.sleep(0.2)
+        victim.resume()
+        replies = await asyncio.gather(*waiting)
+    for reply in replies:
+        assert not any(answer.tokens for answer in reply.answers), reply
+
+    async def follows():
+        status = await victim.status()
+        leases = {lease["lease"]: lease for lease in status["leases"]}
+        for name, lease in lost.items():
+            if leases[name]["fence"] == lease["fence"]:
+                assert not leases[name]["remaining_ms"], leases[name]
+        return all(leases[name]["fence"] > lost[name]["fence"] for name in lost)
+
+    assert await wait_until(follows), victim.log_tail()
+    assert await identity_of(victim) == identity
+    await deployment.wait_served(victim)
+    await deployment.wait_served(survivor)
+    runs, _ = await deployment.executions()
+    assert set(runs.values()) == {1}
