Test a platform outage that is longer than a lease

Nothing showed with real processes that a zone goes on while the log and the weight store are down for longer than a lease.

Two VMs serve streams while both services answer 503 for 12 s, three times the duration of a lease. The held budget leases must become extended by promises, both VMs must go on completing streams and calls after the 12 s, and each print order with a key must get 503 not_run and must not run. After the outage a published change must be in force on both VMs, and print orders must run again.

Ruled out: an exception for the first order of each VM. The fault is active before the orders start, so the test has no exception.

--- a/tests/test_process_outages.py
+++ b/tests/test_process_outages.py
@@ -201,3 +201,70 @@
     await deployment.wait_served(survivor)
     runs, _ = await deployment.executions()
     assert set(runs.values()) == {1}
+
+
+async def test_two_vms_go_on_while_the_platform_is_down(deployment):
+    """Guards against a zone that stops, or forgets changes, in a log outage."""
+    await deployment.start(engines=2, services=2)
+    pair = await start_pair(deployment)
+    caller = deployment.caller()
+    load = Load(caller, pair, workers=6)
+    for daemon in pair:
+        await load.go_on(daemon)
+    for standin in (deployment.log, deployment.weights):
+        await standin.add_fault("outage")
+    # Three times the length of a lease.
+    outage = asyncio.create_task(asyncio.sleep(OUTAGE_S))
+    orders = [Orders(caller, daemon, keyed=True) for daemon in pair]
+
+    async def extended():
+        held = [await leases_held(daemon) for daemon in pair]
+        budgets = [
+            lease
+            for leases in held
+            for name, lease in leases.items()
+            if name.startswith("budget/")
+        ]
+        return budgets and all(lease["extended"] for lease in budgets)
+
+    assert await wait_until(extended), [await daemon.status() for daemon in pair]
+    await outage
+    for daemon in pair:
+        await load.go_on(daemon)
+        assert (await caller.stock(daemon)).status == 200
+    during = {}
+    for stream in orders:
+        during.update(await stream.finish())
+    _, markers = await deployment.executions()
+    for marker, answer in during.items():
+        assert (answer.status, answer.code) == (503, "not_run"), answer
+        assert answer.not_run is True and markers[marker] == 0
+    assert len(during) > 2 * len(pair)
+    for standin in (deployment.log, deployment.weights):
+        await standin.clear_faults()
+    changed = {**deployment.document, "policy": {"fairness_weight": 2.0}}
+    version = await deployment.log.publish(changed, deployment.version)
+
+    async def in_force():
+        versions = [(await d.status())["configuration_version"] for d in pair]
+        return versions == [version, version]
+
+    assert await wait_until(in_force), [await daemon.status() for daemon in pair]
+    for daemon in pair:
+        await load.go_on(daemon)
+        await wait_order(caller, daemon, f"after-{daemon.name}")
+    for _, _, answer in await load.finish():
+        assert answer.whole, answer
+        assert answer.status == 200 or answer.not_run, answer
+    runs, markers = await deployment.executions()
+    assert set(runs.values()) == {1}
+    check_orders(during, markers)
+
+
+async def wait_order(caller, daemon, marker):
+    """Repeat a print order until it has run."""
+
+    async def ran():
+        return (await caller.print_order(daemon, marker, marker)).status == 200
+
+    assert await wait_until(ran), daemon.log_tail()
