Test the restart of a whole zone and leaving backend servers

Nothing tested with real processes that a zone comes back when both of its VMs die and start again under their names, or that a leaving backend server gets no work.

Cause of the red case [alone]: after SIGKILL of both VMs the new incarnations get no lease and refuse all requests with 503 not_run, although the log is up. Lease.may_claim admits only identities of the last two rosters, which are all dead then, and LeaseWatcher.claim waits for ORPHAN_MS (3,700 s).

Ruled out: a rule that admits a claimant by its name alone, which takes a few lines. A paused VM that was replaced under its name could still promise to extend the lease while its successor claims it, and the budget would be overspent. Also ruled out as a fault: 409 outcome_unknown for an order that was answered 200 just before the kill. Outcomes are written after the answer, so the test waits for the record.

The test of leaving servers takes the state from the load report or from the VM list, in two zones, and compares what the leaving engine and service executed.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -7,7 +7,9 @@
 import pytest
 import pytest_asyncio
 
-from tests.process_deployment import Caller, Deployment, Load
+from cassiamount.log_client import HttpLogClient
+from cassiamount.operator_api import OperatorApi
+from tests.process_deployment import Caller, Deployment, Load, identity_of, leases_of
 from tests.process_harness import ProcessHarness, wait_until
 
 pytestmark = pytest.mark.xdist_group("processes")
@@ -170,3 +172,137 @@
     assert (other.status, other.code) == (422, "idempotency_mismatch")
     _, markers = await deployment.executions()
     assert markers["banner"] <= 1 and markers["another"] == 0
+
+
+async def wait_renewals(daemon, count):
+    """Wait until the zone's stream has grown by this many records.
+
+    Leases then name all members of the zone in both of their rosters.
+    """
+
+    async def length():
+        streams = (await daemon.status())["streams"]
+        return next(s["next_offset"] for s in streams if s["stream"] == "zone-zone-a")
+
+    goal = await length() + count
+
+    async def reached():
+        return await length() >= goal
+
+    assert await wait_until(reached), daemon.log_tail()
+
+
+async def release_leases(url, leases):
+    """Release leases of zone-a as an operator who knows that their holders are gone."""
+    log = HttpLogClient(url)
+    try:
+        api = OperatorApi(log)
+        results = await asyncio.gather(
+            *(
+                api.release_lease("zone-a", name, lease["holder"], lease["fence"])
+                for name, lease in leases.items()
+            )
+        )
+    finally:
+        await log.close()
+    assert all(result.is_ok() for result in results), results
+
+
+@pytest.mark.parametrize("operator", [False, True], ids=["alone", "operator"])
+async def test_both_daemons_of_a_zone_start_again_under_their_names(
+    deployment, operator
+):
+    """Guards against leases that nobody may claim after a zone lost all its VMs.
+
+    Either the daemons get the leases by themselves, or an operator releases them.
+    """
+    await deployment.start()
+    names = ("vm-1", "vm-2")
+    daemons = [await deployment.start_daemon(name) for name in names]
+    caller = deployment.caller()
+    first = [await identity_of(daemon) for daemon in daemons]
+    for daemon, other in (daemons, daemons[::-1]):
+        assert (await caller.print_order(daemon, daemon.name, daemon.name)).whole
+
+        # A caller has its answer before the outcome is in the log.
+        async def recorded(name=daemon.name, other=other):
+            return (await caller.print_order(other, name, name)).replayed
+
+        assert await wait_until(recorded), other.log_tail()
+    before = await leases_of(daemons[0])
+    await wait_renewals(daemons[0], 4 * len(before))
+    for daemon in daemons:
+        await daemon.kill()
+    again = [await deployment.start_daemon(name, served=False) for name in names]
+    second = [await identity_of(daemon) for daemon in again]
+    assert not set(first) & set(second)
+    if operator:
+        await release_leases(deployment.log.url, before)
+
+    async def taken_over():
+        leases = await leases_of(again[0])
+        return all(
+            leases[name]["holder"] in second and leases[name]["fence"] > lease["fence"]
+            for name, lease in before.items()
+        )
+
+    assert await wait_until(taken_over), (second, await leases_of(again[0]))
+    for daemon in again:
+        await deployment.wait_served(daemon)
+        for repeated in names:
+            answer = await caller.print_order(daemon, repeated, repeated)
+            assert (answer.status, answer.replayed) == (200, True), answer
+    _, markers = await deployment.executions()
+    assert [markers[name] for name in names] == [1, 1]
+
+
+@pytest.mark.parametrize("source", ["report", "vm-list"])
+async def test_a_leaving_backend_server_gets_no_new_work(deployment, source):
+    """Guards against work for a backend server that one source says is leaving."""
+    zones = ("zone-a", "zone-b")
+    await deployment.start(zones, engines=2, services=2)
+    daemons = [
+        await deployment.start_daemon("vm-a1", "zone-a"),
+        await deployment.start_daemon("vm-b1", "zone-b"),
+    ]
+    leaving = [deployment.engines[0], deployment.services[0]]
+    load = Load(deployment.caller(), daemons, max_tokens=8)
+    for daemon in daemons:
+        await load.go_on(daemon)
+    before, _ = await deployment.executions(leaving)
+    assert sum(before.values()) > 0
+    for standin in leaving:
+        if source == "report":
+            await standin.call("POST", "/admin/state", {"state": "leaving"})
+        else:
+            kind = (standin.name, "zone-a", standin.address, "backend", "leaving")
+            await deployment.list_vm(*kind)
+
+    async def known():
+        for daemon in daemons:
+            backends = (await daemon.status())["backends"]
+            states = {backend["name"]: backend["state"] for backend in backends}
+            if any(states[standin.name] != "leaving" for standin in leaving):
+                return False
+        return True
+
+    assert await wait_until(known), [await daemon.status() for daemon in daemons]
+    last = [await deployment.executions(leaving)]
+
+    async def work_ended():
+        """Whether both daemons worked and the leaving servers got nothing of it."""
+        for daemon in daemons:
+            await load.go_on(daemon)
+            assert (await deployment.caller().stock(daemon)).status == 200
+        last.append(await deployment.executions(leaving))
+        return last[-1] == last[-2]
+
+    assert await wait_until(work_ended)
+    for daemon in daemons:
+        await load.go_on(daemon, 20)
+        for number in range(5):
+            answer = await deployment.caller().print_order(daemon, number, None)
+            assert answer.status == 200, answer
+    assert await deployment.executions(leaving) == last[-1]
+    for _, _, answer in await load.finish():
+        assert answer.status == 200 and answer.whole, answer
