Let a zone whose VMs all restarted in place take its leases again

Cause: a process test killed both VMs of a zone. Only members of the last two rosters may claim a lease that was not released, and those were dead, so the new processes would have waited 3,700 s.

Ruled out: admitting a claimant by its name (a VM that runs on under the same name could still promise to extend the lease); a shorter limit of extensions (it would end budgets in a log outage of that length).

Change: a VM at the address of a roster member other than the holder counts as that member. Promises are asked for by address, and the gRPC server no longer shares its port, so from its start on the holder cannot get the old process's promise; the claimant waits a whole lease after that. A planned stop also waits for outcomes of claimed calls to reach the log.

--- a/cassiamount/coordinator.py
+++ b/cassiamount/coordinator.py
@@ -112,10 +112,10 @@
             on_leaving_backends,
         )
         budgets = [
-            LeaseClient(identity, f"budget/{number}", self._new_id, True)
+            LeaseClient(identity, f"budget/{number}", self._new_id, True, address)
             for number in range(budget_partitions)
         ]
-        placement = LeaseClient(identity, PLACEMENT_LEASE, self._new_id, False)
+        placement = LeaseClient(identity, PLACEMENT_LEASE, self._new_id, False, address)
         self._clients = {client.lease: client for client in [*budgets, placement]}
         self.budgets = BudgetExchange(
             identity,
--- a/cassiamount/lease_client.py
+++ b/cassiamount/lease_client.py
@@ -18,12 +18,14 @@
         Returns a unique record id.
     extendable : bool
         Whether promises can extend the lease.
+    address : str
+        Where this VM answers requests for promises.
     """
 
-    def __init__(self, vm, lease, new_id, extendable):
+    def __init__(self, vm, lease, new_id, extendable, address=""):
         self.vm = vm
         self.lease = lease
-        self.watcher = LeaseWatcher(vm, lease, new_id)
+        self.watcher = LeaseWatcher(vm, lease, new_id, address)
         self.holder = None
         self._new_id = new_id
         self._extendable = extendable
--- a/cassiamount/leases.py
+++ b/cassiamount/leases.py
@@ -45,11 +45,15 @@
     lease : str
     new_id : callable
         Returns a unique record id.
+    address : str
+        Where this VM answers requests for promises; it must do so before the first
+        `observe`.
     """
 
-    def __init__(self, vm, lease, new_id):
+    def __init__(self, vm, lease, new_id, address=""):
         self.vm = vm
         self.lease = lease
+        self._address = address
         self.promised_until_ms = float("-inf")
         self._new_id = new_id
         self._state = None
@@ -125,7 +129,7 @@
         orphaned = False
         if self._state is not None and not self._state.released:
             wait_ms += at_least_ms(LEASE_MS)
-            if not self._state.may_claim(self.vm):
+            if not self._state.may_claim(self.vm, self._address):
                 orphaned = True
                 wait_ms = max(wait_ms, ORPHAN_MS)
         if now_ms < max(self._read_ms + wait_ms, self._not_before_ms):
--- a/cassiamount/node.py
+++ b/cassiamount/node.py
@@ -50,8 +50,9 @@
 
 # Time for grants and leases to be returned; without it they expire by themselves.
 LEAVE_LIMIT_MS = 3_000
+# Time for outcomes of claimed calls to reach the log, which may be down.
+SETTLE_LIMIT_MS = 5_000
 ADMIN_STOP_LIMIT_MS = 1_000
-DRAIN_POLL_MS = 50
 
 log = structlog.get_logger()
 
@@ -141,7 +142,7 @@
             self.demand.count,
         )
         self._backends = BackendClient(self.metrics)
-        relay = Relay(
+        self._relay = Relay(
             self.dispatcher, self._backends, self.clock, self.metrics, self._rng
         )
         self._claims = ClaimService(
@@ -157,7 +158,7 @@
         )
         self._application = build_application(
             self.view,
-            relay,
+            self._relay,
             self._claims,
             self.clock,
             self.metrics,
@@ -310,6 +311,7 @@
         await asyncio.wait([tasks, stop], return_when=asyncio.FIRST_COMPLETED)
         stop.cancel()
         cut_off = await self._drain(edge)
+        await self._settle_requests()
         await self._leave()
         tasks.cancel()
         failure = (await asyncio.gather(tasks, return_exceptions=True))[0]
@@ -355,6 +357,18 @@
         self.view.shutting_down = True
         return await edge.stop(self.settings.drain_limit_ms)
 
+    async def _settle_requests(self):
+        """Send cancellations and write outcomes that are still on their way.
+
+        An outcome that is not in the log would later be told as unknown.
+        """
+        try:
+            async with asyncio.timeout(SETTLE_LIMIT_MS / 1000):
+                await self._relay.settle()
+                await self._claims.settle()
+        except TimeoutError:
+            log.warning("outcomes_not_recorded")
+
     async def _leave(self):
         """Return grants and leases."""
         try:
--- a/cassiamount/peer_service.py
+++ b/cassiamount/peer_service.py
@@ -215,8 +215,11 @@
     -------
     tuple of (grpc.aio.Server, int)
     """
+    # Leases rely on one process for each address: without this option a second one
+    # could listen there as well.
+    options = (*wire.CHANNEL_OPTIONS, ("grpc.so_reuseport", 0))
     server = grpc.aio.server(
-        options=wire.CHANNEL_OPTIONS, maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS
+        options=options, maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS
     )
     add_PeerServicer_to_server(PeerService(handlers), server)
     return server, server.add_insecure_port(address)
--- a/cassiamount/zone_state.py
+++ b/cassiamount/zone_state.py
@@ -76,6 +76,8 @@
     note : dict, optional
         Of a released lease: what its holder left. Of a lease that was claimed after
         a release: the note of the predecessor. Otherwise None.
+    addresses, previous_addresses : frozenset of str
+        Addresses of the members of the two rosters without the holder.
     """
 
     __slots__ = (
@@ -86,6 +88,8 @@
         "previous_roster",
         "released",
         "note",
+        "addresses",
+        "previous_addresses",
     )
 
     def __init__(
@@ -97,6 +101,8 @@
         previous_roster=None,
         released=False,
         note=None,
+        addresses=(),
+        previous_addresses=(),
     ):
         self.holder = holder
         self.fence = fence
@@ -107,23 +113,45 @@
         )
         self.released = released
         self.note = note
+        self.addresses = frozenset(addresses)
+        self.previous_addresses = frozenset(previous_addresses)
 
-    def may_claim(self, vm):
+    def renew(self, seen_offset, roster, addresses):
+        """Take note of an accepted renewal."""
+        self.seen_offset = seen_offset
+        self.previous_roster, self.roster = self.roster, frozenset(roster)
+        self.previous_addresses = self.addresses
+        self.addresses = frozenset(addresses)
+
+    def may_claim(self, vm, address=""):
         """Whether `vm` may claim the lease without stating that it is orphaned.
 
         The holder extends its lease with the promises of the roster that it knows.
         The last renewal may be in the log without the holder knowing, so only VMs in
         both of the last two rosters may claim: those are in the one it knows,
         whichever that is. The holder keeps at most one renewal unresolved.
+
+        A VM that has the address of another roster member counts as that member. The
+        holder asks for promises by address and at most one process listens on an
+        address, so the holder cannot get the promise of the process that was there.
+
+        Parameters
+        ----------
+        vm : str
+        address : str
+            Where `vm` is registered; empty if it is not.
         """
         if self.released:
             return True
-        rosters = [self.roster]
+        rosters = [(self.roster, self.addresses)]
         if self.previous_roster is not None:
-            rosters.append(self.previous_roster)
-        if all(roster <= {self.holder} for roster in rosters):
+            rosters.append((self.previous_roster, self.previous_addresses))
+        if all(roster <= {self.holder} for roster, _ in rosters):
             return True
-        return all(vm in roster for roster in rosters)
+        return all(
+            vm in roster or (address and address in addresses)
+            for roster, addresses in rosters
+        )
 
 
 class UnsettledOrder:
@@ -201,6 +229,18 @@
         """Return the identities of the members."""
         return frozenset(member.identity for member in self.members.values())
 
+    def _address(self, identity):
+        member = self.members.get(vm_name(identity))
+        known = member is not None and member.identity == identity
+        return member.address if known else ""
+
+    def _addresses_without(self, identity):
+        return {
+            member.address
+            for member in self.members.values()
+            if member.identity != identity
+        }
+
     def _advance(self, offset):
         if offset != self.next_offset:
             raise OffsetGap(f"zone-{self.zone}", self.next_offset, offset)
@@ -255,11 +295,17 @@
                 return "the lease has another fence"
             if record.seen_offset < lease.seen_offset:
                 return "the lease was renewed since"
-            if not record.orphaned and not lease.may_claim(record.vm):
+            address = self._address(record.vm)
+            if not record.orphaned and not lease.may_claim(record.vm, address):
                 return "the claimant is not on the roster"
         note = lease.note if lease is not None and lease.released else None
         self.leases[record.lease] = Lease(
-            record.vm, offset + 1, offset + 1, self.roster(), note=note
+            record.vm,
+            offset + 1,
+            offset + 1,
+            self.roster(),
+            note=note,
+            addresses=self._addresses_without(record.vm),
         )
         return None
 
@@ -270,9 +316,8 @@
             return "the fence is not current"
         if lease.holder != record.vm:
             return "only the holder can renew"
-        lease.seen_offset = offset + 1
-        lease.previous_roster = lease.roster
-        lease.roster = self.roster()
+        addresses = self._addresses_without(record.vm)
+        lease.renew(offset + 1, self.roster(), addresses)
         return None
 
     @_apply.register
@@ -343,6 +388,8 @@
                     else sorted(lease.previous_roster),
                     "released": lease.released,
                     "note": lease.note,
+                    "addresses": sorted(lease.addresses),
+                    "previous_addresses": sorted(lease.previous_addresses),
                 }
                 for name, lease in self.leases.items()
             },
--- a/tests/machines/lease_machine.py
+++ b/tests/machines/lease_machine.py
@@ -39,7 +39,8 @@
         self.fold = ZoneState("z")
         numbers = itertools.count(1)
         self.new_id = lambda: f"{self.identity}#{next(numbers)}"
-        self.client = LeaseClient(self.identity, LEASE, self.new_id, True)
+        # One process runs under a name at a time, so the name serves as its address.
+        self.client = LeaseClient(self.identity, LEASE, self.new_id, True, name)
         self.log_reached_ms = 0.0
         self.paused = False
 
@@ -73,7 +74,7 @@
         self.register(vm)
 
     def register(self, vm):
-        record = RegisterVm(vm.new_id(), vm.identity, "address", vm.incarnation)
+        record = RegisterVm(vm.new_id(), vm.identity, vm.name, vm.incarnation)
         self.appends.append((vm, record))
 
     def running(self, name):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -226,6 +226,29 @@
         ),
         ([ReleaseLease("l1", "h@1", LEASE, 3), RENEWAL], "Rejected"),
         ([RENEWAL, RENEWAL], "Rejected"),
+        # Took over the address of a member that the holder would have to ask.
+        (
+            [
+                RegisterVm("ra2", "a@2", "a:1", "2"),
+                ClaimLease("c2", "a@2", LEASE, 3, 3),
+            ],
+            "Applied",
+        ),
+        (
+            [
+                RegisterVm("ra2", "a@2", "a:2", "2"),
+                ClaimLease("c2", "a@2", LEASE, 3, 3),
+            ],
+            "Rejected",
+        ),
+        # The holder may run on elsewhere with the promise of the other member.
+        (
+            [
+                RegisterVm("rh2", "h@2", "h:1", "2"),
+                ClaimLease("c2", "h@2", LEASE, 3, 3),
+            ],
+            "Rejected",
+        ),
     ],
 )
 def test_which_records_the_fold_accepts(records, result):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -208,13 +208,12 @@
     assert all(result.is_ok() for result in results), results
 
 
-@pytest.mark.parametrize("operator", [False, True], ids=["alone", "operator"])
-async def test_both_daemons_of_a_zone_start_again_under_their_names(
-    deployment, operator
-):
+@pytest.mark.parametrize("case", ["alone", "in-place", "operator"])
+async def test_both_daemons_of_a_zone_start_again_under_their_names(deployment, case):
     """Guards against leases that nobody may claim after a zone lost all its VMs.
 
-    Either the daemons get the leases by themselves, or an operator releases them.
+    Either the daemons get the leases by themselves, at new addresses (alone) or at
+    their old ones (in-place), or an operator releases them.
     """
     await deployment.start()
     names = ("vm-1", "vm-2")
@@ -233,10 +232,14 @@
     await wait_renewals(daemons[0], 4 * len(before))
     for daemon in daemons:
         await daemon.kill()
-    again = [await deployment.start_daemon(name, served=False) for name in names]
+    again = []
+    for name, old in zip(names, daemons, strict=True):
+        kept = {"peer_address": old.settings["peer_address"]}
+        settings = kept if case == "in-place" else {}
+        again.append(await deployment.start_daemon(name, served=False, **settings))
     second = [await identity_of(daemon) for daemon in again]
     assert not set(first) & set(second)
-    if operator:
+    if case == "operator":
         await release_leases(deployment.log.url, before)
 
     async def taken_over():
