--- a/bench/budget_zone.py
+++ b/bench/budget_zone.py
@@ -4,8 +4,8 @@
 
 from cassiamount.budget import BudgetOwner
 from cassiamount.lease_commands import AskPromises
+from cassiamount.lease_state import Lease
 from cassiamount.leases import LeaseHolder
-from cassiamount.zone_state import Lease
 
 TEAM = "team"
 
--- a/cassiamount/document_diff.py
+++ b/cassiamount/document_diff.py
@@ -17,7 +17,7 @@
     change : str
         ``added``, ``removed`` or ``changed``.
     place : str
-        For example ``teams[stitchers].parameters.rate``.
+        For example ``teams[team-a].parameters.rate``.
     old, new : object
         None where there is no value.
     """
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis.stateful import run_state_machine_as_test
 
+from cassiamount.lease_state import Lease
 from cassiamount.leases import LeaseHolder, LeaseWatcher
 from cassiamount.records import ClaimLease, RegisterVm, ReleaseLease, RenewLease
 from cassiamount.timing import (
@@ -13,7 +14,7 @@
     LEASE_MS,
     ORPHAN_MS,
 )
-from cassiamount.zone_state import Lease, ZoneState
+from cassiamount.zone_state import ZoneState
 from tests.machines import proof_settings
 from tests.machines.lease_machine import LeaseMachine
 
