Take the weight store's limits from the store

Cause: the setting weight_store_address was checked and never used; placement went by two constants. Ruled out: dropping the setting, because the limits differ between deployments. Change: the placement runner reads the limits each minute and the policy shares them among the zones; the constants serve until the first answer.

--- a/cassiamount/node.py
+++ b/cassiamount/node.py
@@ -46,6 +46,7 @@
 from .supervisor import Supervisor
 from .tracing import build_tracing
 from .vm_list_client import HttpVmListClient
+from .weight_store_client import HttpWeightStoreClient
 from .zone_state import PLACEMENT_LEASE
 
 # Time for grants and leases to be returned; without it they expire by themselves.
@@ -182,6 +183,7 @@
             lambda: self.streams.config.fold.configuration,
             EngineOrders(self._open_engine),
             self._demand_totals,
+            HttpWeightStoreClient(f"http://{self.settings.weight_store_address}"),
             self.clock,
         )
         self._poller_mailbox = Mailbox("load-poller")
--- a/cassiamount/placement_runner.py
+++ b/cassiamount/placement_runner.py
@@ -5,12 +5,14 @@
 import structlog
 
 from .dispatch_messages import ConfigurationChanged
+from .errors import PlatformUnavailable
 from .mailbox import Mailbox
 from .placement_messages import DemandTotals
 from .placement_task import PlacementTask
 
 LEASE_POLL_MS = 200
 DEMAND_INTERVAL_MS = 2_000
+LIMITS_INTERVAL_MS = 60_000
 
 log = structlog.get_logger()
 
@@ -82,6 +84,7 @@
     engines : EngineOrders
     demand_totals : callable
         Returns demand totals by VM.
+    weight_store : WeightStoreClient
     clock : SystemClock or ManualClock
     """
 
@@ -94,6 +97,7 @@
         configuration,
         engines,
         demand_totals,
+        weight_store,
         clock,
     ):
         self._identity = identity
@@ -103,6 +107,7 @@
         self._configuration = configuration
         self._engines = engines
         self._demand_totals = demand_totals
+        self._weight_store = weight_store
         self._clock = clock
         self._mailbox = None
         self._reports = {}
@@ -140,12 +145,16 @@
         for message in self._reports.values():
             self._mailbox.send(message)
         log.info("placement_started", fence=lease.fence)
-        demand = asyncio.create_task(self._feed_demand(self._mailbox))
+        feeds = [
+            asyncio.create_task(self._feed_demand(self._mailbox)),
+            asyncio.create_task(self._feed_limits(self._mailbox)),
+        ]
         try:
             await task.run()
         finally:
             self._mailbox = None
-            demand.cancel()
+            for feed in feeds:
+                feed.cancel()
             log.info("placement_ended", fence=lease.fence)
 
     async def _feed_demand(self, mailbox):
@@ -154,6 +163,16 @@
                 mailbox.send(DemandTotals(vm, totals))
             await asyncio.sleep(DEMAND_INTERVAL_MS / 1000)
 
+    async def _feed_limits(self, mailbox):
+        """Read the weight store's limits; the last ones stay while it is down."""
+        while True:
+            try:
+                mailbox.send(await self._weight_store.limits())
+            except PlatformUnavailable as error:
+                log.info("weight_store_unavailable", error=str(error))
+            await asyncio.sleep(LIMITS_INTERVAL_MS / 1000)
+
     async def close(self):
-        """Close the connections to the engines."""
+        """Close the connections to the engines and to the weight store."""
         await self._engines.close()
+        await self._weight_store.close()
--- a/cassiamount/placement_state.py
+++ b/cassiamount/placement_state.py
@@ -3,10 +3,11 @@
 from .engine_orders import LOAD_MODEL, UNLOAD_ADAPTER, UNLOAD_MODEL
 from .placement_view import Move
 
-# Limits of the weight store over all zones.
+# Limits of the weight store over all zones until it has told its own.
 FLEET_LOADS_PER_S = 2.0
 FLEET_CONCURRENT_LOADS = 8
-# an engine that gave it up recently.
+# A loaded model stays at least this long, and is not loaded again for as long on an
+# engine that gave it up.
 STAY_MS = 30_000.0
 # A wanted load waits this long for the memory that its unloads free.
 WANTED_MS = 45_000.0
@@ -49,6 +50,8 @@
         "_loaded_ms",
         "_unloaded_ms",
         "_next_load_ms",
+        "_loads_per_s",
+        "_concurrent_loads",
         "_next_spare_ms",
         "_missing_since_ms",
         "_yield_since_ms",
@@ -68,6 +71,8 @@
         self._loaded_ms = {}
         self._unloaded_ms = {}
         self._next_load_ms = 0.0
+        self._loads_per_s = FLEET_LOADS_PER_S
+        self._concurrent_loads = FLEET_CONCURRENT_LOADS
         self._next_spare_ms = 0.0
         self._missing_since_ms = {}
         self._yield_since_ms = None
@@ -93,6 +98,11 @@
                 if name in self._caps:
                     self._caps[name] += team.rate_tokens_per_s
 
+    def set_limits(self, loads_per_s, concurrent_loads):
+        """Take the weight store's limits, which the zones share by their weights."""
+        self._loads_per_s = loads_per_s
+        self._concurrent_loads = concurrent_loads
+
     def _weights(self, demand):
         """Return each model's weight: its demand within the teams' rates, damped."""
         totals = {name: demand.get(name, 0.0) for name in self._models}
@@ -130,7 +140,7 @@
             for name in view.held.keys() - view.ready
             if name in self._models and name not in view.leaving_names
         )
-        concurrent = max(1, int(FLEET_CONCURRENT_LOADS * self._zone_share))
+        concurrent = max(1, int(self._concurrent_loads * self._zone_share))
         return 1 if loading < concurrent else 0
 
     def _own(self, engines):
@@ -195,7 +205,7 @@
                 )
 
     def _load(self, view, model, reason, now_ms, moves):
-        per_s = FLEET_LOADS_PER_S * max(self._zone_share, 0.01)
+        per_s = self._loads_per_s * max(self._zone_share, 0.01)
         self._next_load_ms = now_ms + 1000 / per_s
         view.free_mb -= model.memory_mb
         view.held[model.name] = model.version
--- a/cassiamount/placement_task.py
+++ b/cassiamount/placement_task.py
@@ -30,6 +30,7 @@
 )
 from .placement_view import home_zones, views_of
 from .records import IntendOrder, SettleOrder
+from .weight_store_client import WeightStoreLimits
 
 # Interval of the ledger's work and of the plans.
 TICK_MS = 100
@@ -57,7 +58,8 @@
         this lease's own claim.
     configuration : Configuration
     mailbox : Mailbox
-        Receives `LoadReported`, `ConfigurationChanged` and `DemandTotals`.
+        Receives `LoadReported`, `ConfigurationChanged`, `DemandTotals` and
+        `WeightStoreLimits`.
     appender : object
         ``async append(record) -> offset`` to the zone's stream.
     engines : object
@@ -123,6 +125,10 @@
     def _(self, message: ConfigurationChanged):
         self._configure(message.configuration, self._clock.monotonic_ms())
 
+    @_apply.register
+    def _(self, message: WeightStoreLimits):
+        self._policy.set_limits(message.loads_per_s, message.concurrent_loads)
+
     @_apply.register
     def _(self, message: DemandTotals):
         self._demand.on_totals(message.vm, message.totals)
--- a/tests/test_placement_task.py
+++ b/tests/test_placement_task.py
@@ -20,6 +20,7 @@
 from cassiamount.placement_task import PlacementTask
 from cassiamount.placement_view import home_zones
 from cassiamount.records import IntendOrder
+from cassiamount.weight_store_client import WeightStoreLimits
 from tests.test_orders import ENGINES, document
 
 
@@ -54,13 +55,15 @@
         return STATE_DONE
 
 
-async def run(world, before=None, seconds=10):
+async def run(world, before=None, seconds=10, limits=None):
     """Run the task on an empty zone until its first loads, and return it."""
     configuration = configuration_from_document(document())
     mailbox = Mailbox("placement")
     task = PlacementTask(
         "z1", "v@1", world, (), configuration, mailbox, world, world, world.clock
     )
+    if limits is not None:
+        task._apply(limits)
     for second in range(seconds * 10):
         world.clock.advance(100.0)
         if before is not None and second == seconds * 5:
@@ -93,6 +96,18 @@
     assert world.events[:3] == ["IntendOrder", "order 2", "SettleOrder"]
 
 
+async def test_loads_keep_to_the_limits_of_the_weight_store():
+    """Guards against loads beyond what the store says that it allows.
+
+    The zone has a third of 0.03 loads/s, so its second load is due after 100 s.
+    """
+    slow, fast = World(), World()
+    await run(slow, seconds=60, limits=WeightStoreLimits(0.03, 1))
+    await run(fast, seconds=60)
+    assert slow.events.count("IntendOrder") == 1
+    assert fast.events.count("IntendOrder") > 1
+
+
 async def test_nothing_is_sent_after_the_lease():
     """Guards against orders of a paused holder that engines carry out."""
     world = World()
