--- a/cassiamount/clock.py
+++ b/cassiamount/clock.py
@@ -17,6 +17,19 @@
         return time.time_ns() // 1_000_000
 
 
+class SuspendClock(SystemClock):
+    """A clock that runs on while the machine is suspended.
+
+    What must lapse in true time (leases, proofs, budgets) is judged by it.
+    """
+
+    __slots__ = ()
+
+    def monotonic_ms(self):
+        """Return the time since the machine's boot in milliseconds."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / 1e6
+
+
 class ManualClock:
     """A clock that moves only when told to.
 
--- /dev/null
+++ b/cassiamount/fleet.py
@@ -0,0 +1,421 @@
+"""What is configured and known of a fleet: routes, services, teams, backends."""
+
+from .keys import KeyTable, hash_key
+
+# Rank of a request whose route and team state none; ranks run from 0, the most urgent.
+DEFAULT_RANK = 5
+
+
+class RouteRule:
+    """How requests under one path of one host are served.
+
+    Parameters
+    ----------
+    name, host, path_prefix : str
+    idempotent : bool
+        Whether a request may run more than once.
+    streamed : bool
+    resumable : bool
+        Whether a stream may go on at another replica after its last event.
+    open : bool
+        Whether callers need no key.
+    time_limit_ms, objective_ms : float
+        Longest time to an answer, and the time that callers expect.
+    attempts : int
+        Replicas to which one request may be sent.
+    rank : int
+        0 is the most urgent.
+    targets : tuple of (str, float)
+        Services with their weights.
+    """
+
+    __slots__ = (
+        "name",
+        "host",
+        "path_prefix",
+        "idempotent",
+        "streamed",
+        "resumable",
+        "open",
+        "time_limit_ms",
+        "objective_ms",
+        "gap_objective_ms",
+        "attempts",
+        "rank",
+        "targets",
+    )
+
+    def __init__(
+        self,
+        name,
+        host,
+        path_prefix,
+        targets,
+        idempotent=False,
+        streamed=False,
+        resumable=False,
+        open=False,
+        time_limit_ms=30_000.0,
+        objective_ms=1_000.0,
+        gap_objective_ms=0.0,
+        attempts=1,
+        rank=DEFAULT_RANK,
+    ):
+        self.name = name
+        self.host = host
+        self.path_prefix = path_prefix
+        self.targets = tuple(targets)
+        self.idempotent = idempotent
+        self.streamed = streamed
+        self.resumable = resumable
+        self.open = open
+        self.time_limit_ms = time_limit_ms
+        self.objective_ms = objective_ms
+        self.gap_objective_ms = gap_objective_ms
+        self.attempts = attempts
+        self.rank = rank
+
+    @property
+    def repeatable(self):
+        """Whether a request that may have run may be sent again."""
+        return self.resumable if self.streamed else self.idempotent
+
+
+class ModelRule:
+    """Size and load times of one model and of its adapters."""
+
+    __slots__ = (
+        "name",
+        "memory_mb",
+        "load_ms",
+        "host_load_ms",
+        "disk_load_ms",
+        "adapter_mb",
+    )
+
+    def __init__(
+        self, name, memory_mb, load_ms, host_load_ms, disk_load_ms, adapter_mb
+    ):
+        self.name = name
+        self.memory_mb = memory_mb
+        self.load_ms = load_ms
+        self.host_load_ms = host_load_ms
+        self.disk_load_ms = disk_load_ms
+        self.adapter_mb = adapter_mb
+
+
+class EngineRule:
+    """Limits that all engines of one service share."""
+
+    __slots__ = (
+        "slots",
+        "kv_tokens",
+        "memory_mb",
+        "max_adapters",
+        "loads_per_s",
+        "models",
+    )
+
+    def __init__(self, slots, kv_tokens, memory_mb, max_adapters, loads_per_s, models):
+        self.slots = slots
+        self.kv_tokens = kv_tokens
+        self.memory_mb = memory_mb
+        self.max_adapters = max_adapters
+        self.loads_per_s = loads_per_s
+        self.models = models
+
+
+class ServiceRule:
+    """One service; `engine` is None for a plain one."""
+
+    __slots__ = ("name", "max_connections", "engine")
+
+    def __init__(self, name, max_connections, engine=None):
+        self.name = name
+        self.max_connections = max_connections
+        self.engine = engine
+
+
+class TeamRule:
+    """One team: its keys, rank and budget.
+
+    Parameters
+    ----------
+    name : str
+    key_hashes : frozenset of str
+    rank : int or None
+        Goes before the rank of the route.
+    rate_tokens_per_s, burst_tokens : float
+        A rate of 0 means no limit.
+    default_tokens : float
+        Cost of a request that states no tokens; 1 where requests are counted.
+    by_tokens : bool
+    """
+
+    __slots__ = (
+        "name",
+        "key_hashes",
+        "rank",
+        "rate_tokens_per_s",
+        "burst_tokens",
+        "default_tokens",
+        "by_tokens",
+    )
+
+    def __init__(
+        self,
+        name,
+        key_hashes,
+        rank=None,
+        rate_tokens_per_s=0.0,
+        burst_tokens=0.0,
+        default_tokens=1.0,
+        by_tokens=False,
+    ):
+        self.name = name
+        self.key_hashes = frozenset(key_hashes)
+        self.rank = rank
+        self.rate_tokens_per_s = rate_tokens_per_s
+        self.burst_tokens = burst_tokens
+        self.default_tokens = default_tokens
+        self.by_tokens = by_tokens
+
+    def cost_tokens(self, tokens):
+        """Return the charge of a request.
+
+        Parameters
+        ----------
+        tokens : int or None
+            Prompt tokens plus the most output tokens, if the request states them.
+        """
+        if not self.by_tokens:
+            return 1.0
+        return self.default_tokens if tokens is None else float(tokens)
+
+
+class CallerLimits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    __slots__ = ("header_bytes", "body_bytes", "header_timeout_ms", "idle_timeout_ms")
+
+    def __init__(
+        self,
+        header_bytes=16_384,
+        body_bytes=4_194_304,
+        header_timeout_ms=10_000,
+        idle_timeout_ms=60_000,
+    ):
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.header_timeout_ms = header_timeout_ms
+        self.idle_timeout_ms = idle_timeout_ms
+
+
+class FleetConfiguration:
+    """One version of the configuration, whole.
+
+    Parameters
+    ----------
+    version : int
+    routes : iterable of RouteRule
+    services : dict of str to ServiceRule
+    teams : dict of str to TeamRule
+    keyed : bool
+        Whether requests need a key; false for a configuration without teams.
+    limits : CallerLimits
+    """
+
+    __slots__ = ("version", "routes", "services", "teams", "keyed", "limits", "_keys")
+
+    def __init__(self, version, routes, services, teams, keyed, limits):
+        self.version = version
+        self.routes = RouteTable(routes)
+        self.services = services
+        self.teams = teams
+        self.keyed = keyed
+        self.limits = limits
+        self._keys = KeyTable(
+            {key: team.name for team in teams.values() for key in team.key_hashes}
+        )
+
+    def team_of(self, key):
+        """Return the `TeamRule` of a caller's key, or None."""
+        name = self._keys.team_of_hash(hash_key(key)) if key else None
+        return None if name is None else self.teams[name]
+
+
+class RouteTable:
+    """Finds the route of a request by its host and the longest prefix of its path."""
+
+    __slots__ = ("_hosts", "count")
+
+    def __init__(self, routes):
+        self._hosts = {}
+        self.count = 0
+        for route in routes:
+            prefixes = self._hosts.setdefault(route.host, {})
+            prefixes[route.path_prefix] = route
+            self.count += 1
+
+    def find(self, host, path):
+        """Return the `RouteRule`, or None.
+
+        Prefixes begin and end with a slash, so only the path up to each of its
+        slashes has to be looked up.
+        """
+        prefixes = self._hosts.get(host)
+        if not prefixes:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def choose_target(route, rng):
+    """Return the service of a request, by the weights of the route."""
+    if len(route.targets) == 1:
+        return route.targets[0][0]
+    total = sum(weight for _, weight in route.targets)
+    mark = rng.random() * total
+    for service, weight in route.targets:
+        mark -= weight
+        if mark < 0:
+            return service
+    return route.targets[-1][0]
+
+
+class BackendRecord:
+    """What a backend server says of itself in the platform's list.
+
+    Parameters
+    ----------
+    name : str
+        Identifies one start of the server, mostly.
+    service, address, zone : str
+    slots : int
+    leaving : bool
+    remaining_ms : float or None
+        Time until a server that leaves at short notice is gone.
+    started_wall_ms : int
+        Tells two starts under one name apart.
+    residents : dict of str to frozenset of str
+        Model -> its adapters.
+    in_memory, on_disk : frozenset of str
+        Models of which the server keeps a copy.
+    """
+
+    __slots__ = (
+        "name",
+        "service",
+        "address",
+        "zone",
+        "slots",
+        "leaving",
+        "remaining_ms",
+        "started_wall_ms",
+        "residents",
+        "in_memory",
+        "on_disk",
+    )
+
+    def __init__(
+        self,
+        name,
+        service,
+        address,
+        zone,
+        slots=1,
+        leaving=False,
+        remaining_ms=None,
+        started_wall_ms=0,
+        residents=None,
+        in_memory=frozenset(),
+        on_disk=frozenset(),
+    ):
+        self.name = name
+        self.service = service
+        self.address = address
+        self.zone = zone
+        self.slots = slots
+        self.leaving = leaving
+        self.remaining_ms = remaining_ms
+        self.started_wall_ms = started_wall_ms
+        self.residents = residents or {}
+        self.in_memory = in_memory
+        self.on_disk = on_disk
+
+
+class CallFacts:
+    """What the system needs to know of a request, decoded from its head.
+
+    Parameters
+    ----------
+    request_id : str
+    method, host, path : str
+        `path` is without the query.
+    key : str
+        Empty without one.
+    patience_ms : float or None
+        How long the caller waits.
+    model, adapter : str
+        Empty if the request names none.
+    prompt_tokens, output_tokens : int or None
+    prefix : tuple of (str, int)
+        Identifier and tokens of each part of the prompt.
+    last_event : str
+        Set if the caller resumes a stream.
+    """
+
+    __slots__ = (
+        "request_id",
+        "method",
+        "host",
+        "path",
+        "key",
+        "patience_ms",
+        "model",
+        "adapter",
+        "prompt_tokens",
+        "output_tokens",
+        "prefix",
+        "last_event",
+    )
+
+    def __init__(
+        self,
+        request_id,
+        method,
+        host,
+        path,
+        key="",
+        patience_ms=None,
+        model="",
+        adapter="",
+        prompt_tokens=None,
+        output_tokens=None,
+        prefix=(),
+        last_event="",
+    ):
+        self.request_id = request_id
+        self.method = method
+        self.host = host
+        self.path = path
+        self.key = key
+        self.patience_ms = patience_ms
+        self.model = model
+        self.adapter = adapter
+        self.prompt_tokens = prompt_tokens
+        self.output_tokens = output_tokens
+        self.prefix = prefix
+        self.last_event = last_event
+
+    @property
+    def tokens(self):
+        """Prompt plus the most output tokens, or None if not stated."""
+        if self.prompt_tokens is None:
+            return None
+        return self.prompt_tokens + self.output_tokens
--- /dev/null
+++ b/cassiamount/fleet_edge.py
@@ -0,0 +1,194 @@
+"""Caller-facing ASGI application of a VM in front of a fleet."""
+
+import asyncio
+
+from .answers import CallerGone, error_body
+from .caller import WRITE_PART
+from .fleet_relay import InboundCall
+from .requests import Refusal
+from .serving import CallerProtocol
+
+# Key in the scope of the path and query as the caller sent them.
+TARGET = "cassiamount.target"
+# Key in the scope of the connection's transport.
+TRANSPORT = "cassiamount.transport"
+# A refused body is read on for this long, so that the refusal reaches the caller.
+DISCARD_MS = 2_000.0
+DISCARD_BYTES = 64 << 20
+
+
+class FleetProtocol(CallerProtocol):
+    """Adds what the application needs to know of the connection."""
+
+    def on_headers_complete(self):
+        """Keep the target as it was sent."""
+        super().on_headers_complete()
+        if self.scope is not None:
+            self.scope[TARGET] = bytes(self.url)
+            self.scope[TRANSPORT] = self.transport
+
+
+class FleetCaller:
+    """Sends one answer over ASGI.
+
+    Parameters
+    ----------
+    scope : dict
+    send : callable
+    closing : callable
+        Whether this VM is about to stop.
+    """
+
+    __slots__ = ("_scope", "_send", "_closing", "started", "finished", "_write_part")
+
+    def __init__(self, scope, send, closing):
+        self._scope = scope
+        self._send = send
+        self._closing = closing
+        self._write_part = scope.get(WRITE_PART)
+        self.started = False
+        self.finished = False
+
+    async def answer(self, status, headers, body):
+        """Send a whole answer."""
+        headers = [item for item in headers if item[0] != b"content-length"]
+        headers.append((b"content-length", b"%d" % len(body)))
+        await self.start(status, headers)
+        self.finished = True
+        await self._send({"type": "http.response.body", "body": body})
+
+    async def start(self, status, headers):
+        """Send the head."""
+        self.started = True
+        if self._closing():
+            headers = [*headers, (b"connection", b"close")]
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+
+    async def part(self, data):
+        """Send a part of the body."""
+        if self._write_part is not None and self._write_part(data):
+            return
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def finish(self):
+        """End the answer."""
+        self.finished = True
+        await self._send({"type": "http.response.body", "body": b""})
+
+    def abort(self):
+        """Close the connection, so that a partial answer does not look complete."""
+        transport = self._scope.get(TRANSPORT)
+        if transport is not None:
+            transport.abort()
+        self.finished = True
+
+    async def refuse(self, refusal, close=False):
+        """Send an answer of the system's own."""
+        headers = [(b"content-type", b"application/json")]
+        if refusal.retry_after_s is not None:
+            headers.append((b"retry-after", b"%.3f" % refusal.retry_after_s))
+        if close:
+            headers.append((b"connection", b"close"))
+        await self.answer(refusal.status, headers, error_body(refusal))
+
+
+class FleetEdge:
+    """ASGI application.
+
+    Parameters
+    ----------
+    state : FleetState
+    relay : FleetRelay
+    decode_call : callable
+        ``(method, target, headers) -> CallFacts``; raises ValueError.
+    """
+
+    def __init__(self, state, relay, decode_call):
+        self._state = state
+        self._relay = relay
+        self._decode_call = decode_call
+        self.running = 0
+
+    async def __call__(self, scope, receive, send):
+        """Handle one request."""
+        arrived_ms = self._state.now_ms()
+        caller = FleetCaller(scope, send, lambda: self._state.stopping)
+        self.running += 1
+        try:
+            inbound = await self._read(scope, receive, caller, arrived_ms)
+            if inbound is not None:
+                await self._serve(inbound, receive)
+        except CallerGone:
+            return
+        finally:
+            self.running -= 1
+
+    async def _read(self, scope, receive, caller, arrived_ms):
+        target = scope.get(TARGET) or scope["raw_path"]
+        try:
+            facts = self._decode_call(scope["method"], target, scope["headers"])
+        except ValueError as error:
+            await caller.refuse(Refusal(400, "invalid_head", str(error)))
+            return None
+        limit = self._body_limit()
+        stated = dict(scope["headers"]).get(b"content-length")
+        if stated is not None and int(stated) > limit:
+            await self._refuse_body(caller, receive, limit)
+            return None
+        body = bytearray()
+        more = True
+        while more:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise CallerGone
+            body += message.get("body", b"")
+            more = message.get("more_body", False)
+            if len(body) > limit:
+                await self._refuse_body(caller, receive, limit)
+                return None
+        return InboundCall(
+            facts, target, scope["headers"], bytes(body), arrived_ms, caller
+        )
+
+    def _body_limit(self):
+        configuration = self._state.configuration
+        return (4 << 20) if configuration is None else configuration.limits.body_bytes
+
+    async def _refuse_body(self, caller, receive, limit):
+        """Refuse a body, and read on so that the answer is not lost in a reset."""
+        refusal = Refusal(413, "body_too_large", f"the body exceeds {limit} bytes")
+        left = DISCARD_BYTES
+        try:
+            async with asyncio.timeout(DISCARD_MS / 1000):
+                while left > 0:
+                    message = await receive()
+                    left -= len(message.get("body", b""))
+                    if not message.get("more_body", False):
+                        break
+        except TimeoutError:
+            pass
+        await caller.refuse(refusal, close=True)
+
+    async def _serve(self, inbound, receive):
+        """Serve a request, and stop as soon as its caller leaves."""
+        task = asyncio.current_task()
+        watcher = asyncio.create_task(self._watch(receive, task, inbound.caller))
+        try:
+            await self._relay.serve(inbound)
+        except asyncio.CancelledError:
+            if not watcher.done():
+                raise
+            # The caller left; there is nobody to answer.
+            task.uncancel()
+        finally:
+            watcher.cancel()
+
+    async def _watch(self, receive, task, caller):
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        if not caller.finished:
+            task.cancel()
--- /dev/null
+++ b/cassiamount/fleet_node.py
@@ -0,0 +1,259 @@
+"""One VM in front of a fleet: its parts, their wiring, its start and its stop."""
+
+import asyncio
+import random
+
+import structlog
+
+from .backend_channel import ChannelPool
+from .fleet_edge import FleetEdge, FleetProtocol
+from .fleet_relay import FleetRelay
+from .fleet_state import FleetState
+from .metadata_store import BACKENDS, CONFIGURATION, VMS, StoreUnavailable
+from .metrics import Metrics
+from .order_lease import OrderLease
+from .order_runner import OrderRunner
+from .peer_exchange import PeerExchange
+from .replica_choice import PrefixMemory, ReplicaChoice
+from .serving import EdgeServer, open_listener
+from .store_follower import StoreFollower
+from .supervisor import Supervisor
+
+# Interval at which the silence of peers and stores is judged.
+REVIEW_MS = 100.0
+# The balancer stops sending after two of its probes, one a second.
+BALANCER_MS = 2_600.0
+# Time kept before the end of the grace for closing everything.
+CLOSE_MS = 700.0
+ANNOUNCE_RETRY_MS = 500.0
+
+log = structlog.get_logger()
+
+
+class PlatformParts:
+    """What a node needs of a platform's adapter.
+
+    Parameters
+    ----------
+    store : object
+        Client of the metadata store.
+    engines : object
+        Client of the engines.
+    decoder : object
+        `configuration` and `backend`.
+    codec : object
+        `decode_call`, `encode_call`, `decode_answer` and `answer_headers`.
+    """
+
+    __slots__ = ("store", "engines", "decoder", "codec")
+
+    def __init__(self, store, engines, decoder, codec):
+        self.store = store
+        self.engines = engines
+        self.decoder = decoder
+        self.codec = codec
+
+
+class FleetNode:
+    """All parts of one VM.
+
+    Parameters
+    ----------
+    settings : VmSettings
+    platform : PlatformParts
+    clock : SystemClock or ManualClock
+    """
+
+    def __init__(self, settings, platform, clock):
+        self._settings = settings
+        self._platform = platform
+        self._clock = clock
+        self._metrics = Metrics()
+        self.state = FleetState(settings, platform.decoder, clock, clock.wall_ms())
+        self._exchange = PeerExchange(
+            settings.peer_address,
+            self.state.peers,
+            self.state.build_report,
+            self._on_report,
+            clock,
+        )
+        lease = OrderLease(
+            settings.order_turn_ms, settings.first_start, clock.monotonic_ms()
+        )
+        self._orders = OrderRunner(
+            self.state,
+            platform.store,
+            platform.engines,
+            lease,
+            self._exchange,
+            self._metrics,
+        )
+        self._pool = ChannelPool(platform.codec.decode_answer, clock)
+        prefixes = PrefixMemory()
+        choice = ReplicaChoice(self.state.view, settings.zone, prefixes)
+        self._relay = FleetRelay(
+            self.state,
+            choice,
+            self._pool,
+            platform.codec,
+            prefixes,
+            self._metrics,
+            log,
+            random.Random(),
+            self._ask_holder,
+        )
+        self._edge = FleetEdge(self.state, self._relay, platform.codec.decode_call)
+        self._stop = asyncio.Event()
+        self._servers = {}
+
+    def request_stop(self):
+        """Begin a planned stop."""
+        self._stop.set()
+
+    def _on_report(self, report):
+        waiting = bool(report.waiting)
+        self.state.on_report(report)
+        if waiting:
+            self._orders.wake()
+
+    def _ask_holder(self):
+        """Tell the holder of the orders that requests wait."""
+        now_ms = self._clock.monotonic_ms()
+        if self.state.lease.holds(now_ms):
+            self._orders.wake()
+            return
+        holder = self.state.peers.holder(now_ms)
+        if holder is not None:
+            self._exchange.exchange_soon(holder.vm)
+
+    def _on_store_change(self, stream):
+        if stream == CONFIGURATION:
+            self._exchange.exchange_soon()
+
+    async def run(self):
+        """Run until a stop is requested or an essential part fails for good."""
+        await self._platform.store.start()
+        await self._platform.engines.start()
+        await self._exchange.start()
+        await self._start_servers()
+        log.info(
+            "started", zone=self._settings.zone, first_start=self._settings.first_start
+        )
+        supervisor = Supervisor("vm", self._clock)
+        for stream in (CONFIGURATION, BACKENDS):
+            follower = StoreFollower(
+                stream, self._platform.store, self.state, self._on_store_change
+            )
+            supervisor.add(f"follow-{stream}", follower.run)
+        supervisor.add("announce", self._announce)
+        supervisor.add("exchange", self._exchange.run)
+        supervisor.add("lease", self._orders.renew)
+        supervisor.add("orders", self._orders.run)
+        supervisor.add("review", self._review)
+        running = asyncio.create_task(supervisor.run())
+        stopping = asyncio.create_task(self._stop.wait())
+        try:
+            await asyncio.wait([running, stopping], return_when=asyncio.FIRST_COMPLETED)
+            if running.done():
+                running.result()
+            await self._drain()
+        finally:
+            running.cancel()
+            stopping.cancel()
+            await self._close()
+
+    async def _start_servers(self):
+        for name, address, application, protocol in (
+            ("ready", self._settings.ready_address, self._ready_app, FleetProtocol),
+            ("callers", self._settings.caller_address, self._edge, FleetProtocol),
+        ):
+            host, _, port = address.rpartition(":")
+            server = EdgeServer(
+                application,
+                open_listener(host, int(port)),
+                self._metrics,
+                base_protocol=protocol,
+            )
+            await server.start()
+            self._servers[name] = server
+        if self._settings.free_ports:
+            server = EdgeServer(
+                self._metrics_app,
+                open_listener(self._settings.ip, self._settings.free_ports[0]),
+                self._metrics,
+            )
+            await server.start()
+            self._servers["metrics"] = server
+
+    def ready(self):
+        """Return whether callers should be sent here."""
+        state = self.state
+        return (
+            not state.stopping
+            and state.configuration is not None
+            and state.keys.admits(state.now_ms())
+            and bool(state.view.backends)
+        )
+
+    async def _ready_app(self, scope, receive, send):
+        status = 200 if self.ready() else 503
+        await _respond(send, status, b"ready" if status == 200 else b"not ready")
+
+    async def _metrics_app(self, scope, receive, send):
+        await _respond(send, 200, self._metrics.render().encode())
+
+    async def _announce(self):
+        """Tell the platform where this VM is, and learn where the others are."""
+        table = self.state.peers
+        for address in self._settings.seed_addresses:
+            if address != self._settings.peer_address:
+                table.addresses[f"seed {address}"] = address
+        while True:
+            try:
+                await self._platform.store.put(
+                    VMS,
+                    self._settings.vm_name,
+                    self._settings.peer_address.encode(),
+                )
+                page = await self._platform.store.newest(VMS)
+                break
+            except StoreUnavailable as error:
+                log.info("announcement_failed", error=str(error))
+                await asyncio.sleep(ANNOUNCE_RETRY_MS / 1000)
+        for record in page.records:
+            if record.value is not None and record.key != self._settings.vm_name:
+                table.addresses.setdefault(record.key, record.value.decode())
+
+    async def _review(self):
+        while True:
+            await asyncio.sleep(REVIEW_MS / 1000)
+            self.state.review_peers()
+
+    async def _drain(self):
+        """Finish what callers were promised, and stop taking more."""
+        log.info("stopping", running=self._edge.running)
+        self.state.stopping = True
+        self._exchange.exchange_soon()
+        await self._orders.release()
+        await asyncio.sleep(BALANCER_MS / 1000)
+        left_ms = self._settings.grace_s * 1000 - BALANCER_MS - CLOSE_MS
+        cut = await self._servers["callers"].stop(left_ms)
+        log.info("stopped", requests_cut_off=cut)
+
+    async def _close(self):
+        for name, server in self._servers.items():
+            if name != "callers":
+                await server.stop(100.0)
+        self._pool.close()
+        await self._exchange.close()
+        await self._platform.engines.close()
+        await self._platform.store.close()
+
+
+async def _respond(send, status, body):
+    headers = [
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (b"content-length", b"%d" % len(body)),
+    ]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/cassiamount/fleet_placement.py
@@ -0,0 +1,605 @@
+"""Which models and adapters the engines of a fleet should hold, decided by one VM."""
+
+import math
+
+from .fleet_orders import target_of
+from .invariants import MEMORY_NOT_OVERCOMMITTED, require
+
+# Running and waiting requests for which one copy is wanted, as a share of the slots.
+COPY_SHARE = 0.4
+# A model with this many running and waiting requests gets a second copy, so that the
+# loss of an engine does not stop it.
+SECOND_COPY_LOAD = 3.0
+# A model that nobody asked for since then is free to go.
+IDLE_MS = 2_500.0
+# A model stays this long after its load, so that two models do not take turns.
+STAY_MS = 2_000.0
+# Time that a request is at an engine until the engines' own times are known.
+STREAM_MS = 1_500.0
+# Time constant of the rate at which a model is asked for.
+RATE_WINDOW_MS = 1_500.0
+# Time constant with which a past peak of the load is forgotten.
+PEAK_DECAY_MS = 4_000.0
+# Time that running requests need to end before a model can be unloaded.
+DRAIN_MS = 1_500.0
+# Time within which an unload without running requests is done and known.
+UNLOAD_MS = 150.0
+# Cost of taking the place of a model that is still asked for, in ms of delay.
+USED_VICTIM_COST_MS = 1_500.0
+LAST_COPY_COST_MS = 700.0
+# Cost of a second copy in a zone that has one.
+SAME_ZONE_COST_MS = 300.0
+# Cost of each request that runs on the engine.
+RUNNING_COST_MS = 15.0
+# Weight-store loads that may begin at once.
+STORE_BURST = 2.0
+# The platform's list shows what an engine held this long ago or later.
+LIST_LAG_MS = 3_500.0
+# A failed change of an engine is not tried again sooner.
+RETRY_MS = 500.0
+
+
+class StoreLoads:
+    """Limits loads from the weight store.
+
+    Parameters
+    ----------
+    full : bool
+        Whether no other VM can have begun loads a moment ago.
+    """
+
+    __slots__ = ("rate_per_s", "_level", "_at_ms")
+
+    def __init__(self, full, now_ms):
+        self.rate_per_s = 1.0
+        self._level = STORE_BURST if full else 0.0
+        self._at_ms = now_ms
+
+    def wait_ms(self, now_ms):
+        """Return the time until a load may begin."""
+        self._advance(now_ms)
+        if self._level >= 1.0:
+            return 0.0
+        return 1000 * (1.0 - self._level) / self.rate_per_s
+
+    def take(self, now_ms):
+        """Count a load that begins."""
+        self._advance(now_ms)
+        self._level -= 1.0
+
+    def _advance(self, now_ms):
+        gained = (now_ms - self._at_ms) * self.rate_per_s / 1000
+        self._level = min(STORE_BURST, self._level + max(0.0, gained))
+        self._at_ms = now_ms
+
+
+class EngineBelief:
+    """What the holder of the orders believes about one engine.
+
+    Parameters
+    ----------
+    record : BackendRecord
+    """
+
+    __slots__ = (
+        "record",
+        "orders",
+        "ordered_ms",
+        "ready",
+        "loading",
+        "drained",
+        "in_memory",
+        "on_disk",
+        "change",
+        "retry_ms",
+        "adapter_used_ms",
+        "adapters_coming",
+        "adapters_leaving",
+        "loaded_ms",
+        "order_lock",
+    )
+
+    def __init__(self, record):
+        self.record = record
+        # Orders accepted since the engine's start; None until it was asked.
+        self.orders = None
+        self.ordered_ms = -math.inf
+        self.ready = {name: set(held) for name, held in record.residents.items()}
+        # Model -> time at which its load should be done.
+        self.loading = {}
+        self.drained = set()
+        self.in_memory = frozenset(record.in_memory)
+        self.on_disk = frozenset(record.on_disk)
+        self.change = None
+        self.retry_ms = 0.0
+        self.adapter_used_ms = {}
+        # (model, adapter) -> time at which it should be there; None before its order.
+        self.adapters_coming = {}
+        # (model, adapter) pairs whose unload was decided.
+        self.adapters_leaving = set()
+        # Model -> time at which it was loaded.
+        self.loaded_ms = {}
+        # Set by the task that sends the orders; the policy does not use it.
+        self.order_lock = None
+
+    def on_report(self, report):
+        """Take what the engine says, unless orders were accepted since."""
+        if self.orders is not None and report.orders < self.orders:
+            return False
+        self.orders = report.orders
+        residents = {name: set(held) for name, held in report.residents.items()}
+        for target in report.pending:
+            # It was accepted, and reports are older than the load of an adapter.
+            model, _, adapter = target.partition("/")
+            residents.setdefault(model, set()).add(adapter)
+        return self.on_residents(residents, report.in_memory, report.on_disk)
+
+    def on_record(self, record, now_ms):
+        """Take the platform's entry, unless it may be older than the last order."""
+        self.record = record
+        if (
+            self.change is None
+            and not self.adapters_coming
+            and now_ms - self.ordered_ms > LIST_LAG_MS
+        ):
+            self.on_residents(record.residents, record.in_memory, record.on_disk)
+
+    def on_residents(self, residents, in_memory, on_disk):
+        """Take what is there; return whether that is new."""
+        # Copies are evicted without an order, so only the engine's own word counts.
+        self.in_memory = frozenset(in_memory)
+        self.on_disk = frozenset(on_disk)
+        ready = {name: set(held) for name, held in residents.items()}
+        for name in ready:
+            self.loading.pop(name, None)
+        changed = ready != self.ready
+        self.ready = ready
+        self.drained &= set(ready)
+        return changed
+
+    def held_mb(self, models):
+        """Return the memory of all that is or may be there."""
+        total = 0.0
+        for name in self.ready.keys() | self.loading.keys():
+            rule = models.get(name)
+            if rule is None:
+                continue
+            total += rule.memory_mb
+        for name, _ in self.adapters():
+            if name in models:
+                total += models[name].adapter_mb
+        return total
+
+    def adapters(self):
+        """Return the (model, adapter) pairs that are there or on their way."""
+        held = {
+            (name, adapter) for name, all_ in self.ready.items() for adapter in all_
+        }
+        return held | self.adapters_coming.keys()
+
+
+class Change:
+    """Replaces models of an engine by another one.
+
+    Parameters
+    ----------
+    engine : str
+    model : str
+        Loaded last.
+    victims : tuple of str
+        Unloaded before.
+    reason : str
+    from_store : bool
+    eta_ms : float
+        When the model should be ready.
+    """
+
+    __slots__ = ("engine", "model", "victims", "reason", "from_store", "eta_ms")
+
+    def __init__(self, engine, model, victims, reason, from_store, eta_ms):
+        self.engine = engine
+        self.model = model
+        self.victims = victims
+        self.reason = reason
+        self.from_store = from_store
+        self.eta_ms = eta_ms
+
+
+class AdapterChange:
+    """Loads an adapter, after the unload of another one if that is needed."""
+
+    __slots__ = ("engine", "model", "adapter", "victim")
+
+    def __init__(self, engine, model, adapter, victim):
+        self.engine = engine
+        self.model = model
+        self.adapter = adapter
+        self.victim = victim
+
+
+class ModelDemand:
+    """Load of one model over all VMs.
+
+    A request that is refused because the model is missing neither runs nor waits, so
+    the rate at which the model is asked for counts too.
+    """
+
+    __slots__ = (
+        "running",
+        "waiting",
+        "peak",
+        "asked_ms",
+        "at_ms",
+        "total",
+        "rate_per_s",
+    )
+
+    def __init__(self, now_ms, total):
+        self.running = 0
+        self.waiting = 0
+        self.peak = 0.0
+        self.asked_ms = -math.inf
+        self.at_ms = now_ms
+        self.total = total
+        self.rate_per_s = 0.0
+
+    def update(self, running, waiting, total, now_ms):
+        """Take the current numbers of requests, and all that came so far."""
+        elapsed_ms = now_ms - self.at_ms
+        if elapsed_ms <= 0:
+            return
+        self.at_ms = now_ms
+        self.running = running
+        self.waiting = waiting
+        arrived = max(0, total - self.total)
+        self.total = total
+        kept = math.exp(-elapsed_ms / RATE_WINDOW_MS)
+        self.rate_per_s = kept * self.rate_per_s + 1000 * arrived / RATE_WINDOW_MS
+        load = max(running + waiting, self.rate_per_s * STREAM_MS / 1000)
+        self.peak = max(load, self.peak * math.exp(-elapsed_ms / PEAK_DECAY_MS))
+        if running or waiting or arrived:
+            self.asked_ms = now_ms
+
+
+class FleetPlacement:
+    """Plans the changes of the engines of one service.
+
+    Parameters
+    ----------
+    service : str
+    engine_rule : EngineRule
+    full : bool
+        Whether loads from the weight store may begin at once.
+    now_ms : float
+    """
+
+    def __init__(self, service, engine_rule, full, now_ms):
+        self.service = service
+        self.rule = engine_rule
+        self.engines = {}
+        self.store_loads = StoreLoads(full, now_ms)
+        self.store_loads.rate_per_s = engine_rule.loads_per_s
+        self._demand = {}
+        self._adapter_waiting = {}
+        self._running = {}
+
+    def set_rule(self, rule):
+        """Take the service's engine limits of a new configuration."""
+        self.rule = rule
+        self.store_loads.rate_per_s = rule.loads_per_s
+
+    def set_engines(self, records, now_ms):
+        """Take the platform's list of this service's engines.
+
+        Parameters
+        ----------
+        records : dict of str to BackendRecord
+        now_ms : float
+        """
+        for name in set(self.engines) - set(records):
+            del self.engines[name]
+        for name, record in records.items():
+            belief = self.engines.get(name)
+            if belief is None or (
+                belief.record.started_wall_ms != record.started_wall_ms
+            ):
+                self.engines[name] = EngineBelief(record)
+                continue
+            belief.on_record(record, now_ms)
+
+    def set_demand(self, running, waiting, asked, now_ms):
+        """Take the requests of all VMs.
+
+        Parameters
+        ----------
+        running : dict of str to dict of str to int
+            Engine -> model or adapter -> requests that are there.
+        waiting : dict of str to int
+            Model or adapter -> requests that wait for it.
+        asked : dict of str to int
+            Model -> requests that came so far.
+        """
+        self._running = running
+        by_model = {}
+        for engine, targets in running.items():
+            belief = self.engines.get(engine)
+            for target, count in targets.items():
+                model, _, adapter = target.partition("/")
+                by_model[model] = by_model.get(model, 0) + count
+                if adapter and belief is not None:
+                    belief.adapter_used_ms[(model, adapter)] = now_ms
+        waits = {}
+        self._adapter_waiting = {}
+        for target, count in waiting.items():
+            model, _, adapter = target.partition("/")
+            waits[model] = waits.get(model, 0) + count
+            if adapter:
+                self._adapter_waiting[(model, adapter)] = count
+        for name in self.rule.models:
+            total = asked.get(name, 0)
+            demand = self._demand.get(name)
+            if demand is None:
+                demand = self._demand[name] = ModelDemand(now_ms - 1, total)
+            demand.update(by_model.get(name, 0), waits.get(name, 0), total, now_ms)
+
+    def plan(self, now_ms):
+        """Return the changes to begin now.
+
+        Returns
+        -------
+        list of (Change or AdapterChange)
+        """
+        changes = self._plan_missing(now_ms)
+        changes += self._plan_copies(now_ms)
+        changes += self._plan_adapters(now_ms)
+        return changes
+
+    def copies(self, model):
+        """Return the engines that hold a model or are loading it."""
+        return [
+            belief
+            for belief in self.engines.values()
+            if not belief.record.leaving
+            and model not in belief.drained
+            and (
+                model in belief.ready
+                or model in belief.loading
+                or (belief.change is not None and belief.change.model == model)
+            )
+        ]
+
+    def wanted_copies(self, model, now_ms):
+        """Return for how many engines the model's demand is enough."""
+        demand = self._demand.get(model)
+        if demand is None or now_ms - demand.asked_ms > IDLE_MS:
+            return 0
+        load = demand.peak
+        copies = math.ceil(load / (COPY_SHARE * self.rule.slots))
+        if load >= SECOND_COPY_LOAD:
+            copies = max(2, copies)
+        return max(1, copies)
+
+    def _plan_missing(self, now_ms):
+        """Load models that are asked for and that nobody holds."""
+        missing = [
+            (demand.peak, name)
+            for name, demand in self._demand.items()
+            if now_ms - demand.asked_ms < IDLE_MS and not self.copies(name)
+        ]
+        changes = []
+        for _, name in sorted(missing, reverse=True):
+            change = self._best_change(name, "missing", now_ms, urgent=True)
+            if change is not None:
+                changes.append(self._begin(change, now_ms))
+        return changes
+
+    def _plan_copies(self, now_ms):
+        """Add copies of models whose demand is more than their copies serve."""
+        short = []
+        for name in self._demand:
+            missing = self.wanted_copies(name, now_ms) - len(self.copies(name))
+            if missing > 0:
+                short.append((missing, self._demand[name].peak, name))
+        changes = []
+        for _, _, name in sorted(short, reverse=True):
+            change = self._best_change(name, "demand", now_ms, urgent=False)
+            if change is not None:
+                changes.append(self._begin(change, now_ms))
+        return changes
+
+    def _begin(self, change, now_ms):
+        belief = self.engines[change.engine]
+        belief.change = change
+        belief.drained |= set(change.victims)
+        if change.from_store:
+            self.store_loads.take(now_ms)
+        return change
+
+    def _best_change(self, model, reason, now_ms, urgent):
+        best = None
+        rule = self.rule.models[model]
+        zones = {belief.record.zone for belief in self.copies(model)}
+        for belief in self.engines.values():
+            if (
+                belief.record.leaving
+                or belief.change is not None
+                or now_ms < belief.retry_ms
+                or model in belief.ready
+            ):
+                continue
+            victims = self._victims(belief, rule, now_ms, urgent)
+            if victims is None:
+                continue
+            load_ms, from_store = self._load_ms(belief, rule)
+            wait_ms = self.store_loads.wait_ms(now_ms) if from_store else 0.0
+            if wait_ms > 0 and (not urgent or wait_ms > 1_000):
+                continue
+            eta_ms = load_ms + wait_ms
+            cost = eta_ms + RUNNING_COST_MS * self._requests(belief)
+            if belief.record.zone in zones:
+                cost += SAME_ZONE_COST_MS
+            for victim in victims:
+                running = self._running_of(belief, victim)
+                eta_ms += DRAIN_MS if running else UNLOAD_MS
+                cost += (DRAIN_MS if running else UNLOAD_MS) + self._victim_cost(
+                    victim, now_ms
+                )
+            if wait_ms > 0:
+                continue
+            if best is None or cost < best[0]:
+                best = (cost, belief, victims, from_store, eta_ms)
+        if best is None:
+            return None
+        _, belief, victims, from_store, eta_ms = best
+        return Change(
+            belief.record.name,
+            model,
+            tuple(victims),
+            reason,
+            from_store,
+            now_ms + eta_ms,
+        )
+
+    def _load_ms(self, belief, rule):
+        if rule.name in belief.in_memory:
+            return rule.host_load_ms, False
+        if rule.name in belief.on_disk:
+            return rule.disk_load_ms, False
+        return rule.load_ms, True
+
+    def _victims(self, belief, rule, now_ms, urgent):
+        """Return what to unload so that a model fits, or None."""
+        limit_mb = self.rule.memory_mb
+        free_mb = limit_mb - belief.held_mb(self.rule.models)
+        if free_mb >= rule.memory_mb:
+            return []
+        ranked = []
+        for name in belief.ready:
+            if name in belief.drained or name not in self.rule.models:
+                continue
+            if now_ms - belief.loaded_ms.get(name, -math.inf) < STAY_MS:
+                continue
+            spare = len(self.copies(name)) > max(1, self.wanted_copies(name, now_ms))
+            demand = self._demand.get(name)
+            idle_ms = math.inf if demand is None else now_ms - demand.asked_ms
+            running = self._running_of(belief, name)
+            if not urgent and not spare and idle_ms < 2 * IDLE_MS:
+                continue
+            if urgent and not spare and (running or idle_ms < IDLE_MS / 5):
+                continue
+            ranked.append((self._victim_cost(name, now_ms), running, name))
+        victims = []
+        for _, _, name in sorted(ranked):
+            victims.append(name)
+            held = len(belief.ready[name])
+            free_mb += self.rule.models[name].memory_mb
+            free_mb += self.rule.models[name].adapter_mb * held
+            if free_mb >= rule.memory_mb:
+                return victims
+        return None
+
+    def _victim_cost(self, name, now_ms):
+        wanted = self.wanted_copies(name, now_ms)
+        copies = len(self.copies(name))
+        if copies > max(1, wanted):
+            return 0.0
+        demand = self._demand.get(name)
+        idle_ms = math.inf if demand is None else now_ms - demand.asked_ms
+        cost = USED_VICTIM_COST_MS * math.exp(-idle_ms / 5_000)
+        return cost + (LAST_COPY_COST_MS if copies <= 1 else 0.0)
+
+    def _requests(self, belief):
+        return sum(self._running.get(belief.record.name, {}).values())
+
+    def _running_of(self, belief, model):
+        targets = self._running.get(belief.record.name, {})
+        return sum(
+            count
+            for target, count in targets.items()
+            if target.partition("/")[0] == model
+        )
+
+    def _plan_adapters(self, now_ms):
+        changes = []
+        for (model, adapter), waiting in self._adapter_waiting.items():
+            if not waiting:
+                continue
+            change = self._adapter_change(model, adapter, now_ms)
+            if change is not None:
+                belief = self.engines[change.engine]
+                belief.adapters_coming[(model, adapter)] = None
+                if change.victim is not None:
+                    belief.adapters_leaving.add(change.victim)
+                changes.append(change)
+        return changes
+
+    def _adapter_change(self, model, adapter, now_ms):
+        best = None
+        for belief in self.engines.values():
+            if belief.record.leaving or model in belief.drained:
+                continue
+            if (model, adapter) in belief.adapters_coming:
+                return None
+            if adapter in belief.ready.get(model, ()) and (
+                (model, adapter) not in belief.adapters_leaving
+            ):
+                return None
+            # An engine takes no order for an adapter while it carries out another.
+            if model not in belief.ready or belief.change is not None:
+                continue
+            victim = self._adapter_victim(belief, model)
+            if victim is None:
+                continue
+            cost = self._requests(belief) + (10 if victim else 0)
+            if best is None or cost < best[0]:
+                best = (cost, belief, victim)
+        if best is None:
+            return None
+        _, belief, victim = best
+        return AdapterChange(belief.record.name, model, adapter, victim or None)
+
+    def _adapter_victim(self, belief, model):
+        """Return the adapter to unload, () if none has to, None if none can."""
+        rule = self.rule
+        held = len(belief.adapters() - belief.adapters_leaving)
+        free_mb = rule.memory_mb - belief.held_mb(rule.models)
+        needed_mb = rule.models[model].adapter_mb
+        if held < rule.max_adapters and free_mb >= needed_mb:
+            return ()
+        running = self._running.get(belief.record.name, {})
+        candidates = [
+            (belief.adapter_used_ms.get((name, adapter), 0.0), name, adapter)
+            for name, adapters in belief.ready.items()
+            for adapter in adapters
+            if not running.get(target_of(name, adapter))
+            and (name, adapter) not in belief.adapters_leaving
+            and not self._adapter_waiting.get((name, adapter))
+        ]
+        for _, name, adapter in sorted(candidates):
+            if free_mb + rule.models[name].adapter_mb >= needed_mb:
+                return (name, adapter)
+        return None
+
+    def check_memory(self, belief, model, adapter):
+        """Check that a load fits with all that is there or was ordered."""
+        rules = self.rule.models
+        models = belief.ready.keys() | belief.loading.keys()
+        adapters = {
+            pair
+            for pair in belief.adapters()
+            if belief.adapters_coming.get(pair, 0) is not None
+        }
+        if adapter:
+            adapters.add((model, adapter))
+        else:
+            models |= {model}
+        held_mb = sum(rules[name].memory_mb for name in models if name in rules)
+        held_mb += sum(rules[name].adapter_mb for name, _ in adapters if name in rules)
+        require(
+            held_mb <= self.rule.memory_mb
+            and (not adapter or len(adapters) <= self.rule.max_adapters),
+            MEMORY_NOT_OVERCOMMITTED,
+            engine=belief.record.name,
+            held_mb=held_mb,
+            adapters=len(adapters),
+        )
--- /dev/null
+++ b/cassiamount/fleet_state.py
@@ -0,0 +1,377 @@
+"""The state of one VM in front of a fleet, fed by its tasks."""
+
+import structlog
+
+from .fleet_reports import Residency, StreamPosition, StreamRecords, VmReport
+from .fleet_view import FleetView
+from .key_freshness import Freshness, KeyFreshness
+from .metadata_store import BACKENDS, CONFIGURATION, CONFIGURATION_KEY, KeyedView
+from .peer_table import PeerTable
+from .shared_quota import SharedQuota
+from .shared_retries import SharedRetries
+
+# Records are relayed to a peer that is behind for longer than a read of its own takes.
+RELAY_AFTER_MS = 300.0
+# After the store was out of reach, an entry that vanished may come back.
+RETURN_WINDOW_MS = 4_000.0
+RETURN_GRACE_MS = 900.0
+
+log = structlog.get_logger()
+
+
+class FleetState:
+    """What one VM knows, and what changes when it learns something.
+
+    Parameters
+    ----------
+    settings : VmSettings
+    decoder : object
+        `configuration(bytes)` and `backend(name, bytes)`; both raise ValueError.
+    clock : SystemClock or ManualClock
+    started_ms : int
+        Wall-clock time of this VM's start.
+    """
+
+    def __init__(self, settings, decoder, clock, started_ms):
+        self.settings = settings
+        self.clock = clock
+        self.configuration = None
+        self.view = FleetView()
+        self.peers = PeerTable(settings.vm_name)
+        self.quota = SharedQuota(settings.first_start)
+        self.retries = SharedRetries(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s * 1000
+        )
+        self.keys = KeyFreshness(settings.key_limit_ms)
+        self.backends_proof = Freshness()
+        self.streams = {CONFIGURATION: KeyedView(), BACKENDS: KeyedView()}
+        self.store_reachable = False
+        self.store_failed_ms = -float("inf")
+        self.stopping = False
+        self.waiting = {}
+        self.asked = {}
+        self.listeners = []
+        self.lease = None
+        self.last_order_ms = None
+        self.own_residency = None
+        self._decoder = decoder
+        self._started_ms = started_ms
+        self._records = {}
+        self._unreadable = {}
+        self._vanished = {}
+
+    def now_ms(self):
+        """Return the time by which everything here is judged."""
+        return self.clock.monotonic_ms()
+
+    def notify(self):
+        """Tell the listeners that something changed that requests may wait for."""
+        for listener in self.listeners:
+            listener()
+
+    # The store.
+
+    def proof_of(self, stream):
+        """Return the `Freshness` of a stream."""
+        return self.keys if stream == CONFIGURATION else self.backends_proof
+
+    def on_store_answer(self, reached):
+        """Note whether the store answered."""
+        now_ms = self.now_ms()
+        if reached != self.store_reachable:
+            log.info("store_reached" if reached else "store_lost")
+        self.store_reachable = reached
+        if not reached:
+            self.store_failed_ms = now_ms
+
+    def on_records(self, stream, source, records, from_offset, next_offset):
+        """Take records of a stream that were read or came from a peer.
+
+        Parameters
+        ----------
+        stream, source : str
+        records : list of KeyedRecord
+        from_offset : int or None
+            None for a complete read of the newest records.
+        next_offset : int
+        """
+        view = self.streams[stream]
+        if from_offset is None:
+            changed = view.reload(records, next_offset)
+        else:
+            changed = view.apply(records, from_offset, next_offset)
+        if not changed:
+            return
+        if stream == CONFIGURATION:
+            self._take_configuration(source)
+        else:
+            self._take_backends()
+
+    def _take_configuration(self, source):
+        known = self.streams[CONFIGURATION].values.get(CONFIGURATION_KEY)
+        if known is None:
+            return
+        offset, data = known
+        try:
+            configuration = self._decoder.configuration(data)
+        except ValueError as error:
+            log.error("configuration_unreadable", offset=offset, error=str(error))
+            return
+        before = self.configuration
+        if before is not None and configuration.version <= before.version:
+            return
+        self.configuration = configuration
+        self.quota.set_teams(configuration.teams, self.now_ms())
+        log.info(
+            "configuration_taken",
+            version=configuration.version,
+            before=None if before is None else before.version,
+            offset=offset,
+            source=source,
+            routes=configuration.routes.count,
+        )
+        self.notify()
+
+    def _take_backends(self):
+        now_ms = self.now_ms()
+        records = {}
+        for name, (offset, data) in self.streams[BACKENDS].values.items():
+            known = self._records.get(name)
+            if known is not None and known[0] == offset:
+                record = known[1]
+            else:
+                record = self._decode_backend(name, offset, data, known)
+            if record is not None:
+                records[name] = record
+        unstable = now_ms - self.store_failed_ms < RETURN_WINDOW_MS
+        for name, known in self._records.items():
+            if name in records or known[1] is None:
+                continue
+            since_ms = self._vanished.setdefault(name, now_ms)
+            if unstable and now_ms - since_ms < RETURN_GRACE_MS:
+                records[name] = known[1]
+        for name in list(self._vanished):
+            if name in self.streams[BACKENDS].values:
+                del self._vanished[name]
+            elif name not in records:
+                del self._vanished[name]
+                self._records.pop(name, None)
+        for name in self.view.replace(records):
+            view = self.view.backends.get(name)
+            log.info(
+                "backend_changed",
+                backend=name,
+                state="gone" if view is None else "leaving" if view.leaving else "live",
+                service="" if view is None else view.record.service,
+            )
+        self._merge_residency()
+        self.notify()
+
+    def review_vanished(self):
+        """Drop backend servers whose entries did not come back."""
+        if self._vanished:
+            self._take_backends()
+
+    def _decode_backend(self, name, offset, data, known):
+        try:
+            record = self._decoder.backend(name, data)
+        except ValueError as error:
+            if self._unreadable.get(name) != offset:
+                self._unreadable[name] = offset
+                log.warning("backend_entry_unreadable", backend=name, error=str(error))
+            # What was known of the server still holds.
+            return None if known is None else known[1]
+        if known is not None and known[1] is not None:
+            before = known[1]
+            if record.started_wall_ms < before.started_wall_ms:
+                return before
+        self._records[name] = (offset, record)
+        return record
+
+    # Peers.
+
+    def on_report(self, report):
+        """Take a report of a peer."""
+        now_ms = self.now_ms()
+        before = self.peers.peers.get(report.vm)
+        if not self.peers.on_report(report, now_ms):
+            return
+        if before is None:
+            log.info("peer_heard", peer=report.vm, address=report.address)
+        if report.stopping:
+            self.quota.forget_peer(report.vm)
+        else:
+            self.quota.on_peer(report.vm, report.started_ms, report.used_tokens, now_ms)
+        for stream, part in report.records.items():
+            if stream in self.streams:
+                self.on_records(
+                    stream, report.vm, part.records, part.from_offset, part.next_offset
+                )
+        for stream, position in report.positions.items():
+            view = self.streams.get(stream)
+            if (
+                view is not None
+                and view.next_offset is not None
+                and position.next_offset is not None
+                and position.age_ms is not None
+                and view.next_offset >= position.next_offset
+            ):
+                self.proof_of(stream).prove(now_ms - position.age_ms)
+        if report.residency is not None:
+            self._merge_residency()
+        self._count_peers()
+        self.notify()
+
+    def review_peers(self):
+        """Judge the silence of peers."""
+        now_ms = self.now_ms()
+        for name in self.peers.forget_old(now_ms):
+            log.info("peer_forgotten", peer=name)
+        share = self.quota.share
+        self.quota.review_peers(now_ms)
+        if self.quota.share != share:
+            log.info("quota_share_changed", share=self.quota.share, before=share)
+        self._count_peers()
+        self.review_vanished()
+
+    def _count_peers(self):
+        total = self.peers.running_elsewhere(self.now_ms())
+        for name, view in self.view.backends.items():
+            view.peer_requests = sum(total.get(name, {}).values())
+
+    def _merge_residency(self):
+        """Set what each engine holds: by the holder of the orders, else by the list."""
+        now_ms = self.now_ms()
+        residency, at_ms = self._holder_residency(now_ms)
+        for name, view in self.view.backends.items():
+            record = view.record
+            item = residency.get(name)
+            view.ready = {
+                model: frozenset(held) for model, held in record.residents.items()
+            }
+            view.coming = {}
+            view.drained = frozenset()
+            if item is None or item.started_wall_ms != record.started_wall_ms:
+                continue
+            view.coming = {t: at_ms + ms for t, ms in item.coming.items()}
+            view.drained = frozenset(item.drained)
+            view.ready = {model: frozenset(held) for model, held in item.ready.items()}
+
+    def _holder_residency(self, now_ms):
+        if self.own_residency is not None:
+            return self.own_residency, now_ms
+        holder = self.peers.holder(now_ms)
+        if holder is None or holder.residency is None:
+            return {}, now_ms
+        return holder.residency, self.peers.peers[holder.vm].heard_ms
+
+    def set_own_residency(self, residency):
+        """Take what this VM knows as the holder; None if it is not."""
+        self.own_residency = residency
+        self._merge_residency()
+        self.notify()
+
+    def build_report(self, peer):
+        """Return the `VmReport` for a peer.
+
+        Parameters
+        ----------
+        peer : VmReport or None
+            The peer's last report.
+        """
+        now_ms = self.now_ms()
+        fence = 0
+        if self.lease is not None and self.lease.holds(now_ms):
+            fence = self.lease.generation
+        age_ms = None if self.last_order_ms is None else now_ms - self.last_order_ms
+        return VmReport(
+            vm=self.settings.vm_name,
+            zone=self.settings.zone,
+            address=self.settings.peer_address,
+            started_ms=self._started_ms,
+            stopping=self.stopping,
+            store_reachable=self.store_reachable,
+            positions={
+                name: StreamPosition(view.next_offset, self._age_ms(name, now_ms))
+                for name, view in self.streams.items()
+            },
+            records={} if peer is None else self._records_for(peer),
+            running={
+                name: view.own_by_model
+                for name, view in self.view.backends.items()
+                if view.own_by_model
+            },
+            waiting={name: count for name, count in self.waiting.items() if count},
+            asked=self.asked,
+            used_tokens=self.quota.used_tokens(),
+            fence=fence,
+            order_age_ms=age_ms,
+            residency=self.own_residency if fence else None,
+        )
+
+    def _age_ms(self, stream, now_ms):
+        proof = self.proof_of(stream)
+        return None if proof.proved_ms is None else now_ms - proof.proved_ms
+
+    def _records_for(self, peer):
+        parts = {}
+        for name, view in self.streams.items():
+            position = peer.positions.get(name)
+            if position is None or view.next_offset is None:
+                continue
+            if position.next_offset is not None:
+                if position.next_offset >= view.next_offset:
+                    continue
+                records = view.since(position.next_offset)
+                if records is not None:
+                    parts[name] = StreamRecords(
+                        position.next_offset, view.next_offset, records
+                    )
+                    continue
+            parts[name] = StreamRecords(None, view.next_offset, view.all_records())
+        return parts
+
+    def running(self):
+        """Return requests of all VMs: backend server -> target -> count."""
+        total = self.peers.running_elsewhere(self.now_ms())
+        for name, view in self.view.backends.items():
+            sums = total.setdefault(name, {})
+            for target, count in view.own_by_model.items():
+                sums[target] = sums.get(target, 0) + count
+        return total
+
+    def all_asked(self):
+        """Return requests that came to any VM since its start, by model."""
+        total = dict(self.asked)
+        for peer in self.peers.peers.values():
+            for model, count in peer.report.asked.items():
+                total[model] = total.get(model, 0) + count
+        return total
+
+    def note_asked(self, model):
+        """Count a request for a model."""
+        self.asked[model] = self.asked.get(model, 0) + 1
+
+    def all_waiting(self):
+        """Return requests that wait on any VM, by model or adapter."""
+        total = self.peers.waiting_elsewhere(self.now_ms())
+        for target, count in self.waiting.items():
+            if count:
+                total[target] = total.get(target, 0) + count
+        return total
+
+
+def residency_of(belief, now_ms):
+    """Return the `Residency` of an engine as the holder believes it."""
+    coming = {name: max(0.0, at - now_ms) for name, at in belief.loading.items()}
+    if belief.change is not None:
+        coming[belief.change.model] = max(0.0, belief.change.eta_ms - now_ms)
+    for (model, adapter), at_ms in belief.adapters_coming.items():
+        left_ms = 0.0 if at_ms is None else at_ms - now_ms
+        coming[f"{model}/{adapter}"] = max(0.0, left_ms)
+    return Residency(
+        belief.record.started_wall_ms,
+        {name: sorted(held) for name, held in belief.ready.items()},
+        coming,
+        sorted(belief.drained),
+    )
--- /dev/null
+++ b/cassiamount/fleet_view.py
@@ -0,0 +1,186 @@
+"""Backend servers as one VM sees them: loads, outcomes, residents, who leaves."""
+
+from collections import deque
+
+from .invariants import LEAVING_BACKEND_IDLE, require
+
+# Outcomes older than this say nothing about a backend server's health.
+OUTCOME_WINDOW_MS = 4_000.0
+# Failures in the window without which a share says nothing.
+MIN_FAILURES = 3
+# A backend server is avoided at this share of failures, if the others of its service
+# fail at less than half of its share.
+FAILURE_SHARE = 0.25
+# An avoided backend server is tried again after this time.
+AVOID_MS = 3_000.0
+# After connections could not be opened.
+UNREACHABLE_AVOID_MS = 700.0
+# Weight of a new sample in averages.
+SAMPLE_WEIGHT = 0.1
+
+
+class BackendView:
+    """What one VM knows about one backend server.
+
+    Parameters
+    ----------
+    record : BackendRecord
+    """
+
+    __slots__ = (
+        "record",
+        "leaving",
+        "own_requests",
+        "peer_requests",
+        "service_ms",
+        "first_ms",
+        "avoided_until_ms",
+        "missing",
+        "ready",
+        "coming",
+        "drained",
+        "own_by_model",
+        "_outcomes",
+        "_failures",
+    )
+
+    def __init__(self, record):
+        self.record = record
+        self.leaving = record.leaving
+        self.own_requests = 0
+        self.peer_requests = 0
+        self.service_ms = None
+        self.first_ms = None
+        self.avoided_until_ms = 0.0
+        # (model, adapter) -> time until which the server is known not to hold it.
+        self.missing = {}
+        # Model -> its adapters that are there.
+        self.ready = record.residents
+        # Model or adapter -> time at which it should be there.
+        self.coming = {}
+        # Models that are about to be unloaded.
+        self.drained = frozenset()
+        self.own_by_model = {}
+        self._outcomes = deque()
+        self._failures = 0
+
+    @property
+    def load(self):
+        """Requests of all VMs that are at the backend server."""
+        return self.own_requests + self.peer_requests
+
+    def note_outcome(self, failed, now_ms):
+        """Count an attempt that succeeded or failed."""
+        self._outcomes.append((now_ms, failed))
+        self._failures += failed
+
+    def failure_share(self, now_ms):
+        """Return the share of failures, 0 if there are only few."""
+        while self._outcomes and self._outcomes[0][0] < now_ms - OUTCOME_WINDOW_MS:
+            self._failures -= self._outcomes.popleft()[1]
+        if self._failures < MIN_FAILURES:
+            return 0.0
+        return self._failures / len(self._outcomes)
+
+    def note_times(self, first_ms, service_ms):
+        """Take the times of a finished attempt into the averages."""
+        self.first_ms = _average(self.first_ms, first_ms)
+        self.service_ms = _average(self.service_ms, service_ms)
+
+
+def _average(known, sample):
+    return sample if known is None else known + SAMPLE_WEIGHT * (sample - known)
+
+
+class FleetView:
+    """All backend servers that this VM may use or has heard of."""
+
+    def __init__(self):
+        self.backends = {}
+        self._by_service = {}
+
+    def replace(self, records):
+        """Take the platform's list of backend servers.
+
+        Parameters
+        ----------
+        records : dict of str to BackendRecord
+
+        Returns
+        -------
+        list of str
+            Names that appeared, restarted, left or vanished.
+        """
+        changed = []
+        for name in list(self.backends):
+            if name not in records:
+                self.backends[name].leaving = True
+                del self.backends[name]
+                changed.append(name)
+        for name, record in records.items():
+            known = self.backends.get(name)
+            if known is None or known.record.started_wall_ms != record.started_wall_ms:
+                self.backends[name] = BackendView(record)
+                changed.append(name)
+                continue
+            if known.leaving != record.leaving:
+                changed.append(name)
+            known.record = record
+            # A server that began to leave does not come back under the same start.
+            known.leaving = known.leaving or record.leaving
+        self._by_service = {}
+        for view in self.backends.values():
+            self._by_service.setdefault(view.record.service, []).append(view)
+        return changed
+
+    def of_service(self, service):
+        """Return the views of a service's backend servers."""
+        return self._by_service.get(service, ())
+
+    def usable(self, service, now_ms, exclude=()):
+        """Return the views of the backend servers that may get a request.
+
+        Those with failures are left out while others do better.
+        """
+        views = [
+            view
+            for view in self.of_service(service)
+            if not view.leaving and view.record.name not in exclude
+        ]
+        healthy = [view for view in views if view.avoided_until_ms <= now_ms]
+        return healthy or views
+
+    def note_sent(self, name, model):
+        """Count a request that is about to be sent."""
+        view = self.backends.get(name)
+        require(
+            view is not None and not view.leaving, LEAVING_BACKEND_IDLE, backend=name
+        )
+        view.own_requests += 1
+        view.own_by_model[model] = view.own_by_model.get(model, 0) + 1
+        return view
+
+    def note_ended(self, view, model):
+        """Count the end of a request."""
+        view.own_requests -= 1
+        left = view.own_by_model.get(model, 1) - 1
+        if left > 0:
+            view.own_by_model[model] = left
+        else:
+            view.own_by_model.pop(model, None)
+
+    def note_outcome(self, view, failed, now_ms):
+        """Count an outcome and avoid a backend server that fails more than others."""
+        view.note_outcome(failed, now_ms)
+        share = view.failure_share(now_ms)
+        if share < FAILURE_SHARE:
+            return False
+        others = [
+            other.failure_share(now_ms)
+            for other in self.of_service(view.record.service)
+            if other is not view and not other.leaving
+        ]
+        if others and min(others) * 2 < share and view.avoided_until_ms <= now_ms:
+            view.avoided_until_ms = now_ms + AVOID_MS
+            return True
+        return False
--- /dev/null
+++ b/cassiamount/order_runner.py
@@ -0,0 +1,399 @@
+"""Holds the right to order engines, plans their changes and carries them out."""
+
+import asyncio
+
+import structlog
+
+from .background import BackgroundTasks
+from .fleet_orders import (
+    ACCEPTED,
+    CONFLICT,
+    FENCED,
+    HELD,
+    INVALID,
+    LOAD,
+    OTHER_INSTANCE,
+    UNLOAD,
+    EngineOrder,
+    target_of,
+)
+from .fleet_placement import RETRY_MS, AdapterChange, FleetPlacement
+from .fleet_state import residency_of
+from .metadata_store import StoreUnavailable
+from .order_lease import LEASE_MS, RENEW_MS
+
+# Pause between two plans when nothing asks for one sooner.
+PLAN_MS = 100.0
+# Time that the other VMs need to hear that a model is about to be unloaded.
+DRAIN_NOTICE_MS = 60.0
+# Pause between reports while a change is under way.
+REPORT_MS = 120.0
+# A load that is not there this long after it was due has failed.
+OVERDUE_MS = 6_000.0
+# An adapter is there this long after its order, unless it is seen sooner.
+ADAPTER_MS = 14.0
+ORDER_TRIES = 6
+# Reports of engines are as of up to this long ago.
+REPORT_LAG_MS = 130.0
+TRY_PAUSE_MS = 40.0
+
+log = structlog.get_logger()
+
+
+class OrderRefused(Exception):
+    """An order was not carried out; the change ends."""
+
+
+class OrderRunner:
+    """The tasks of the VM that holds the right to order.
+
+    Parameters
+    ----------
+    state : FleetState
+    store, engines : object
+        Clients of the platform.
+    lease : OrderLease
+    exchange : PeerExchange
+    metrics : Metrics
+    """
+
+    def __init__(self, state, store, engines, lease, exchange, metrics):
+        self._state = state
+        self._store = store
+        self._engines = engines
+        self._lease = lease
+        self._exchange = exchange
+        self._metrics = metrics
+        self._placements = {}
+        self._tasks = BackgroundTasks()
+        self._wake = asyncio.Event()
+        self._acting = False
+        state.lease = lease
+
+    def wake(self):
+        """Plan at once: requests wait for something."""
+        self._wake.set()
+
+    async def renew(self):
+        """Keep asking for the lease."""
+        member = self._state.settings.vm_name
+        while not self._state.stopping:
+            sent_ms = self._state.now_ms()
+            try:
+                answer = await self._store.join_lease(
+                    member, LEASE_MS, self._lease.generation
+                )
+                if self._lease.on_answer(answer, sent_ms, self._state.now_ms()):
+                    log.info(
+                        "order_lease_taken" if answer.holds else "order_lease_lost",
+                        fence=answer.generation,
+                    )
+            except StoreUnavailable as error:
+                log.debug("lease_not_renewed", error=str(error))
+            await asyncio.sleep(RENEW_MS / 1000)
+
+    async def release(self):
+        """Give the lease up at a planned stop."""
+        self._lease.release()
+        try:
+            await self._store.leave_lease(self._state.settings.vm_name)
+        except StoreUnavailable as error:
+            log.info("lease_not_released", error=str(error))
+
+    async def run(self):
+        """Plan while this VM holds the right to order."""
+        while True:
+            try:
+                async with asyncio.timeout(PLAN_MS / 1000):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            if not self._lease.may_order(self._state.now_ms()):
+                self._stop_acting()
+                continue
+            self._acting = True
+            self._plan()
+
+    def _stop_acting(self):
+        if self._acting:
+            self._acting = False
+            self._placements.clear()
+            self._tasks.cancel()
+            self._state.set_own_residency(None)
+
+    def _plan(self):
+        configuration = self._state.configuration
+        if configuration is None:
+            return
+        now_ms = self._state.now_ms()
+        running = self._state.running()
+        waiting = self._state.all_waiting()
+        asked = self._state.all_asked()
+        for service in configuration.services.values():
+            if service.engine is None:
+                continue
+            placement = self._placement(service, now_ms)
+            placement.set_engines(
+                {
+                    view.record.name: view.record
+                    for view in self._state.view.of_service(service.name)
+                },
+                now_ms,
+            )
+            placement.set_demand(running, waiting, asked, now_ms)
+            for change in placement.plan(now_ms):
+                self._begin(placement, change)
+        self._publish()
+
+    def _placement(self, service, now_ms):
+        placement = self._placements.get(service.name)
+        if placement is None:
+            placement = self._placements[service.name] = FleetPlacement(
+                service.name, service.engine, self._state.settings.first_start, now_ms
+            )
+        elif placement.rule is not service.engine:
+            placement.set_rule(service.engine)
+        return placement
+
+    def _begin(self, placement, change):
+        belief = placement.engines[change.engine]
+        if isinstance(change, AdapterChange):
+            self._tasks.start(self._load_adapter(placement, belief, change))
+            return
+        log.info(
+            "placement_change",
+            engine=change.engine,
+            model=change.model,
+            victims=list(change.victims),
+            reason=change.reason,
+            from_store=change.from_store,
+            eta_ms=round(change.eta_ms - self._state.now_ms()),
+        )
+        self._tasks.start(self._change(placement, belief, change))
+
+    def _publish(self):
+        """Let all VMs know what the engines hold."""
+        if not self._acting:
+            return
+        now_ms = self._state.now_ms()
+        residency = {
+            belief.record.name: residency_of(belief, now_ms)
+            for placement in self._placements.values()
+            for belief in placement.engines.values()
+        }
+        before = self._state.own_residency
+        self._state.set_own_residency(residency)
+        if before is None or _differs(before, residency):
+            self._exchange.exchange_soon()
+
+    async def _change(self, placement, belief, change):
+        try:
+            self._publish()
+            if change.victims:
+                await asyncio.sleep(DRAIN_NOTICE_MS / 1000)
+            for victim in change.victims:
+                await self._unload(placement, belief, victim)
+            await self._load(placement, belief, change)
+        except OrderRefused as error:
+            belief.retry_ms = self._state.now_ms() + RETRY_MS
+            log.info(
+                "placement_change_failed",
+                engine=change.engine,
+                model=change.model,
+                reason=str(error),
+            )
+        finally:
+            belief.ordered_ms = self._state.now_ms()
+            belief.change = None
+            belief.loading.pop(change.model, None)
+            belief.drained -= set(change.victims)
+            self._publish()
+            self.wake()
+
+    async def _unload(self, placement, belief, victim):
+        if victim not in belief.ready:
+            return
+        await self._order(placement, belief, UNLOAD, victim, "")
+        belief.ready.pop(victim, None)
+        await self._until(placement, belief, lambda ready: victim not in ready, 0.0)
+
+    async def _load(self, placement, belief, change):
+        model = change.model
+        rule = placement.rule.models[model]
+        known = belief.in_memory, belief.on_disk
+        load_ms = rule.load_ms
+        if model in known[0]:
+            load_ms = rule.host_load_ms
+        elif model in known[1]:
+            load_ms = rule.disk_load_ms
+        belief.loading[model] = self._state.now_ms() + load_ms
+        await self._order(placement, belief, LOAD, model, "")
+        due_ms = self._state.now_ms() + load_ms
+        belief.loading[model] = change.eta_ms = due_ms
+        self._metrics.count("model_loads_total", reason=change.reason)
+        self._publish()
+        await asyncio.sleep(load_ms * 0.9 / 1000)
+        await self._until(placement, belief, lambda ready: model in ready, due_ms)
+        belief.loaded_ms[model] = self._state.now_ms()
+        log.info(
+            "model_ready",
+            engine=change.engine,
+            model=model,
+            late_ms=round(self._state.now_ms() - due_ms),
+        )
+
+    async def _until(self, placement, belief, reached, due_ms):
+        """Wait until an engine reports what was ordered."""
+        overdue_ms = max(due_ms, self._state.now_ms()) + OVERDUE_MS
+        while self._state.now_ms() < overdue_ms:
+            report = await self._engines.report(
+                belief.record.name, belief.record.address
+            )
+            if report is not None and not report.busy:
+                belief.on_report(report)
+                if report.orders >= belief.orders and reached(report.residents):
+                    return
+            if belief.record.name not in placement.engines:
+                raise OrderRefused("engine gone")
+            await asyncio.sleep(REPORT_MS / 1000)
+        raise OrderRefused("not done in time")
+
+    async def _load_adapter(self, placement, belief, change):
+        key = (change.model, change.adapter)
+        try:
+            if change.victim is not None:
+                name, adapter = change.victim
+                await self._order(placement, belief, UNLOAD, name, adapter)
+                belief.ready.get(name, set()).discard(adapter)
+            await self._order(placement, belief, LOAD, change.model, change.adapter)
+            belief.adapters_coming[key] = self._state.now_ms() + ADAPTER_MS
+            await asyncio.sleep(ADAPTER_MS / 1000)
+            if change.model in belief.ready:
+                belief.ready[change.model].add(change.adapter)
+                belief.adapter_used_ms[key] = self._state.now_ms()
+        except OrderRefused as error:
+            log.info(
+                "adapter_load_failed",
+                engine=change.engine,
+                adapter=target_of(*key),
+                reason=str(error),
+            )
+            await asyncio.sleep(TRY_PAUSE_MS / 1000)
+        finally:
+            belief.ordered_ms = self._state.now_ms()
+            belief.adapters_coming.pop(key, None)
+            belief.adapters_leaving.discard(change.victim)
+            self._publish()
+            self.wake()
+
+    async def _order(self, placement, belief, action, model, adapter):
+        """Send an order until the engine accepts it or it cannot be accepted.
+
+        Each order names how many the engine accepted before, so that of an order
+        without an answer and its repetition only one is carried out.
+        """
+        if belief.order_lock is None:
+            belief.order_lock = asyncio.Lock()
+        async with belief.order_lock:
+            if belief.orders is None:
+                await self._resync(belief)
+            for _ in range(ORDER_TRIES):
+                if belief.orders is None:
+                    raise OrderRefused("engine does not report")
+                belief.ordered_ms = self._state.now_ms()
+                if action == LOAD:
+                    placement.check_memory(belief, model, adapter)
+                    if adapter:
+                        due_ms = belief.ordered_ms + ADAPTER_MS
+                        belief.adapters_coming[(model, adapter)] = due_ms
+                answer = await self._send(placement, belief, action, model, adapter)
+                if answer == ACCEPTED:
+                    belief.orders += 1
+                    return
+                if answer == HELD:
+                    # The unload of an unused adapter is done at once, and counts.
+                    if action == UNLOAD and adapter in belief.ready.get(model, ()):
+                        belief.orders += 1
+                    return
+                if answer in (FENCED, INVALID, OTHER_INSTANCE):
+                    raise OrderRefused(answer)
+                expected = belief.orders
+                if answer == CONFLICT:
+                    # Reports lag; one from before the last order would mislead.
+                    await asyncio.sleep(REPORT_LAG_MS / 1000)
+                    belief.orders = None
+                report = await self._resync(belief)
+                if report is not None and report.orders > expected:
+                    if _took_effect(report, action, model, adapter):
+                        return
+                if answer == CONFLICT and (report is None or report.busy):
+                    raise OrderRefused("engine busy")
+                await asyncio.sleep(TRY_PAUSE_MS / 1000)
+            raise OrderRefused("not accepted")
+
+    async def _send(self, placement, belief, action, model, adapter):
+        now_ms = self._state.now_ms()
+        if not self._lease.may_order(now_ms):
+            raise OrderRefused("lease lost")
+        if placement.engines.get(belief.record.name) is not belief:
+            raise OrderRefused("engine gone")
+        self._state.last_order_ms = now_ms
+        order = EngineOrder(
+            belief.record.name,
+            belief.record.address,
+            action,
+            model,
+            adapter,
+            belief.orders,
+            self._state.settings.vm_name,
+            self._lease.generation,
+        )
+        answer = await self._engines.order(order)
+        log.info(
+            "order_answered",
+            engine=order.engine,
+            action=action,
+            target=target_of(model, adapter),
+            expected=order.expected_orders,
+            fence=order.fence,
+            answer=answer,
+            took_ms=round(self._state.now_ms() - now_ms, 1),
+        )
+        self._metrics.count("orders_total", action=action, answer=answer)
+        if answer == FENCED:
+            self._lease.on_fenced(order.fence)
+        return answer
+
+    async def _resync(self, belief):
+        """Ask an engine what it holds, and return its report."""
+        report = await self._engines.report(belief.record.name, belief.record.address)
+        if report is not None and not report.busy:
+            belief.on_report(report)
+        elif report is not None:
+            belief.orders = max(belief.orders or 0, report.orders)
+        return report
+
+
+def _took_effect(report, action, model, adapter):
+    """Return whether an order without an answer was accepted after all."""
+    if not adapter and report.busy:
+        return True
+    held = (
+        adapter in report.residents.get(model, ())
+        if adapter
+        else (model in report.residents)
+    )
+    held = held or target_of(model, adapter) in report.pending
+    return held if action == LOAD else not held
+
+
+def _differs(before, after):
+    if before.keys() != after.keys():
+        return True
+    return any(
+        before[name].ready != item.ready
+        or before[name].drained != item.drained
+        or before[name].coming.keys() != item.coming.keys()
+        for name, item in after.items()
+    )
--- /dev/null
+++ b/cassiamount/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: its names, formats and calls; it decides nothing."""
--- /dev/null
+++ b/cassiamount/platform/headers.py
@@ -0,0 +1,182 @@
+"""Names of the platform's headers, decoded into `CallFacts` and `AnswerFacts`."""
+
+from ..backend_messages import AnswerFacts
+from ..fleet import CallFacts
+
+REQUEST_ID = b"x-cassiamount-request-id"
+DEADLINE = b"x-cassiamount-deadline-ms"
+EXPECT_INSTANCE = b"x-cassiamount-expect-instance"
+TENANT = b"x-cassiamount-tenant"
+PRIORITY = b"x-cassiamount-request-priority"
+MODEL = b"x-cassiamount-model"
+TOKENS = b"x-cassiamount-token-usage"
+PREFIX = b"x-cassiamount-prefix-hash"
+NOT_RUN = b"x-cassiamount-not-executed"
+INSTANCE = b"x-cassiamount-instance-id"
+LOAD = b"x-cassiamount-server-load"
+SIGNATURE = b"x-cassiamount-server-signature"
+LAST_EVENT = b"last-event-id"
+
+# Headers that only the system sets; a caller's own are dropped.
+OWN_HEADERS = frozenset(
+    {
+        DEADLINE,
+        EXPECT_INSTANCE,
+        TENANT,
+        PRIORITY,
+        b"x-cassiamount-expect-version",
+        b"x-cassiamount-hold",
+        b"x-cassiamount-pin-ms",
+        b"x-cassiamount-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"authorization",
+    }
+)
+# Headers that concern one connection.
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+DROPPED = OWN_HEADERS | CONNECTION_HEADERS
+
+
+def decode_call(method, target, headers):
+    """Return the `CallFacts` of a request.
+
+    Parameters
+    ----------
+    method : str
+    target : bytes
+        Path and query as sent.
+    headers : list of (bytes, bytes)
+        Names in lower case.
+
+    Raises
+    ------
+    ValueError
+        If the head does not follow the platform's formats.
+    """
+    values = dict(headers)
+    model, _, adapter = values.get(MODEL, b"").decode("latin-1").partition("/")
+    prompt_tokens = output_tokens = None
+    if TOKENS in values:
+        counts = values[TOKENS].split(b",")
+        prompt_tokens, output_tokens = int(counts[0]), int(counts[1])
+        if prompt_tokens < 0 or output_tokens < 0:
+            raise ValueError("negative count of tokens")
+    patience = values.get(DEADLINE)
+    host = values.get(b"host", b"").decode("latin-1").lower()
+    return CallFacts(
+        values.get(REQUEST_ID, b"").decode("latin-1"),
+        method,
+        host.partition(":")[0] if host.count(":") == 1 else host,
+        target.partition(b"?")[0].decode("latin-1"),
+        _bearer(values.get(b"authorization", b"")),
+        None if patience is None else float(int(patience)),
+        model,
+        adapter,
+        prompt_tokens,
+        output_tokens,
+        _parts(values.get(PREFIX, b"")),
+        values.get(LAST_EVENT, b"").decode("latin-1"),
+    )
+
+
+def _bearer(value):
+    scheme, _, key = value.decode("latin-1").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _parts(value):
+    parts = []
+    for part in value.split(b","):
+        name, _, tokens = part.strip().partition(b":")
+        if name and tokens.isdigit():
+            parts.append((name.decode("latin-1"), int(tokens)))
+    return tuple(parts)
+
+
+def encode_call(method, target, headers, body, attempt):
+    """Return the bytes of a request to a backend server.
+
+    Parameters
+    ----------
+    method : str
+    target : bytes
+    headers : list of (bytes, bytes)
+        The caller's.
+    body : bytes
+    attempt : Attempt
+    """
+    named = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(item.strip().lower() for item in value.split(b","))
+    dropped = DROPPED | {
+        name for name in named if not name.startswith(b"x-cassiamount")
+    }
+    lines = [b"%b %b HTTP/1.1" % (method.encode("latin-1"), target)]
+    for name, value in headers:
+        if name in dropped or (attempt.last_event and name == LAST_EVENT):
+            continue
+        lines.append(b"%b: %b" % (name, value))
+    lines.append(b"%b: %d" % (DEADLINE, max(1, attempt.time_left_ms)))
+    lines.append(b"%b: %b" % (EXPECT_INSTANCE, attempt.backend.encode("latin-1")))
+    lines.append(b"%b: %d" % (PRIORITY, attempt.rank))
+    if attempt.team:
+        lines.append(b"%b: %b" % (TENANT, attempt.team.encode("latin-1")))
+    if attempt.last_event:
+        lines.append(b"%b: %b" % (LAST_EVENT, attempt.last_event.encode("latin-1")))
+    if body or method not in ("GET", "HEAD"):
+        lines.append(b"content-length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def decode_answer(status, headers):
+    """Return the `AnswerFacts` of a backend server's response head."""
+    values = dict(headers)
+    running = waiting = None
+    counts = values.get(LOAD, b"").split(b",")
+    if len(counts) == 3 and counts[0].isdigit() and counts[1].isdigit():
+        running, waiting = int(counts[0]), int(counts[1])
+    return AnswerFacts(
+        status,
+        values.get(REQUEST_ID, b"").decode("latin-1"),
+        NOT_RUN in values or status == 421,
+        SIGNATURE in values,
+        running,
+        waiting,
+        b"close" in values.get(b"connection", b"").lower(),
+        _idle_ms(values.get(b"keep-alive", b"")),
+        b"content-encoding" in values,
+        b"text/event-stream" in values.get(b"content-type", b""),
+    )
+
+
+def _idle_ms(value):
+    for item in value.split(b","):
+        name, _, seconds = item.strip().partition(b"=")
+        if name.lower() == b"timeout" and seconds.isdigit():
+            return 1000.0 * int(seconds)
+    return None
+
+
+# Headers of an answer that concern only the backend server's connection.
+ANSWER_DROPPED = CONNECTION_HEADERS - {b"content-length"} | {LOAD, INSTANCE}
+
+
+def answer_headers(headers):
+    """Return the headers of an answer that go on to the caller."""
+    return [(name, value) for name, value in headers if name not in ANSWER_DROPPED]
--- /dev/null
+++ b/cassiamount/platform/settings.py
@@ -0,0 +1,91 @@
+"""Decodes the platform's settings file."""
+
+import yaml
+from result import Err, Ok
+
+from ..findings import Finding
+from ..vm_settings import VmSettings
+
+# Environment variable that names the file.
+FILE_VARIABLE = "CASSIAMOUNT_NODE_FILE"
+
+# Path in the file -> (type, name of the field in `VmSettings`, default if any).
+REQUIRED = object()
+FIELDS = (
+    (("NodeName",), str, "vm_name", REQUIRED),
+    (("Zone",), str, "zone", REQUIRED),
+    (("Listen", "Frontend"), str, "caller_address", REQUIRED),
+    (("Listen", "Ready"), str, "ready_address", REQUIRED),
+    (("Listen", "Control"), str, "peer_address", REQUIRED),
+    (("Platform", "Address"), str, "store_address", REQUIRED),
+    (("Seeds",), list, "seed_addresses", ()),
+    (("PortRange",), list, "free_ports", ()),
+    (("Bootstrap",), bool, "first_start", False),
+    (("HeartbeatMs",), (int, float), "heartbeat_ms", 1_200),
+    (("Bounds", "DrainMs"), (int, float), "drain_ms", 2_000),
+    (("Bounds", "GraceS"), (int, float), "grace_s", 8),
+    (("Bounds", "RevokeMs"), (int, float), "key_limit_ms", None),
+    (("Bounds", "RetryBudgetRatio"), (int, float), "retry_ratio", 0.1),
+    (("Bounds", "BudgetWindowS"), (int, float), "retry_window_s", 10),
+    (("Bounds", "RetrySlack"), (int, float), "retry_slack", 10),
+    (("Bounds", "LeaseMs"), (int, float), "order_turn_ms", 3_000),
+    (("Platform", "MinTtlMs"), (int, float), "min_lease_ms", 1_000),
+)
+
+
+def decode_settings(text, file_name):
+    """Return the settings of this VM.
+
+    Parameters
+    ----------
+    text : str
+    file_name : str
+        For the places of findings.
+
+    Returns
+    -------
+    Result[VmSettings, list[Finding]]
+        All findings at once; unknown fields are ignored.
+    """
+    try:
+        document = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        line = 1 if mark is None else mark.line + 1
+        return Err([Finding(f"{file_name}:{line}:1", "not YAML")])
+    if not isinstance(document, dict):
+        return Err([Finding(f"{file_name}:1:1", "no table of fields")])
+    findings = []
+    values = {}
+    for path, kind, name, default in FIELDS:
+        value = _find(document, path)
+        place = f"{file_name}: {'.'.join(path)}"
+        if value is None:
+            if default is REQUIRED:
+                findings.append(Finding(place, "is missing"))
+            values[name] = default
+        elif not isinstance(value, kind) or (
+            isinstance(value, bool) and kind is not bool
+        ):
+            findings.append(Finding(place, f"is {value!r}, of a wrong type"))
+        else:
+            values[name] = value
+    for name in ("caller_address", "ready_address", "peer_address", "store_address"):
+        if isinstance(values.get(name), str) and not _is_address(values[name]):
+            findings.append(Finding(file_name, f"{values[name]!r} is no IP:port"))
+    if findings:
+        return Err(findings)
+    return Ok(VmSettings(**values))
+
+
+def _find(document, path):
+    for step in path:
+        if not isinstance(document, dict):
+            return None
+        document = document.get(step)
+    return document
+
+
+def _is_address(text):
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit() and 0 < int(port) < 65536
--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -175,6 +175,8 @@
     metrics : Metrics
     head_bytes : int
     max_connections : int
+    base_protocol : type
+        `CallerProtocol` or a class derived from it.
     """
 
     def __init__(
@@ -184,10 +186,11 @@
         metrics,
         head_bytes=16 << 10,
         max_connections=10_000,
+        base_protocol=CallerProtocol,
     ):
         protocol = type(
             "BoundCallerProtocol",
-            (CallerProtocol,),
+            (base_protocol,),
             {
                 "head_bytes": head_bytes,
                 "max_connections": max_connections,
--- /dev/null
+++ b/cassiamount/shared_quota.py
@@ -0,0 +1,164 @@
+"""Rate and burst of each team, kept by all VMs together without an owner.
+
+Each VM keeps the whole bucket of a team. It debits its own requests at once and those
+of the others when they report, a fraction of a second later. What the fleet may admit
+too much is what arrives within one report interval; while VMs do not hear each other,
+each side uses only its share of the rate.
+"""
+
+from .timing import DRIFT
+
+# A peer that was not heard for this long may be on the other side of a partition.
+SILENT_PEER_MS = 700.0
+# A peer that was silent for longer than this is taken for gone for good.
+GONE_PEER_MS = 20_000.0
+
+
+class TeamBucket:
+    """Level of one team's bucket; below 0 after others' late debits."""
+
+    __slots__ = ("level_tokens", "at_ms", "rate_tokens_per_s", "burst_tokens")
+
+    def __init__(self, rate_tokens_per_s, burst_tokens, now_ms, level_tokens):
+        self.rate_tokens_per_s = rate_tokens_per_s
+        self.burst_tokens = burst_tokens
+        self.level_tokens = level_tokens
+        self.at_ms = now_ms
+
+    def advance(self, now_ms, share):
+        """Refill up to `now_ms` with a share of the rate."""
+        elapsed_ms = max(0.0, now_ms - self.at_ms)
+        self.at_ms = now_ms
+        gained = self.rate_tokens_per_s * share * elapsed_ms / 1000 / (1 + DRIFT)
+        self.level_tokens = min(self.burst_tokens, self.level_tokens + gained)
+
+
+class SharedQuota:
+    """The buckets of all teams on one VM.
+
+    Parameters
+    ----------
+    full : bool
+        Whether buckets start full. Only at the first start of the whole system; a
+        restart must not give anyone a second burst.
+    """
+
+    def __init__(self, full):
+        self._full = full
+        self._buckets = {}
+        self._rules = {}
+        self._used = {}
+        self._peers = {}
+        self._share = 1.0
+
+    def set_teams(self, teams, now_ms):
+        """Take the teams' rates and bursts."""
+        self._rules = {
+            name: rule for name, rule in teams.items() if rule.rate_tokens_per_s > 0
+        }
+        for name in set(self._buckets) - set(self._rules):
+            del self._buckets[name]
+        for name, rule in self._rules.items():
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                level = rule.burst_tokens if self._full else 0.0
+                self._buckets[name] = TeamBucket(
+                    rule.rate_tokens_per_s, rule.burst_tokens, now_ms, level
+                )
+                continue
+            bucket.advance(now_ms, self._share)
+            bucket.rate_tokens_per_s = rule.rate_tokens_per_s
+            bucket.burst_tokens = rule.burst_tokens
+            bucket.level_tokens = min(bucket.level_tokens, rule.burst_tokens)
+
+    def charge(self, team, tokens, now_ms):
+        """Take tokens for a request.
+
+        Returns
+        -------
+        float
+            0 if they were taken, else the time in ms until they can be.
+        """
+        bucket = self._buckets.get(team)
+        if bucket is None:
+            return 0.0
+        bucket.advance(now_ms, self._share)
+        # A request larger than the burst needs a full bucket and leaves a debt.
+        needed = min(tokens, bucket.burst_tokens)
+        if bucket.level_tokens >= needed:
+            bucket.level_tokens -= tokens
+            self._used[team] = self._used.get(team, 0.0) + tokens
+            return 0.0
+        missing = needed - bucket.level_tokens
+        return max(1.0, 1000 * missing / (bucket.rate_tokens_per_s * self._share))
+
+    def give_back(self, team, tokens, now_ms):
+        """Return the tokens of a request that did not run."""
+        bucket = self._buckets.get(team)
+        if bucket is None:
+            return
+        bucket.advance(now_ms, self._share)
+        bucket.level_tokens = min(bucket.burst_tokens, bucket.level_tokens + tokens)
+        self._used[team] = self._used.get(team, 0.0) - tokens
+
+    def used_tokens(self):
+        """Return what this VM has taken since its start, by team."""
+        return dict(self._used)
+
+    def on_peer(self, peer, started, used, now_ms):
+        """Debit what a peer has taken since its last report.
+
+        Parameters
+        ----------
+        peer : str
+        started : int
+            Tells two starts of the peer apart.
+        used : dict of str to float
+            Taken since the peer's start, by team.
+        now_ms : float
+        """
+        known = self._peers.get(peer)
+        if known is not None:
+            before = known[1] if known[0] == started else {}
+        else:
+            # Unless all VMs start together, this is use from before this VM's start.
+            before = {} if self._full else used
+        for team, tokens in used.items():
+            bucket = self._buckets.get(team)
+            if bucket is not None:
+                bucket.advance(now_ms, self._share)
+                change = tokens - before.get(team, 0.0)
+                bucket.level_tokens = min(
+                    bucket.burst_tokens, bucket.level_tokens - change
+                )
+        self._peers[peer] = (started, dict(used), now_ms)
+        self.review_peers(now_ms)
+
+    def forget_peer(self, peer):
+        """Stop counting a peer that said that it leaves."""
+        self._peers.pop(peer, None)
+
+    def review_peers(self, now_ms):
+        """Set this side's share of the rate by the peers that are heard."""
+        for peer, (_, _, heard_ms) in list(self._peers.items()):
+            if now_ms - heard_ms > GONE_PEER_MS:
+                del self._peers[peer]
+        known = 1 + len(self._peers)
+        heard = 1 + sum(
+            now_ms - heard_ms <= SILENT_PEER_MS
+            for _, _, heard_ms in self._peers.values()
+        )
+        share = heard / known
+        if share == self._share:
+            return
+        for bucket in self._buckets.values():
+            bucket.advance(now_ms, self._share)
+            if share < self._share and bucket.level_tokens > 0:
+                # The other side sees the same level and may spend it too.
+                bucket.level_tokens *= share / self._share
+        self._share = share
+
+    @property
+    def share(self):
+        """Share of the rates that this side may use, 1 while all peers are heard."""
+        return self._share
--- /dev/null
+++ b/cassiamount/store_follower.py
@@ -0,0 +1,110 @@
+"""Follows a stream of the platform's store, or leaves that to another VM."""
+
+import asyncio
+
+import structlog
+
+from .metadata_store import CONFIGURATION, HistoryTrimmed, StoreUnavailable
+
+# The first VM by name reads each stream all the time; the others begin when what they
+# hear of it is older than this, one after the other.
+READ_AFTER_MS = {CONFIGURATION: 1_300.0}
+READ_AFTER_DEFAULT_MS = 900.0
+RANK_STEP_MS = 150.0
+MAX_RANK = 8
+# Longest wait of one read. A read that goes silent gives no error, so it bounds how
+# long a change can stay unknown.
+WAIT_MS = 700.0
+# Pause between reads of a stream that changes all the time.
+READ_PAUSE_MS = 200.0
+# Pause after the store failed.
+FAILURE_PAUSE_MS = 250.0
+CHECK_MS = 50.0
+
+log = structlog.get_logger()
+
+
+class StoreFollower:
+    """Keeps one stream of the state up to date.
+
+    Parameters
+    ----------
+    stream : str
+    store : object
+        The platform's store.
+    state : FleetState
+    on_change : callable
+        Called after new records, to tell the peers.
+    """
+
+    def __init__(self, stream, store, state, on_change):
+        self._stream = stream
+        self._store = store
+        self._state = state
+        self._on_change = on_change
+
+    async def run(self):
+        """Follow the stream."""
+        while True:
+            if not self._due():
+                await asyncio.sleep(CHECK_MS / 1000)
+                continue
+            try:
+                await self._read()
+            except HistoryTrimmed:
+                log.info("history_trimmed", stream=self._stream)
+                await self._reload_or_pause()
+            except StoreUnavailable as error:
+                self._failed(error)
+                await asyncio.sleep(FAILURE_PAUSE_MS / 1000)
+
+    def _due(self):
+        now_ms = self._state.now_ms()
+        age_ms = self._state.proof_of(self._stream).age_ms(now_ms)
+        rank = min(MAX_RANK, self._state.peers.rank(now_ms))
+        if rank == 0:
+            return True
+        limit_ms = READ_AFTER_MS.get(self._stream, READ_AFTER_DEFAULT_MS)
+        return age_ms > limit_ms + rank * RANK_STEP_MS
+
+    async def _read(self):
+        view = self._state.streams[self._stream]
+        if view.next_offset is None:
+            await self._reload()
+            return
+        sent_ms = self._state.now_ms()
+        from_offset = view.next_offset
+        page = await self._store.read(self._stream, from_offset, WAIT_MS)
+        self._state.on_store_answer(True)
+        self._state.on_records(
+            self._stream, "store", page.records, from_offset, page.next_offset
+        )
+        self._state.proof_of(self._stream).prove(sent_ms)
+        if page.records:
+            self._on_change(self._stream)
+            if self._stream != CONFIGURATION:
+                await asyncio.sleep(READ_PAUSE_MS / 1000)
+
+    async def _reload(self):
+        sent_ms = self._state.now_ms()
+        page = await self._store.newest(self._stream)
+        self._state.on_store_answer(True)
+        self._state.on_records(
+            self._stream, "store", page.records, None, page.next_offset
+        )
+        self._state.proof_of(self._stream).prove(sent_ms)
+        self._on_change(self._stream)
+        if not page.records:
+            await asyncio.sleep(FAILURE_PAUSE_MS / 1000)
+
+    async def _reload_or_pause(self):
+        try:
+            await self._reload()
+        except (StoreUnavailable, HistoryTrimmed) as error:
+            self._failed(error)
+            await asyncio.sleep(FAILURE_PAUSE_MS / 1000)
+
+    def _failed(self, error):
+        if self._state.store_reachable:
+            log.warning("store_failed", stream=self._stream, error=str(error))
+        self._state.on_store_answer(False)
