Rank changes of placement by the requests that they serve

Ruled out: too few slots (100 of 288 busy), quota, routing. Change: a change must gain more requests per second than its victims serve, small gains use at most half of the engines, demand counts arrivals and not only what waits; a holder goes on without the store while it hears the others, and a successor waits until it stops. An engine that a holder takes over is asked before the first order; a conflict makes it unknown again.

--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -11,7 +11,6 @@
 from .fleet_state import FleetState
 from .metadata_store import BACKENDS, CONFIGURATION, VMS, StoreUnavailable
 from .metrics import Metrics
-from .order_lease import OrderLease
 from .order_runner import OrderRunner
 from .peer_exchange import PeerExchange
 from .replica_choice import PrefixMemory, ReplicaChoice
@@ -77,14 +76,10 @@
             self._on_report,
             clock,
         )
-        lease = OrderLease(
-            settings.order_turn_ms, settings.first_start, clock.monotonic_ms()
-        )
         self._orders = OrderRunner(
             self.state,
             platform.store,
             platform.engines,
-            lease,
             self._exchange,
             self._metrics,
         )
@@ -119,7 +114,7 @@
     def _ask_holder(self):
         """Tell the holder of the orders that requests wait."""
         now_ms = self._clock.monotonic_ms()
-        if self.state.lease.holds(now_ms):
+        if self.state.lease.acting:
             self._orders.wake()
             return
         holder = self.state.peers.holder(now_ms)
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -5,38 +5,45 @@
 from .fleet_orders import target_of
 from .invariants import MEMORY_NOT_OVERCOMMITTED, require
 
-# Running and waiting requests for which one copy is wanted, as a share of the slots.
-COPY_SHARE = 0.4
+# Share of an engine's slots that one model's requests should use at most.
+COPY_SHARE = 0.5
 # A model with this many running and waiting requests gets a second copy, so that the
 # loss of an engine does not stop it.
-SECOND_COPY_LOAD = 3.0
-# A model that nobody asked for since then is free to go.
-IDLE_MS = 2_500.0
-# A model stays this long after its load, so that two models do not take turns.
-STAY_MS = 2_000.0
+SECOND_COPY_LOAD = 6.0
 # Time that a request is at an engine until the engines' own times are known.
 STREAM_MS = 1_500.0
-# Time constant of the rate at which a model is asked for.
-RATE_WINDOW_MS = 1_500.0
-# Time constant with which a past peak of the load is forgotten.
-PEAK_DECAY_MS = 4_000.0
+# Time constants of the rates at which a model is asked for: the fast one finds what is
+# needed now, the slow one what will soon be asked for again.
+FAST_WINDOW_MS = 1_500.0
+SLOW_WINDOW_MS = 10_000.0
+# A model that nobody asked for since then needs no copy.
+IDLE_MS = 4_000.0
+# A request without a copy that was asked for this long counts twice, and so on.
+AGING_MS = 3_000.0
+# A model stays this long after its load, so that two models do not take turns.
+STAY_MS = 1_500.0
+# A change must gain this many times what the models that make way lose.
+GAIN_RATIO = 1.5
+# Requests per second below which a change counts as a small one, and the share of the
+# engines that small changes may occupy at the same time.
+SMALL_GAIN_PER_S = 3.0
+SMALL_CHANGES_SHARE = 0.5
 # Time that running requests need to end before a model can be unloaded.
 DRAIN_MS = 1_500.0
 # Time within which an unload without running requests is done and known.
 UNLOAD_MS = 150.0
-# Cost of taking the place of a model that is still asked for, in ms of delay.
-USED_VICTIM_COST_MS = 1_500.0
-LAST_COPY_COST_MS = 700.0
 # Cost of a second copy in a zone that has one.
 SAME_ZONE_COST_MS = 300.0
 # Cost of each request that runs on the engine.
 RUNNING_COST_MS = 15.0
+# What the loss of one request per second is worth in ms of a load.
+LOSS_COST_MS = 1_000.0
 # Weight-store loads that may begin at once.
 STORE_BURST = 2.0
 # The platform's list shows what an engine held this long ago or later.
 LIST_LAG_MS = 3_500.0
 # A failed change of an engine is not tried again sooner.
-RETRY_MS = 500.0
+RETRY_MS = 300.0
 
 
 class StoreLoads:
@@ -97,6 +104,8 @@
         "adapters_leaving",
         "loaded_ms",
         "order_lock",
+        "asking",
+        "asked_ms",
     )
 
     def __init__(self, record):
@@ -119,8 +128,10 @@
         self.adapters_leaving = set()
         # Model -> time at which it was loaded.
         self.loaded_ms = {}
-        # Set by the task that sends the orders; the policy does not use it.
+        # Set by the task that sends the orders; the policy does not use these.
         self.order_lock = None
+        self.asking = False
+        self.asked_ms = -math.inf
 
     def on_report(self, report):
         """Take what the engine says, unless orders were accepted since."""
@@ -188,19 +199,20 @@
         Loaded last.
     victims : tuple of str
         Unloaded before.
-    reason : str
+    gain_per_s : float
+        Requests per second that it should serve.
     from_store : bool
     eta_ms : float
         When the model should be ready.
     """
 
-    __slots__ = ("engine", "model", "victims", "reason", "from_store", "eta_ms")
+    __slots__ = ("engine", "model", "victims", "gain_per_s", "from_store", "eta_ms")
 
-    def __init__(self, engine, model, victims, reason, from_store, eta_ms):
+    def __init__(self, engine, model, victims, gain_per_s, from_store, eta_ms):
         self.engine = engine
         self.model = model
         self.victims = victims
-        self.reason = reason
+        self.gain_per_s = gain_per_s
         self.from_store = from_store
         self.eta_ms = eta_ms
 
@@ -227,21 +239,24 @@
     __slots__ = (
         "running",
         "waiting",
-        "peak",
         "asked_ms",
         "at_ms",
         "total",
-        "rate_per_s",
+        "fast_per_s",
+        "slow_per_s",
+        "missing_ms",
     )
 
     def __init__(self, now_ms, total):
         self.running = 0
         self.waiting = 0
-        self.peak = 0.0
         self.asked_ms = -math.inf
         self.at_ms = now_ms
         self.total = total
-        self.rate_per_s = 0.0
+        self.fast_per_s = 0.0
+        self.slow_per_s = 0.0
+        # Since when it is asked for without a copy.
+        self.missing_ms = None
 
     def update(self, running, waiting, total, now_ms):
         """Take the current numbers of requests, and all that came so far."""
@@ -253,13 +268,27 @@
         self.waiting = waiting
         arrived = max(0, total - self.total)
         self.total = total
-        kept = math.exp(-elapsed_ms / RATE_WINDOW_MS)
-        self.rate_per_s = kept * self.rate_per_s + 1000 * arrived / RATE_WINDOW_MS
-        load = max(running + waiting, self.rate_per_s * STREAM_MS / 1000)
-        self.peak = max(load, self.peak * math.exp(-elapsed_ms / PEAK_DECAY_MS))
+        self.fast_per_s = _decayed(self.fast_per_s, arrived, elapsed_ms, FAST_WINDOW_MS)
+        self.slow_per_s = _decayed(self.slow_per_s, arrived, elapsed_ms, SLOW_WINDOW_MS)
         if running or waiting or arrived:
             self.asked_ms = now_ms
 
+    @property
+    def load(self):
+        """Requests that run or would run if there were room."""
+        expected = self.fast_per_s * STREAM_MS / 1000
+        return max(self.running + self.waiting, expected)
+
+    @property
+    def rate_per_s(self):
+        """Requests per second to count with."""
+        return max(self.fast_per_s, self.slow_per_s)
+
+
+def _decayed(rate_per_s, arrived, elapsed_ms, window_ms):
+    kept = math.exp(-elapsed_ms / window_ms)
+    return kept * rate_per_s + 1000 * arrived / window_ms
+
 
 class FleetPlacement:
     """Plans the changes of the engines of one service.
@@ -349,10 +378,7 @@
         -------
         list of (Change or AdapterChange)
         """
-        changes = self._plan_missing(now_ms)
-        changes += self._plan_copies(now_ms)
-        changes += self._plan_adapters(now_ms)
-        return changes
+        return self._plan_models(now_ms) + self._plan_adapters(now_ms)
 
     def copies(self, model):
         """Return the engines that hold a model or are loading it."""
@@ -373,40 +399,61 @@
         demand = self._demand.get(model)
         if demand is None or now_ms - demand.asked_ms > IDLE_MS:
             return 0
-        load = demand.peak
-        copies = math.ceil(load / (COPY_SHARE * self.rule.slots))
-        if load >= SECOND_COPY_LOAD:
+        copies = math.ceil(demand.load / (COPY_SHARE * self.rule.slots))
+        if demand.load >= SECOND_COPY_LOAD:
             copies = max(2, copies)
         return max(1, copies)
 
-    def _plan_missing(self, now_ms):
-        """Load models that are asked for and that nobody holds."""
-        missing = [
-            (demand.peak, name)
-            for name, demand in self._demand.items()
-            if now_ms - demand.asked_ms < IDLE_MS and not self.copies(name)
-        ]
-        changes = []
-        for _, name in sorted(missing, reverse=True):
-            change = self._best_change(name, "missing", now_ms, urgent=True)
-            if change is not None:
-                changes.append(self._begin(change, now_ms))
-        return changes
+    def gain_per_s(self, model, now_ms):
+        """Return the requests per second that one more copy would serve."""
+        demand = self._demand[model]
+        if now_ms - demand.asked_ms > IDLE_MS:
+            demand.missing_ms = None
+            return 0.0
+        copies = len(self.copies(model))
+        if not copies:
+            if demand.missing_ms is None:
+                demand.missing_ms = now_ms
+            aged = 1 + (now_ms - demand.missing_ms) / AGING_MS
+            return max(demand.rate_per_s, 0.1 * max(1, demand.waiting)) * aged
+        demand.missing_ms = None
+        wanted = self.wanted_copies(model, now_ms)
+        if wanted <= copies:
+            return 0.0
+        return max(demand.fast_per_s, demand.load * 1000 / STREAM_MS) / wanted
 
-    def _plan_copies(self, now_ms):
-        """Add copies of models whose demand is more than their copies serve."""
-        short = []
-        for name in self._demand:
-            missing = self.wanted_copies(name, now_ms) - len(self.copies(name))
-            if missing > 0:
-                short.append((missing, self._demand[name].peak, name))
+    def loss_per_s(self, model, now_ms):
+        """Return the requests per second that one copy serves."""
+        demand = self._demand.get(model)
+        if demand is None:
+            return 0.0
+        copies = len(self.copies(model))
+        if copies > max(1, self.wanted_copies(model, now_ms)):
+            return 0.0
+        return demand.rate_per_s / max(1, copies)
+
+    def _plan_models(self, now_ms):
+        """Change what gains most first."""
+        gains = [(self.gain_per_s(name, now_ms), name) for name in self._demand]
         changes = []
-        for _, _, name in sorted(short, reverse=True):
-            change = self._best_change(name, "demand", now_ms, urgent=False)
+        for gain_per_s, name in sorted(gains, reverse=True):
+            if gain_per_s <= 0:
+                break
+            if gain_per_s < SMALL_GAIN_PER_S and not self._small_allowed():
+                break
+            change = self._best_change(name, gain_per_s, now_ms)
             if change is not None:
                 changes.append(self._begin(change, now_ms))
         return changes
 
+    def _small_allowed(self):
+        live = [b for b in self.engines.values() if not b.record.leaving]
+        small = sum(
+            belief.change is not None and belief.change.gain_per_s < SMALL_GAIN_PER_S
+            for belief in live
+        )
+        return small < max(1, SMALL_CHANGES_SHARE * len(live))
+
     def _begin(self, change, now_ms):
         belief = self.engines[change.engine]
         belief.change = change
@@ -415,39 +462,29 @@
             self.store_loads.take(now_ms)
         return change
 
-    def _best_change(self, model, reason, now_ms, urgent):
+    def _best_change(self, model, gain_per_s, now_ms):
         best = None
         rule = self.rule.models[model]
         zones = {belief.record.zone for belief in self.copies(model)}
         for belief in self.engines.values():
-            if (
-                belief.record.leaving
-                or belief.change is not None
-                or now_ms < belief.retry_ms
-                or model in belief.ready
-            ):
+            if not self._changeable(belief, now_ms) or model in belief.ready:
                 continue
-            victims = self._victims(belief, rule, now_ms, urgent)
+            victims = self._victims(belief, rule, gain_per_s, now_ms)
             if victims is None:
                 continue
             load_ms, from_store = self._load_ms(belief, rule)
-            wait_ms = self.store_loads.wait_ms(now_ms) if from_store else 0.0
-            if wait_ms > 0 and (not urgent or wait_ms > 1_000):
+            if from_store and self.store_loads.wait_ms(now_ms) > 0:
                 continue
-            eta_ms = load_ms + wait_ms
-            cost = eta_ms + RUNNING_COST_MS * self._requests(belief)
+            eta_ms = load_ms
+            cost = RUNNING_COST_MS * self._requests(belief)
             if belief.record.zone in zones:
                 cost += SAME_ZONE_COST_MS
             for victim in victims:
                 running = self._running_of(belief, victim)
                 eta_ms += DRAIN_MS if running else UNLOAD_MS
-                cost += (DRAIN_MS if running else UNLOAD_MS) + self._victim_cost(
-                    victim, now_ms
-                )
-            if wait_ms > 0:
-                continue
-            if best is None or cost < best[0]:
-                best = (cost, belief, victims, from_store, eta_ms)
+                cost += LOSS_COST_MS * self.loss_per_s(victim, now_ms)
+            if best is None or cost + eta_ms < best[0]:
+                best = (cost + eta_ms, belief, victims, from_store, eta_ms)
         if best is None:
             return None
         _, belief, victims, from_store, eta_ms = best
@@ -455,11 +492,19 @@
             belief.record.name,
             model,
             tuple(victims),
-            reason,
+            gain_per_s,
             from_store,
             now_ms + eta_ms,
         )
 
+    def _changeable(self, belief, now_ms):
+        return (
+            not belief.record.leaving
+            and belief.orders is not None
+            and belief.change is None
+            and now_ms >= belief.retry_ms
+        )
+
     def _load_ms(self, belief, rule):
         if rule.name in belief.in_memory:
             return rule.host_load_ms, False
@@ -467,10 +512,9 @@
             return rule.disk_load_ms, False
         return rule.load_ms, True
 
-    def _victims(self, belief, rule, now_ms, urgent):
-        """Return what to unload so that a model fits, or None."""
-        limit_mb = self.rule.memory_mb
-        free_mb = limit_mb - belief.held_mb(self.rule.models)
+    def _victims(self, belief, rule, gain_per_s, now_ms):
+        """Return what to unload so that a model fits, or None if it is worth more."""
+        free_mb = self.rule.memory_mb - belief.held_mb(self.rule.models)
         if free_mb >= rule.memory_mb:
             return []
         ranked = []
@@ -479,35 +523,23 @@
                 continue
             if now_ms - belief.loaded_ms.get(name, -math.inf) < STAY_MS:
                 continue
-            spare = len(self.copies(name)) > max(1, self.wanted_copies(name, now_ms))
             demand = self._demand.get(name)
-            idle_ms = math.inf if demand is None else now_ms - demand.asked_ms
-            running = self._running_of(belief, name)
-            if not urgent and not spare and idle_ms < 2 * IDLE_MS:
-                continue
-            if urgent and not spare and (running or idle_ms < IDLE_MS / 5):
-                continue
-            ranked.append((self._victim_cost(name, now_ms), running, name))
+            asked_ms = -math.inf if demand is None else demand.asked_ms
+            loss = self.loss_per_s(name, now_ms)
+            ranked.append((loss, self._running_of(belief, name), asked_ms, name))
         victims = []
-        for _, _, name in sorted(ranked):
+        lost_per_s = 0.0
+        for loss, _, _, name in sorted(ranked):
+            lost_per_s += loss
+            if lost_per_s * GAIN_RATIO > gain_per_s:
+                return None
             victims.append(name)
-            held = len(belief.ready[name])
             free_mb += self.rule.models[name].memory_mb
-            free_mb += self.rule.models[name].adapter_mb * held
+            free_mb += self.rule.models[name].adapter_mb * len(belief.ready[name])
             if free_mb >= rule.memory_mb:
                 return victims
         return None
 
-    def _victim_cost(self, name, now_ms):
-        wanted = self.wanted_copies(name, now_ms)
-        copies = len(self.copies(name))
-        if copies > max(1, wanted):
-            return 0.0
-        demand = self._demand.get(name)
-        idle_ms = math.inf if demand is None else now_ms - demand.asked_ms
-        cost = USED_VICTIM_COST_MS * math.exp(-idle_ms / 5_000)
-        return cost + (LAST_COPY_COST_MS if copies <= 1 else 0.0)
-
     def _requests(self, belief):
         return sum(self._running.get(belief.record.name, {}).values())
 
@@ -545,7 +577,7 @@
             ):
                 return None
             # An engine takes no order for an adapter while it carries out another.
-            if model not in belief.ready or belief.change is not None:
+            if model not in belief.ready or not self._changeable(belief, now_ms):
                 continue
             victim = self._adapter_victim(belief, model)
             if victim is None:
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -6,6 +6,7 @@
 from .fleet_view import FleetView
 from .key_freshness import Freshness, KeyFreshness
 from .metadata_store import BACKENDS, CONFIGURATION, CONFIGURATION_KEY, KeyedView
+from .order_lease import OrderLease
 from .peer_table import PeerTable
 from .shared_quota import SharedQuota
 from .shared_retries import SharedRetries
@@ -35,6 +36,7 @@
     def __init__(self, settings, decoder, clock, started_ms):
         self.settings = settings
         self.clock = clock
+        now_ms = clock.monotonic_ms()
         self.configuration = None
         self.view = FleetView()
         self.peers = PeerTable(settings.vm_name)
@@ -51,7 +53,7 @@
         self.waiting = {}
         self.asked = {}
         self.listeners = []
-        self.lease = None
+        self.lease = OrderLease(settings.order_turn_ms, settings.first_start, now_ms)
         self.last_order_ms = None
         self.own_residency = None
         self._decoder = decoder
@@ -280,9 +282,7 @@
             The peer's last report.
         """
         now_ms = self.now_ms()
-        fence = 0
-        if self.lease is not None and self.lease.holds(now_ms):
-            fence = self.lease.generation
+        fence = self.lease.generation if self.may_order() else 0
         age_ms = None if self.last_order_ms is None else now_ms - self.last_order_ms
         return VmReport(
             vm=self.settings.vm_name,
@@ -331,6 +331,13 @@
             parts[name] = StreamRecords(None, view.next_offset, view.all_records())
         return parts
 
+    def may_order(self):
+        """Return whether this VM may give orders to engines now."""
+        now_ms = self.now_ms()
+        if self.stopping:
+            return False
+        return self.lease.may_order(now_ms, self.peers.surroundings(now_ms))
+
     def running(self):
         """Return requests of all VMs: backend server -> target -> count."""
         total = self.peers.running_elsewhere(self.now_ms())
--- a/cassiamount/order_runner.py
+++ b/cassiamount/order_runner.py
@@ -10,9 +10,8 @@
     CONFLICT,
     FENCED,
     HELD,
-    INVALID,
     LOAD,
-    OTHER_INSTANCE,
+    NO_ANSWER,
     UNLOAD,
     EngineOrder,
     target_of,
@@ -52,23 +51,21 @@
     state : FleetState
     store, engines : object
         Clients of the platform.
-    lease : OrderLease
     exchange : PeerExchange
     metrics : Metrics
     """
 
-    def __init__(self, state, store, engines, lease, exchange, metrics):
+    def __init__(self, state, store, engines, exchange, metrics):
         self._state = state
         self._store = store
         self._engines = engines
-        self._lease = lease
+        self._lease = state.lease
         self._exchange = exchange
         self._metrics = metrics
         self._placements = {}
         self._tasks = BackgroundTasks()
         self._wake = asyncio.Event()
         self._acting = False
-        state.lease = lease
 
     def wake(self):
         """Plan at once: requests wait for something."""
@@ -81,7 +78,7 @@
             sent_ms = self._state.now_ms()
             try:
                 answer = await self._store.join_lease(
-                    member, LEASE_MS, self._lease.generation
+                    member, self._lease_ms(), self._lease.generation
                 )
                 if self._lease.on_answer(answer, sent_ms, self._state.now_ms()):
                     log.info(
@@ -92,9 +89,12 @@
                 log.debug("lease_not_renewed", error=str(error))
             await asyncio.sleep(RENEW_MS / 1000)
 
+    def _lease_ms(self):
+        return max(LEASE_MS, self._state.settings.min_lease_ms)
+
     async def release(self):
         """Give the lease up at a planned stop."""
-        self._lease.release()
+        self._lease.release(self._state.now_ms())
         try:
             await self._store.leave_lease(self._state.settings.vm_name)
         except StoreUnavailable as error:
@@ -109,15 +109,18 @@
             except TimeoutError:
                 pass
             self._wake.clear()
-            if not self._lease.may_order(self._state.now_ms()):
+            if not self._state.may_order():
                 self._stop_acting()
                 continue
-            self._acting = True
+            if not self._acting:
+                self._acting = True
+                log.info("orders_begun", fence=self._lease.generation)
             self._plan()
 
     def _stop_acting(self):
         if self._acting:
             self._acting = False
+            log.info("orders_ended", fence=self._lease.generation)
             self._placements.clear()
             self._tasks.cancel()
             self._state.set_own_residency(None)
@@ -142,10 +145,22 @@
                 now_ms,
             )
             placement.set_demand(running, waiting, asked, now_ms)
+            for belief in placement.engines.values():
+                self._ask_if_unknown(belief, now_ms)
             for change in placement.plan(now_ms):
                 self._begin(placement, change)
         self._publish()
 
+    def _ask_if_unknown(self, belief, now_ms):
+        if (
+            belief.orders is None
+            and belief.change is None
+            and not belief.asking
+            and now_ms - belief.asked_ms > REPORT_MS
+        ):
+            belief.asking = True
+            self._tasks.start(self._ask(belief))
+
     def _placement(self, service, now_ms):
         placement = self._placements.get(service.name)
         if placement is None:
@@ -166,7 +181,7 @@
             engine=change.engine,
             model=change.model,
             victims=list(change.victims),
-            reason=change.reason,
+            gain_per_s=round(change.gain_per_s, 2),
             from_store=change.from_store,
             eta_ms=round(change.eta_ms - self._state.now_ms()),
         )
@@ -231,7 +246,7 @@
         await self._order(placement, belief, LOAD, model, "")
         due_ms = self._state.now_ms() + load_ms
         belief.loading[model] = change.eta_ms = due_ms
-        self._metrics.count("model_loads_total", reason=change.reason)
+        self._metrics.count("model_loads_total", from_store=change.from_store)
         self._publish()
         await asyncio.sleep(load_ms * 0.9 / 1000)
         await self._until(placement, belief, lambda ready: model in ready, due_ms)
@@ -247,9 +262,7 @@
         """Wait until an engine reports what was ordered."""
         overdue_ms = max(due_ms, self._state.now_ms()) + OVERDUE_MS
         while self._state.now_ms() < overdue_ms:
-            report = await self._engines.report(
-                belief.record.name, belief.record.address
-            )
+            report = await self._report(belief)
             if report is not None and not report.busy:
                 belief.on_report(report)
                 if report.orders >= belief.orders and reached(report.residents):
@@ -296,8 +309,6 @@
         if belief.order_lock is None:
             belief.order_lock = asyncio.Lock()
         async with belief.order_lock:
-            if belief.orders is None:
-                await self._resync(belief)
             for _ in range(ORDER_TRIES):
                 if belief.orders is None:
                     raise OrderRefused("engine does not report")
@@ -316,25 +327,24 @@
                     if action == UNLOAD and adapter in belief.ready.get(model, ()):
                         belief.orders += 1
                     return
-                if answer in (FENCED, INVALID, OTHER_INSTANCE):
-                    raise OrderRefused(answer)
-                expected = belief.orders
                 if answer == CONFLICT:
-                    # Reports lag; one from before the last order would mislead.
-                    await asyncio.sleep(REPORT_LAG_MS / 1000)
+                    # What is known of the engine is wrong; it has to be asked.
                     belief.orders = None
-                report = await self._resync(belief)
-                if report is not None and report.orders > expected:
+                    raise OrderRefused(answer)
+                if answer != NO_ANSWER:
+                    raise OrderRefused(answer)
+                await asyncio.sleep(TRY_PAUSE_MS / 1000)
+                report = await self._report(belief)
+                if report is not None and report.orders > belief.orders:
                     if _took_effect(report, action, model, adapter):
+                        belief.orders = report.orders
                         return
-                if answer == CONFLICT and (report is None or report.busy):
-                    raise OrderRefused("engine busy")
-                await asyncio.sleep(TRY_PAUSE_MS / 1000)
+                    belief.orders = None
             raise OrderRefused("not accepted")
 
     async def _send(self, placement, belief, action, model, adapter):
         now_ms = self._state.now_ms()
-        if not self._lease.may_order(now_ms):
+        if not self._state.may_order():
             raise OrderRefused("lease lost")
         if placement.engines.get(belief.record.name) is not belief:
             raise OrderRefused("engine gone")
@@ -362,17 +372,27 @@
         )
         self._metrics.count("orders_total", action=action, answer=answer)
         if answer == FENCED:
-            self._lease.on_fenced(order.fence)
+            self._lease.on_fenced(order.fence, self._state.now_ms())
         return answer
 
-    async def _resync(self, belief):
-        """Ask an engine what it holds, and return its report."""
-        report = await self._engines.report(belief.record.name, belief.record.address)
-        if report is not None and not report.busy:
-            belief.on_report(report)
-        elif report is not None:
-            belief.orders = max(belief.orders or 0, report.orders)
-        return report
+    async def _report(self, belief):
+        return await self._engines.report(belief.record.name, belief.record.address)
+
+    async def _ask(self, belief):
+        """Learn what an engine holds, once its report shows all earlier orders."""
+        try:
+            waited_ms = self._state.now_ms() - belief.ordered_ms
+            if waited_ms < REPORT_LAG_MS:
+                await asyncio.sleep((REPORT_LAG_MS - waited_ms) / 1000)
+            report = await self._report(belief)
+            # A busy engine does not say what it is loading.
+            if report is not None and not report.busy:
+                belief.on_report(report)
+                self.wake()
+            else:
+                belief.asked_ms = self._state.now_ms()
+        finally:
+            belief.asking = False
 
 
 def _took_effect(report, action, model, adapter):
--- a/cassiamount/peer_table.py
+++ b/cassiamount/peer_table.py
@@ -1,5 +1,7 @@
 """What this VM heard from the other VMs of a fleet."""
 
+from .order_lease import Surroundings
+
 # A peer that was not heard for this long counts as silent.
 SILENT_MS = 700.0
 # A peer that was silent for this long is forgotten.
@@ -99,6 +101,13 @@
                 total[target] = total.get(target, 0) + count
         return total
 
+    def surroundings(self, now_ms):
+        """Return what the lease for orders depends on."""
+        heard = [report for report in self.heard(now_ms) if not report.stopping]
+        known = sum(not peer.report.stopping for peer in self.peers.values())
+        fence = max((report.fence for report in heard), default=0)
+        return Surroundings(len(heard), known, fence)
+
     def holder(self, now_ms):
         """Return the report of the peer that holds the right to order, or None."""
         holders = [report for report in self.heard(now_ms) if report.fence]
