Let no lagging list replace what an engine reported

Ruled out: late orders (Expect held), adapters (counts were right). Change: the list only tells that an engine is there, was restarted or leaves; what it holds comes from its own reports. Tests of the placement on the decision objects; they fail without the change.

--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -40,8 +40,6 @@
 LOSS_COST_MS = 1_000.0
 # Weight-store loads that may begin at once.
 STORE_BURST = 2.0
-# The platform's list shows what an engine held this long ago or later.
-LIST_LAG_MS = 3_500.0
 # A failed change of an engine is not tried again sooner.
 RETRY_MS = 300.0
 
@@ -145,16 +143,6 @@
             residents.setdefault(model, set()).add(adapter)
         return self.on_residents(residents, report.in_memory, report.on_disk)
 
-    def on_record(self, record, now_ms):
-        """Take the platform's entry, unless it may be older than the last order."""
-        self.record = record
-        if (
-            self.change is None
-            and not self.adapters_coming
-            and now_ms - self.ordered_ms > LIST_LAG_MS
-        ):
-            self.on_residents(record.residents, record.in_memory, record.on_disk)
-
     def on_residents(self, residents, in_memory, on_disk):
         """Take what is there; return whether that is new."""
         # Copies are evicted without an order, so only the engine's own word counts.
@@ -317,13 +305,12 @@
         self.rule = rule
         self.store_loads.rate_per_s = rule.loads_per_s
 
-    def set_engines(self, records, now_ms):
+    def set_engines(self, records):
         """Take the platform's list of this service's engines.
 
         Parameters
         ----------
         records : dict of str to BackendRecord
-        now_ms : float
         """
         for name in set(self.engines) - set(records):
             del self.engines[name]
@@ -334,7 +321,8 @@
             ):
                 self.engines[name] = EngineBelief(record)
                 continue
-            belief.on_record(record, now_ms)
+            # The list shows residents of seconds ago; the engine itself was asked.
+            belief.record = record
 
     def set_demand(self, running, waiting, asked, now_ms):
         """Take the requests of all VMs.
--- a/cassiamount/order_runner.py
+++ b/cassiamount/order_runner.py
@@ -141,8 +141,7 @@
                 {
                     view.record.name: view.record
                     for view in self._state.view.of_service(service.name)
-                },
-                now_ms,
+                }
             )
             placement.set_demand(running, waiting, asked, now_ms)
             for belief in placement.engines.values():
--- /dev/null
+++ b/tests/test_fleet_placement.py
@@ -0,0 +1,181 @@
+"""Tests of the placement of a fleet's models by one VM."""
+
+import pytest
+
+from cassiamount.errors import InvariantViolation
+from cassiamount.fleet import BackendRecord, EngineRule, ModelRule
+from cassiamount.fleet_orders import EngineReport
+from cassiamount.fleet_placement import (
+    STORE_BURST,
+    AdapterChange,
+    Change,
+    FleetPlacement,
+    StoreLoads,
+)
+
+MODEL_MB = 70_000.0
+MODELS = {
+    name: ModelRule(name, MODEL_MB, 4_000.0, 400.0, 800.0, 60.0) for name in "abcdefgh"
+}
+RULE = EngineRule(48, 100_000, 230_000.0, 2, 2.0, MODELS)
+
+
+def engine(name, *models, zone="z1", started=1, **options):
+    residents = {model: frozenset() for model in models}
+    return BackendRecord(
+        name,
+        "llm",
+        f"{name}:1",
+        zone,
+        48,
+        started_wall_ms=started,
+        residents=residents,
+        **options,
+    )
+
+
+def report(orders, *models, busy=False, pending=(), on_disk=(), adapters=()):
+    residents = {model: frozenset() for model in models}
+    for model, adapter in adapters:
+        residents[model] = residents[model] | {adapter}
+    return EngineReport(
+        orders, busy, residents, frozenset(pending), frozenset(), frozenset(on_disk)
+    )
+
+
+def placement(*records, asked=True):
+    planner = FleetPlacement("llm", RULE, True, 0.0)
+    planner.set_engines({record.name: record for record in records})
+    if asked:
+        for record in records:
+            belief = planner.engines[record.name]
+            belief.on_report(report(0, *record.residents, on_disk=record.on_disk))
+    return planner
+
+
+def demand(planner, now_ms, waiting=None, asked=None, running=None):
+    planner.set_demand(running or {}, waiting or {}, asked or {}, now_ms)
+
+
+def test_list_does_not_replace_what_the_engine_said():
+    """Guards against a fourth model for an engine that the list shows as it was."""
+    old = engine("e1", "a", "b")
+    planner = placement(old, asked=False)
+    planner.engines["e1"].on_report(report(6, "a", "b", "c"))
+    planner.set_engines({"e1": engine("e1", "a", "b")})
+    assert set(planner.engines["e1"].ready) == {"a", "b", "c"}
+
+
+def test_engine_that_was_not_asked_gets_no_order():
+    """Guards against orders by a new holder that does not know what is loading."""
+    planner = placement(engine("e1", "a"), asked=False)
+    demand(planner, 100.0, {"b": 3}, {"b": 3})
+    assert planner.plan(100.0) == []
+    planner.engines["e1"].on_report(report(0, "a"))
+    assert [change.model for change in planner.plan(200.0)] == ["b"]
+
+
+def test_restarted_engine_is_unknown_again():
+    """Guards against orders that count on models of the engine's earlier start."""
+    planner = placement(engine("e1", "a"))
+    planner.set_engines({"e1": engine("e1", started=2)})
+    assert planner.engines["e1"].orders is None
+    assert not planner.engines["e1"].ready
+
+
+@pytest.mark.parametrize(
+    ("orders", "expected"),
+    [(2, {"a", "b"}), (3, {"a"}), (4, {"a"})],
+    ids=["older", "same", "newer"],
+)
+def test_report_from_before_the_last_order_is_not_taken(orders, expected):
+    """Guards against an unloaded model that an old report brings back."""
+    planner = placement(engine("e1", "a", "b"))
+    belief = planner.engines["e1"]
+    belief.orders = 3
+    belief.on_report(report(orders, "a"))
+    assert set(belief.ready) == expected
+
+
+def test_adapters_on_their_way_count():
+    """Guards against more adapters than fit while some are not listed yet."""
+    planner = placement(engine("e1", "a"))
+    belief = planner.engines["e1"]
+    belief.on_report(report(2, "a", adapters=[("a", "x")], pending=["a/y"]))
+    assert belief.adapters() == {("a", "x"), ("a", "y")}
+    with pytest.raises(InvariantViolation):
+        planner.check_memory(belief, "a", "z")
+
+
+def test_one_victim_makes_room_for_one_adapter():
+    """Guards against two loads that count on the same adapter's place."""
+    planner = placement(engine("e1", "a"))
+    belief = planner.engines["e1"]
+    belief.on_report(report(2, "a", adapters=[("a", "x"), ("a", "y")]))
+    demand(planner, 100.0, {"a/p": 1, "a/q": 1}, {"a": 2})
+    changes = [c for c in planner.plan(100.0) if isinstance(c, AdapterChange)]
+    assert {change.victim for change in changes} == {("a", "x"), ("a", "y")}
+
+
+def test_load_that_does_not_fit_is_a_violation():
+    """Guards against an order that an engine does not survive."""
+    planner = placement(engine("e1", "a", "b", "c"))
+    with pytest.raises(InvariantViolation):
+        planner.check_memory(planner.engines["e1"], "d", "")
+
+
+def test_hot_model_goes_before_a_rare_one():
+    """Guards against engines that are all busy with models that hardly anyone asks for.
+
+    The load is that of a high-load day: 20 requests a second for one model, one
+    every two seconds for each of the others, four engines that are full.
+    """
+    engines = [engine(f"e{i}", "a", "b", "c", zone=f"z{i}") for i in range(2)]
+    planner = placement(*engines)
+    asked = {}
+    for step in range(1, 31):
+        asked["d"] = 2 * step
+        for name in "efgh":
+            asked[name] = step // 5
+        demand(planner, 100.0 * step, {}, dict(asked))
+    changes = [change for change in planner.plan(3_000.0) if isinstance(change, Change)]
+    assert changes[0].model == "d"
+    small = [change for change in changes if change.model != "d"]
+    assert len(small) <= 1
+
+
+def test_last_copy_in_use_is_no_victim_of_a_rare_model():
+    """Guards against a busy model that makes way for one that is asked for once."""
+    planner = placement(engine("e1", "a", "b", "c"))
+    asked = {}
+    for step in range(1, 31):
+        for name in "abc":
+            asked[name] = step
+        asked["d"] = 1 if step > 28 else 0
+        demand(planner, 100.0 * step, {}, dict(asked))
+    assert planner.plan(3_000.0) == []
+
+
+def test_disk_copy_is_taken_before_the_weight_store():
+    """Guards against loads of four seconds where less than one would do."""
+    planner = placement(
+        engine("e1", "a", "b"), engine("e2", "a", "b", on_disk=frozenset("d"))
+    )
+    demand(planner, 100.0, {"d": 1}, {"d": 1})
+    (change,) = planner.plan(100.0)
+    assert (change.engine, change.from_store) == ("e2", False)
+
+
+@pytest.mark.parametrize("full", [True, False])
+def test_store_loads_stay_within_their_rate(full):
+    """Guards against more loads in any window than the weight store allows."""
+    loads = StoreLoads(full, 0.0)
+    loads.rate_per_s = 2.0
+    begun = []
+    for now_ms in range(0, 20_000, 50):
+        if loads.wait_ms(now_ms) == 0:
+            loads.take(now_ms)
+            begun.append(now_ms)
+    window_ms = 5_000
+    most = max(sum(s <= t < s + window_ms for t in begun) for s in begun)
+    assert most <= 2.0 * window_ms / 1000 + STORE_BURST
