--- a/cassiamount/shared_quota.py
+++ b/cassiamount/shared_quota.py
@@ -89,7 +89,7 @@
             bucket.level_tokens -= tokens
             self._used[team] = self._used.get(team, 0.0) + tokens
             return 0.0
-        missing = needed - bucket.level_tokens
+        missing = (needed - bucket.level_tokens) * (1 + DRIFT)
         return max(1.0, 1000 * missing / (bucket.rate_tokens_per_s * self._share))
 
     def give_back(self, team, tokens, now_ms):
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/test_order_lease.py
@@ -0,0 +1,92 @@
+"""Tests of the lease that allows orders to engines."""
+
+import pytest
+
+from cassiamount.metadata_store import LeaseAnswer
+from cassiamount.order_lease import LEASE_MS, OrderLease, Surroundings
+
+ALONE = Surroundings(0, 0, 0)
+ALL_HEARD = Surroundings(6, 6, 0)
+TURN_MS = 3_000.0
+
+
+def holder(now_ms=0.0, generation=5, first_start=True):
+    lease = OrderLease(TURN_MS, first_start, now_ms)
+    lease.on_answer(LeaseAnswer(generation, True), now_ms, now_ms)
+    assert lease.may_order(now_ms + 1, ALL_HEARD) is first_start
+    return lease
+
+
+@pytest.mark.parametrize(
+    ("surroundings", "allowed"),
+    [
+        (Surroundings(6, 6, 0), True),
+        (Surroundings(3, 6, 0), True),
+        (Surroundings(2, 6, 0), False),
+        (Surroundings(0, 0, 0), False),
+        (Surroundings(6, 6, 6), False),
+        (Surroundings(6, 6, 4), True),
+    ],
+    ids=["all-heard", "half", "fewer", "alone", "newer-holder", "older-holder"],
+)
+def test_holder_without_the_store(surroundings, allowed):
+    """Guards against engines without orders while only the holder lost the store."""
+    lease = holder()
+    assert lease.may_order(LEASE_MS + 5_000, surroundings) is allowed
+
+
+def test_successor_waits_while_the_holder_acts():
+    """Guards against two VMs that order at the same time."""
+    lease = OrderLease(TURN_MS, True, 0.0)
+    lease.on_answer(LeaseAnswer(7, True), 0.0, 1.0)
+    assert not lease.may_order(10.0, Surroundings(6, 6, 5))
+    assert lease.may_order(20.0, ALL_HEARD)
+
+
+def test_lease_counts_from_when_it_was_asked_for():
+    """Guards against orders after the store has given the lease away."""
+    lease = OrderLease(TURN_MS, True, 0.0)
+    lease.on_answer(LeaseAnswer(7, True), 0.0, LEASE_MS - 1)
+    assert not lease.may_order(LEASE_MS, ALL_HEARD)
+
+
+def test_thawed_holder_sends_nothing():
+    """Guards against orders of a VM that was suspended and hears nobody yet."""
+    lease = holder()
+    assert not lease.may_order(LEASE_MS + 4_000, Surroundings(0, 6, 0))
+    assert not lease.may_order(LEASE_MS + 4_001, ALL_HEARD)
+
+
+def test_holders_do_not_take_turns():
+    """Guards against a VM that loses the lease and acts again at once."""
+    lease = holder()
+    lease.on_answer(LeaseAnswer(6, False), 500.0, 500.0)
+    lease.on_answer(LeaseAnswer(7, True), 1_000.0, 1_000.0)
+    assert not lease.may_order(1_001.0, ALL_HEARD)
+    lease.on_answer(LeaseAnswer(7, True), 3_400.0, 3_400.0)
+    assert lease.may_order(500.0 + TURN_MS, ALL_HEARD)
+
+
+def test_restarted_vm_waits_a_turn():
+    """Guards against a second holder within a turn of the VM's own last order."""
+    lease = holder(first_start=False)
+    lease.on_answer(LeaseAnswer(5, True), TURN_MS - 10, TURN_MS - 10)
+    assert not lease.may_order(TURN_MS - 1, ALL_HEARD)
+    assert lease.may_order(TURN_MS, ALL_HEARD)
+
+
+def test_fenced_holder_is_silent_until_a_higher_token():
+    """Guards against orders with a token that an engine has refused."""
+    lease = holder()
+    lease.on_fenced(5, 100.0)
+    lease.on_answer(LeaseAnswer(5, True), 4_000.0, 4_000.0)
+    assert not lease.may_order(4_001.0, ALL_HEARD)
+    lease.on_answer(LeaseAnswer(8, True), 4_100.0, 4_100.0)
+    assert lease.may_order(4_101.0, ALL_HEARD)
+
+
+def test_generation_never_falls():
+    """Guards against a fencing token that is lower than an earlier one."""
+    lease = holder(generation=9)
+    lease.on_answer(LeaseAnswer(4, True), 10.0, 10.0)
+    assert lease.generation == 9
