Plan changes by gain for the time of an engine; expect callers that return

Ruled out: too few slots (busiest engine 1.2 times the mean). Change: gain less loss per second of the engine, rarely asked models wait for an engine with a disk copy, the last copy of a model of hurried callers costs 3 requests a second, engines whose adapters are asked for are changed last, an adapter in use is no victim, callers told to return count as waiting, orders are sent again after 120 ms without an answer.

--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -19,11 +19,24 @@
 # A model that nobody asked for since then needs no copy.
 IDLE_MS = 4_000.0
 # A request without a copy that was asked for this long counts twice, and so on.
-AGING_MS = 3_000.0
+AGING_MS = 4_000.0
 # A model stays this long after its load, so that two models do not take turns.
 STAY_MS = 1_500.0
 # A change must gain this many times what the models that make way lose.
 GAIN_RATIO = 1.5
+# A model whose callers expect an answer sooner than a load takes is kept, though nobody
+# may ask for it now, unless others gain this many requests per second.
+KEPT_LOSS_PER_S = 3.0
+# Callers that wait or were told to come back count like a rate for this long.
+WAITING_WINDOW_S = 3.0
+# Share of the requests for adapters that find theirs missing at an engine.
+ADAPTER_MISS_SHARE = 0.5
+# Callers that expect an answer within this time do not wait for a load.
+HURRIED_OBJECTIVE_MS = 1_500.0
+# Gain of a load that only brings a first copy to some engine's disk.
+PREFETCH_GAIN_PER_S = 0.05
+# A model with fewer copies than this makes no way for a prefetch.
+PREFETCH_KEEPS_COPIES = 2
 # Requests per second below which a change counts as a small one, and the share of the
 # engines that small changes may occupy at the same time.
 SMALL_GAIN_PER_S = 3.0
@@ -36,10 +49,12 @@
 SAME_ZONE_COST_MS = 300.0
 # Cost of each request that runs on the engine.
 RUNNING_COST_MS = 15.0
-# What the loss of one request per second is worth in ms of a load.
-LOSS_COST_MS = 1_000.0
+# Time that each change takes beside the load: notice, unload, reports.
+CHANGE_MS = 300.0
 # Weight-store loads that may begin at once.
 STORE_BURST = 2.0
+# An adapter that was in use this recently may still be in use.
+ADAPTER_IDLE_MS = 350.0
 # A failed change of an engine is not tried again sooner.
 RETRY_MS = 300.0
 
@@ -217,6 +232,34 @@
         self.victim = victim
 
 
+class AskedCount:
+    """Requests for one model that came to some VMs since their start.
+
+    Parameters
+    ----------
+    total : int
+    hurried : int
+        Requests whose callers do not wait for a load.
+    with_adapter : int
+    """
+
+    __slots__ = ("total", "hurried", "with_adapter")
+
+    def __init__(self, total=0, hurried=0, with_adapter=0):
+        self.total = total
+        self.hurried = hurried
+        self.with_adapter = with_adapter
+
+    def add(self, other):
+        """Add another count."""
+        self.total += other.total
+        self.hurried += other.hurried
+        self.with_adapter += other.with_adapter
+
+
+NOT_ASKED = AskedCount()
+
+
 class ModelDemand:
     """Load of one model over all VMs.
 
@@ -233,33 +276,54 @@
         "fast_per_s",
         "slow_per_s",
         "missing_ms",
+        "hurried",
+        "adapter_total",
+        "adapters_per_s",
     )
 
-    def __init__(self, now_ms, total):
+    def __init__(self, now_ms, asked):
         self.running = 0
         self.waiting = 0
         self.asked_ms = -math.inf
         self.at_ms = now_ms
-        self.total = total
+        self.total = asked.total
         self.fast_per_s = 0.0
         self.slow_per_s = 0.0
+        # Requests for adapters of it, so far and for each second.
+        self.adapter_total = asked.with_adapter
+        self.adapters_per_s = 0.0
         # Since when it is asked for without a copy.
         self.missing_ms = None
+        # Whether callers ask for it who do not wait for a load; None if unknown.
+        self.hurried = None
 
-    def update(self, running, waiting, total, now_ms):
-        """Take the current numbers of requests, and all that came so far."""
+    def update(self, running, waiting, asked, now_ms):
+        """Take the current numbers of requests, and all that came so far.
+
+        Parameters
+        ----------
+        running, waiting : int
+        asked : AskedCount
+        now_ms : float
+        """
         elapsed_ms = now_ms - self.at_ms
         if elapsed_ms <= 0:
             return
         self.at_ms = now_ms
         self.running = running
         self.waiting = waiting
-        arrived = max(0, total - self.total)
-        self.total = total
+        arrived = max(0, asked.total - self.total)
+        self.total = asked.total
+        for_adapters = max(0, asked.with_adapter - self.adapter_total)
+        self.adapter_total = asked.with_adapter
+        self.adapters_per_s = _decayed(
+            self.adapters_per_s, for_adapters, elapsed_ms, SLOW_WINDOW_MS
+        )
         self.fast_per_s = _decayed(self.fast_per_s, arrived, elapsed_ms, FAST_WINDOW_MS)
         self.slow_per_s = _decayed(self.slow_per_s, arrived, elapsed_ms, SLOW_WINDOW_MS)
         if running or waiting or arrived:
             self.asked_ms = now_ms
+            self.hurried = bool(self.hurried) or asked.hurried > 0
 
     @property
     def load(self):
@@ -270,7 +334,7 @@
     @property
     def rate_per_s(self):
         """Requests per second to count with."""
-        return max(self.fast_per_s, self.slow_per_s)
+        return max(self.fast_per_s, self.slow_per_s, self.waiting / WAITING_WINDOW_S)
 
 
 def _decayed(rate_per_s, arrived, elapsed_ms, window_ms):
@@ -333,8 +397,8 @@
             Engine -> model or adapter -> requests that are there.
         waiting : dict of str to int
             Model or adapter -> requests that wait for it.
-        asked : dict of str to int
-            Model -> requests that came so far.
+        asked : dict of str to AskedCount
+            By model.
         """
         self._running = running
         by_model = {}
@@ -353,11 +417,11 @@
             if adapter:
                 self._adapter_waiting[(model, adapter)] = count
         for name in self.rule.models:
-            total = asked.get(name, 0)
+            count = asked.get(name, NOT_ASKED)
             demand = self._demand.get(name)
             if demand is None:
-                demand = self._demand[name] = ModelDemand(now_ms - 1, total)
-            demand.update(by_model.get(name, 0), waits.get(name, 0), total, now_ms)
+                demand = self._demand[name] = ModelDemand(now_ms - 1, count)
+            demand.update(by_model.get(name, 0), waits.get(name, 0), count, now_ms)
 
     def plan(self, now_ms):
         """Return the changes to begin now.
@@ -397,13 +461,13 @@
         demand = self._demand[model]
         if now_ms - demand.asked_ms > IDLE_MS:
             demand.missing_ms = None
-            return 0.0
+            return PREFETCH_GAIN_PER_S if self._prefetched(model, now_ms) else 0.0
         copies = len(self.copies(model))
         if not copies:
             if demand.missing_ms is None:
                 demand.missing_ms = now_ms
             aged = 1 + (now_ms - demand.missing_ms) / AGING_MS
-            return max(demand.rate_per_s, 0.1 * max(1, demand.waiting)) * aged
+            return max(demand.rate_per_s, 0.1) * aged
         demand.missing_ms = None
         wanted = self.wanted_copies(model, now_ms)
         if wanted <= copies:
@@ -412,32 +476,106 @@
 
     def loss_per_s(self, model, now_ms):
         """Return the requests per second that one copy serves."""
-        demand = self._demand.get(model)
-        if demand is None:
-            return 0.0
         copies = len(self.copies(model))
         if copies > max(1, self.wanted_copies(model, now_ms)):
             return 0.0
-        return demand.rate_per_s / max(1, copies)
+        demand = self._demand.get(model)
+        rate_per_s = 0.0 if demand is None else demand.rate_per_s
+        if copies <= 1 and (demand is None or demand.hurried is not False):
+            return max(KEPT_LOSS_PER_S, rate_per_s)
+        return rate_per_s / max(1, copies)
 
     def _plan_models(self, now_ms):
-        """Change what gains most first."""
-        gains = [(self.gain_per_s(name, now_ms), name) for name in self._demand]
+        """Begin the changes that gain most for the time that they take an engine."""
         changes = []
-        for gain_per_s, name in sorted(gains, reverse=True):
+        while True:
+            change = self._best_change(now_ms)
+            if change is None:
+                return changes
+            changes.append(self._begin(change, now_ms))
+
+    def _best_change(self, now_ms):
+        best = None
+        small_allowed = self._small_allowed()
+        free = [b for b in self.engines.values() if self._changeable(b, now_ms)]
+        if not free:
+            return None
+        for model in self._demand:
+            gain_per_s = self.gain_per_s(model, now_ms)
             if gain_per_s <= 0:
-                break
-            if gain_per_s < SMALL_GAIN_PER_S and not self._small_allowed():
-                break
-            change = self._best_change(name, gain_per_s, now_ms)
-            if change is not None:
-                changes.append(self._begin(change, now_ms))
-        return changes
+                continue
+            if gain_per_s < SMALL_GAIN_PER_S and not small_allowed:
+                continue
+            for belief in free:
+                change, worth = self._change_for(belief, model, gain_per_s, now_ms)
+                if change is not None and (best is None or worth > best[0]):
+                    best = (worth, change)
+        return None if best is None else best[1]
+
+    def _change_for(self, belief, model, gain_per_s, now_ms):
+        """Return a change of one engine and its worth, or None."""
+        rule = self.rule.models[model]
+        if model in belief.ready:
+            return None, 0.0
+        victims = self._victims(belief, rule, gain_per_s, now_ms)
+        if victims is None:
+            return None, 0.0
+        load_ms, from_store = self._load_ms(belief, rule)
+        if from_store and not self._store_allowed(model, gain_per_s, now_ms):
+            return None, 0.0
+        eta_ms = load_ms
+        lost_per_s = 0.0
+        for victim in victims:
+            running = self._running_of(belief, victim)
+            eta_ms += DRAIN_MS if running else UNLOAD_MS
+            lost_per_s += self.loss_per_s(victim, now_ms)
+        lost_per_s += self._blocked_per_s(belief, victims)
+        cost_ms = eta_ms + RUNNING_COST_MS * self._requests(belief)
+        if any(copy.record.zone == belief.record.zone for copy in self.copies(model)):
+            cost_ms += SAME_ZONE_COST_MS
+        change = Change(
+            belief.record.name,
+            model,
+            tuple(victims),
+            gain_per_s,
+            from_store,
+            now_ms + eta_ms,
+        )
+        return change, (gain_per_s - lost_per_s) / (cost_ms + CHANGE_MS)
+
+    def _blocked_per_s(self, belief, victims):
+        """Return the requests for adapters that wait while an engine is changed."""
+        blocked = 0.0
+        for name in belief.ready:
+            demand = self._demand.get(name)
+            if demand is None or name in victims:
+                continue
+            free = sum(copy.change is None for copy in self.copies(name))
+            blocked += ADAPTER_MISS_SHARE * demand.adapters_per_s / max(1, free)
+        return blocked
+
+    def _store_allowed(self, model, gain_per_s, now_ms):
+        """Return whether a model may be loaded from the weight store now.
+
+        A rarely asked model waits for an engine that has it on its disk: a load from
+        the store keeps an engine from other changes five times as long.
+        """
+        if self.store_loads.wait_ms(now_ms) > 0:
+            return False
+        if gain_per_s >= SMALL_GAIN_PER_S:
+            return True
+        return not any(
+            model in belief.on_disk or model in belief.in_memory
+            for belief in self.engines.values()
+            if not belief.record.leaving
+        )
 
     def _small_allowed(self):
         live = [b for b in self.engines.values() if not b.record.leaving]
         small = sum(
-            belief.change is not None and belief.change.gain_per_s < SMALL_GAIN_PER_S
+            belief.change is not None
+            and belief.change.gain_per_s < SMALL_GAIN_PER_S
+            and belief.change.from_store
             for belief in live
         )
         return small < max(1, SMALL_CHANGES_SHARE * len(live))
@@ -450,41 +588,6 @@
             self.store_loads.take(now_ms)
         return change
 
-    def _best_change(self, model, gain_per_s, now_ms):
-        best = None
-        rule = self.rule.models[model]
-        zones = {belief.record.zone for belief in self.copies(model)}
-        for belief in self.engines.values():
-            if not self._changeable(belief, now_ms) or model in belief.ready:
-                continue
-            victims = self._victims(belief, rule, gain_per_s, now_ms)
-            if victims is None:
-                continue
-            load_ms, from_store = self._load_ms(belief, rule)
-            if from_store and self.store_loads.wait_ms(now_ms) > 0:
-                continue
-            eta_ms = load_ms
-            cost = RUNNING_COST_MS * self._requests(belief)
-            if belief.record.zone in zones:
-                cost += SAME_ZONE_COST_MS
-            for victim in victims:
-                running = self._running_of(belief, victim)
-                eta_ms += DRAIN_MS if running else UNLOAD_MS
-                cost += LOSS_COST_MS * self.loss_per_s(victim, now_ms)
-            if best is None or cost + eta_ms < best[0]:
-                best = (cost + eta_ms, belief, victims, from_store, eta_ms)
-        if best is None:
-            return None
-        _, belief, victims, from_store, eta_ms = best
-        return Change(
-            belief.record.name,
-            model,
-            tuple(victims),
-            gain_per_s,
-            from_store,
-            now_ms + eta_ms,
-        )
-
     def _changeable(self, belief, now_ms):
         return (
             not belief.record.leaving
@@ -493,6 +596,18 @@
             and now_ms >= belief.retry_ms
         )
 
+    def _prefetched(self, model, now_ms):
+        """Return whether to load a model that no engine has even on its disk.
+
+        Only while nobody asks for anything: a load keeps an engine from other orders.
+        """
+        if any(now_ms - demand.asked_ms < IDLE_MS for demand in self._demand.values()):
+            return False
+        return not self.copies(model) and not any(
+            model in belief.on_disk or model in belief.in_memory
+            for belief in self.engines.values()
+        )
+
     def _load_ms(self, belief, rule):
         if rule.name in belief.in_memory:
             return rule.host_load_ms, False
@@ -514,6 +629,11 @@
             demand = self._demand.get(name)
             asked_ms = -math.inf if demand is None else demand.asked_ms
             loss = self.loss_per_s(name, now_ms)
+            if (
+                gain_per_s <= PREFETCH_GAIN_PER_S
+                and len(self.copies(name)) <= PREFETCH_KEEPS_COPIES
+            ):
+                continue
             ranked.append((loss, self._running_of(belief, name), asked_ms, name))
         victims = []
         lost_per_s = 0.0
@@ -567,7 +687,7 @@
             # An engine takes no order for an adapter while it carries out another.
             if model not in belief.ready or not self._changeable(belief, now_ms):
                 continue
-            victim = self._adapter_victim(belief, model)
+            victim = self._adapter_victim(belief, model, now_ms)
             if victim is None:
                 continue
             cost = self._requests(belief) + (10 if victim else 0)
@@ -578,7 +698,7 @@
         _, belief, victim = best
         return AdapterChange(belief.record.name, model, adapter, victim or None)
 
-    def _adapter_victim(self, belief, model):
+    def _adapter_victim(self, belief, model, now_ms):
         """Return the adapter to unload, () if none has to, None if none can."""
         rule = self.rule
         held = len(belief.adapters() - belief.adapters_leaving)
@@ -588,14 +708,16 @@
             return ()
         running = self._running.get(belief.record.name, {})
         candidates = [
-            (belief.adapter_used_ms.get((name, adapter), 0.0), name, adapter)
+            (belief.adapter_used_ms.get((name, adapter), -math.inf), name, adapter)
             for name, adapters in belief.ready.items()
             for adapter in adapters
             if not running.get(target_of(name, adapter))
             and (name, adapter) not in belief.adapters_leaving
             and not self._adapter_waiting.get((name, adapter))
         ]
-        for _, name, adapter in sorted(candidates):
+        for used_ms, name, adapter in sorted(candidates):
+            if used_ms > now_ms - ADAPTER_IDLE_MS:
+                return None
             if free_mb + rule.models[name].adapter_mb >= needed_mb:
                 return (name, adapter)
         return None
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -6,6 +6,7 @@
 from .event_framing import EventFramer
 from .fleet import DEFAULT_RANK, choose_target
 from .fleet_orders import target_of
+from .fleet_placement import HURRIED_OBJECTIVE_MS
 from .replica_choice import DECISION_MS, PATIENCE_SHARE, Choice, patience_ms, return_ms
 from .requests import ADMITTED, COMPLETE, DISPATCHED, FIRST_BYTE, Refusal, RequestState
 
@@ -23,6 +24,10 @@
 # The backend server stops at the time that it is given; its own answer to that is
 # awaited a little longer.
 LAST_ANSWER_MS = 40.0
+# Share of a route's objective for which a request waits for a decision on its model.
+UNDECIDED_SHARE = 0.8
+# A caller that was told to come back counts as waiting a little longer than that.
+RETURN_SLACK_MS = 400.0
 FULL_RETURN_MS = 150.0
 STALE_KEYS_RETURN_MS = 1_000.0
 STARTING_RETURN_MS = 500.0
@@ -207,7 +212,8 @@
         job.version = configuration.version
         state.retries.note_request(service, now_ms)
         if engine:
-            state.note_asked(call.model)
+            hurried = route.objective_ms <= HURRIED_OBJECTIVE_MS
+            state.note_asked(call.model, hurried, bool(call.adapter))
         if team is not None:
             tokens = team.cost_tokens(call.tokens)
             wait_ms = state.quota.charge(team.name, tokens, now_ms)
@@ -279,7 +285,11 @@
                     return found
                 if first_wait_ms is None:
                     first_wait_ms = now_ms
-                self._check_wait(job, found, first_wait_ms, now_ms)
+                try:
+                    self._check_wait(job, found, first_wait_ms, now_ms)
+                except Refused as refused:
+                    self._expect_return(job, refused)
+                    raise
                 await self._wait_for_change(job, found)
         finally:
             self._end_wait(job)
@@ -300,13 +310,34 @@
         if found.reason == "no-backend":
             raise Refused(503, "no_backend", "no backend server", return_ms(None))
         if found.wait_ms is None:
-            if now_ms - first_wait_ms > DECISION_MS:
-                raise Refused(503, "not_resident", "model not loaded", return_ms(None))
+            # An engine or the place of an adapter soon becomes free.
+            limit_ms = max(DECISION_MS, UNDECIDED_SHARE * job.route.objective_ms)
+            if now_ms - first_wait_ms > limit_ms:
+                raise Refused(
+                    503,
+                    f"{found.reason}_missing",
+                    "no replica holds what was asked for",
+                    return_ms(job.route.objective_ms),
+                )
         elif now_ms + found.wait_ms > job.patience_until_ms:
             raise Refused(
-                503, "not_resident", "model not loaded", return_ms(found.wait_ms)
+                503, "model_loading", "model not loaded", return_ms(found.wait_ms)
             )
 
+    def _expect_return(self, job, refused):
+        """Let a caller that will come back count as waiting until then."""
+        if not job.engine or refused.return_after_ms is None:
+            return
+        waiting = self._state.waiting
+        target = job.target
+        waiting[target] = waiting.get(target, 0) + 1
+        asyncio.get_running_loop().call_later(
+            (refused.return_after_ms + RETURN_SLACK_MS) / 1000,
+            self._end_wait_of,
+            target,
+        )
+        self._ask_holder()
+
     async def _wait_for_change(self, job, found):
         target = job.target
         if target not in job.waited:
@@ -324,13 +355,16 @@
 
     def _end_wait(self, job):
         for target in job.waited:
-            left = self._state.waiting.get(target, 1) - 1
-            if left > 0:
-                self._state.waiting[target] = left
-            else:
-                self._state.waiting.pop(target, None)
+            self._end_wait_of(target)
         job.waited.clear()
 
+    def _end_wait_of(self, target):
+        left = self._state.waiting.get(target, 1) - 1
+        if left > 0:
+            self._state.waiting[target] = left
+        else:
+            self._state.waiting.pop(target, None)
+
     async def _connect(self, job, view):
         channel = self._pool.take_idle(view.record.address)
         if channel is None:
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -2,6 +2,7 @@
 
 import orjson
 
+from .fleet_placement import AskedCount
 from .metadata_store import KeyedRecord
 
 
@@ -80,8 +81,8 @@
         Backend server -> model, adapter or service -> this VM's requests there.
     waiting : dict of str to int
         Model or adapter -> requests that wait on this VM.
-    asked : dict of str to int
-        Model -> requests that came to this VM since its start.
+    asked : dict of str to AskedCount
+        Requests that came to this VM since its start, by model.
     used_tokens : dict of str to float
         Taken since the VM's start, by team.
     fence : int
@@ -120,7 +121,11 @@
     value = {
         name: getattr(report, name)
         for name in VmReport.__slots__
-        if name not in ("positions", "records", "residency")
+        if name not in ("positions", "records", "residency", "asked")
+    }
+    value["asked"] = {
+        name: [count.total, count.hurried, count.with_adapter]
+        for name, count in report.asked.items()
     }
     value["positions"] = {
         name: [position.next_offset, position.age_ms]
@@ -174,6 +179,9 @@
             )
             for name, item in value["records"].items()
         }
+        value["asked"] = {
+            name: AskedCount(*item) for name, item in value["asked"].items()
+        }
         if value["residency"] is not None:
             value["residency"] = {
                 name: Residency(*item) for name, item in value["residency"].items()
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -2,6 +2,7 @@
 
 import structlog
 
+from .fleet_placement import AskedCount
 from .fleet_reports import Residency, StreamPosition, StreamRecords, VmReport
 from .fleet_view import FleetView
 from .key_freshness import Freshness, KeyFreshness
@@ -348,16 +349,23 @@
         return total
 
     def all_asked(self):
-        """Return requests that came to any VM since its start, by model."""
-        total = dict(self.asked)
-        for peer in self.peers.peers.values():
-            for model, count in peer.report.asked.items():
-                total[model] = total.get(model, 0) + count
+        """Return requests that came to any VM since its start, by model.
+
+        Returns
+        -------
+        dict of str to AskedCount
+        """
+        total = {}
+        asked = [self.asked, *(p.report.asked for p in self.peers.peers.values())]
+        for counts in asked:
+            for model, count in counts.items():
+                total.setdefault(model, AskedCount()).add(count)
         return total
 
-    def note_asked(self, model):
+    def note_asked(self, model, hurried, with_adapter):
         """Count a request for a model."""
-        self.asked[model] = self.asked.get(model, 0) + 1
+        count = self.asked.setdefault(model, AskedCount())
+        count.add(AskedCount(1, int(hurried), int(with_adapter)))
 
     def all_waiting(self):
         """Return requests that wait on any VM, by model or adapter."""
--- a/cassiamount/order_runner.py
+++ b/cassiamount/order_runner.py
@@ -308,6 +308,7 @@
         if belief.order_lock is None:
             belief.order_lock = asyncio.Lock()
         async with belief.order_lock:
+            unanswered = 0
             for _ in range(ORDER_TRIES):
                 if belief.orders is None:
                     raise OrderRefused("engine does not report")
@@ -326,20 +327,23 @@
                     if action == UNLOAD and adapter in belief.ready.get(model, ()):
                         belief.orders += 1
                     return
-                if answer == CONFLICT:
-                    # What is known of the engine is wrong; it has to be asked.
-                    belief.orders = None
-                    raise OrderRefused(answer)
-                if answer != NO_ANSWER:
-                    raise OrderRefused(answer)
-                await asyncio.sleep(TRY_PAUSE_MS / 1000)
-                report = await self._report(belief)
-                if report is not None and report.orders > belief.orders:
-                    if _took_effect(report, action, model, adapter):
+                if answer == NO_ANSWER:
+                    unanswered += 1
+                    continue
+                expected, belief.orders = belief.orders, None
+                if answer == CONFLICT and unanswered:
+                    report = await self._report_after_lag(belief)
+                    if (
+                        report is not None
+                        and report.orders == expected + 1
+                        and _took_effect(report, action, model, adapter)
+                    ):
+                        # One of the copies without an answer was carried out.
                         belief.orders = report.orders
                         return
-                    belief.orders = None
-            raise OrderRefused("not accepted")
+                raise OrderRefused(answer)
+            belief.orders = None
+            raise OrderRefused("no answer")
 
     async def _send(self, placement, belief, action, model, adapter):
         now_ms = self._state.now_ms()
@@ -377,16 +381,27 @@
     async def _report(self, belief):
         return await self._engines.report(belief.record.name, belief.record.address)
 
+    async def _report_after_lag(self, belief):
+        """Return a report that shows all orders sent so far."""
+        waited_ms = self._state.now_ms() - belief.ordered_ms
+        if waited_ms < REPORT_LAG_MS:
+            await asyncio.sleep((REPORT_LAG_MS - waited_ms) / 1000)
+        return await self._report(belief)
+
     async def _ask(self, belief):
         """Learn what an engine holds, once its report shows all earlier orders."""
         try:
-            waited_ms = self._state.now_ms() - belief.ordered_ms
-            if waited_ms < REPORT_LAG_MS:
-                await asyncio.sleep((REPORT_LAG_MS - waited_ms) / 1000)
-            report = await self._report(belief)
+            report = await self._report_after_lag(belief)
             # A busy engine does not say what it is loading.
             if report is not None and not report.busy:
                 belief.on_report(report)
+                log.info(
+                    "engine_asked",
+                    engine=belief.record.name,
+                    orders=report.orders,
+                    models=sorted(belief.ready),
+                    on_disk=sorted(belief.on_disk),
+                )
                 self.wake()
             else:
                 belief.asked_ms = self._state.now_ms()
--- a/cassiamount/platform/engines.py
+++ b/cassiamount/platform/engines.py
@@ -33,9 +33,10 @@
     TypeError,
     AttributeError,
 )
-# An engine answers orders and reports at once; without an answer by then the order
-# may still be carried out.
-ANSWER_MS = 300
+# An engine answers orders at once; without an answer by then the order may still be
+# carried out.
+ORDER_ANSWER_MS = 120
+REPORT_ANSWER_MS = 300
 
 
 class EngineClient:
@@ -48,7 +49,7 @@
         """Open the client's session."""
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit_per_host=2, keepalive_timeout=10),
-            timeout=aiohttp.ClientTimeout(total=ANSWER_MS / 1000),
+            timeout=aiohttp.ClientTimeout(total=REPORT_ANSWER_MS / 1000),
             auto_decompress=False,
         )
 
@@ -76,6 +77,7 @@
                 f"http://{order.address}/order",
                 data=orjson.dumps(value),
                 headers=headers,
+                timeout=aiohttp.ClientTimeout(total=ORDER_ANSWER_MS / 1000),
             ) as response:
                 await response.read()
                 return ANSWERS.get(response.status, NO_ANSWER)
--- a/cassiamount/replica_choice.py
+++ b/cassiamount/replica_choice.py
@@ -148,7 +148,9 @@
                     coming_ms = (
                         left_ms if coming_ms is None else min(coming_ms, left_ms)
                     )
-        return WaitFor("not-resident", coming_ms)
+        if coming_ms is None and any(call.model in view.ready for view in usable):
+            return WaitFor("adapter", None)
+        return WaitFor("model", coming_ms)
 
     def _holds(self, view, call):
         held = view.ready.get(call.model)
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -8,6 +8,7 @@
 from cassiamount.fleet_placement import (
     STORE_BURST,
     AdapterChange,
+    AskedCount,
     Change,
     FleetPlacement,
     StoreLoads,
@@ -54,7 +55,8 @@
 
 
 def demand(planner, now_ms, waiting=None, asked=None, running=None):
-    planner.set_demand(running or {}, waiting or {}, asked or {}, now_ms)
+    counts = {name: AskedCount(count) for name, count in (asked or {}).items()}
+    planner.set_demand(running or {}, waiting or {}, counts, now_ms)
 
 
 def test_list_does_not_replace_what_the_engine_said():
