Keep engines free for adapters and let the queue of models be known

Change: a model whose adapters are asked for keeps an engine that takes orders; only ready copies count as spare; the holder tells when queued models should be there; a bucket fills from the start of the process; a load that lost its room is refused instead of violating the invariant.

--- a/cassiamount/clock.py
+++ b/cassiamount/clock.py
@@ -29,6 +29,14 @@
         """Return the time since the machine's boot in milliseconds."""
         return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / 1e6
 
+    @property
+    def started_ms(self):
+        """Time at which this process loaded the package."""
+        return _LOADED_MS
+
+
+_LOADED_MS = SuspendClock().monotonic_ms()
+
 
 class ManualClock:
     """A clock that moves only when told to.
@@ -41,11 +49,12 @@
         Wall-clock time at monotonic time 0.
     """
 
-    __slots__ = ("now_ms", "wall_offset_ms")
+    __slots__ = ("now_ms", "wall_offset_ms", "started_ms")
 
     def __init__(self, now_ms=0.0, wall_offset_ms=1_700_000_000_000):
         self.now_ms = now_ms
         self.wall_offset_ms = wall_offset_ms
+        self.started_ms = now_ms
 
     def monotonic_ms(self):
         """Return the monotonic time in milliseconds."""
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -37,10 +37,12 @@
 PREFETCH_GAIN_PER_S = 0.05
 # A model with fewer copies than this makes no way for a prefetch.
 PREFETCH_KEEPS_COPIES = 2
-# Requests per second below which a change counts as a small one, and the share of the
-# engines that small changes may occupy at the same time.
-SMALL_GAIN_PER_S = 3.0
-SMALL_CHANGES_SHARE = 0.5
+# A model asked for less often than this is a rarely asked one, and the share of the
+# engines that changes for such models may occupy at the same time.
+RARE_PER_S = 2.0
+RARE_CHANGES_SHARE = 0.34
+# A model whose adapters are asked for more often keeps an engine that takes orders.
+ADAPTERS_PER_S = 1.0
 # Time that running requests need to end before a model can be unloaded.
 DRAIN_MS = 1_500.0
 # Time within which an unload without running requests is done and known.
@@ -432,6 +434,27 @@
         """
         return self._plan_models(now_ms) + self._plan_adapters(now_ms)
 
+    def queue_ms(self, now_ms):
+        """Return when models that wait for an engine should be there.
+
+        Returns
+        -------
+        dict of str to float
+            Model -> time in ms from now. The rarely asked ones share a few engines.
+        """
+        missing = [
+            (self.gain_per_s(name, now_ms), name)
+            for name, demand in self._demand.items()
+            if now_ms - demand.asked_ms < IDLE_MS and not self.copies(name)
+        ]
+        live = sum(not belief.record.leaving for belief in self.engines.values())
+        parallel = max(1, math.ceil(RARE_CHANGES_SHARE * live))
+        queue = {}
+        for place, (_, name) in enumerate(sorted(missing, reverse=True)):
+            each_ms = self.rule.models[name].disk_load_ms + CHANGE_MS + UNLOAD_MS
+            queue[name] = each_ms * (1 + place // parallel)
+        return queue
+
     def copies(self, model):
         """Return the engines that hold a model or are loading it."""
         return [
@@ -476,7 +499,8 @@
 
     def loss_per_s(self, model, now_ms):
         """Return the requests per second that one copy serves."""
-        copies = len(self.copies(model))
+        # A copy that is only on its way may still fail.
+        copies = sum(model in belief.ready for belief in self.copies(model))
         if copies > max(1, self.wanted_copies(model, now_ms)):
             return 0.0
         demand = self._demand.get(model)
@@ -496,7 +520,7 @@
 
     def _best_change(self, now_ms):
         best = None
-        small_allowed = self._small_allowed()
+        rare_allowed = self._rare_allowed()
         free = [b for b in self.engines.values() if self._changeable(b, now_ms)]
         if not free:
             return None
@@ -504,7 +528,7 @@
             gain_per_s = self.gain_per_s(model, now_ms)
             if gain_per_s <= 0:
                 continue
-            if gain_per_s < SMALL_GAIN_PER_S and not small_allowed:
+            if self._rare(model) and not rare_allowed:
                 continue
             for belief in free:
                 change, worth = self._change_for(belief, model, gain_per_s, now_ms)
@@ -521,7 +545,7 @@
         if victims is None:
             return None, 0.0
         load_ms, from_store = self._load_ms(belief, rule)
-        if from_store and not self._store_allowed(model, gain_per_s, now_ms):
+        if from_store and not self._store_allowed(model, now_ms):
             return None, 0.0
         eta_ms = load_ms
         lost_per_s = 0.0
@@ -530,6 +554,8 @@
             eta_ms += DRAIN_MS if running else UNLOAD_MS
             lost_per_s += self.loss_per_s(victim, now_ms)
         lost_per_s += self._blocked_per_s(belief, victims)
+        if lost_per_s >= gain_per_s:
+            return None, 0.0
         cost_ms = eta_ms + RUNNING_COST_MS * self._requests(belief)
         if any(copy.record.zone == belief.record.zone for copy in self.copies(model)):
             cost_ms += SAME_ZONE_COST_MS
@@ -551,10 +577,12 @@
             if demand is None or name in victims:
                 continue
             free = sum(copy.change is None for copy in self.copies(name))
+            if free <= 1 and demand.adapters_per_s > ADAPTERS_PER_S:
+                return math.inf
             blocked += ADAPTER_MISS_SHARE * demand.adapters_per_s / max(1, free)
         return blocked
 
-    def _store_allowed(self, model, gain_per_s, now_ms):
+    def _store_allowed(self, model, now_ms):
         """Return whether a model may be loaded from the weight store now.
 
         A rarely asked model waits for an engine that has it on its disk: a load from
@@ -562,7 +590,7 @@
         """
         if self.store_loads.wait_ms(now_ms) > 0:
             return False
-        if gain_per_s >= SMALL_GAIN_PER_S:
+        if not self._rare(model):
             return True
         return not any(
             model in belief.on_disk or model in belief.in_memory
@@ -570,15 +598,16 @@
             if not belief.record.leaving
         )
 
-    def _small_allowed(self):
+    def _rare(self, model):
+        return self._demand[model].rate_per_s < RARE_PER_S
+
+    def _rare_allowed(self):
         live = [b for b in self.engines.values() if not b.record.leaving]
-        small = sum(
-            belief.change is not None
-            and belief.change.gain_per_s < SMALL_GAIN_PER_S
-            and belief.change.from_store
+        rare = sum(
+            belief.change is not None and self._rare(belief.change.model)
             for belief in live
         )
-        return small < max(1, SMALL_CHANGES_SHARE * len(live))
+        return rare < max(1, RARE_CHANGES_SHARE * len(live))
 
     def _begin(self, change, now_ms):
         belief = self.engines[change.engine]
@@ -722,8 +751,25 @@
                 return (name, adapter)
         return None
 
+    def fits(self, belief, model, adapter):
+        """Return whether a load fits with all that is there or was ordered."""
+        held_mb, adapters = self._with_load(belief, model, adapter)
+        return held_mb <= self.rule.memory_mb and (
+            not adapter or adapters <= self.rule.max_adapters
+        )
+
     def check_memory(self, belief, model, adapter):
-        """Check that a load fits with all that is there or was ordered."""
+        """Check that a load fits; the last guard before an order is sent."""
+        held_mb, adapters = self._with_load(belief, model, adapter)
+        require(
+            self.fits(belief, model, adapter),
+            MEMORY_NOT_OVERCOMMITTED,
+            engine=belief.record.name,
+            held_mb=held_mb,
+            adapters=adapters,
+        )
+
+    def _with_load(self, belief, model, adapter):
         rules = self.rule.models
         models = belief.ready.keys() | belief.loading.keys()
         adapters = {
@@ -737,11 +783,4 @@
             models |= {model}
         held_mb = sum(rules[name].memory_mb for name in models if name in rules)
         held_mb += sum(rules[name].adapter_mb for name, _ in adapters if name in rules)
-        require(
-            held_mb <= self.rule.memory_mb
-            and (not adapter or len(adapters) <= self.rule.max_adapters),
-            MEMORY_NOT_OVERCOMMITTED,
-            engine=belief.record.name,
-            held_mb=held_mb,
-            adapters=len(adapters),
-        )
+        return held_mb, len(adapters)
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -91,6 +91,8 @@
         Time since this VM last sent an order.
     residency : dict of str to Residency or None
         Only from the holder.
+    queued : dict of str to float
+        Model -> time in ms until it should be at some engine; only from the holder.
     """
 
     __slots__ = (
@@ -109,6 +111,7 @@
         "fence",
         "order_age_ms",
         "residency",
+        "queued",
     )
 
     def __init__(self, **values):
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -41,7 +41,7 @@
         self.configuration = None
         self.view = FleetView()
         self.peers = PeerTable(settings.vm_name)
-        self.quota = SharedQuota(settings.first_start)
+        self.quota = SharedQuota(settings.first_start, clock.started_ms)
         self.retries = SharedRetries(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s * 1000
         )
@@ -57,6 +57,7 @@
         self.lease = OrderLease(settings.order_turn_ms, settings.first_start, now_ms)
         self.last_order_ms = None
         self.own_residency = None
+        self.own_queued = {}
         self._decoder = decoder
         self._started_ms = started_ms
         self._records = {}
@@ -245,7 +246,8 @@
     def _merge_residency(self):
         """Set what each engine holds: by the holder of the orders, else by the list."""
         now_ms = self.now_ms()
-        residency, at_ms = self._holder_residency(now_ms)
+        residency, queued, at_ms = self._holder_residency(now_ms)
+        self.view.queued = {name: at_ms + ms for name, ms in queued.items()}
         for name, view in self.view.backends.items():
             record = view.record
             item = residency.get(name)
@@ -262,15 +264,16 @@
 
     def _holder_residency(self, now_ms):
         if self.own_residency is not None:
-            return self.own_residency, now_ms
+            return self.own_residency, self.own_queued, now_ms
         holder = self.peers.holder(now_ms)
         if holder is None or holder.residency is None:
-            return {}, now_ms
-        return holder.residency, self.peers.peers[holder.vm].heard_ms
+            return {}, {}, now_ms
+        return holder.residency, holder.queued, self.peers.peers[holder.vm].heard_ms
 
-    def set_own_residency(self, residency):
-        """Take what this VM knows as the holder; None if it is not."""
+    def set_own_residency(self, residency, queued):
+        """Take what this VM knows and plans as the holder; None if it is not."""
         self.own_residency = residency
+        self.own_queued = queued
         self._merge_residency()
         self.notify()
 
@@ -308,6 +311,7 @@
             fence=fence,
             order_age_ms=age_ms,
             residency=self.own_residency if fence else None,
+            queued=self.own_queued if fence else {},
         )
 
     def _age_ms(self, stream, now_ms):
--- a/cassiamount/fleet_view.py
+++ b/cassiamount/fleet_view.py
@@ -97,6 +97,8 @@
 
     def __init__(self):
         self.backends = {}
+        # Model -> time at which some engine should hold it.
+        self.queued = {}
         self._by_service = {}
 
     def replace(self, records):
--- a/cassiamount/order_runner.py
+++ b/cassiamount/order_runner.py
@@ -26,7 +26,9 @@
 # Time that the other VMs need to hear that a model is about to be unloaded.
 DRAIN_NOTICE_MS = 60.0
 # Pause between reports while a change is under way.
-REPORT_MS = 120.0
+REPORT_MS = 60.0
+# An engine without requests for a model unloads it within this time.
+IDLE_UNLOAD_MS = 25.0
 # A load that is not there this long after it was due has failed.
 OVERDUE_MS = 6_000.0
 # An adapter is there this long after its order, unless it is seen sooner.
@@ -123,7 +125,7 @@
             log.info("orders_ended", fence=self._lease.generation)
             self._placements.clear()
             self._tasks.cancel()
-            self._state.set_own_residency(None)
+            self._state.set_own_residency(None, {})
 
     def _plan(self):
         configuration = self._state.configuration
@@ -196,9 +198,17 @@
             for placement in self._placements.values()
             for belief in placement.engines.values()
         }
+        queued = {}
+        for placement in self._placements.values():
+            queued.update(placement.queue_ms(now_ms))
         before = self._state.own_residency
-        self._state.set_own_residency(residency)
-        if before is None or _differs(before, residency):
+        queued_before = self._state.own_queued
+        self._state.set_own_residency(residency, queued)
+        if (
+            before is None
+            or queued.keys() != queued_before.keys()
+            or _differs(before, residency)
+        ):
             self._exchange.exchange_soon()
 
     async def _change(self, placement, belief, change):
@@ -228,8 +238,14 @@
     async def _unload(self, placement, belief, victim):
         if victim not in belief.ready:
             return
+        running = self._state.running().get(belief.record.name, {})
+        idle = not any(name.partition("/")[0] == victim for name in running)
         await self._order(placement, belief, UNLOAD, victim, "")
         belief.ready.pop(victim, None)
+        if idle:
+            # Done at once; if not, the engine refuses the load and is asked again.
+            await asyncio.sleep(IDLE_UNLOAD_MS / 1000)
+            return
         await self._until(placement, belief, lambda ready: victim not in ready, 0.0)
 
     async def _load(self, placement, belief, change):
@@ -314,6 +330,9 @@
                     raise OrderRefused("engine does not report")
                 belief.ordered_ms = self._state.now_ms()
                 if action == LOAD:
+                    if not placement.fits(belief, model, adapter):
+                        # Another change that should have made room has failed.
+                        raise OrderRefused("no room")
                     placement.check_memory(belief, model, adapter)
                     if adapter:
                         due_ms = belief.ordered_ms + ADAPTER_MS
--- a/cassiamount/replica_choice.py
+++ b/cassiamount/replica_choice.py
@@ -148,6 +148,9 @@
                     coming_ms = (
                         left_ms if coming_ms is None else min(coming_ms, left_ms)
                     )
+        queued_ms = self._view.queued.get(call.model)
+        if coming_ms is None and queued_ms is not None:
+            return WaitFor("model", max(0.0, queued_ms - now_ms))
         if coming_ms is None and any(call.model in view.ready for view in usable):
             return WaitFor("adapter", None)
         return WaitFor("model", coming_ms)
--- a/cassiamount/shared_quota.py
+++ b/cassiamount/shared_quota.py
@@ -41,10 +41,13 @@
     full : bool
         Whether buckets start full. Only at the first start of the whole system; a
         restart must not give anyone a second burst.
+    started_ms : float
+        Since when buckets fill: what this VM admitted before has ended by then.
     """
 
-    def __init__(self, full):
+    def __init__(self, full, started_ms=0.0):
         self._full = full
+        self._started_ms = started_ms
         self._buckets = {}
         self._rules = {}
         self._used = {}
@@ -62,9 +65,10 @@
             bucket = self._buckets.get(name)
             if bucket is None:
                 level = rule.burst_tokens if self._full else 0.0
-                self._buckets[name] = TeamBucket(
-                    rule.rate_tokens_per_s, rule.burst_tokens, now_ms, level
+                bucket = self._buckets[name] = TeamBucket(
+                    rule.rate_tokens_per_s, rule.burst_tokens, self._started_ms, level
                 )
+                bucket.advance(now_ms, self._share)
                 continue
             bucket.advance(now_ms, self._share)
             bucket.rate_tokens_per_s = rule.rate_tokens_per_s
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -158,6 +158,17 @@
     assert planner.plan(3_000.0) == []
 
 
+def test_copy_on_its_way_does_not_free_the_last_ready_one():
+    """Guards against a model in use that is unloaded before another copy is there."""
+    planner = placement(engine("e1", "a", "b", "c"), engine("e2", "b", "c", "f"))
+    asked = {}
+    for step in range(1, 31):
+        asked = {"a": step, "b": step, "c": step, "f": step, "d": step // 4}
+        demand(planner, 100.0 * step, {}, dict(asked))
+    planner.engines["e2"].change = Change("e2", "a", (), 9.0, True, 9_000.0)
+    assert planner.loss_per_s("a", 3_000.0) > 0
+
+
 def test_disk_copy_is_taken_before_the_weight_store():
     """Guards against loads of four seconds where less than one would do."""
     planner = placement(
