Bring lost models of hurried callers back before they are asked for

Loads after an idle unload failed with a conflict, since the unload took a little longer. Ruled out: the weight store (tokens were there), gains (47 requests a second). Change: a model of hurried callers without a copy is worth a load at once; blocked adapters weigh against a change and no longer forbid it; a load after an unload is sent again while the engine is busy; adapters are planned before models.

--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -33,6 +33,10 @@
 ADAPTER_MISS_SHARE = 0.5
 # Callers that expect an answer within this time do not wait for a load.
 HURRIED_OBJECTIVE_MS = 1_500.0
+# Gain of a copy of a model that nobody asks for now but whose callers do not wait for a
+# load, and of one that nobody has asked for yet.
+KEPT_GAIN_PER_S = 1.0
+UNKNOWN_GAIN_PER_S = 0.1
 # Gain of a load that only brings a first copy to some engine's disk.
 PREFETCH_GAIN_PER_S = 0.05
 # A model with fewer copies than this makes no way for a prefetch.
@@ -41,12 +45,10 @@
 # engines that changes for such models may occupy at the same time.
 RARE_PER_S = 2.0
 RARE_CHANGES_SHARE = 0.34
-# A model whose adapters are asked for more often keeps an engine that takes orders.
-ADAPTERS_PER_S = 1.0
 # Time that running requests need to end before a model can be unloaded.
 DRAIN_MS = 1_500.0
 # Time within which an unload without running requests is done and known.
-UNLOAD_MS = 150.0
+UNLOAD_MS = 200.0
 # Cost of a second copy in a zone that has one.
 SAME_ZONE_COST_MS = 300.0
 # Cost of each request that runs on the engine.
@@ -121,6 +123,7 @@
         "order_lock",
         "asking",
         "asked_ms",
+        "unloading_ms",
     )
 
     def __init__(self, record):
@@ -147,6 +150,7 @@
         self.order_lock = None
         self.asking = False
         self.asked_ms = -math.inf
+        self.unloading_ms = -math.inf
 
     def on_report(self, report):
         """Take what the engine says, unless orders were accepted since."""
@@ -432,7 +436,7 @@
         -------
         list of (Change or AdapterChange)
         """
-        return self._plan_models(now_ms) + self._plan_adapters(now_ms)
+        return self._plan_adapters(now_ms) + self._plan_models(now_ms)
 
     def queue_ms(self, now_ms):
         """Return when models that wait for an engine should be there.
@@ -484,7 +488,13 @@
         demand = self._demand[model]
         if now_ms - demand.asked_ms > IDLE_MS:
             demand.missing_ms = None
-            return PREFETCH_GAIN_PER_S if self._prefetched(model, now_ms) else 0.0
+            if self.copies(model):
+                return 0.0
+            if demand.hurried:
+                return KEPT_GAIN_PER_S
+            if self._prefetched(model, now_ms):
+                return PREFETCH_GAIN_PER_S
+            return UNKNOWN_GAIN_PER_S if demand.hurried is None else 0.0
         copies = len(self.copies(model))
         if not copies:
             if demand.missing_ms is None:
@@ -577,9 +587,8 @@
             if demand is None or name in victims:
                 continue
             free = sum(copy.change is None for copy in self.copies(name))
-            if free <= 1 and demand.adapters_per_s > ADAPTERS_PER_S:
-                return math.inf
-            blocked += ADAPTER_MISS_SHARE * demand.adapters_per_s / max(1, free)
+            share = 1.0 if free <= 1 else ADAPTER_MISS_SHARE / free
+            blocked += share * demand.adapters_per_s
         return blocked
 
     def _store_allowed(self, model, now_ms):
--- a/cassiamount/order_runner.py
+++ b/cassiamount/order_runner.py
@@ -16,7 +16,7 @@
     EngineOrder,
     target_of,
 )
-from .fleet_placement import RETRY_MS, AdapterChange, FleetPlacement
+from .fleet_placement import RETRY_MS, UNLOAD_MS, AdapterChange, FleetPlacement
 from .fleet_state import residency_of
 from .metadata_store import StoreUnavailable
 from .order_lease import LEASE_MS, RENEW_MS
@@ -243,7 +243,7 @@
         await self._order(placement, belief, UNLOAD, victim, "")
         belief.ready.pop(victim, None)
         if idle:
-            # Done at once; if not, the engine refuses the load and is asked again.
+            belief.unloading_ms = self._state.now_ms() + UNLOAD_MS
             await asyncio.sleep(IDLE_UNLOAD_MS / 1000)
             return
         await self._until(placement, belief, lambda ready: victim not in ready, 0.0)
@@ -349,6 +349,10 @@
                 if answer == NO_ANSWER:
                     unanswered += 1
                     continue
+                if answer == CONFLICT and self._state.now_ms() < belief.unloading_ms:
+                    # An unload before is not quite done; the engine's count is right.
+                    await asyncio.sleep(TRY_PAUSE_MS / 1000)
+                    continue
                 expected, belief.orders = belief.orders, None
                 if answer == CONFLICT and unanswered:
                     report = await self._report_after_lag(belief)
