--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -54,7 +54,7 @@
         self.waiting = {}
         self.asked = {}
         self.listeners = []
-        self.lease = OrderLease(settings.order_turn_ms, settings.first_start, now_ms)
+        self.lease = OrderLease(settings.order_turn_ms, now_ms)
         self.last_order_ms = None
         self.own_residency = None
         self.own_queued = {}
--- a/cassiamount/order_lease.py
+++ b/cassiamount/order_lease.py
@@ -43,8 +43,6 @@
     ----------
     turn_ms : float
         A holder that stopped does not act again within this time.
-    first_start : bool
-        Whether no VM can have held the lease before.
     now_ms : float
     """
 
@@ -59,12 +57,11 @@
         "_last_answer_ms",
     )
 
-    def __init__(self, turn_ms, first_start, now_ms):
+    def __init__(self, turn_ms, now_ms):
         self.generation = 0
         self._turn_ms = turn_ms
         self._until_ms = None
-        # After a restart the VM may itself have given orders a moment ago.
-        self._acts_from_ms = now_ms if first_start else now_ms + turn_ms
+        self._acts_from_ms = now_ms
         self._fenced_at = -1
         self._held = False
         self._acting = False
