--- /dev/null
+++ b/tests/fleet_fixtures.py
@@ -0,0 +1,206 @@
+"""A small fleet in one process: store, replicas and VMs on loopback."""
+
+import asyncio
+import contextlib
+import socket
+
+import aiohttp
+import uvicorn
+
+from cassiamount.clock import SuspendClock
+from cassiamount.fleet_node import FleetNode, PlatformParts
+from cassiamount.platform import documents, headers
+from cassiamount.platform.engines import EngineClient
+from cassiamount.platform.settings import decode_settings
+from cassiamount.platform.store import PlatformStore as StoreClient
+from standins.platform_replica import PlatformReplica
+from standins.platform_store import PlatformStore
+
+HOST = "fleet.example"
+KEY = "key-of-t"
+# Far longer than anything here takes; only a hang reaches it.
+LIMIT_S = 30
+
+
+class Decoder:
+    """The adapter's decoder of stored documents."""
+
+    configuration = staticmethod(documents.decode_configuration)
+    backend = staticmethod(documents.decode_backend)
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def configuration(version=1, keys=(KEY,), **route):
+    model = {
+        "WeightsMb": 100,
+        "LoadTimeS": 0.05,
+        "Adapters": 4,
+        "AdapterSizeMb": 1,
+        "MemoryLoadS": 0.05,
+        "DiskLoadS": 0.05,
+    }
+    common = {"Host": HOST, "TimeoutMs": 8000, "GoalMs": 2000, "Priority": 1}
+    return {
+        "Version": version,
+        "Routes": [
+            {
+                **common,
+                "Name": "chat",
+                "PathPrefix": "/chat/",
+                "Type": "streaming",
+                "Service": "llm",
+                "Attempts": 2,
+                "Resumable": True,
+                **route,
+            },
+            {
+                **common,
+                "Name": "buy",
+                "PathPrefix": "/buy/",
+                "Type": "non_idempotent",
+                "Service": "shop",
+                "Attempts": 1,
+            },
+            {
+                **common,
+                "Name": "look",
+                "PathPrefix": "/look/",
+                "Type": "idempotent",
+                "Service": "shop",
+                "Attempts": 2,
+                "Public": True,
+            },
+        ],
+        "Services": [
+            {
+                "Name": "llm",
+                "Engine": {
+                    "Slots": 8,
+                    "Models": [{**model, "Name": name} for name in ("m1", "m2")],
+                    "WeightsMb": 250,
+                    "MaxAdapters": 2,
+                    "LoadsPerS": 100.0,
+                },
+            },
+            {"Name": "shop"},
+        ],
+        "Tenants": [{"Name": "t", "ApiKeys": list(keys), "Priority": 1}],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100_000},
+    }
+
+
+class Fleet:
+    """All processes of the fleet, as objects of one event loop."""
+
+    def __init__(self):
+        self.store = PlatformStore()
+        self.replicas = {}
+        self.addresses = {}
+        self.nodes = {}
+        self.settings = {}
+        self._tasks = []
+        self._servers = []
+        self.session = None
+
+    async def start(self):
+        self.session = aiohttp.ClientSession()
+        self.store_port = await self._serve(self.store.app)
+
+    async def stop(self):
+        for node in self.nodes.values():
+            node.request_stop()
+        await asyncio.gather(*self._tasks)
+        await self.session.close()
+        for server, task in self._servers:
+            server.should_exit = server.force_exit = True
+            await task
+
+    async def add_replica(self, name, service, models=None):
+        replica = PlatformReplica(name, models)
+        self.replicas[name] = replica
+        self.addresses[name] = f"127.0.0.1:{await self._serve(replica)}"
+        self.announce(name, service)
+        return replica
+
+    def announce(self, name, service, state="ready"):
+        models = self.replicas[name].models or {}
+        self.store.put(
+            "keyed.servers",
+            name,
+            {
+                "Service": service,
+                "Address": self.addresses[name],
+                "Zone": "z1",
+                "Slots": 8,
+                "State": state,
+                "Models": [{"Name": m, "Adapters": a} for m, a in models.items()],
+                "Seq": 1,
+                "born": 1,
+            },
+        )
+
+    async def add_vm(self, name):
+        ports = [free_port() for _ in range(4)]
+        text = f"""
+NodeName: {name}
+Zone: z1
+Listen:
+  Frontend: "127.0.0.1:{ports[0]}"
+  Ready: "127.0.0.1:{ports[1]}"
+  Control: "127.0.0.1:{ports[2]}"
+PortRange: [{ports[3]}, {ports[3]}]
+Platform:
+  Address: "127.0.0.1:{self.store_port}"
+Bootstrap: true
+Bounds:
+  RevokeMs: 5000
+  GraceS: 4
+"""
+        settings = decode_settings(text, "boot.yaml").unwrap()
+        platform = PlatformParts(
+            StoreClient(settings.store_address), EngineClient(), Decoder, headers
+        )
+        node = FleetNode(settings, platform, SuspendClock())
+        self.nodes[name] = node
+        self.settings[name] = settings
+        self._tasks.append(asyncio.create_task(node.run()))
+        await self.until(node.ready)
+        return node
+
+    async def until(self, condition):
+        """Wait until something is so."""
+        async with asyncio.timeout(LIMIT_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def ask(self, vm, path, method="POST", key=KEY, body=b"{}", **headers):
+        """Send a request and return (status, headers, body)."""
+        address = self.settings[vm].caller_address
+        sent = {
+            "Host": HOST,
+            "X-Cassiamount-Request-Id": f"r{path}{id(headers):x}",
+            "X-Cassiamount-Deadline-Ms": "6000",
+        }
+        if key:
+            sent["Authorization"] = f"Bearer {key}"
+        sent.update({name.replace("_", "-"): value for name, value in headers.items()})
+        async with self.session.request(
+            method, f"http://{address}{path}", data=body, headers=sent
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    async def _serve(self, app):
+        port = free_port()
+        config = uvicorn.Config(
+            app, host="127.0.0.1", port=port, log_level="critical", lifespan="off"
+        )
+        server = uvicorn.Server(config)
+        server.capture_signals = contextlib.nullcontext
+        self._servers.append((server, asyncio.create_task(server.serve())))
+        await self.until(lambda: server.started)
+        return port
--- /dev/null
+++ b/tests/test_fleet_node.py
@@ -0,0 +1,166 @@
+"""Tests of whole VMs against stand-ins of the users' platform."""
+
+import asyncio
+
+import pytest
+
+from tests.fleet_fixtures import KEY, Fleet, configuration
+
+STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
+
+
+@pytest.fixture
+async def fleet():
+    fleet = Fleet()
+    await fleet.start()
+    fleet.store.put("keyed.op", "config", configuration())
+    await fleet.add_replica("e1", "llm", {"m1": ["a1"]})
+    await fleet.add_replica("s1", "shop")
+    yield fleet
+    await fleet.stop()
+
+
+@pytest.mark.parametrize(
+    ("path", "options", "status", "body"),
+    [
+        ("/chat/x?y=1", {"X_Cassiamount_Model": "m1"}, 200, STREAM),
+        ("/chat/x", {"X_Cassiamount_Model": "m1/a1"}, 200, STREAM),
+        ("/buy/x", {}, 200, b"done by s1"),
+        ("/look/x", {"key": ""}, 200, b"done by s1"),
+        ("/buy/x", {"key": "unknown"}, 401, None),
+        ("/buy/x", {"key": ""}, 401, None),
+        ("/none/x", {}, 404, None),
+        ("/buy/x", {"body": b"x" * 100_001}, 413, None),
+    ],
+)
+async def test_one_request(fleet, path, options, status, body):
+    """Guards against a path that serves, refuses or changes the wrong requests."""
+    await fleet.add_vm("v1")
+    answer = await fleet.ask("v1", path, **options)
+    assert answer[0] == status
+    if body is not None:
+        assert answer[2] == body
+
+
+async def test_heads_at_the_replica(fleet):
+    """Guards against headers that only the system may set, and keys, at a replica."""
+    await fleet.add_vm("v1")
+    await fleet.ask(
+        "v1",
+        "/buy/a%20b/?q=%41",
+        X_Cassiamount_Tenant="other",
+        X_Cassiamount_Hold="h",
+        Kv_From="1.2.3.4:5/x",
+    )
+    (seen,) = fleet.replicas["s1"].seen
+    assert seen["body"] == b"{}"
+    assert seen["x-cassiamount-tenant"] == "t"
+    assert seen["x-cassiamount-expect-instance"] == "s1"
+    assert 0 < int(seen["x-cassiamount-deadline-ms"]) <= 6000
+    assert not {"authorization", "x-cassiamount-hold", "kv-from"} & seen.keys()
+
+
+async def test_missing_model_and_adapter_are_loaded(fleet):
+    """Guards against requests for a model or adapter that nobody ever loads."""
+    await fleet.add_vm("v1")
+    status, _, body = await fleet.ask("v1", "/chat/x", X_Cassiamount_Model="m2/a3")
+    assert (status, body) == (200, STREAM)
+    assert fleet.replicas["e1"].models["m2"] == ["a3"]
+
+
+async def test_vm_that_does_not_hold_the_lease_gets_models_too(fleet):
+    """Guards against requests that only the holder of the orders can serve."""
+    await fleet.add_vm("v1")
+    await fleet.add_vm("v2")
+    status, _, body = await fleet.ask("v2", "/chat/x", X_Cassiamount_Model="m2")
+    assert (status, body) == (200, STREAM)
+
+
+async def test_broken_stream_goes_on_elsewhere(fleet):
+    """Guards against streams with missing, doubled or cut events after a failure."""
+    await fleet.add_replica("e2", "llm", {"m1": []})
+    fleet.replicas["e1"].break_streams = fleet.replicas["e2"].break_streams = 1
+    await fleet.add_vm("v1")
+    fleet.replicas["e2"].break_streams = 0
+    status, head, body = await fleet.ask("v1", "/chat/x", X_Cassiamount_Model="m1")
+    assert (status, body) == (200, STREAM)
+    if fleet.replicas["e1"].ran:
+        assert head["X-Cassiamount-Server-Signature"] == "e1"
+
+
+async def test_withdrawn_key_stops_everywhere(fleet):
+    """Guards against a VM on which a withdrawn key goes on working."""
+    await fleet.add_vm("v1")
+    await fleet.add_vm("v2")
+    fleet.store.put("keyed.op", "config", configuration(5, keys=["new"]))
+    await fleet.until(
+        lambda: all(n.state.configuration.version == 5 for n in fleet.nodes.values())
+    )
+    for vm in fleet.nodes:
+        assert (await fleet.ask(vm, "/buy/x", key=KEY))[0] == 401
+        assert (await fleet.ask(vm, "/buy/x", key="new"))[0] == 200
+
+
+async def test_configuration_reaches_a_vm_that_the_store_refuses(fleet):
+    """Guards against a VM that hears of no change while the store refuses it alone."""
+    await fleet.add_vm("v1")
+    cut = await fleet.add_vm("v2")
+    await fleet.until(lambda: len(cut.state.peers.peers) == 1)
+    cut._platform.store._base = "http://127.0.0.1:9"
+    fleet.store.put("keyed.op", "config", configuration(7))
+    await fleet.until(lambda: cut.state.configuration.version == 7)
+    assert (await fleet.ask("v2", "/buy/x"))[0] == 200
+
+
+async def test_lost_history_is_read_anew(fleet):
+    """Guards against a reader that waits for records that are gone."""
+    node = await fleet.add_vm("v1")
+    fleet.store.put("keyed.op", "config", configuration(8))
+    fleet.store.put("keyed.op", "config", configuration(9))
+    fleet.store.forget("keyed.op")
+    await fleet.until(lambda: node.state.configuration.version == 9)
+
+
+async def test_leaving_replica_gets_no_more_requests(fleet):
+    """Guards against work for a replica that said that it leaves."""
+    node = await fleet.add_vm("v1")
+    await fleet.add_replica("s2", "shop")
+    fleet.announce("s1", "shop", "draining")
+    await fleet.until(lambda: node.state.view.backends["s1"].leaving)
+    await fleet.until(lambda: "s2" in node.state.view.backends)
+    for _ in range(5):
+        assert (await fleet.ask("v1", "/buy/x"))[2] == b"done by s2"
+
+
+@pytest.mark.parametrize(
+    "entry", [{"Service": 5}, [], {"Service": "shop", "State": "asleep"}]
+)
+async def test_foreign_entry_names_no_replica(fleet, entry):
+    """Guards against entries of another writer in the platform's list."""
+    fleet.store.put("keyed.servers", "x", entry)
+    node = await fleet.add_vm("v1")
+    assert set(node.state.view.backends) == {"e1", "s1"}
+
+
+@pytest.mark.parametrize(
+    ("path", "status", "runs"), [("/buy/x", 500, 1), ("/look/x", 500, 2)]
+)
+async def test_failed_request_is_repeated_only_if_it_may_be(fleet, path, status, runs):
+    """Guards against a non-idempotent request that runs twice."""
+    await fleet.add_replica("s2", "shop")
+    fleet.replicas["s1"].status = fleet.replicas["s2"].status = status
+    await fleet.add_vm("v1")
+    assert (await fleet.ask("v1", path))[0] == status
+    ran = [len(fleet.replicas[name].ran) for name in ("s1", "s2")]
+    assert sum(ran) == runs
+
+
+async def test_planned_stop_finishes_what_was_accepted(fleet):
+    """Guards against a stop that cuts a stream off."""
+    node = await fleet.add_vm("v1")
+    request = asyncio.create_task(fleet.ask("v1", "/chat/x", X_Cassiamount_Model="m1"))
+    await fleet.until(lambda: bool(fleet.replicas["e1"].ran))
+    node.request_stop()
+    await fleet.until(lambda: node.state.stopping)
+    assert not node.ready()
+    assert (await request)[2] == STREAM
