Bound the logs, explain a request, follow limits and changed settings

Logs: lines go through a stream that never blocks; a stalled reader and more than 2,000 lines a second cost lines, which are counted and named. cassiamount explain prints the way of a request; cassiamount check reads the platform's settings and configuration. Heads follow the configured limits (431, 408, 400).

--- /dev/null
+++ b/cassiamount/bounded_stream.py
@@ -0,0 +1,82 @@
+"""A log stream that never blocks and whose volume is bounded."""
+
+import collections
+import os
+import time
+
+# Lines per second that are written, and lines that may come at once.
+LINES_PER_S = 2_000.0
+BURST_LINES = 4_000.0
+# Bytes kept while the reader does not read.
+BACKLOG_BYTES = 1 << 20
+
+
+class BoundedStream:
+    """File-like object for log lines.
+
+    A reader that stalls costs lines, not time: what does not fit is dropped and
+    counted, and the count is written with the next line that fits.
+
+    Parameters
+    ----------
+    descriptor : int
+        Set to non-blocking.
+    clock_s : callable
+    """
+
+    def __init__(self, descriptor, clock_s=time.monotonic):
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._clock_s = clock_s
+        self._backlog = collections.deque()
+        self._backlog_bytes = 0
+        self._allowed = BURST_LINES
+        self._at_s = clock_s()
+        self.dropped = 0
+        self.dropped_total = 0
+
+    def write(self, text):
+        """Write a line, or count it as dropped."""
+        data = text.encode("utf-8", "replace")
+        now_s = self._clock_s()
+        gained = (now_s - self._at_s) * LINES_PER_S
+        self._allowed = min(BURST_LINES, self._allowed + gained)
+        self._at_s = now_s
+        self._write_backlog()
+        if self._allowed < 1 or self._backlog_bytes + len(data) > BACKLOG_BYTES:
+            self.dropped += 1
+            self.dropped_total += 1
+            return
+        self._allowed -= 1
+        if self.dropped:
+            note = b'{"event": "log_lines_dropped", "count": %d}\n' % self.dropped
+            self.dropped = 0
+            self._keep(note)
+        self._keep(data)
+        self._write_backlog()
+
+    def flush(self):
+        """Write what the reader takes."""
+        self._write_backlog()
+
+    def _keep(self, data):
+        self._backlog.append(data)
+        self._backlog_bytes += len(data)
+
+    def _write_backlog(self):
+        while self._backlog:
+            data = self._backlog[0]
+            try:
+                written = os.write(self._descriptor, data)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody will read any more.
+                self._backlog.clear()
+                self._backlog_bytes = 0
+                return
+            self._backlog_bytes -= written
+            if written < len(data):
+                self._backlog[0] = data[written:]
+                return
+            self._backlog.popleft()
--- a/cassiamount/cli.py
+++ b/cassiamount/cli.py
@@ -22,6 +22,7 @@
     report_refused,
     with_api,
 )
+from .cli_fleet import PLATFORM_PARSERS, explain_request
 from .cli_output import Output, show_json, show_tables, status_json, status_tables
 from .configuration import parse_configuration
 from .document_diff import diff_documents
@@ -42,6 +43,7 @@
 lease_app = cyclopts.App(name="lease", help="Handles leases of VMs that are gone.")
 app.command(key_app)
 app.command(lease_app)
+app.command(explain_request, name="explain")
 
 
 @app.command
@@ -49,7 +51,9 @@
     file: Path,
     /,
     *,
-    kind: Literal["configuration", "settings"] = "configuration",
+    kind: Literal[
+        "configuration", "settings", "platform-settings", "platform-configuration"
+    ] = "configuration",
     as_json: AsJson = False,
 ):
     """Check a configuration or settings file and list all findings.
@@ -57,7 +61,7 @@
     Parameters
     ----------
     file
-        JSON file.
+        JSON file; YAML for the settings file of the users' platform.
     kind
         What the file holds.
     """
@@ -65,8 +69,12 @@
     text = read_file(file, output)
     if text is None:
         return EXIT_FAILURE
-    parse = parse_settings if kind == "settings" else parse_configuration
-    parsed = parse(text, str(file))
+    parsers = {
+        "configuration": parse_configuration,
+        "settings": parse_settings,
+        **PLATFORM_PARSERS,
+    }
+    parsed = parsers[kind](text, str(file))
     if parsed.is_err():
         return report_findings(output, parsed.unwrap_err())
     output.result({"findings": []}, [f"{file}: no findings"])
--- a/cassiamount/fleet_edge.py
+++ b/cassiamount/fleet_edge.py
@@ -18,7 +18,14 @@
 
 
 class FleetProtocol(CallerProtocol):
-    """Adds what the application needs to know of the connection."""
+    """Follows the configured limits, and keeps what the application needs to know."""
+
+    def connection_made(self, transport):
+        """Take the limits in force."""
+        limits = self.caller_limits()
+        self.head_bytes = limits.header_bytes
+        self.head_timeout_s = limits.header_timeout_ms / 1000
+        super().connection_made(transport)
 
     def on_headers_complete(self):
         """Keep the target as it was sent."""
@@ -27,6 +34,16 @@
             self.scope[TARGET] = bytes(self.url)
             self.scope[TRANSPORT] = self.transport
 
+    def _head_timeout(self):
+        """Tell a caller whose head is too slow; close an idle connection."""
+        if self._in_head and self._wire_bytes and not self.transport.is_closing():
+            self._timer = None
+            self._count("head_timeout")
+            message = f"the head took longer than {self.head_timeout_s} s"
+            self._answer(Refusal(408, "header_timeout", message))
+            return
+        super()._head_timeout()
+
 
 class FleetCaller:
     """Sends one answer over ASGI.
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -6,6 +6,7 @@
 import structlog
 
 from .backend_channel import ChannelPool
+from .fleet import CallerLimits
 from .fleet_edge import FleetEdge, FleetProtocol
 from .fleet_relay import FleetRelay
 from .fleet_state import FleetState
@@ -168,6 +169,7 @@
                 open_listener(host, int(port)),
                 self._metrics,
                 base_protocol=protocol,
+                caller_limits=self._caller_limits,
             )
             await server.start()
             self._servers[name] = server
@@ -180,6 +182,16 @@
             await server.start()
             self._servers["metrics"] = server
 
+    def apply_settings(self, settings):
+        """Take changed settings; addresses and the zone need a restart."""
+        self.state.keys.limit_ms = settings.key_limit_ms
+        self.state.retries.ratio = settings.retry_ratio
+        self.state.retries.slack = settings.retry_slack
+        self._settings.grace_s = settings.grace_s
+        for address in settings.seed_addresses:
+            if address != settings.peer_address:
+                self.state.peers.addresses.setdefault(f"seed {address}", address)
+
     def ready(self):
         """Return whether callers should be sent here."""
         state = self.state
@@ -190,6 +202,10 @@
             and bool(state.view.backends)
         )
 
+    def _caller_limits(self):
+        configuration = self.state.configuration
+        return CallerLimits() if configuration is None else configuration.limits
+
     async def _ready_app(self, scope, receive, send):
         status = 200 if self.ready() else 503
         await _respond(send, status, b"ready" if status == 200 else b"not ready")
--- a/cassiamount/platform/__main__.py
+++ b/cassiamount/platform/__main__.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from ..bounded_stream import BoundedStream
 from ..clock import SuspendClock
 from ..errors import InvariantViolation
 from ..fleet_node import FleetNode, PlatformParts
@@ -20,6 +21,8 @@
 
 EXIT_FAILURE = 1
 EXIT_FINDINGS = 2
+# A changed settings file is noticed within this time.
+RELOAD_CHECK_S = 1.0
 
 
 class Decoder:
@@ -43,12 +46,20 @@
             print(finding, file=sys.stderr)
         return EXIT_FINDINGS
     settings = decoded.unwrap()
-    configure_logs("info", sys.stdout)
-    return asyncio.run(serve(settings))
+    configure_logs("info", BoundedStream(sys.stdout.fileno()))
+    structlog.contextvars.bind_contextvars(vm=settings.vm_name)
+    return asyncio.run(serve(settings, file_name))
 
 
-async def serve(settings):
-    """Run one VM; return the exit status."""
+async def serve(settings, file_name):
+    """Run one VM; return the exit status.
+
+    Parameters
+    ----------
+    settings : VmSettings
+    file_name : str
+        Read again when it changes, with or without SIGHUP.
+    """
     platform = PlatformParts(
         PlatformStore(settings.store_address), EngineClient(), Decoder, headers
     )
@@ -56,14 +67,42 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.request_stop)
+    reload = asyncio.create_task(watch_settings(file_name, settings, node))
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
     try:
         await node.run()
     except (InvariantViolation, RestartLimitReached) as error:
         structlog.get_logger().error("stopped_with_failure", error=str(error))
         return EXIT_FAILURE
+    finally:
+        reload.cancel()
     return 0
 
 
+async def watch_settings(file_name, settings, node):
+    """Apply changes of the settings file while the VM runs."""
+    log = structlog.get_logger()
+    path = Path(file_name)
+    text = path.read_text(encoding="utf-8")
+    while True:
+        await asyncio.sleep(RELOAD_CHECK_S)
+        try:
+            now_text = path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            log.warning("settings_unreadable", error=str(error))
+            continue
+        if now_text == text:
+            continue
+        text = now_text
+        decoded = decode_settings(text, file_name)
+        if decoded.is_err():
+            findings = [str(finding) for finding in decoded.unwrap_err()]
+            log.warning("settings_not_taken", findings=findings)
+            continue
+        log.info("settings_taken", changed=settings.changes(decoded.unwrap()))
+        settings = decoded.unwrap()
+        node.apply_settings(settings)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/cassiamount/platform/headers.py
+++ b/cassiamount/platform/headers.py
@@ -72,8 +72,7 @@
     model, _, adapter = values.get(MODEL, b"").decode("latin-1").partition("/")
     prompt_tokens = output_tokens = None
     if TOKENS in values:
-        counts = values[TOKENS].split(b",")
-        prompt_tokens, output_tokens = int(counts[0]), int(counts[1])
+        prompt_tokens, output_tokens = map(int, values[TOKENS].split(b","))
         if prompt_tokens < 0 or output_tokens < 0:
             raise ValueError("negative count of tokens")
     patience = values.get(DEADLINE)
--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -30,6 +30,8 @@
     head_bytes = 16 << 10
     max_connections = 10_000
     metrics = None
+    head_timeout_s = HEAD_TIMEOUT_S
+    caller_limits = None
 
     def connection_made(self, transport):
         """Accept a connection, or close it if there are too many."""
@@ -63,7 +65,7 @@
             # Most heads arrive in one piece and need no timer.
             self._timed = True
             self._stop_timer()
-            self._start_timer(HEAD_TIMEOUT_S)
+            self._start_timer(self.head_timeout_s)
 
     def on_headers_complete(self):
         """Check the size of a head that came in one piece."""
@@ -134,7 +136,11 @@
 
     def _answer(self, refusal):
         body = error_body(refusal)
-        phrase = {400: "Bad Request", 431: "Request Header Fields Too Large"}
+        phrase = {
+            400: "Bad Request",
+            408: "Request Timeout",
+            431: "Request Header Fields Too Large",
+        }
         head = (
             f"HTTP/1.1 {refusal.status} {phrase[refusal.status]}\r\n"
             "content-type: application/json\r\n"
@@ -177,6 +183,8 @@
     max_connections : int
     base_protocol : type
         `CallerProtocol` or a class derived from it.
+    caller_limits : callable, optional
+        Returns the `CallerLimits` in force, for a protocol that follows them.
     """
 
     def __init__(
@@ -187,6 +195,7 @@
         head_bytes=16 << 10,
         max_connections=10_000,
         base_protocol=CallerProtocol,
+        caller_limits=None,
     ):
         protocol = type(
             "BoundCallerProtocol",
@@ -195,6 +204,7 @@
                 "head_bytes": head_bytes,
                 "max_connections": max_connections,
                 "metrics": metrics,
+                "caller_limits": staticmethod(caller_limits),
             },
         )
         config = uvicorn.Config(
--- a/cassiamount/vm_settings.py
+++ b/cassiamount/vm_settings.py
@@ -58,6 +58,14 @@
         for name in self.__slots__:
             setattr(self, name, values[name])
 
+    def changes(self, other):
+        """Return the names of the fields in which other settings differ."""
+        return [
+            name
+            for name in self.__slots__
+            if getattr(self, name) != getattr(other, name)
+        ]
+
     @property
     def ip(self):
         """The VM's own IP address."""
--- /dev/null
+++ b/tests/platform/test_adapter.py
@@ -0,0 +1,159 @@
+"""Tests of the adapter's formats."""
+
+import re
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from cassiamount.backend_messages import Attempt
+from cassiamount.platform import headers
+from cassiamount.platform.documents import UnreadableDocument, decode_backend
+from cassiamount.platform.settings import decode_settings
+
+ROOT = Path(__file__).parent.parent.parent
+SETTINGS = """
+NodeName: v1
+Zone: z1
+Listen: {Frontend: "10.0.0.1:80", Ready: "10.0.0.1:81", Control: "10.0.0.1:82"}
+Platform: {Address: "10.0.0.9:90"}
+Bounds: {RevokeMs: 5000, New: {a: 1}}
+Unknown: [1]
+"""
+
+
+def test_requirements_agree_with_the_project():
+    """Guards against a build for the platform with other versions than the tests'."""
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())
+    required = (ROOT / "requirements.txt").read_text().split()
+    assert sorted(required) == sorted(project["project"]["dependencies"])
+
+
+def test_platform_words_stay_in_the_adapter():
+    """Guards against the platform's names in the product's own modules."""
+    words = re.compile(
+        r"x-cassiamount-|keyed\.|log-(append|read|newest|join)|FencingToken|ApiKeys",
+        re.I,
+    )
+    found = [
+        path.name
+        for path in (ROOT / "cassiamount").glob("*.py")
+        if words.search(path.read_text())
+    ]
+    assert found == []
+
+
+def test_adapter_stays_small():
+    """Guards against decisions that move into the adapter."""
+    files = (ROOT / "cassiamount" / "platform").glob("*.py")
+    assert sum(len(path.read_text().splitlines()) for path in files) < 1_200
+
+
+def test_settings():
+    """Guards against settings that are refused for fields nobody knows."""
+    settings = decode_settings(SETTINGS, "f").unwrap()
+    assert (settings.vm_name, settings.key_limit_ms) == ("v1", 5000)
+    assert settings.first_start is False
+
+
+@pytest.mark.parametrize(
+    ("change", "found"),
+    [
+        (("NodeName: v1", "NodeName: 7"), ["NodeName"]),
+        (("Zone: z1", ""), ["Zone"]),
+        (('"10.0.0.9:90"', '"nowhere"'), ["nowhere"]),
+        (("RevokeMs: 5000", "RevokeMs: soon"), ["RevokeMs"]),
+        (("NodeName: v1\nZone: z1", ""), ["NodeName", "Zone"]),
+        (("NodeName: v1", "NodeName: ["), ["YAML"]),
+    ],
+)
+def test_wrong_settings_are_reported_together(change, found):
+    """Guards against a VM that starts with wrong settings or hides a second fault."""
+    findings = decode_settings(SETTINGS.replace(*change), "f").unwrap_err()
+    text = " ".join(map(str, findings))
+    assert all(part in text for part in found)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"{",
+        b"5",
+        b"[]",
+        b'{"Service": "s"}',
+        b'{"Service":"s","Address":"x","Zone":"z","Slots":1,"State":"ready"}',
+        b'{"Service":"s","Address":"a:1","Zone":"z","Slots":"1","State":"ready"}',
+        b'{"Service":"s","Address":"a:1","Zone":"z","Slots":1,"State":"odd"}',
+        b'{"Service":"s","Address":"a:1","Zone":"z","Slots":1,"State":[]}',
+        b'{"Service":"s","Address":"a:1","Zone":"z","Slots":1,"State":"ready",'
+        b'"Models":[5]}',
+    ],
+)
+def test_unreadable_entry(data):
+    """Guards against an entry of another writer that ends the reader."""
+    with pytest.raises(UnreadableDocument):
+        decode_backend("x", data)
+
+
+HEAD = [
+    (b"host", b"h:80"),
+    (b"x-cassiamount-request-id", b"r1"),
+    (b"x-cassiamount-deadline-ms", b"1500"),
+    (b"x-cassiamount-model", b"m/a"),
+    (b"x-cassiamount-token-usage", b"14,8"),
+    (b"x-cassiamount-prefix-hash", b"5c:8,91:6"),
+    (b"authorization", b"Bearer k"),
+    (b"connection", b"x-cassiamount-model, x-own"),
+    (b"x-own", b"1"),
+    (b"x-other", b"2"),
+    (b"x-cassiamount-tenant", b"forged"),
+]
+
+
+def test_call_is_decoded():
+    """Guards against requests that are routed or charged by wrong values."""
+    call = headers.decode_call("POST", b"/p/x?q=%41", HEAD)
+    assert (call.host, call.path, call.key) == ("h", "/p/x", "k")
+    assert (call.model, call.adapter, call.tokens) == ("m", "a", 22)
+    assert call.prefix == (("5c", 8), ("91", 6))
+    assert call.patience_ms == 1500
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"x-cassiamount-token-usage", b"x"),
+        (b"x-cassiamount-token-usage", b"1"),
+        (b"x-cassiamount-token-usage", b"-1,5"),
+        (b"x-cassiamount-deadline-ms", b"soon"),
+    ],
+)
+def test_malformed_call(header):
+    """Guards against a head that ends in an error instead of a refusal."""
+    with pytest.raises(ValueError, match="."):
+        headers.decode_call("POST", b"/", [header])
+
+
+def test_call_is_encoded():
+    """Guards against a key, a forged or a missing header at a backend server."""
+    attempt = Attempt("i-1", "a:1", 900.7, 2, "t", "9")
+    data = headers.encode_call("POST", b"/p/x?q=%41", HEAD, b"body", attempt)
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    assert lines[0] == b"POST /p/x?q=%41 HTTP/1.1"
+    assert body == b"body"
+    expected = {
+        b"x-cassiamount-model: m/a",
+        b"x-cassiamount-tenant: t",
+        b"x-cassiamount-expect-instance: i-1",
+        b"x-cassiamount-deadline-ms: 900",
+        b"x-cassiamount-request-priority: 2",
+        b"last-event-id: 9",
+        b"x-other: 2",
+        b"content-length: 4",
+    }
+    assert expected <= set(lines)
+    names = [line.partition(b":")[0] for line in lines[1:]]
+    assert len(names) == len(set(names))
+    assert not {b"authorization", b"x-own", b"connection"} & set(names)
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -164,3 +164,27 @@
     await fleet.until(lambda: node.state.stopping)
     assert not node.ready()
     assert (await request)[2] == STREAM
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"POST /buy/x HTTP/1.1\r\nHost: f\r\nX: " + b"y" * 20_000, b"431"),
+        (b"GET / HTTP/1.1\r\nHost: f\r\nContent-Length: 1, 2\r\n\r\n", b"400"),
+        (
+            b"POST /buy/ HTTP/1.1\r\nHost: f\r\nContent-Length: 5\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+        (b"not http\r\n\r\n", b"400"),
+    ],
+    ids=["large-head", "two-lengths", "length-and-chunks", "no-http"],
+)
+async def test_bad_heads_get_an_answer(fleet, data, status):
+    """Guards against smuggled requests and heads without bound."""
+    await fleet.add_vm("v1")
+    host, _, port = fleet.settings["v1"].caller_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    assert (await reader.readline()).split()[1] == status
+    writer.close()
