Refuse at a planned stop what still waits for a replica

Ruled out: streams under way (they ended), the balancer (the request came 0.47 s after the signal, within its two probes). Change: a stopping VM does not wait for models; it refuses at once, truly not run, and says when to come back, so that another VM takes the request. Test with a whole VM; it failed before. Also one log line for each wait and each send, with what decided it.

--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -244,6 +244,7 @@
         """Finish what callers were promised, and stop taking more."""
         log.info("stopping", running=self._edge.running)
         self.state.stopping = True
+        self.state.notify()
         self._exchange.exchange_soon()
         await self._orders.release()
         await asyncio.sleep(BALANCER_MS / 1000)
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -31,6 +31,8 @@
 FULL_RETURN_MS = 150.0
 STALE_KEYS_RETURN_MS = 1_000.0
 STARTING_RETURN_MS = 500.0
+# Another VM can take the request at once.
+STOPPING_RETURN_MS = 50.0
 
 
 class InboundCall:
@@ -307,6 +309,8 @@
 
     def _check_wait(self, job, found, first_wait_ms, now_ms):
         """Refuse a request at once that will not be served in time."""
+        if self._state.stopping:
+            raise Refused(503, "stopping", "this VM stops", STOPPING_RETURN_MS)
         if found.reason == "no-backend":
             raise Refused(503, "no_backend", "no backend server", return_ms(None))
         if found.wait_ms is None:
@@ -326,7 +330,7 @@
 
     def _expect_return(self, job, refused):
         """Let a caller that will come back count as waiting until then."""
-        if not job.engine or refused.return_after_ms is None:
+        if self._state.stopping or not job.engine or refused.return_after_ms is None:
             return
         waiting = self._state.waiting
         target = job.target
@@ -342,6 +346,15 @@
         target = job.target
         if target not in job.waited:
             job.waited[target] = True
+            self._log.info(
+                "request_waits",
+                request_id=job.call.request_id,
+                target=target,
+                reason=found.reason,
+                expected_ms=None if found.wait_ms is None else round(found.wait_ms),
+                patience_ms=round(job.patience_until_ms - self._state.now_ms()),
+                placement_age_ms=self._state.placement_age_ms(),
+            )
             waiting = self._state.waiting
             waiting[target] = waiting.get(target, 0) + 1
             self._ask_holder()
@@ -435,6 +448,17 @@
         if job.state.state != DISPATCHED:
             job.state.move(DISPATCHED)
         job.sends += 1
+        self._log.info(
+            "request_sent",
+            request_id=job.call.request_id,
+            backend=name,
+            send=job.sends,
+            expected_ms=round(choice.wait_ms),
+            load=view.load,
+            left_ms=round(attempt.time_left_ms),
+            last_event=job.last_event,
+            placement_age_ms=self._state.placement_age_ms(),
+        )
         outcome = None
         first_ms = [None]
         try:
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -270,6 +270,16 @@
             return {}, {}, now_ms
         return holder.residency, holder.queued, self.peers.peers[holder.vm].heard_ms
 
+    def placement_age_ms(self):
+        """Return the age of what is known of the engines; None without a holder."""
+        if self.own_residency is not None:
+            return 0
+        now_ms = self.now_ms()
+        holder = self.peers.holder(now_ms)
+        if holder is None:
+            return None
+        return round(now_ms - self.peers.peers[holder.vm].heard_ms)
+
     def set_own_residency(self, residency, queued):
         """Take what this VM knows and plans as the holder; None if it is not."""
         self.own_residency = residency
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -166,6 +166,23 @@
     assert (await request)[2] == STREAM
 
 
+async def test_planned_stop_refuses_what_still_waits(fleet):
+    """Guards against a request that waits for a model until the VM is gone.
+
+    Seen in hunts (LOST): ncl-sewfloor trouble-2 --seed 368268397619, sfax-badges
+    trouble-2 --seed 652861721276.
+    """
+    node = await fleet.add_vm("v1")
+    fleet.replicas["e1"].load_s = 60.0
+    request = asyncio.create_task(fleet.ask("v1", "/chat/x", X_Cassiamount_Model="m2"))
+    await fleet.until(lambda: bool(node.state.waiting))
+    node.request_stop()
+    status, head, _ = await request
+    assert status == 503
+    assert float(head["Retry-After"]) < 1
+    assert not fleet.replicas["e1"].ran
+
+
 @pytest.mark.parametrize(
     ("data", "status"),
     [
