Avoid a replica only if others are known to do better

A replica is now avoided only if another one with five outcomes or more fails at less than half of its share. Also: a seed address is dropped once its VM is heard by name (two links to one VM before).

--- a/cassiamount/fleet_view.py
+++ b/cassiamount/fleet_view.py
@@ -8,6 +8,8 @@
 OUTCOME_WINDOW_MS = 4_000.0
 # Failures in the window without which a share says nothing.
 MIN_FAILURES = 3
+# Outcomes without which a backend server cannot be said to do better.
+MIN_OUTCOMES = 5
 # A backend server is avoided at this share of failures, if the others of its service
 # fail at less than half of its share.
 FAILURE_SHARE = 0.25
@@ -74,13 +76,16 @@
         self._outcomes.append((now_ms, failed))
         self._failures += failed
 
-    def failure_share(self, now_ms):
-        """Return the share of failures, 0 if there are only few."""
+    def failures(self, now_ms):
+        """Return the failures and the outcomes in the window."""
         while self._outcomes and self._outcomes[0][0] < now_ms - OUTCOME_WINDOW_MS:
             self._failures -= self._outcomes.popleft()[1]
-        if self._failures < MIN_FAILURES:
-            return 0.0
-        return self._failures / len(self._outcomes)
+        return self._failures, len(self._outcomes)
+
+    def failure_share(self, now_ms):
+        """Return the share of failures, 0 if there are only few."""
+        failures, outcomes = self.failures(now_ms)
+        return failures / outcomes if failures >= MIN_FAILURES else 0.0
 
     def note_times(self, first_ms, service_ms):
         """Take the times of a finished attempt into the averages."""
@@ -177,12 +182,19 @@
         share = view.failure_share(now_ms)
         if share < FAILURE_SHARE:
             return False
-        others = [
-            other.failure_share(now_ms)
-            for other in self.of_service(view.record.service)
-            if other is not view and not other.leaving
-        ]
-        if others and min(others) * 2 < share and view.avoided_until_ms <= now_ms:
-            view.avoided_until_ms = now_ms + AVOID_MS
-            return True
+        if view.avoided_until_ms > now_ms or not self._others_do_better(
+            view, share, now_ms
+        ):
+            return False
+        view.avoided_until_ms = now_ms + AVOID_MS
+        return True
+
+    def _others_do_better(self, view, share, now_ms):
+        """Return whether some other replica fails at less than half of a share."""
+        for other in self.of_service(view.record.service):
+            if other is view or other.leaving:
+                continue
+            failures, outcomes = other.failures(now_ms)
+            if outcomes >= MIN_OUTCOMES and 2 * failures < share * outcomes:
+                return True
         return False
--- a/cassiamount/peer_table.py
+++ b/cassiamount/peer_table.py
@@ -43,9 +43,11 @@
         known = self.peers.get(report.vm)
         if known is not None and report.started_ms < known.report.started_ms:
             return False
-        if report.stopping:
-            self.addresses.pop(report.vm, None)
-        else:
+        for name, address in list(self.addresses.items()):
+            if address == report.address:
+                # A seed is known only by its address.
+                del self.addresses[name]
+        if not report.stopping:
             self.addresses[report.vm] = report.address
         self.peers[report.vm] = Peer(report, now_ms)
         return True
--- /dev/null
+++ b/tests/test_fleet_reports.py
@@ -0,0 +1,111 @@
+"""Tests of the messages between VMs of a fleet, and of what a VM makes of them."""
+
+import pytest
+
+from cassiamount.fleet_placement import AskedCount
+from cassiamount.fleet_reports import (
+    Residency,
+    StreamPosition,
+    StreamRecords,
+    VmReport,
+    decode_report,
+    encode_report,
+)
+from cassiamount.metadata_store import KeyedRecord
+from cassiamount.peer_table import FORGET_MS, SILENT_MS, PeerTable
+
+
+def report(vm="v2", **changes):
+    values = {
+        "vm": vm,
+        "zone": "z1",
+        "address": f"{vm}:1",
+        "started_ms": 5,
+        "stopping": False,
+        "store_reachable": True,
+        "positions": {"configuration": StreamPosition(7, 12.5)},
+        "records": {
+            "backends": StreamRecords(
+                3, 5, [KeyedRecord(3, "k", b"\xff{}"), KeyedRecord(4, "k", None)]
+            )
+        },
+        "running": {"e1": {"m/a": 2}},
+        "waiting": {"m": 1},
+        "asked": {"m": AskedCount(9, 4, 2)},
+        "used_tokens": {"t": 100.5},
+        "fence": 0,
+        "order_age_ms": None,
+        "residency": {"e1": Residency(1, {"m": ["a"]}, {"n": 80.0}, ["o"])},
+        "queued": {"q": 1_500.0},
+    }
+    values.update(changes)
+    return VmReport(**values)
+
+
+def test_report_survives_its_encoding():
+    """Guards against fields that are lost or changed between VMs."""
+    sent = report()
+    taken = decode_report(encode_report(sent))
+    assert encode_report(taken) == encode_report(sent)
+    assert taken.records["backends"].records[0].value == b"\xff{}"
+    assert taken.records["backends"].records[1].value is None
+    assert taken.asked["m"].hurried == 4
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"[]", b"{}", b"5", b'{"vm": 1}', b"\xff", encode_report(report())[:-9]],
+)
+def test_unreadable_report(data):
+    """Guards against a message that ends the exchange with all peers."""
+    with pytest.raises(ValueError, match="."):
+        decode_report(data)
+
+
+def test_report_of_an_earlier_start_is_ignored():
+    """Guards against late messages of a VM that has restarted."""
+    table = PeerTable("v1")
+    assert table.on_report(report(started_ms=6, waiting={}), 0.0)
+    assert not table.on_report(report(started_ms=5), 1.0)
+    assert table.waiting_elsewhere(1.0) == {}
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "heard", "vms"),
+    [(SILENT_MS, 1, 2), (SILENT_MS + 1, 0, 2), (FORGET_MS + 1, 0, 1)],
+    ids=["heard", "silent", "gone"],
+)
+def test_silence(age_ms, heard, vms):
+    """Guards against requests of a silent VM that are counted for ever."""
+    table = PeerTable("v1")
+    table.on_report(report(), 0.0)
+    assert len(table.heard(age_ms)) == heard
+    assert table.vms(age_ms) == vms
+
+
+def test_seed_is_known_by_its_name_once_it_is_heard():
+    """Guards against two links to the same VM."""
+    table = PeerTable("v1")
+    table.addresses["seed v2:1"] = "v2:1"
+    table.on_report(report("v2"), 0.0)
+    assert table.addresses == {"v2": "v2:1"}
+    table.on_report(report("v2", stopping=True), 0.0)
+    assert table.addresses == {}
+
+
+def test_newest_holder_counts():
+    """Guards against a VM that follows a holder who has lost the lease."""
+    table = PeerTable("v1")
+    table.on_report(report("v2", fence=4), 0.0)
+    table.on_report(report("v3", fence=9), 0.0)
+    assert table.holder(1.0).vm == "v3"
+    assert table.surroundings(1.0).fence == 9
+
+
+def test_only_the_first_vm_by_name_that_reaches_the_store_reads_it():
+    """Guards against a store that all VMs read, or none."""
+    table = PeerTable("v3")
+    table.on_report(report("v1", store_reachable=False), 0.0)
+    assert table.rank(1.0) == 0
+    table.on_report(report("v2"), 0.0)
+    assert table.rank(1.0) == 1
--- /dev/null
+++ b/tests/test_replica_choice.py
@@ -0,0 +1,179 @@
+"""Tests of the choice of a backend server in a fleet."""
+
+import pytest
+
+from cassiamount.errors import InvariantViolation
+from cassiamount.fleet import BackendRecord, CallFacts, RouteRule
+from cassiamount.fleet_view import MIN_FAILURES, FleetView
+from cassiamount.replica_choice import (
+    DEFAULT_RETURN_MS,
+    MAX_RETURN_MS,
+    MIN_RETURN_MS,
+    Choice,
+    PrefixMemory,
+    ReplicaChoice,
+    WaitFor,
+    patience_ms,
+    return_ms,
+)
+
+
+def record(name, service="s", zone="z1", leaving=False, started=1, models=()):
+    residents = {model: frozenset(["a1"]) for model in models}
+    return BackendRecord(
+        name,
+        service,
+        f"{name}:1",
+        zone,
+        4,
+        leaving,
+        started_wall_ms=started,
+        residents=residents,
+    )
+
+
+def view_of(*records):
+    view = FleetView()
+    view.replace({item.name: item for item in records})
+    return view
+
+
+def choice_of(view):
+    return ReplicaChoice(view, "z1", PrefixMemory())
+
+
+def call(model="m", adapter="", prefix=()):
+    return CallFacts("r", "POST", "h", "/", "", None, model, adapter, 500, 10, prefix)
+
+
+@pytest.mark.parametrize(
+    ("loads", "zones", "chosen"),
+    [
+        ({"b1": 0, "b2": 0}, {"b1": "z2", "b2": "z1"}, "b2"),
+        ({"b1": 1, "b2": 9}, {"b1": "z2", "b2": "z1"}, "b1"),
+        ({"b1": 4, "b2": 1}, {"b1": "z1", "b2": "z1"}, "b2"),
+    ],
+    ids=["near", "far-but-free", "less-loaded"],
+)
+def test_plain_service(loads, zones, chosen):
+    """Guards against requests that queue while another replica is free."""
+    view = view_of(*(record(name, zone=zone) for name, zone in zones.items()))
+    for name, load in loads.items():
+        view.backends[name].peer_requests = load
+    assert choice_of(view).plain("s", 0.0).view.record.name == chosen
+
+
+def test_leaving_and_excluded_replicas_are_not_chosen():
+    """Guards against work for a replica that leaves or has failed the request."""
+    view = view_of(record("b1", leaving=True), record("b2"), record("b3"))
+    assert choice_of(view).plain("s", 0.0, {"b2"}).view.record.name == "b3"
+    assert isinstance(choice_of(view).plain("s", 0.0, {"b2", "b3"}), WaitFor)
+    with pytest.raises(InvariantViolation):
+        view.note_sent("b1", "s")
+
+
+@pytest.mark.parametrize(
+    ("asked", "reason", "wait_ms"),
+    [
+        (call("m"), None, None),
+        (call("m", "a1"), None, None),
+        (call("m", "a2"), "adapter", None),
+        (call("n"), "model", None),
+        (call("o"), "model", 700.0),
+        (call("q"), "model", 1_900.0),
+    ],
+    ids=["model", "adapter", "no-adapter", "no-model", "on-its-way", "queued"],
+)
+def test_engine(asked, reason, wait_ms):
+    """Guards against requests that are sent where their model is not."""
+    view = view_of(record("e1", models=["m"]))
+    view.backends["e1"].coming = {"o": 800.0}
+    view.queued = {"q": 2_000.0}
+    found = choice_of(view).engine("s", asked, 100.0)
+    if reason is None:
+        assert isinstance(found, Choice)
+    else:
+        assert (found.reason, found.wait_ms) == (reason, wait_ms)
+
+
+def test_model_that_is_about_to_go_is_not_used():
+    """Guards against requests that keep an unload waiting."""
+    view = view_of(record("e1", models=["m"]))
+    view.backends["e1"].drained = frozenset(["m"])
+    assert isinstance(choice_of(view).engine("s", call(), 0.0), WaitFor)
+
+
+def test_cached_prefix_draws_requests():
+    """Guards against prompts that are read again where they are not kept."""
+    view = view_of(record("e1", models=["m"]), record("e2", models=["m"]))
+    prefixes = PrefixMemory()
+    choice = ReplicaChoice(view, "z1", prefixes)
+    asked = call(prefix=(("p", 300), ("q", 200)))
+    prefixes.note_sent("e2", asked)
+    assert choice.engine("s", asked, 0.0).view.record.name == "e2"
+    other = call(prefix=(("x", 300), ("q", 200)))
+    assert prefixes.cached_tokens("e2", other) == 0
+
+
+def test_replica_that_fails_more_than_others_is_avoided():
+    """Guards against a replica that fails requests while its health is good."""
+    view = view_of(record("b1"), record("b2"))
+    for step in range(2 * MIN_FAILURES):
+        view.note_outcome(view.backends["b1"], True, 10.0 * step)
+        view.note_outcome(view.backends["b2"], False, 10.0 * step)
+    names = [found.record.name for found in view.usable("s", 100.0)]
+    assert names == ["b2"]
+
+
+def test_failures_of_all_replicas_avoid_none():
+    """Guards against a service without replicas because requests fail everywhere."""
+    view = view_of(record("b1"), record("b2"))
+    for step in range(20):
+        for found in view.backends.values():
+            view.note_outcome(found, step % 2 == 0, 10.0 * step)
+    assert len(view.usable("s", 200.0)) == 2
+
+
+def test_restarted_replica_is_new():
+    """Guards against counts of an earlier start under the same name."""
+    view = view_of(record("b1", leaving=True))
+    view.backends["b1"].own_requests = 3
+    view.replace({"b1": record("b1", started=2)})
+    assert view.backends["b1"].own_requests == 0
+    assert not view.backends["b1"].leaving
+
+
+def test_leaving_replica_does_not_come_back():
+    """Guards against an old entry that takes a leaving back."""
+    view = view_of(record("b1", leaving=True))
+    view.replace({"b1": record("b1")})
+    assert view.backends["b1"].leaving
+
+
+@pytest.mark.parametrize(
+    ("streamed", "objective_ms", "left_ms", "expected_ms"),
+    [
+        (True, 400.0, 12_000.0, 2_000.0),
+        (True, 3_000.0, 20_000.0, 12_000.0),
+        (True, 400.0, 900.0, 900.0),
+        (False, 200.0, 1_500.0, 1_500.0),
+    ],
+)
+def test_patience_of_callers(streamed, objective_ms, left_ms, expected_ms):
+    """Guards against requests that are held after their caller has gone."""
+    rule = RouteRule("r", "h", "/", (), streamed=streamed, objective_ms=objective_ms)
+    assert patience_ms(rule, left_ms) == expected_ms
+
+
+@pytest.mark.parametrize(
+    ("wait_ms", "expected_ms"),
+    [
+        (None, DEFAULT_RETURN_MS),
+        (1.0, MIN_RETURN_MS),
+        (900.0, 900.0),
+        (60_000.0, MAX_RETURN_MS),
+    ],
+)
+def test_when_refused_callers_come_back(wait_ms, expected_ms):
+    """Guards against callers that return at once or never."""
+    assert return_ms(wait_ms) == expected_ms
