--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -163,7 +163,7 @@
     planner = placement(engine("e1", "a", "b", "c"), engine("e2", "b", "c", "f"))
     asked = {}
     for step in range(1, 31):
-        asked = {"a": step, "b": step, "c": step, "f": step, "d": step // 4}
+        asked = {"a": step // 4, "b": step, "c": step, "f": step}
         demand(planner, 100.0 * step, {}, dict(asked))
     planner.engines["e2"].change = Change("e2", "a", (), 9.0, True, 9_000.0)
     assert planner.loss_per_s("a", 3_000.0) > 0
