Read an event stream that begins with an empty event the same in any pieces

Cause: the short way for whole chunks did not look at their beginning. The short way now leaves chunks that begin with a line end to the other one.

--- a/cassiamount/event_stream.py
+++ b/cassiamount/event_stream.py
@@ -68,7 +68,8 @@
         Most chunks do; they can be passed on as they are. `feed` is for all others.
         """
         if (
-            self._rest
+            chunk.startswith(b"\n")
+            or self._rest
             or self._held
             or len(chunk) > self.max_event_bytes
             or not chunk.endswith(b"\n\n")
