Count every step of a planned stop from the moment it was asked for

Cause: FleetNode._drain waited for the store to take the lease back (1 s and more when it is out of reach) before the balancer's 2.6 s, and computed the time for requests from constants behind both; closing peers, engines and store had no limit. Ruled out: the requests themselves; they are cut off at their limit. Change: StopSchedule counts from the signal; the lease is released beside the wait; closing runs at once for all parts and has a limit.

--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -10,6 +10,7 @@
 from .fleet_edge import FleetEdge, FleetProtocol
 from .fleet_relay import FleetRelay
 from .fleet_state import FleetState
+from .graceful_stop import CLOSE_MS, StopSchedule
 from .metadata_store import BACKENDS, CONFIGURATION, VMS, StoreUnavailable
 from .metrics import Metrics
 from .order_runner import OrderRunner
@@ -21,10 +22,6 @@
 
 # Interval at which the silence of peers and stores is judged.
 REVIEW_MS = 100.0
-# The balancer stops sending after two of its probes, one a second.
-BALANCER_MS = 2_600.0
-# Time kept before the end of the grace for closing everything.
-CLOSE_MS = 700.0
 ANNOUNCE_RETRY_MS = 500.0
 
 log = structlog.get_logger()
@@ -100,10 +97,13 @@
         )
         self._edge = FleetEdge(self.state, self._relay, platform.codec.decode_call)
         self._stop = asyncio.Event()
+        self._stop_asked_ms = None
         self._servers = {}
 
     def request_stop(self):
         """Begin a planned stop."""
+        if self._stop_asked_ms is None:
+            self._stop_asked_ms = self._clock.monotonic_ms()
         self._stop.set()
 
     def _on_report(self, report):
@@ -152,6 +152,7 @@
             await asyncio.wait([running, stopping], return_when=asyncio.FIRST_COMPLETED)
             if running.done():
                 running.result()
+                self.request_stop()
             await self._drain()
         finally:
             running.cancel()
@@ -242,24 +243,41 @@
 
     async def _drain(self):
         """Finish what callers were promised, and stop taking more."""
+        schedule = StopSchedule(self._stop_asked_ms, self._settings.grace_s * 1000)
         log.info("stopping", running=self._edge.running)
         self.state.stopping = True
         self.state.notify()
         self._exchange.exchange_soon()
-        await self._orders.release()
-        await asyncio.sleep(BALANCER_MS / 1000)
-        left_ms = self._settings.grace_s * 1000 - BALANCER_MS - CLOSE_MS
-        cut = await self._servers["callers"].stop(left_ms)
-        log.info("stopped", requests_cut_off=cut)
+        # The store may be out of reach, and callers do not depend on it.
+        release = asyncio.create_task(self._orders.release())
+        balancer_ms = schedule.balancer_ms(self._clock.monotonic_ms())
+        await asyncio.sleep(balancer_ms / 1000)
+        requests_ms = schedule.requests_ms(self._clock.monotonic_ms())
+        cut = await self._servers["callers"].stop(requests_ms)
+        if not release.done():
+            log.warning("lease_release_unanswered")
+            release.cancel()
+        took_ms = self._clock.monotonic_ms() - self._stop_asked_ms
+        log.info("stopped", requests_cut_off=cut, took_ms=round(took_ms))
 
     async def _close(self):
-        for name, server in self._servers.items():
-            if name != "callers":
-                await server.stop(100.0)
         self._pool.close()
-        await self._exchange.close()
-        await self._platform.engines.close()
-        await self._platform.store.close()
+        servers = [
+            server.stop(100.0)
+            for name, server in self._servers.items()
+            if name != "callers"
+        ]
+        closing = asyncio.gather(
+            *servers,
+            self._exchange.close(),
+            self._platform.engines.close(),
+            self._platform.store.close(),
+        )
+        try:
+            async with asyncio.timeout(CLOSE_MS / 1000):
+                await closing
+        except TimeoutError:
+            log.warning("close_took_long", limit_ms=CLOSE_MS)
 
 
 async def _respond(send, status, body):
--- a/cassiamount/peer_exchange.py
+++ b/cassiamount/peer_exchange.py
@@ -74,8 +74,8 @@
         """Stop listening and close all links."""
         for link in self._links.values():
             link.task.cancel()
-            await link.channel.close()
-        await self._server.stop(0.1)
+        channels = [link.channel.close() for link in self._links.values()]
+        await asyncio.gather(self._server.stop(0.1), *channels)
 
     def exchange_soon(self, vm=None):
         """Report at once, to one VM or to all."""
--- a/tests/fleet_fixtures.py
+++ b/tests/fleet_fixtures.py
@@ -111,7 +111,7 @@
         self.addresses = {}
         self.nodes = {}
         self.settings = {}
-        self._tasks = []
+        self._tasks = {}
         self._servers = []
         self.session = None
 
@@ -122,12 +122,17 @@
     async def stop(self):
         for node in self.nodes.values():
             node.request_stop()
-        await asyncio.gather(*self._tasks)
+        await asyncio.gather(*self._tasks.values())
         await self.session.close()
         for server, task in self._servers:
             server.should_exit = server.force_exit = True
             await task
 
+    async def stop_vm(self, name):
+        """Stop a VM as planned and wait for its end."""
+        self.nodes[name].request_stop()
+        await asyncio.shield(self._tasks[name])
+
     async def add_replica(self, name, service, models=None):
         replica = PlatformReplica(name, models)
         self.replicas[name] = replica
@@ -176,7 +181,7 @@
         node = FleetNode(settings, platform, SuspendClock())
         self.nodes[name] = node
         self.settings[name] = settings
-        self._tasks.append(asyncio.create_task(node.run()))
+        self._tasks[name] = asyncio.create_task(node.run())
         await self.until(node.ready)
         return node
 
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.fleet_fixtures import KEY, Fleet, configuration
+from tests.fleet_fixtures import KEY, LIMIT_S, Fleet, configuration
 
 STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
 
@@ -177,6 +177,26 @@
     assert (await request)[2] == STREAM
 
 
+async def test_planned_stop_does_not_wait_for_the_store(fleet):
+    """Guards against a stop that outlives its grace because the store is silent."""
+    node = await fleet.add_vm("v1")
+    await fleet.until(lambda: node.state.may_order())
+    answered = asyncio.Event()
+    asked = []
+
+    async def leave_lease(member):
+        asked.append(member)
+        await answered.wait()
+
+    node._platform.store.leave_lease = leave_lease
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            await fleet.stop_vm("v1")
+    finally:
+        answered.set()
+    assert asked == ["v1"]
+
+
 async def test_planned_stop_refuses_what_still_waits(fleet):
     """Guards against a request that waits for a model until the VM is gone.
 
