Let a zone whose VMs were all replaced take its leases within seconds

Ruled out: taking a registration under an old name as proof (a VM that is cut off can be replaced while it still runs), a shorter extension (ends service in a long outage), half budgets during outages. Change: a VM that waits tries the addresses of the lease's two rosters. One of each that refuses connections shows that a promiser has ended, so that no extension can follow; the claim is due ENDING_MS + LEASE_MS later. Silence and accepted connections prove nothing. The long run's peers answer the question too. The case [operator] of the process test now lets something else listen on the old addresses, since the VMs would otherwise not need the operator; it checks as much as before and that an accepted connection is no proof.

--- a/cassiamount/coordinator.py
+++ b/cassiamount/coordinator.py
@@ -24,6 +24,8 @@
 APPEND_TIMEOUT_MS = LEASE_MS / 2
 # A fold that is staler than this would claim leases that were renewed since.
 MAX_CLAIM_STALENESS_MS = 2_000
+# Pause between two tries of an address whose VM may have ended.
+TRY_CLOSED_MS = 1_000
 
 log = structlog.get_logger()
 
@@ -130,6 +132,7 @@
         )
         self._appending = set()
         self._loan_task = None
+        self._tried_ms = {}
         follower.add_listener(self._on_followed)
 
     # For the rest of the daemon.
@@ -287,6 +290,8 @@
         for client in self._clients.values():
             if client.holder is None and not may_claim:
                 continue
+            if client.holder is None:
+                self._try_addresses(client.watcher, now_ms)
             for command in client.tick(now_ms, self._rank(client.lease)):
                 self._execute(client, command)
         # The holder of the placement lease needs the demand at every VM.
@@ -295,6 +300,20 @@
         if self._loan_task is None or self._loan_task.done():
             self._loan_task = self._tasks.start(self.budgets.send_loan_reports())
 
+    def _try_addresses(self, watcher, now_ms):
+        """Look whether the VMs that may promise to the lease's holder have ended."""
+        for address in watcher.addresses_to_try():
+            if now_ms - self._tried_ms.get(address, float("-inf")) >= TRY_CLOSED_MS:
+                self._tried_ms[address] = now_ms
+                self._tasks.start(self._try_address(address))
+
+    async def _try_address(self, address):
+        if await self._peers.refuses(address):
+            log.info("address_closed", address=address)
+            now_ms = self._clock.monotonic_ms()
+            for client in self._clients.values():
+                client.watcher.on_closed(address, now_ms)
+
     def _on_followed(self, followed):
         self._observe(self._clock.monotonic_ms())
         for change in followed.changes:
--- a/cassiamount/lease_state.py
+++ b/cassiamount/lease_state.py
@@ -87,12 +87,40 @@
         """
         if self.released:
             return True
-        rosters = [(self.roster, self.addresses)]
-        if self.previous_roster is not None:
-            rosters.append((self.previous_roster, self.previous_addresses))
+        rosters = self._rosters()
         if all(roster <= {self.holder} for roster, _ in rosters):
             return True
         return all(
             vm in roster or (address and address in addresses)
             for roster, addresses in rosters
         )
+
+    def promisers_ended_ms(self, closed_ms):
+        """Return since when the holder can get no promises of all its roster.
+
+        The process at an address listens from before its registration to its end, so
+        an address that refuses connections shows that its promises have ended.
+
+        Parameters
+        ----------
+        closed_ms : dict of str to float
+            Address -> time at which it refused a connection.
+
+        Returns
+        -------
+        float or None
+            None if that is not shown for both rosters.
+        """
+        latest_ms = None
+        for _, addresses in self._rosters():
+            times = [closed_ms[each] for each in addresses if each in closed_ms]
+            if not times:
+                return None
+            latest_ms = max(min(times), latest_ms or min(times))
+        return latest_ms
+
+    def _rosters(self):
+        rosters = [(self.roster, self.addresses)]
+        if self.previous_roster is not None:
+            rosters.append((self.previous_roster, self.previous_addresses))
+        return rosters
--- a/cassiamount/leases.py
+++ b/cassiamount/leases.py
@@ -8,7 +8,14 @@
     Stop,
 )
 from .records import ClaimLease, ReleaseLease, RenewLease
-from .timing import EXTENSION_LIMIT_MS, LEASE_MS, ORPHAN_MS, at_least_ms, at_most_ms
+from .timing import (
+    ENDING_MS,
+    EXTENSION_LIMIT_MS,
+    LEASE_MS,
+    ORPHAN_MS,
+    at_least_ms,
+    at_most_ms,
+)
 
 RENEW_INTERVAL_MS = LEASE_MS / 4
 # A holder asks for promises if its last renewal is older than this.
@@ -61,6 +68,7 @@
         self._read_ms = None
         self._unresolved = None
         self._not_before_ms = float("-inf")
+        self._closed_ms = {}
 
     @property
     def claim_unresolved(self):
@@ -105,6 +113,25 @@
         won = state.holder == self.vm and state.fence > claim.previous_fence
         return sent_ms if won else None
 
+    def addresses_to_try(self):
+        """Return the addresses of which one that is closed would end the wait.
+
+        Returns
+        -------
+        frozenset of str
+            Empty if this VM need not wait for the orphan time.
+        """
+        state = self._state
+        if state is None or state.released or state.holder == self.vm:
+            return frozenset()
+        if state.may_claim(self.vm, self._address):
+            return frozenset()
+        return (state.addresses | state.previous_addresses) - self._closed_ms.keys()
+
+    def on_closed(self, address, now_ms):
+        """Take note that an address of a roster refused a connection."""
+        self._closed_ms.setdefault(address, now_ms)
+
     def claim(self, now_ms, rank=0):
         """Return the command to claim the lease if that is due.
 
@@ -127,12 +154,13 @@
             return AppendClaim(self._unresolved.record)
         wait_ms = rank * CLAIM_STAGGER_MS
         orphaned = False
+        due_ms = self._read_ms + wait_ms
         if self._state is not None and not self._state.released:
-            wait_ms += at_least_ms(LEASE_MS)
+            due_ms += at_least_ms(LEASE_MS)
             if not self._state.may_claim(self.vm, self._address):
                 orphaned = True
-                wait_ms = max(wait_ms, ORPHAN_MS)
-        if now_ms < max(self._read_ms + wait_ms, self._not_before_ms):
+                due_ms = max(due_ms, self._orphan_due_ms() + wait_ms)
+        if now_ms < max(due_ms, self._not_before_ms):
             return None
         fence, seen_offset, _ = self._position
         record = ClaimLease(
@@ -141,6 +169,12 @@
         self._unresolved = _Unresolved(record, now_ms)
         return AppendClaim(record)
 
+    def _orphan_due_ms(self):
+        ended_ms = self._state.promisers_ended_ms(self._closed_ms)
+        if ended_ms is None:
+            return self._read_ms + ORPHAN_MS
+        return ended_ms + at_least_ms(ENDING_MS + LEASE_MS)
+
     def claim_failed(self, record, maybe_in_log):
         """Take note that an append of a claim raised an error.
 
--- a/cassiamount/peer_client.py
+++ b/cassiamount/peer_client.py
@@ -61,6 +61,22 @@
         reply = await self._call(address, "Report", request, forwarded=forwarded)
         return reply.owner
 
+    async def refuses(self, address):
+        """Return whether nothing listens on an address.
+
+        Only a refusal by the address's own host counts; silence says nothing.
+        """
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._call_timeout_ms / 1000):
+                _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
     async def promise(self, address, ask, promiser):
         """Ask one VM for a promise.
 
--- a/cassiamount/timing.py
+++ b/cassiamount/timing.py
@@ -8,6 +8,9 @@
 # A lease without a renewal for this long is orphaned. Longer than a holder can extend
 # it, by more than the drift of both clocks (2 x 1% of an hour is 72 s).
 ORPHAN_MS = 3_700_000
+# A VM whose address takes no connections has ended, or does so within this time: its
+# server lets calls finish for half a second after it stops listening.
+ENDING_MS = 1_000
 
 
 def at_most_ms(duration_ms):
--- a/tests/machines/virtual.py
+++ b/tests/machines/virtual.py
@@ -216,6 +216,13 @@
         )
         return PromiseAnswer(answer.promised, answer.reason)
 
+    async def refuses(self, address):
+        try:
+            await self._call(address, "probe")
+        except PeerUnavailable as error:
+            return str(error) == "connection refused"
+        return False
+
     async def probe(self, address, vm):
         return await self._call(address, "probe")
 
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -1,3 +1,5 @@
+"""Tests of the times of a planned stop."""
+
 import pytest
 
 from cassiamount.graceful_stop import BALANCER_MS, CLOSE_MS, StopSchedule
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -10,6 +10,7 @@
 from cassiamount.records import ClaimLease, RegisterVm, ReleaseLease, RenewLease
 from cassiamount.timing import (
     DRIFT,
+    ENDING_MS,
     EXTENSION_LIMIT_MS,
     LEASE_MS,
     ORPHAN_MS,
@@ -116,6 +117,41 @@
     assert watcher.claim(100.0 + due_ms).record.orphaned is orphaned
 
 
+ROSTERS = {
+    "roster": {"h@1", "b@1"},
+    "previous_roster": {"h@1", "c@1"},
+    "addresses": {"b:1"},
+    "previous_addresses": {"c:1"},
+}
+
+
+@pytest.mark.parametrize(
+    ("closed", "due_ms"),
+    [
+        ({}, ORPHAN_MS),
+        ({"b:1": 500.0}, ORPHAN_MS),
+        ({"x:1": 500.0, "c:1": 500.0}, ORPHAN_MS),
+        (
+            {"b:1": 500.0, "c:1": 900.0},
+            900.0 + (ENDING_MS + LEASE_MS) * (1 + DRIFT),
+        ),
+    ],
+    ids=["none", "one-roster", "stranger", "both-rosters"],
+)
+def test_closed_addresses_end_the_wait(closed, due_ms):
+    """Guards against a zone that waits an hour after all its VMs were replaced.
+
+    And against a claim while a promise of the last or the last but one roster may
+    still hold.
+    """
+    watcher = make_watcher(Lease("h@1", 5, 7, **ROSTERS), 0.0)
+    assert watcher.addresses_to_try() == {"b:1", "c:1"}
+    for address, at_ms in closed.items():
+        watcher.on_closed(address, at_ms)
+    assert watcher.claim(due_ms - 1) is None
+    assert watcher.claim(due_ms).record.orphaned
+
+
 def test_renewal_counts_from_its_first_sending():
     """Guards against a deadline that is counted from a later copy or the answer."""
     holder = make_holder()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -192,6 +192,12 @@
     assert await wait_until(reached), daemon.log_tail()
 
 
+async def occupy(address):
+    """Let something else listen on the address of a VM that is gone."""
+    host, _, port = address.rpartition(":")
+    return await asyncio.start_server(lambda reader, writer: None, host, int(port))
+
+
 async def release_leases(url, leases):
     """Release leases of zone-a as an operator who knows that their holders are gone."""
     log = HttpLogClient(url)
@@ -212,8 +218,9 @@
 async def test_both_daemons_of_a_zone_start_again_under_their_names(deployment, case):
     """Guards against leases that nobody may claim after a zone lost all its VMs.
 
-    Either the daemons get the leases by themselves, at new addresses (alone) or at
-    their old ones (in-place), or an operator releases them.
+    Either the daemons get the leases by themselves, at new addresses because the old
+    ones refuse connections (alone) or at their old ones (in-place), or an operator
+    releases them, because the old addresses still take connections (operator).
     """
     await deployment.start()
     names = ("vm-1", "vm-2")
@@ -233,6 +240,9 @@
     for daemon in daemons:
         await daemon.kill()
     again = []
+    others = []
+    if case == "operator":
+        others = [await occupy(old.settings["peer_address"]) for old in daemons]
     for name, old in zip(names, daemons, strict=True):
         kept = {"peer_address": old.settings["peer_address"]}
         settings = kept if case == "in-place" else {}
@@ -250,6 +260,8 @@
         )
 
     assert await wait_until(taken_over), (second, await leases_of(again[0]))
+    for other in others:
+        other.close()
     for daemon in again:
         await deployment.wait_served(daemon)
         for repeated in names:
