Split the long modules of the fleet by job

Change: engine_belief, model_demand and store_loads leave fleet_placement; relay_job (with the rule whether a request may be repeated) and answer_passing leave fleet_relay. No behaviour changes. Ruled out: a split of FleetPlacement itself; models and adapters are planned from the same beliefs in one pass.

--- a/cassiamount/fleet_edge.py
+++ b/cassiamount/fleet_edge.py
@@ -4,7 +4,7 @@
 
 from .answers import CallerGone, error_body
 from .caller import WRITE_PART
-from .fleet_relay import InboundCall
+from .relay_job import InboundCall
 from .requests import Refusal
 from .serving import CallerProtocol
 
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -2,20 +2,17 @@
 
 import math
 
+from .engine_belief import AdapterChange, Change, EngineBelief
 from .fleet_orders import target_of
 from .invariants import MEMORY_NOT_OVERCOMMITTED, require
+from .model_demand import NOT_ASKED, STREAM_MS, ModelDemand
+from .store_loads import StoreLoads
 
 # Share of an engine's slots that one model's requests should use at most.
 COPY_SHARE = 0.5
 # A model with this many running and waiting requests gets a second copy, so that the
 # loss of an engine does not stop it.
 SECOND_COPY_LOAD = 6.0
-# Time that a request is at an engine until the engines' own times are known.
-STREAM_MS = 1_500.0
-# Time constants of the rates at which a model is asked for: the fast one finds what is
-# needed now, the slow one what will soon be asked for again.
-FAST_WINDOW_MS = 1_500.0
-SLOW_WINDOW_MS = 10_000.0
 # A model that nobody asked for since then needs no copy.
 IDLE_MS = 4_000.0
 # A request without a copy that was asked for this long counts twice, and so on.
@@ -27,12 +24,8 @@
 # A model whose callers expect an answer sooner than a load takes is kept, though nobody
 # may ask for it now, unless others gain this many requests per second.
 KEPT_LOSS_PER_S = 3.0
-# Callers that wait or were told to come back count like a rate for this long.
-WAITING_WINDOW_S = 3.0
 # Share of the requests for adapters that find theirs missing at an engine.
 ADAPTER_MISS_SHARE = 0.5
-# Callers that expect an answer within this time do not wait for a load.
-HURRIED_OBJECTIVE_MS = 1_500.0
 # Gain of a copy of a model that nobody asks for now but whose callers do not wait for a
 # load, and of one that nobody has asked for yet.
 KEPT_GAIN_PER_S = 1.0
@@ -55,299 +48,12 @@
 RUNNING_COST_MS = 15.0
 # Time that each change takes beside the load: notice, unload, reports.
 CHANGE_MS = 300.0
-# Weight-store loads that may begin at once.
-STORE_BURST = 2.0
 # An adapter that was in use this recently may still be in use.
 ADAPTER_IDLE_MS = 350.0
 # A failed change of an engine is not tried again sooner.
 RETRY_MS = 300.0
 
 
-class StoreLoads:
-    """Limits loads from the weight store.
-
-    Parameters
-    ----------
-    full : bool
-        Whether no other VM can have begun loads a moment ago.
-    """
-
-    __slots__ = ("rate_per_s", "_level", "_at_ms")
-
-    def __init__(self, full, now_ms):
-        self.rate_per_s = 1.0
-        self._level = STORE_BURST if full else 0.0
-        self._at_ms = now_ms
-
-    def wait_ms(self, now_ms):
-        """Return the time until a load may begin."""
-        self._advance(now_ms)
-        if self._level >= 1.0:
-            return 0.0
-        return 1000 * (1.0 - self._level) / self.rate_per_s
-
-    def take(self, now_ms):
-        """Count a load that begins."""
-        self._advance(now_ms)
-        self._level -= 1.0
-
-    def _advance(self, now_ms):
-        gained = (now_ms - self._at_ms) * self.rate_per_s / 1000
-        self._level = min(STORE_BURST, self._level + max(0.0, gained))
-        self._at_ms = now_ms
-
-
-class EngineBelief:
-    """What the holder of the orders believes about one engine.
-
-    Parameters
-    ----------
-    record : BackendRecord
-    """
-
-    __slots__ = (
-        "record",
-        "orders",
-        "ordered_ms",
-        "ready",
-        "loading",
-        "drained",
-        "in_memory",
-        "on_disk",
-        "change",
-        "retry_ms",
-        "adapter_used_ms",
-        "adapters_coming",
-        "adapters_leaving",
-        "loaded_ms",
-        "order_lock",
-        "asking",
-        "asked_ms",
-        "unloading_ms",
-    )
-
-    def __init__(self, record):
-        self.record = record
-        # Orders accepted since the engine's start; None until it was asked.
-        self.orders = None
-        self.ordered_ms = -math.inf
-        self.ready = {name: set(held) for name, held in record.residents.items()}
-        # Model -> time at which its load should be done.
-        self.loading = {}
-        self.drained = set()
-        self.in_memory = frozenset(record.in_memory)
-        self.on_disk = frozenset(record.on_disk)
-        self.change = None
-        self.retry_ms = 0.0
-        self.adapter_used_ms = {}
-        # (model, adapter) -> time at which it should be there; None before its order.
-        self.adapters_coming = {}
-        # (model, adapter) pairs whose unload was decided.
-        self.adapters_leaving = set()
-        # Model -> time at which it was loaded.
-        self.loaded_ms = {}
-        # Set by the task that sends the orders; the policy does not use these.
-        self.order_lock = None
-        self.asking = False
-        self.asked_ms = -math.inf
-        self.unloading_ms = -math.inf
-
-    def on_report(self, report):
-        """Take what the engine says, unless orders were accepted since."""
-        if self.orders is not None and report.orders < self.orders:
-            return False
-        self.orders = report.orders
-        residents = {name: set(held) for name, held in report.residents.items()}
-        for target in report.pending:
-            # It was accepted, and reports are older than the load of an adapter.
-            model, _, adapter = target.partition("/")
-            residents.setdefault(model, set()).add(adapter)
-        return self.on_residents(residents, report.in_memory, report.on_disk)
-
-    def on_residents(self, residents, in_memory, on_disk):
-        """Take what is there; return whether that is new."""
-        # Copies are evicted without an order, so only the engine's own word counts.
-        self.in_memory = frozenset(in_memory)
-        self.on_disk = frozenset(on_disk)
-        ready = {name: set(held) for name, held in residents.items()}
-        for name in ready:
-            self.loading.pop(name, None)
-        changed = ready != self.ready
-        self.ready = ready
-        self.drained &= set(ready)
-        return changed
-
-    def held_mb(self, models):
-        """Return the memory of all that is or may be there."""
-        total = 0.0
-        for name in self.ready.keys() | self.loading.keys():
-            rule = models.get(name)
-            if rule is None:
-                continue
-            total += rule.memory_mb
-        for name, _ in self.adapters():
-            if name in models:
-                total += models[name].adapter_mb
-        return total
-
-    def adapters(self):
-        """Return the (model, adapter) pairs that are there or on their way."""
-        held = {
-            (name, adapter) for name, all_ in self.ready.items() for adapter in all_
-        }
-        return held | self.adapters_coming.keys()
-
-
-class Change:
-    """Replaces models of an engine by another one.
-
-    Parameters
-    ----------
-    engine : str
-    model : str
-        Loaded last.
-    victims : tuple of str
-        Unloaded before.
-    gain_per_s : float
-        Requests per second that it should serve.
-    from_store : bool
-    eta_ms : float
-        When the model should be ready.
-    """
-
-    __slots__ = ("engine", "model", "victims", "gain_per_s", "from_store", "eta_ms")
-
-    def __init__(self, engine, model, victims, gain_per_s, from_store, eta_ms):
-        self.engine = engine
-        self.model = model
-        self.victims = victims
-        self.gain_per_s = gain_per_s
-        self.from_store = from_store
-        self.eta_ms = eta_ms
-
-
-class AdapterChange:
-    """Loads an adapter, after the unload of another one if that is needed."""
-
-    __slots__ = ("engine", "model", "adapter", "victim")
-
-    def __init__(self, engine, model, adapter, victim):
-        self.engine = engine
-        self.model = model
-        self.adapter = adapter
-        self.victim = victim
-
-
-class AskedCount:
-    """Requests for one model that came to some VMs since their start.
-
-    Parameters
-    ----------
-    total : int
-    hurried : int
-        Requests whose callers do not wait for a load.
-    with_adapter : int
-    """
-
-    __slots__ = ("total", "hurried", "with_adapter")
-
-    def __init__(self, total=0, hurried=0, with_adapter=0):
-        self.total = total
-        self.hurried = hurried
-        self.with_adapter = with_adapter
-
-    def add(self, other):
-        """Add another count."""
-        self.total += other.total
-        self.hurried += other.hurried
-        self.with_adapter += other.with_adapter
-
-
-NOT_ASKED = AskedCount()
-
-
-class ModelDemand:
-    """Load of one model over all VMs.
-
-    A request that is refused because the model is missing neither runs nor waits, so
-    the rate at which the model is asked for counts too.
-    """
-
-    __slots__ = (
-        "running",
-        "waiting",
-        "asked_ms",
-        "at_ms",
-        "total",
-        "fast_per_s",
-        "slow_per_s",
-        "missing_ms",
-        "hurried",
-        "adapter_total",
-        "adapters_per_s",
-    )
-
-    def __init__(self, now_ms, asked):
-        self.running = 0
-        self.waiting = 0
-        self.asked_ms = -math.inf
-        self.at_ms = now_ms
-        self.total = asked.total
-        self.fast_per_s = 0.0
-        self.slow_per_s = 0.0
-        # Requests for adapters of it, so far and for each second.
-        self.adapter_total = asked.with_adapter
-        self.adapters_per_s = 0.0
-        # Since when it is asked for without a copy.
-        self.missing_ms = None
-        # Whether callers ask for it who do not wait for a load; None if unknown.
-        self.hurried = None
-
-    def update(self, running, waiting, asked, now_ms):
-        """Take the current numbers of requests, and all that came so far.
-
-        Parameters
-        ----------
-        running, waiting : int
-        asked : AskedCount
-        now_ms : float
-        """
-        elapsed_ms = now_ms - self.at_ms
-        if elapsed_ms <= 0:
-            return
-        self.at_ms = now_ms
-        self.running = running
-        self.waiting = waiting
-        arrived = max(0, asked.total - self.total)
-        self.total = asked.total
-        for_adapters = max(0, asked.with_adapter - self.adapter_total)
-        self.adapter_total = asked.with_adapter
-        self.adapters_per_s = _decayed(
-            self.adapters_per_s, for_adapters, elapsed_ms, SLOW_WINDOW_MS
-        )
-        self.fast_per_s = _decayed(self.fast_per_s, arrived, elapsed_ms, FAST_WINDOW_MS)
-        self.slow_per_s = _decayed(self.slow_per_s, arrived, elapsed_ms, SLOW_WINDOW_MS)
-        if running or waiting or arrived:
-            self.asked_ms = now_ms
-            self.hurried = bool(self.hurried) or asked.hurried > 0
-
-    @property
-    def load(self):
-        """Requests that run or would run if there were room."""
-        expected = self.fast_per_s * STREAM_MS / 1000
-        return max(self.running + self.waiting, expected)
-
-    @property
-    def rate_per_s(self):
-        """Requests per second to count with."""
-        return max(self.fast_per_s, self.slow_per_s, self.waiting / WAITING_WINDOW_S)
-
-
-def _decayed(rate_per_s, arrived, elapsed_ms, window_ms):
-    kept = math.exp(-elapsed_ms / window_ms)
-    return kept * rate_per_s + 1000 * arrived / window_ms
-
-
 class FleetPlacement:
     """Plans the changes of the engines of one service.
 
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -2,28 +2,26 @@
 
 import asyncio
 
-from .backend_messages import AnswerBroken, AnswerEnd, AnswerPart, Attempt
-from .event_framing import EventFramer
-from .fleet import DEFAULT_RANK, choose_target
-from .fleet_orders import target_of
-from .fleet_placement import HURRIED_OBJECTIVE_MS
-from .replica_choice import DECISION_MS, PATIENCE_SHARE, Choice, patience_ms, return_ms
-from .requests import ADMITTED, COMPLETE, DISPATCHED, FIRST_BYTE, Refusal, RequestState
-
-# Least urgent rank that engines know.
-MAX_RANK = 9
+from .answer_passing import AnswerPasser
+from .backend_messages import Attempt
+from .fleet import choose_target
+from .model_demand import HURRIED_OBJECTIVE_MS
+from .relay_job import (
+    LAST_ANSWER_MS,
+    AttemptFailure,
+    BrokenStream,
+    Refused,
+    RelayJob,
+)
+from .replica_choice import DECISION_MS, Choice, return_ms
+from .requests import ADMITTED, COMPLETE, DISPATCHED, Refusal
+
 # A backend server that could not be reached is not tried for this long.
 UNREACHABLE_MS = 700.0
 # A model that a replica says it lacks is not asked for there for this long.
 MISSING_MS = 400.0
 # Connections that may fail before a request is refused.
 CONNECT_TRIES = 4
-# Bodies up to this size are held until they are complete, so that a broken answer can
-# still be replaced.
-HELD_BODY_BYTES = 1 << 20
-# The backend server stops at the time that it is given; its own answer to that is
-# awaited a little longer.
-LAST_ANSWER_MS = 40.0
 # Share of a route's objective for which a request waits for a decision on its model.
 UNDECIDED_SHARE = 0.8
 # A caller that was told to come back counts as waiting a little longer than that.
@@ -35,106 +33,6 @@
 STOPPING_RETURN_MS = 50.0
 
 
-class InboundCall:
-    """A request as it came in, and the way back to its caller.
-
-    Parameters
-    ----------
-    facts : CallFacts
-    target : bytes
-        Path and query as sent.
-    headers : list of (bytes, bytes)
-    body : bytes
-    arrived_ms : float
-    caller : FleetCaller
-    """
-
-    __slots__ = ("facts", "target", "headers", "body", "arrived_ms", "caller")
-
-    def __init__(self, facts, target, headers, body, arrived_ms, caller):
-        self.facts = facts
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.arrived_ms = arrived_ms
-        self.caller = caller
-
-
-class Refused(Exception):
-    """Ends a request with an answer of the system's own."""
-
-    def __init__(self, status, code, message, return_after_ms=None):
-        super().__init__(code)
-        self.status = status
-        self.code = code
-        self.message = message
-        self.return_after_ms = return_after_ms
-
-
-class BrokenStream(Exception):
-    """A stream that was passed on in part cannot be completed."""
-
-
-class _Job:
-    """One request while the relay carries it."""
-
-    __slots__ = (
-        "inbound",
-        "call",
-        "route",
-        "service",
-        "engine",
-        "team",
-        "rank",
-        "state",
-        "deadline_ms",
-        "patience_until_ms",
-        "tried",
-        "connects_failed",
-        "may_have_run",
-        "charged_tokens",
-        "last_event",
-        "started",
-        "waited",
-        "version",
-        "sends",
-    )
-
-    def __init__(self, inbound, route, service, engine, team, now_ms):
-        self.inbound = inbound
-        self.call = inbound.facts
-        self.route = route
-        self.service = service
-        self.engine = engine
-        self.team = team
-        rank = route.rank if team is None or team.rank is None else team.rank
-        self.rank = min(MAX_RANK, max(0, DEFAULT_RANK if rank is None else rank))
-        self.state = RequestState(self.call.request_id, route.repeatable)
-        left_ms = route.time_limit_ms
-        if self.call.patience_ms is not None:
-            left_ms = min(left_ms, self.call.patience_ms)
-        self.deadline_ms = inbound.arrived_ms + left_ms
-        self.patience_until_ms = inbound.arrived_ms + PATIENCE_SHARE * patience_ms(
-            route, left_ms
-        )
-        self.tried = []
-        self.connects_failed = set()
-        self.may_have_run = False
-        self.charged_tokens = 0.0
-        self.last_event = ""
-        self.started = False
-        self.waited = {}
-        self.version = 0
-        self.sends = 0
-
-    @property
-    def target(self):
-        """Name under which the request runs and waits."""
-        if self.engine:
-            return target_of(self.call.model, self.call.adapter)
-        return self.service
-
-
 class FleetRelay:
     """Serves requests of callers.
 
@@ -166,6 +64,7 @@
         self._log = log
         self._rng = rng
         self._ask_holder = ask_holder
+        self._answers = AnswerPasser(codec, state.clock)
         self._changed = asyncio.Event()
         state.listeners.append(self._on_change)
 
@@ -210,7 +109,7 @@
         engine = rule is not None and rule.engine is not None and bool(call.model)
         if engine and call.model not in rule.engine.models:
             raise Refused(404, "unknown_model", "no such model")
-        job = _Job(inbound, route, service, engine, team, now_ms)
+        job = RelayJob(inbound, route, service, engine, team, now_ms)
         job.version = configuration.version
         state.retries.note_request(service, now_ms)
         if engine:
@@ -421,7 +320,7 @@
 
         Returns
         -------
-        int or _Failure
+        int or AttemptFailure
             The status that was delivered, or why there was none.
         """
         view = choice.view
@@ -460,10 +359,10 @@
             placement_age_ms=self._state.placement_age_ms(),
         )
         outcome = None
-        first_ms = [None]
+        job.first_ms = None
         try:
             channel.send(data, job.call.request_id)
-            outcome = await self._take_answer(job, channel, first_ms)
+            outcome = await self._answers.take(job, channel)
             return outcome
         finally:
             state.view.note_ended(view, job.target)
@@ -471,7 +370,9 @@
             if isinstance(outcome, int):
                 self._pool.give_back(channel)
                 if outcome < 500:
-                    view.note_times((first_ms[0] or now_ms) - sent_ms, now_ms - sent_ms)
+                    view.note_times(
+                        (job.first_ms or now_ms) - sent_ms, now_ms - sent_ms
+                    )
             elif outcome is not None and outcome.reusable:
                 self._pool.give_back(channel)
             else:
@@ -483,7 +384,7 @@
             if not job.started:
                 job.may_have_run = True
             return
-        if isinstance(outcome, _Failure):
+        if isinstance(outcome, AttemptFailure):
             if outcome.not_run:
                 if outcome.status == 421 and job.engine:
                     view.missing[job.target] = now_ms + MISSING_MS
@@ -498,116 +399,8 @@
                 failure_share=round(view.failure_share(now_ms), 2),
             )
 
-    async def _take_answer(self, job, channel, first_ms):
-        message = await channel.receive()
-        if isinstance(message, AnswerBroken):
-            job.may_have_run = True
-            return _Failure(message.reason)
-        facts = message.facts
-        if facts.not_run:
-            await self._skip(channel)
-            return _Failure("not run", status=facts.status, not_run=True, reusable=True)
-        job.may_have_run = True
-        good = 200 <= facts.status < 300
-        if good and (not facts.signed or not facts.request_id or facts.encoded):
-            return _Failure("answer without the marks of its backend server")
-        if good and (job.route.streamed or facts.event_stream):
-            return await self._pass_stream(job, channel, message, first_ms)
-        return await self._pass_body(job, channel, message)
-
-    async def _skip(self, channel):
-        while True:
-            message = await channel.receive()
-            if isinstance(message, (AnswerEnd, AnswerBroken)):
-                return
-
-    async def _pass_body(self, job, channel, head):
-        """Deliver an answer with a body, whole or not at all if it is small."""
-        parts = []
-        size = 0
-        while True:
-            message = await channel.receive()
-            if isinstance(message, AnswerPart):
-                parts.append(message.data)
-                size += len(message.data)
-                if size > HELD_BODY_BYTES:
-                    return await self._pass_large(job, channel, head, parts)
-            elif isinstance(message, AnswerEnd):
-                break
-            else:
-                return _Failure(message.reason)
-        status = head.facts.status
-        if status >= 500 and job.route.repeatable and self._may_repeat(job):
-            return _Failure(f"status {status}", status=status, reusable=True)
-        headers = self._codec.answer_headers(head.headers)
-        job.started = True
-        await job.inbound.caller.answer(status, headers, b"".join(parts))
-        return status
-
-    async def _pass_large(self, job, channel, head, parts):
-        job.started = True
-        caller = job.inbound.caller
-        await caller.start(head.facts.status, self._codec.answer_headers(head.headers))
-        for part in parts:
-            await caller.part(part)
-        while True:
-            message = await channel.receive()
-            if isinstance(message, AnswerPart):
-                await caller.part(message.data)
-            elif isinstance(message, AnswerEnd):
-                await caller.finish()
-                return head.facts.status
-            else:
-                raise BrokenStream(message.reason)
-
-    async def _pass_stream(self, job, channel, head, first_ms):
-        """Pass events on as they arrive, whole ones only."""
-        framer = EventFramer()
-        caller = job.inbound.caller
-        while True:
-            message = await channel.receive()
-            if isinstance(message, AnswerPart):
-                try:
-                    events = framer.feed(message.data)
-                except ValueError as error:
-                    return self._stream_failure(job, str(error))
-                if not events:
-                    continue
-                if first_ms[0] is None:
-                    first_ms[0] = self._state.now_ms()
-                if not job.started:
-                    job.started = True
-                    job.state.move(FIRST_BYTE)
-                    headers = self._codec.answer_headers(head.headers)
-                    await caller.start(head.facts.status, headers)
-                await caller.part(events)
-                job.last_event = framer.last_id
-            elif isinstance(message, AnswerEnd):
-                if framer.partial:
-                    return self._stream_failure(job, "ends within an event")
-                if not job.started:
-                    job.started = True
-                    headers = self._codec.answer_headers(head.headers)
-                    await caller.start(head.facts.status, headers)
-                await caller.finish()
-                return head.facts.status
-            else:
-                return self._stream_failure(job, message.reason)
-
-    def _stream_failure(self, job, reason):
-        if job.started and not (job.route.resumable and job.last_event):
-            raise BrokenStream(reason)
-        return _Failure(reason)
-
     # Repeats.
 
-    def _may_repeat(self, job):
-        """Return whether a repeat is allowed, without using it up."""
-        return (
-            len(job.tried) < job.route.attempts
-            and self._state.now_ms() < job.deadline_ms - LAST_ANSWER_MS
-        )
-
     def _prepare_repeat(self, job, failure):
         """Let the request be sent once more, or end it with a true answer."""
         now_ms = self._state.now_ms()
@@ -616,7 +409,7 @@
         elif not job.started:
             job.state.move(ADMITTED)
         allowed = (failure.not_run and not job.may_have_run) or job.route.repeatable
-        if allowed and self._may_repeat(job):
+        if allowed and job.may_repeat(now_ms):
             vms = self._state.peers.vms(now_ms)
             if self._state.retries.take(job.service, vms, now_ms):
                 self._log.info(
@@ -671,26 +464,3 @@
             version=0 if configuration is None else configuration.version,
             took_ms=round(took_ms, 1),
         )
-
-
-class _Failure:
-    """Why an attempt delivered nothing.
-
-    Parameters
-    ----------
-    reason : str
-    status : int
-        0 without an answer.
-    not_run : bool
-        Whether the backend server says that it did not run the request.
-    reusable : bool
-        Whether the connection can be used again.
-    """
-
-    __slots__ = ("reason", "status", "not_run", "reusable")
-
-    def __init__(self, reason, status=0, not_run=False, reusable=False):
-        self.reason = reason
-        self.status = status
-        self.not_run = not_run
-        self.reusable = reusable
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -2,8 +2,8 @@
 
 import orjson
 
-from .fleet_placement import AskedCount
 from .metadata_store import KeyedRecord
+from .model_demand import AskedCount
 
 
 class Residency:
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -2,11 +2,11 @@
 
 import structlog
 
-from .fleet_placement import AskedCount
 from .fleet_reports import Residency, StreamPosition, StreamRecords, VmReport
 from .fleet_view import FleetView
 from .key_freshness import Freshness, KeyFreshness
 from .metadata_store import BACKENDS, CONFIGURATION, CONFIGURATION_KEY, KeyedView
+from .model_demand import AskedCount
 from .order_lease import OrderLease
 from .peer_table import PeerTable
 from .shared_quota import SharedQuota
--- /dev/null
+++ b/cassiamount/model_demand.py
@@ -0,0 +1,124 @@
+"""How much one model is asked for over all VMs."""
+
+import math
+
+# Time that a request is at an engine until the engines' own times are known.
+STREAM_MS = 1_500.0
+# Time constants of the rates at which a model is asked for: the fast one finds what is
+# needed now, the slow one what will soon be asked for again.
+FAST_WINDOW_MS = 1_500.0
+SLOW_WINDOW_MS = 10_000.0
+# Callers that wait or were told to come back count like a rate for this long.
+WAITING_WINDOW_S = 3.0
+# Callers that expect an answer within this time do not wait for a load.
+HURRIED_OBJECTIVE_MS = 1_500.0
+
+
+class AskedCount:
+    """Requests for one model that came to some VMs since their start.
+
+    Parameters
+    ----------
+    total : int
+    hurried : int
+        Requests whose callers do not wait for a load.
+    with_adapter : int
+    """
+
+    __slots__ = ("total", "hurried", "with_adapter")
+
+    def __init__(self, total=0, hurried=0, with_adapter=0):
+        self.total = total
+        self.hurried = hurried
+        self.with_adapter = with_adapter
+
+    def add(self, other):
+        """Add another count."""
+        self.total += other.total
+        self.hurried += other.hurried
+        self.with_adapter += other.with_adapter
+
+
+NOT_ASKED = AskedCount()
+
+
+class ModelDemand:
+    """Load of one model over all VMs.
+
+    A request that is refused because the model is missing neither runs nor waits, so
+    the rate at which the model is asked for counts too.
+    """
+
+    __slots__ = (
+        "running",
+        "waiting",
+        "asked_ms",
+        "at_ms",
+        "total",
+        "fast_per_s",
+        "slow_per_s",
+        "missing_ms",
+        "hurried",
+        "adapter_total",
+        "adapters_per_s",
+    )
+
+    def __init__(self, now_ms, asked):
+        self.running = 0
+        self.waiting = 0
+        self.asked_ms = -math.inf
+        self.at_ms = now_ms
+        self.total = asked.total
+        self.fast_per_s = 0.0
+        self.slow_per_s = 0.0
+        # Requests for adapters of it, so far and for each second.
+        self.adapter_total = asked.with_adapter
+        self.adapters_per_s = 0.0
+        # Since when it is asked for without a copy.
+        self.missing_ms = None
+        # Whether callers ask for it who do not wait for a load; None if unknown.
+        self.hurried = None
+
+    def update(self, running, waiting, asked, now_ms):
+        """Take the current numbers of requests, and all that came so far.
+
+        Parameters
+        ----------
+        running, waiting : int
+        asked : AskedCount
+        now_ms : float
+        """
+        elapsed_ms = now_ms - self.at_ms
+        if elapsed_ms <= 0:
+            return
+        self.at_ms = now_ms
+        self.running = running
+        self.waiting = waiting
+        arrived = max(0, asked.total - self.total)
+        self.total = asked.total
+        for_adapters = max(0, asked.with_adapter - self.adapter_total)
+        self.adapter_total = asked.with_adapter
+        self.adapters_per_s = _decayed(
+            self.adapters_per_s, for_adapters, elapsed_ms, SLOW_WINDOW_MS
+        )
+        self.fast_per_s = _decayed(self.fast_per_s, arrived, elapsed_ms, FAST_WINDOW_MS)
+        self.slow_per_s = _decayed(self.slow_per_s, arrived, elapsed_ms, SLOW_WINDOW_MS)
+        if running or waiting or arrived:
+            self.asked_ms = now_ms
+            self.hurried = bool(self.hurried) or asked.hurried > 0
+
+    @property
+    def load(self):
+        """Requests that run or would run if there were room."""
+        expected = self.fast_per_s * STREAM_MS / 1000
+        return max(self.running + self.waiting, expected)
+
+    @property
+    def rate_per_s(self):
+        """Requests per second to count with."""
+        return max(self.fast_per_s, self.slow_per_s, self.waiting / WAITING_WINDOW_S)
+
+
+def _decayed(rate_per_s, arrived, elapsed_ms, window_ms):
+    kept = math.exp(-elapsed_ms / window_ms)
+    return kept * rate_per_s + 1000 * arrived / window_ms
--- a/cassiamount/order_runner.py
+++ b/cassiamount/order_runner.py
@@ -5,6 +5,7 @@
 import structlog
 
 from .background import BackgroundTasks
+from .engine_belief import AdapterChange
 from .fleet_orders import (
     ACCEPTED,
     CONFLICT,
@@ -16,7 +17,7 @@
     EngineOrder,
     target_of,
 )
-from .fleet_placement import RETRY_MS, UNLOAD_MS, AdapterChange, FleetPlacement
+from .fleet_placement import RETRY_MS, UNLOAD_MS, FleetPlacement
 from .fleet_state import residency_of
 from .metadata_store import StoreUnavailable
 from .order_lease import LEASE_MS, RENEW_MS
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from cassiamount.fleet_placement import AskedCount
 from cassiamount.fleet_reports import (
     Residency,
     StreamPosition,
@@ -12,6 +11,7 @@
     encode_report,
 )
 from cassiamount.metadata_store import KeyedRecord
+from cassiamount.model_demand import AskedCount
 from cassiamount.peer_table import FORGET_MS, SILENT_MS, PeerTable
 
 
