Tell other VMs only what changed, and bound the holder's work in large fleets

Each report carried all counts of 206 models, all engines, and every entry of the list of backend servers that the peer lacked, though most entries only repeat themselves; and every VM sent a new configuration to every other one. The holder of the orders weighed every model with every engine, each time through all engines. Change: counts and engines go as what changed since the version that the peer has; KeyedView knows at which offset the meaning of a key changed and tells only that; what a VM did not read itself it relays only to peers that still lack it after two periods; reports are compressed; intervals and silence follow the number of VMs; in fleets of more than 12 others a change of engines is told at once only to VMs with requests that it concerns; one decision weighs at most 24 models and 12 engines, with one index of copies.

--- a/cassiamount/fleet.py
+++ b/cassiamount/fleet.py
@@ -348,6 +348,14 @@
         self.in_memory = in_memory
         self.on_disk = on_disk
 
+    def same_as(self, other):
+        """Return whether another entry says the same, but for the time that is left."""
+        return all(
+            getattr(self, name) == getattr(other, name)
+            for name in self.__slots__
+            if name != "remaining_ms"
+        )
+
 
 class CallFacts:
     """What the system needs to know of a request, decoded from its head.
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -1,5 +1,6 @@
 """Which models and adapters the engines of a fleet should hold, decided by one VM."""
 
+import heapq
 import math
 
 from .engine_belief import AdapterChange, Change, EngineBelief
@@ -48,6 +49,10 @@
 RUNNING_COST_MS = 15.0
 # Time that each change takes beside the load: notice, unload, reports.
 CHANGE_MS = 300.0
+# Models and engines that one decision weighs at most, so that its time does not grow
+# with the fleet; more than today's sites have.
+MODELS_WEIGHED = 24
+ENGINES_WEIGHED = 12
 # An adapter that was in use this recently may still be in use.
 ADAPTER_IDLE_MS = 350.0
 # A failed change of an engine is not tried again sooner.
@@ -75,6 +80,8 @@
         self._demand = {}
         self._adapter_waiting = {}
         self._running = {}
+        # Model -> engines with a copy, while one decision is made.
+        self._copies = None
 
     def set_rule(self, rule):
         """Take the service's engine limits of a new configuration."""
@@ -144,14 +151,15 @@
         """
         return self._plan_adapters(now_ms) + self._plan_models(now_ms)
 
-    def queue_ms(self, now_ms):
+    def queue_due(self, now_ms):
         """Return when models that wait for an engine should be there.
 
         Returns
         -------
         dict of str to float
-            Model -> time in ms from now. The rarely asked ones share a few engines.
+            Model -> time. The rarely asked ones share a few engines.
         """
+        self._index_copies()
         missing = [
             (self.gain_per_s(name, now_ms), name)
             for name, demand in self._demand.items()
@@ -162,11 +170,14 @@
         queue = {}
         for place, (_, name) in enumerate(sorted(missing, reverse=True)):
             each_ms = self.rule.models[name].disk_load_ms + CHANGE_MS + UNLOAD_MS
-            queue[name] = each_ms * (1 + place // parallel)
+            queue[name] = now_ms + each_ms * (1 + place // parallel)
+        self._copies = None
         return queue
 
     def copies(self, model):
         """Return the engines that hold a model or are loading it."""
+        if self._copies is not None:
+            return self._copies.get(model, [])
         return [
             belief
             for belief in self.engines.values()
@@ -179,6 +190,18 @@
             )
         ]
 
+    def _index_copies(self):
+        """Find the copies of all models in one pass, for a decision that asks often."""
+        self._copies = {}
+        for belief in self.engines.values():
+            if belief.record.leaving:
+                continue
+            models = belief.ready.keys() | belief.loading.keys()
+            if belief.change is not None:
+                models.add(belief.change.model)
+            for model in models - belief.drained:
+                self._copies.setdefault(model, []).append(belief)
+
     def wanted_copies(self, model, now_ms):
         """Return for how many engines the model's demand is enough."""
         demand = self._demand.get(model)
@@ -235,22 +258,48 @@
             changes.append(self._begin(change, now_ms))
 
     def _best_change(self, now_ms):
-        best = None
-        rare_allowed = self._rare_allowed()
         free = [b for b in self.engines.values() if self._changeable(b, now_ms)]
         if not free:
             return None
-        for model in self._demand:
-            gain_per_s = self.gain_per_s(model, now_ms)
-            if gain_per_s <= 0:
-                continue
-            if self._rare(model) and not rare_allowed:
-                continue
-            for belief in free:
-                change, worth = self._change_for(belief, model, gain_per_s, now_ms)
-                if change is not None and (best is None or worth > best[0]):
-                    best = (worth, change)
-        return None if best is None else best[1]
+        self._index_copies()
+        try:
+            best = None
+            for gain_per_s, model in self._wanted_models(free, now_ms):
+                for belief in self._likely_engines(free, model):
+                    change, worth = self._change_for(belief, model, gain_per_s, now_ms)
+                    if change is not None and (best is None or worth > best[0]):
+                        best = (worth, change)
+            return None if best is None else best[1]
+        finally:
+            self._copies = None
+
+    def _wanted_models(self, free, now_ms):
+        """Return (gain, model) of those that gain most and can be loaded now."""
+        rare_allowed = self._rare_allowed()
+        gains = [
+            (self.gain_per_s(model, now_ms), model)
+            for model in self._demand
+            if rare_allowed or not self._rare(model)
+        ]
+        wanted = [item for item in gains if item[0] > 0]
+        if self.store_loads.wait_ms(now_ms) > 0:
+            near = set().union(*(b.in_memory | b.on_disk for b in free))
+            wanted = [item for item in wanted if item[1] in near]
+        return heapq.nlargest(MODELS_WEIGHED, wanted)
+
+    def _likely_engines(self, free, model):
+        """Return the engines that are weighed for a model.
+
+        In a large fleet those that load it fastest, then those with few requests.
+        """
+        if len(free) <= ENGINES_WEIGHED:
+            return free
+
+        def cost(belief):
+            fast = model in belief.in_memory or model in belief.on_disk
+            return (not fast, self._requests(belief))
+
+        return heapq.nsmallest(ENGINES_WEIGHED, free, key=cost)
 
     def _change_for(self, belief, model, gain_per_s, now_ms):
         """Return a change of one engine and its worth, or None."""
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -2,9 +2,13 @@
 
 import orjson
 
+from .fleet_orders import target_of
 from .metadata_store import KeyedRecord
 from .model_demand import AskedCount
 
+# A time that moves by less is not reported again.
+LATER_MS = 50.0
+
 
 class Residency:
     """What the holder of the orders knows of one engine.
@@ -16,7 +20,8 @@
     ready : dict of str to list of str
         Model -> its adapters.
     coming : dict of str to float
-        Model or adapter -> time in ms until it should be ready.
+        Model or adapter -> time at which it should be ready; in a message, in ms from
+        then.
     drained : list of str
         Models about to be unloaded.
     """
@@ -29,6 +34,33 @@
         self.coming = coming
         self.drained = drained
 
+    def targets(self):
+        """Return the models and adapters that are there or on their way."""
+        held = {
+            target_of(model, adapter)
+            for model, adapters in self.ready.items()
+            for adapter in ("", *adapters)
+        }
+        return held | self.coming.keys()
+
+    def differs(self, before):
+        """Return whether a VM that knows `before` needs to be told of this one."""
+        return (
+            self.started_wall_ms != before.started_wall_ms
+            or self.ready != before.ready
+            or self.drained != before.drained
+            or self.coming.keys() != before.coming.keys()
+            or any(
+                abs(at_ms - before.coming[name]) > LATER_MS
+                for name, at_ms in self.coming.items()
+            )
+        )
+
+    def shifted(self, ms):
+        """Return it with all times moved by some ms."""
+        coming = {name: at + ms for name, at in self.coming.items()}
+        return Residency(self.started_wall_ms, self.ready, coming, self.drained)
+
     def to_value(self):
         """Return the JSON form."""
         return [self.started_wall_ms, self.ready, self.coming, self.drained]
@@ -63,8 +95,23 @@
         self.records = records
 
 
+class Versions:
+    """Versions of what a VM sends only in part: what changed since a version.
+
+    Parameters
+    ----------
+    asked, residency : int
+    """
+
+    __slots__ = ("asked", "residency")
+
+    def __init__(self, asked=0, residency=0):
+        self.asked = asked
+        self.residency = residency
+
+
 class VmReport:
-    """What one VM tells the others several times a second.
+    """What one VM tells another one several times a second.
 
     Parameters
     ----------
@@ -82,7 +129,8 @@
     waiting : dict of str to int
         Model or adapter -> requests that wait on this VM.
     asked : dict of str to AskedCount
-        Requests that came to this VM since its start, by model.
+        Requests that came to this VM since its start, by model; only those that
+        changed since the version that the receiver has.
     used_tokens : dict of str to float
         Taken since the VM's start, by team.
     fence : int
@@ -90,9 +138,18 @@
     order_age_ms : float or None
         Time since this VM last sent an order.
     residency : dict of str to Residency or None
-        Only from the holder.
+        Only from the holder, and only what changed since the version that the receiver
+        has.
     queued : dict of str to float
         Model -> time in ms until it should be at some engine; only from the holder.
+    versions : Versions
+        Of this VM's state with this report.
+    since : Versions
+        The parts in this report are what changed since then.
+    seen_started_ms : int
+        Start of the receiver that `seen` is about; 0 if it was not heard.
+    seen : Versions
+        What this VM has of the receiver's state.
     """
 
     __slots__ = (
@@ -112,6 +169,10 @@
         "order_age_ms",
         "residency",
         "queued",
+        "versions",
+        "since",
+        "seen_started_ms",
+        "seen",
     )
 
     def __init__(self, **values):
@@ -119,13 +180,14 @@
             setattr(self, name, values[name])
 
 
+VERSION_FIELDS = ("versions", "since", "seen")
+
+
 def encode_report(report):
     """Return the bytes of a `VmReport`."""
-    value = {
-        name: getattr(report, name)
-        for name in VmReport.__slots__
-        if name not in ("positions", "records", "residency", "asked")
-    }
+    value = {name: getattr(report, name) for name in VmReport.__slots__}
+    for name in VERSION_FIELDS:
+        value[name] = [value[name].asked, value[name].residency]
     value["asked"] = {
         name: [count.total, count.hurried, count.with_adapter]
         for name, count in report.asked.items()
@@ -154,7 +216,7 @@
         if report.residency is None
         else {name: item.to_value() for name, item in report.residency.items()}
     )
-    return orjson.dumps(value)
+    return orjson.dumps([value[name] for name in VmReport.__slots__])
 
 
 def decode_report(data):
@@ -165,7 +227,9 @@
     ValueError
     """
     try:
-        value = orjson.loads(data)
+        value = dict(zip(VmReport.__slots__, orjson.loads(data), strict=True))
+        for name in VERSION_FIELDS:
+            value[name] = Versions(*value[name])
         value["positions"] = {
             name: StreamPosition(*item) for name, item in value["positions"].items()
         }
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -1,19 +1,36 @@
 """The state of one VM in front of a fleet, fed by its tasks."""
 
+import collections
+
 import structlog
 
-from .fleet_reports import Residency, StreamPosition, StreamRecords, VmReport
+from .fleet_orders import target_of
+from .fleet_reports import (
+    Residency,
+    StreamPosition,
+    StreamRecords,
+    Versions,
+    VmReport,
+)
 from .fleet_view import FleetView
 from .key_freshness import Freshness, KeyFreshness
-from .metadata_store import BACKENDS, CONFIGURATION, CONFIGURATION_KEY, KeyedView
-from .model_demand import AskedCount
+from .metadata_store import (
+    BACKENDS,
+    CONFIGURATION,
+    CONFIGURATION_KEY,
+    FROM_STORE,
+    KeyedView,
+)
+from .model_demand import NOT_ASKED, AskedCount
 from .order_lease import OrderLease
 from .peer_table import PeerTable
 from .shared_quota import SharedQuota
 from .shared_retries import SharedRetries
 
-# Records are relayed to a peer that is behind for longer than a read of its own takes.
-RELAY_AFTER_MS = 300.0
+# What a VM did not read itself it relays only to a peer that still lacks it after this
+# many intervals of the reports: the reader tells all others at once.
+RELAY_PERIODS = 2.0
+TOLD_KEPT = 64
 # After the store was out of reach, an entry that vanished may come back.
 RETURN_WINDOW_MS = 4_000.0
 RETURN_GRACE_MS = 900.0
@@ -47,7 +64,14 @@
         )
         self.keys = KeyFreshness(settings.key_limit_ms)
         self.backends_proof = Freshness()
-        self.streams = {CONFIGURATION: KeyedView(), BACKENDS: KeyedView()}
+        self.streams = {
+            CONFIGURATION: KeyedView(),
+            BACKENDS: KeyedView(self._same_backend),
+        }
+        # Stream -> (next offset, time) of what came from peers; empty if it was read.
+        self._told = {
+            name: collections.deque(maxlen=TOLD_KEPT) for name in self.streams
+        }
         self.store_reachable = False
         self.store_failed_ms = -float("inf")
         self.stopping = False
@@ -56,8 +80,13 @@
         self.listeners = []
         self.lease = OrderLease(settings.order_turn_ms, now_ms)
         self.last_order_ms = None
+        # What this VM knows and plans as the holder of the orders.
         self.own_residency = None
         self.own_queued = {}
+        self._versions = Versions()
+        self._asked_versions = {}
+        self._residency_versions = {}
+        self._all_asked = {}
         self._decoder = decoder
         self._started_ms = started_ms
         self._records = {}
@@ -103,9 +132,14 @@
         if from_offset is None:
             changed = view.reload(records, next_offset)
         else:
-            changed = view.apply(records, from_offset, next_offset)
+            told = source != FROM_STORE
+            changed = view.apply(records, from_offset, next_offset, told)
         if not changed:
             return
+        if source == FROM_STORE:
+            self._told[stream].clear()
+        else:
+            self._told[stream].append((view.next_offset, self.now_ms()))
         if stream == CONFIGURATION:
             self._take_configuration(source)
         else:
@@ -192,14 +226,23 @@
         self._records[name] = (offset, record)
         return record
 
+    def _same_backend(self, name, before, after):
+        try:
+            known = self._decoder.backend(name, before)
+            return self._decoder.backend(name, after).same_as(known)
+        except ValueError:
+            return False
+
     # Peers.
 
     def on_report(self, report):
         """Take a report of a peer."""
         now_ms = self.now_ms()
         before = self.peers.peers.get(report.vm)
+        arrived = dict(report.asked)
         if not self.peers.on_report(report, now_ms):
             return
+        self._count_asked(before, report, arrived)
         if before is None:
             log.info("peer_heard", peer=report.vm, address=report.address)
         if report.stopping:
@@ -223,14 +266,36 @@
                 self.proof_of(stream).prove(now_ms - position.age_ms)
         if report.residency is not None:
             self._merge_residency()
-        self._count_peers()
+        self._count_running(before, report, now_ms)
         self.notify()
 
+    def _count_asked(self, before, report, arrived):
+        """Add what a peer's counts grew by; a restarted peer counts from 0."""
+        known = {}
+        if before is not None and before.report.started_ms == report.started_ms:
+            known = before.report.asked
+        for model, count in arrived.items():
+            total = self._all_asked.setdefault(model, AskedCount())
+            total.add_growth(known.get(model, NOT_ASKED), count)
+
+    def _count_running(self, before, report, now_ms):
+        """Bring the requests of the other VMs up to date after one report."""
+        if before is None or now_ms - before.heard_ms > self.peers.silent_ms():
+            self._count_peers()
+            return
+        running = before.report.running
+        for name in running.keys() | report.running.keys():
+            view = self.view.backends.get(name)
+            if view is not None:
+                view.peer_requests += sum(report.running.get(name, {}).values())
+                view.peer_requests -= sum(running.get(name, {}).values())
+
     def review_peers(self):
         """Judge the silence of peers."""
         now_ms = self.now_ms()
         for name in self.peers.forget_old(now_ms):
             log.info("peer_forgotten", peer=name)
+        self.quota.silent_ms = self.peers.silent_ms()
         share = self.quota.share
         self.quota.review_peers(now_ms)
         if self.quota.share != share:
@@ -246,8 +311,7 @@
     def _merge_residency(self):
         """Set what each engine holds: by the holder of the orders, else by the list."""
         now_ms = self.now_ms()
-        residency, queued, at_ms = self._holder_residency(now_ms)
-        self.view.queued = {name: at_ms + ms for name, ms in queued.items()}
+        residency, self.view.queued = self._holder_residency(now_ms)
         for name, view in self.view.backends.items():
             record = view.record
             item = residency.get(name)
@@ -258,17 +322,18 @@
             view.drained = frozenset()
             if item is None or item.started_wall_ms != record.started_wall_ms:
                 continue
-            view.coming = {t: at_ms + ms for t, ms in item.coming.items()}
+            view.coming = item.coming
             view.drained = frozenset(item.drained)
             view.ready = {model: frozenset(held) for model, held in item.ready.items()}
 
     def _holder_residency(self, now_ms):
         if self.own_residency is not None:
-            return self.own_residency, self.own_queued, now_ms
+            return self.own_residency, self.own_queued
         holder = self.peers.holder(now_ms)
-        if holder is None or holder.residency is None:
-            return {}, {}, now_ms
-        return holder.residency, holder.queued, self.peers.peers[holder.vm].heard_ms
+        if holder is None:
+            return {}, {}
+        peer = self.peers.peers[holder.vm]
+        return peer.residency or {}, peer.queued
 
     def placement_age_ms(self):
         """Return the age of what is known of the engines; None without a holder."""
@@ -282,20 +347,30 @@
 
     def set_own_residency(self, residency, queued):
         """Take what this VM knows and plans as the holder; None if it is not."""
+        before = self.own_residency or {}
         self.own_residency = residency
         self.own_queued = queued
+        self._versions.residency += 1
+        versions = {}
+        for name, item in (residency or {}).items():
+            known = before.get(name)
+            if known is None or item.differs(known):
+                versions[name] = self._versions.residency
+            else:
+                versions[name] = self._residency_versions[name]
+        self._residency_versions = versions
         self._merge_residency()
         self.notify()
 
-    def build_report(self, peer):
-        """Return the `VmReport` for a peer.
-
-        Parameters
-        ----------
-        peer : VmReport or None
-            The peer's last report.
-        """
+    def build_report(self, name):
+        """Return the `VmReport` for the peer of a name."""
         now_ms = self.now_ms()
+        known = self.peers.peers.get(name)
+        peer = None if known is None else known.report
+        has = Versions()
+        if peer is not None and peer.seen_started_ms == self._started_ms:
+            has = peer.seen
+        seen_started_ms, seen = self.peers.seen_of(name)
         fence = self.lease.generation if self.may_order() else 0
         age_ms = None if self.last_order_ms is None else now_ms - self.last_order_ms
         return VmReport(
@@ -309,31 +384,58 @@
                 name: StreamPosition(view.next_offset, self._age_ms(name, now_ms))
                 for name, view in self.streams.items()
             },
-            records={} if peer is None else self._records_for(peer),
+            records={} if known is None else self._records_for(known),
             running={
                 name: view.own_by_model
                 for name, view in self.view.backends.items()
                 if view.own_by_model
             },
             waiting={name: count for name, count in self.waiting.items() if count},
-            asked=self.asked,
+            asked={
+                model: self.asked[model]
+                for model, version in self._asked_versions.items()
+                if version > has.asked
+            },
             used_tokens=self.quota.used_tokens(),
             fence=fence,
             order_age_ms=age_ms,
-            residency=self.own_residency if fence else None,
-            queued=self.own_queued if fence else {},
+            residency=self._residency_since(has.residency, now_ms) if fence else None,
+            queued={
+                name: round(at_ms - now_ms) for name, at_ms in self.own_queued.items()
+            }
+            if fence
+            else {},
+            versions=self._versions,
+            since=has,
+            seen_started_ms=seen_started_ms,
+            seen=seen,
         )
 
+    def _residency_since(self, version, now_ms):
+        if self.own_residency is None:
+            return None
+        return {
+            name: self.own_residency[name].shifted(-now_ms)
+            for name, changed in self._residency_versions.items()
+            if changed > version
+        }
+
     def _age_ms(self, stream, now_ms):
         proof = self.proof_of(stream)
         return None if proof.proved_ms is None else now_ms - proof.proved_ms
 
     def _records_for(self, peer):
+        """Return the records that a peer lacks, by stream."""
+        relay_ms = RELAY_PERIODS * self.peers.period_ms()
         parts = {}
         for name, view in self.streams.items():
-            position = peer.positions.get(name)
+            position = peer.report.positions.get(name)
             if position is None or view.next_offset is None:
                 continue
+            told_ms = self._told_ms(name, position.next_offset or 0)
+            if told_ms is not None and peer.heard_ms < told_ms + relay_ms:
+                # The reader tells it at the same time.
+                continue
             if position.next_offset is not None:
                 if position.next_offset >= view.next_offset:
                     continue
@@ -346,6 +448,19 @@
             parts[name] = StreamRecords(None, view.next_offset, view.all_records())
         return parts
 
+    def _told_ms(self, stream, offset):
+        """Return when a peer told this VM the first of what comes after an offset.
+
+        Returns
+        -------
+        float or None
+            None if this VM reads the stream itself.
+        """
+        for next_offset, at_ms in self._told[stream]:
+            if next_offset > offset:
+                return at_ms
+        return None
+
     def may_order(self):
         """Return whether this VM may give orders to engines now."""
         now_ms = self.now_ms()
@@ -369,17 +484,15 @@
         -------
         dict of str to AskedCount
         """
-        total = {}
-        asked = [self.asked, *(p.report.asked for p in self.peers.peers.values())]
-        for counts in asked:
-            for model, count in counts.items():
-                total.setdefault(model, AskedCount()).add(count)
-        return total
+        return self._all_asked
 
     def note_asked(self, model, hurried, with_adapter):
         """Count a request for a model."""
-        count = self.asked.setdefault(model, AskedCount())
-        count.add(AskedCount(1, int(hurried), int(with_adapter)))
+        one = AskedCount(1, int(hurried), int(with_adapter))
+        self.asked.setdefault(model, AskedCount()).add(one)
+        self._all_asked.setdefault(model, AskedCount()).add(one)
+        self._versions.asked += 1
+        self._asked_versions[model] = self._versions.asked
 
     def all_waiting(self):
         """Return requests that wait on any VM, by model or adapter."""
@@ -392,12 +505,11 @@
 
 def residency_of(belief, now_ms):
     """Return the `Residency` of an engine as the holder believes it."""
-    coming = {name: max(0.0, at - now_ms) for name, at in belief.loading.items()}
+    coming = dict(belief.loading)
     if belief.change is not None:
-        coming[belief.change.model] = max(0.0, belief.change.eta_ms - now_ms)
+        coming[belief.change.model] = belief.change.eta_ms
     for (model, adapter), at_ms in belief.adapters_coming.items():
-        left_ms = 0.0 if at_ms is None else at_ms - now_ms
-        coming[f"{model}/{adapter}"] = max(0.0, left_ms)
+        coming[target_of(model, adapter)] = now_ms if at_ms is None else at_ms
     return Residency(
         belief.record.started_wall_ms,
         {name: sorted(held) for name, held in belief.ready.items()},
--- a/cassiamount/metadata_store.py
+++ b/cassiamount/metadata_store.py
@@ -6,6 +6,8 @@
 VMS = "vms"
 # Key of the configuration in its stream.
 CONFIGURATION_KEY = "config"
+# Source of records that a VM read itself; otherwise the name of the VM that told them.
+FROM_STORE = "store"
 
 
 class StoreUnavailable(Exception):
@@ -54,23 +56,36 @@
         self.holds = holds
 
 
-# Records kept to bring peers up to date that are only a little behind.
-RECENT_RECORDS = 256
+# Deleted keys that are remembered, to bring peers up to date that are a little behind.
+KEPT_DELETIONS = 1_000
 
 
 class KeyedView:
     """The newest record of each key of a stream, as far as it is known.
 
     Reads and peers feed it in any order; it never goes back.
+
+    Parameters
+    ----------
+    same : callable, optional
+        ``(key, before, after) -> bool``: whether two values mean the same. Most entries
+        are written again and again and only say that their writer lives; peers need
+        not be told of those.
     """
 
-    __slots__ = ("next_offset", "values", "_recent")
+    __slots__ = ("next_offset", "values", "_same", "_changed", "_known_from")
 
-    def __init__(self):
+    def __init__(self, same=None):
         # Offset of the next record to read; None before the first complete read.
         self.next_offset = None
         self.values = {}
-        self._recent = []
+        self._same = (
+            (lambda key, before, after: before == after) if same is None else same
+        )
+        # Key -> offset at which its meaning changed last; also of deleted keys.
+        self._changed = {}
+        # From here on all deletions are in `_changed`.
+        self._known_from = 0
 
     def reload(self, records, next_offset):
         """Take a complete read of the newest records.
@@ -86,17 +101,24 @@
         changed = False
         for key, (offset, _) in list(self.values.items()):
             if key not in present and offset < next_offset:
-                del self.values[key]
-                changed = True
+                changed |= self._take(KeyedRecord(next_offset - 1, key, None))
         for record in records:
-            changed |= self._take(record)
+            changed |= self._take(record, told=True)
+        # What came and went before may be unknown here.
+        self._known_from = next_offset
         self.next_offset = max(next_offset, self.next_offset or 0)
-        self._recent.clear()
         return changed
 
-    def apply(self, records, from_offset, next_offset):
+    def apply(self, records, from_offset, next_offset, told=False):
         """Take the records from one offset up to another.
 
+        Parameters
+        ----------
+        records : list of KeyedRecord
+        from_offset, next_offset : int
+        told : bool
+            Whether these are only what changed, as `since` returns it.
+
         Returns
         -------
         bool
@@ -107,21 +129,27 @@
         changed = False
         for record in records:
             if record.offset >= self.next_offset:
-                changed |= self._take(record)
-                self._recent.append(record)
+                changed |= self._take(record, told)
         self.next_offset = max(self.next_offset, next_offset)
-        del self._recent[:-RECENT_RECORDS]
+        self._forget_deletions()
         return changed
 
     def since(self, offset):
-        """Return the records after `offset`, or None if they are not all kept."""
-        if self.next_offset is None:
-            return None
-        if offset >= self.next_offset:
-            return []
-        if not self._recent or offset is None or self._recent[0].offset > offset:
+        """Return the newest records of the keys that changed after `offset`.
+
+        Returns
+        -------
+        list of KeyedRecord or None
+            None if deletions after `offset` may be missing.
+        """
+        if self.next_offset is None or offset < self._known_from:
             return None
-        return [record for record in self._recent if record.offset >= offset]
+        records = []
+        for key, changed_at in self._changed.items():
+            if changed_at >= offset:
+                newest, value = self.values.get(key, (changed_at, None))
+                records.append(KeyedRecord(newest, key, value))
+        return sorted(records, key=lambda record: record.offset)
 
     def all_records(self):
         """Return the newest record of each key."""
@@ -130,11 +158,29 @@
             for key, (offset, value) in self.values.items()
         ]
 
-    def _take(self, record):
+    def _take(self, record, told=False):
+        """Take one record; return whether that changes anything here.
+
+        What a peer told is passed on even if it changes nothing here: the key may have
+        been deleted and written again in between.
+        """
         known = self.values.get(record.key)
         if known is not None and known[0] >= record.offset:
             return False
         if record.value is None:
-            return self.values.pop(record.key, None) is not None
+            self.values.pop(record.key, None)
+            self._changed[record.key] = record.offset
+            return known is not None
         self.values[record.key] = (record.offset, record.value)
-        return True
+        same = known is not None and self._same(record.key, known[1], record.value)
+        if told or not same:
+            self._changed[record.key] = record.offset
+        return not same
+
+    def _forget_deletions(self):
+        excess = len(self._changed) - len(self.values) - KEPT_DELETIONS
+        if excess <= 0:
+            return
+        deleted = [key for key in self._changed if key not in self.values]
+        for key in sorted(deleted, key=self._changed.get)[:excess]:
+            self._known_from = max(self._known_from, self._changed.pop(key) + 1)
--- a/cassiamount/model_demand.py
+++ b/cassiamount/model_demand.py
@@ -38,6 +38,12 @@
         self.hurried += other.hurried
         self.with_adapter += other.with_adapter
 
+    def add_growth(self, before, after):
+        """Add what another count grew by."""
+        self.total += max(0, after.total - before.total)
+        self.hurried += max(0, after.hurried - before.hurried)
+        self.with_adapter += max(0, after.with_adapter - before.with_adapter)
+
 
 NOT_ASKED = AskedCount()
 
--- a/cassiamount/order_runner.py
+++ b/cassiamount/order_runner.py
@@ -38,6 +38,11 @@
 # Reports of engines are as of up to this long ago.
 REPORT_LAG_MS = 130.0
 TRY_PAUSE_MS = 40.0
+# Up to this many other VMs hear of each change at once; in larger fleets only those
+# whose requests it concerns, and the others with the next report.
+SMALL_FLEET = 12
+# Share of the processor's time that plans may take.
+PLAN_SHARE = 0.25
 
 log = structlog.get_logger()
 
@@ -118,7 +123,10 @@
             if not self._acting:
                 self._acting = True
                 log.info("orders_begun", fence=self._lease.generation)
+            begun_ms = self._state.now_ms()
             self._plan()
+            took_ms = self._state.now_ms() - begun_ms
+            await asyncio.sleep(took_ms * (1 / PLAN_SHARE - 1) / 1000)
 
     def _stop_acting(self):
         if self._acting:
@@ -201,16 +209,18 @@
         }
         queued = {}
         for placement in self._placements.values():
-            queued.update(placement.queue_ms(now_ms))
+            queued.update(placement.queue_due(now_ms))
         before = self._state.own_residency
         queued_before = self._state.own_queued
         self._state.set_own_residency(residency, queued)
-        if (
-            before is None
-            or queued.keys() != queued_before.keys()
-            or _differs(before, residency)
-        ):
-            self._exchange.exchange_soon()
+        if before is None or len(self._state.peers.addresses) <= SMALL_FLEET:
+            changed = before is None or changes_of(before, residency)
+            if changed or queued.keys() != queued_before.keys():
+                self._exchange.exchange_soon()
+            return
+        engines, targets = changes_of(before, residency) or ((), ())
+        for name in self._state.peers.concerned(engines, targets, now_ms):
+            self._exchange.exchange_soon(name)
 
     async def _change(self, placement, belief, change):
         try:
@@ -446,12 +456,25 @@
     return held if action == LOAD else not held
 
 
-def _differs(before, after):
-    if before.keys() != after.keys():
-        return True
-    return any(
-        before[name].ready != item.ready
-        or before[name].drained != item.drained
-        or before[name].coming.keys() != item.coming.keys()
-        for name, item in after.items()
-    )
+def changes_of(before, after):
+    """Return what other VMs should hear of at once.
+
+    Parameters
+    ----------
+    before, after : dict of str to Residency
+
+    Returns
+    -------
+    (set of str, set of str) or None
+        Engines that changed, and models and adapters that came there.
+    """
+    engines = before.keys() ^ after.keys()
+    targets = set()
+    for name, item in after.items():
+        known = before.get(name)
+        if known is not None and not item.differs(known):
+            continue
+        engines.add(name)
+        came = item.targets()
+        targets |= came if known is None else came - known.targets()
+    return (engines, targets) if engines else None
--- a/cassiamount/peer_exchange.py
+++ b/cassiamount/peer_exchange.py
@@ -8,17 +8,16 @@
 from .fleet_reports import decode_report, encode_report
 
 METHOD = "/cassiamount.Fleet/Exchange"
-# Interval of the reports while there are few VMs.
-PERIOD_MS = 100.0
-# Reports that a VM sends in one second at most, so that a large fleet does not use up
-# its small VMs.
-REPORTS_PER_S = 130.0
 # A peer that does not answer by then is not there.
 ANSWER_MS = 400.0
-# An exchange that was asked for begins after this, so that several causes share it.
+# An exchange that was asked for begins after this, so that several causes share it,
+# and for each link of a large fleet.
 SOON_MS = 4.0
+SOON_MS_PER_LINK = 0.5
 # Peers that never answered are tried less often.
 UNHEARD_PERIOD_MS = 1_000.0
+# Intervals after which the VM that only answers begins by itself.
+PASSIVE_PERIODS = 2.0
 OPTIONS = (
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
@@ -41,7 +40,7 @@
         Where this VM listens.
     peers : PeerTable
     build_report : callable
-        ``(peer_report or None) -> VmReport`` for the peer that sent that report last.
+        ``(name) -> VmReport`` for the peer of that name.
     on_report : callable
         Called with each `VmReport` that arrives.
     clock : SystemClock or ManualClock
@@ -61,7 +60,7 @@
 
     async def start(self):
         """Begin to listen."""
-        self._server = grpc.aio.server()
+        self._server = grpc.aio.server(compression=grpc.Compression.Deflate)
         handler = grpc.method_handlers_generic_handler(
             "cassiamount.Fleet",
             {"Exchange": grpc.unary_unary_rpc_method_handler(self._answer)},
@@ -91,7 +90,8 @@
                     await self._soon.wait()
             except TimeoutError:
                 continue
-            await asyncio.sleep(SOON_MS / 1000)
+            pause_ms = max(SOON_MS, SOON_MS_PER_LINK * len(self._links))
+            await asyncio.sleep(pause_ms / 1000)
             self._soon.clear()
             targets, self._soon_to = self._soon_to, set()
             for name, link in self._links.items():
@@ -111,10 +111,6 @@
         for name in set(self._links) - set(self._peers.addresses):
             self._links.pop(name).task.cancel()
 
-    def period_ms(self):
-        """Return the interval of reports to one peer."""
-        return max(PERIOD_MS, 1000 * len(self._links) / REPORTS_PER_S)
-
     async def _answer(self, data, context):
         try:
             report = decode_report(data)
@@ -122,7 +118,7 @@
             log.warning("peer_report_unreadable", error=str(error))
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "no report")
         self._on_report(report)
-        return encode_report(self._build_report(report))
+        return encode_report(self._build_report(report.vm))
 
     def take_reply(self, data):
         """Take a peer's reply to this VM's report."""
@@ -133,10 +129,7 @@
 
     def report_for(self, name):
         """Return the bytes of the next report to a peer."""
-        known = self._peers.peers.get(name)
-        return encode_report(
-            self._build_report(None if known is None else known.report)
-        )
+        return encode_report(self._build_report(name))
 
     def due_ms(self, name):
         """Return the time until the next report to a peer.
@@ -144,12 +137,12 @@
         The VM with the lesser name reports, and the other's report comes as the reply;
         the other one begins only when it hears nothing.
         """
-        period_ms = self.period_ms()
+        period_ms = self._peers.period_ms()
         known = self._peers.peers.get(name)
         if known is None:
             return min(UNHEARD_PERIOD_MS, 3 * period_ms)
         if name < self._peers.own_name:
-            return 3 * period_ms
+            return PASSIVE_PERIODS * period_ms
         return period_ms
 
     def heard_age_ms(self, name):
@@ -167,7 +160,9 @@
         self.name = name
         self.address = address
         self.wake = asyncio.Event()
-        self.channel = grpc.aio.insecure_channel(address, options=OPTIONS)
+        self.channel = grpc.aio.insecure_channel(
+            address, options=OPTIONS, compression=grpc.Compression.Deflate
+        )
         self._exchange = exchange
         self.task = asyncio.create_task(self._run(), name=f"link/{name}")
 
--- a/cassiamount/peer_table.py
+++ b/cassiamount/peer_table.py
@@ -1,21 +1,45 @@
 """What this VM heard from the other VMs of a fleet."""
 
+from .fleet_reports import Versions
 from .order_lease import Surroundings
 
+# Interval of the reports to one peer while there are few VMs.
+PERIOD_MS = 100.0
+# Reports that a VM exchanges in one second at most, so that a large fleet does not use
+# up its small VMs.
+REPORTS_PER_S = 100.0
 # A peer that was not heard for this long counts as silent.
 SILENT_MS = 700.0
+# The same in intervals, for large fleets: one lost report does not make a peer silent.
+SILENT_PERIODS = 2.5
 # A peer that was silent for this long is forgotten.
 FORGET_MS = 20_000.0
 
 
 class Peer:
-    """The last report of one peer."""
+    """The last report of one peer, completed by what earlier ones said.
 
-    __slots__ = ("report", "heard_ms")
+    Parameters
+    ----------
+    report : VmReport
+        `asked` is complete.
+    heard_ms : float
+    residency : dict of str to Residency or None
+        Complete, with times of this VM's clock; only of a holder.
+    queued : dict of str to float
+        Model -> time at which it should be at some engine.
+    has : Versions
+        Up to which all parts of the peer's state are here.
+    """
+
+    __slots__ = ("report", "heard_ms", "residency", "queued", "has")
 
-    def __init__(self, report, heard_ms):
+    def __init__(self, report, heard_ms, residency, queued, has):
         self.report = report
         self.heard_ms = heard_ms
+        self.residency = residency
+        self.queued = queued
+        self.has = has
 
 
 class PeerTable:
@@ -49,9 +73,48 @@
                 del self.addresses[name]
         if not report.stopping:
             self.addresses[report.vm] = report.address
-        self.peers[report.vm] = Peer(report, now_ms)
+        same_start = known is not None and known.report.started_ms == report.started_ms
+        self.peers[report.vm] = self._completed(
+            report, known if same_start else None, now_ms
+        )
         return True
 
+    def _completed(self, report, known, now_ms):
+        """Return the `Peer` of a report and what earlier reports of its start said."""
+        has = Versions()
+        residency = None
+        if report.residency is not None:
+            residency = {
+                name: item.shifted(now_ms) for name, item in report.residency.items()
+            }
+        if known is not None:
+            has.asked = known.has.asked
+            report.asked = {**known.report.asked, **report.asked}
+            if residency is not None and known.residency is not None:
+                has.residency = known.has.residency
+                residency = {**known.residency, **residency}
+        if report.since.asked <= has.asked:
+            has.asked = report.versions.asked
+        if residency is not None and report.since.residency <= has.residency:
+            has.residency = report.versions.residency
+        queued = {name: now_ms + ms for name, ms in report.queued.items()}
+        return Peer(report, now_ms, residency, queued, has)
+
+    def period_ms(self):
+        """Return the interval of reports to one peer."""
+        return max(PERIOD_MS, 1000 * len(self.addresses) / REPORTS_PER_S)
+
+    def silent_ms(self):
+        """Return after which time a peer counts as silent."""
+        return max(SILENT_MS, SILENT_PERIODS * self.period_ms())
+
+    def seen_of(self, name):
+        """Return the start of a peer and the `Versions` of its state known here."""
+        known = self.peers.get(name)
+        if known is None:
+            return 0, Versions()
+        return known.report.started_ms, known.has
+
     def forget_old(self, now_ms):
         """Drop peers that were silent for long; return their names."""
         gone = [
@@ -65,10 +128,11 @@
 
     def heard(self, now_ms):
         """Return the reports of the peers that are heard."""
+        silent_ms = self.silent_ms()
         return [
             peer.report
             for peer in self.peers.values()
-            if now_ms - peer.heard_ms <= SILENT_MS
+            if now_ms - peer.heard_ms <= silent_ms
         ]
 
     def vms(self, now_ms):
@@ -103,6 +167,28 @@
                 total[target] = total.get(target, 0) + count
         return total
 
+    def concerned(self, engines, targets, now_ms):
+        """Return the peers whose requests a change of engines concerns.
+
+        Parameters
+        ----------
+        engines : collection of str
+            Those that changed.
+        targets : collection of str
+            Models and adapters that came.
+        now_ms : float
+
+        Returns
+        -------
+        list of str
+        """
+        return [
+            report.vm
+            for report in self.heard(now_ms)
+            if not report.waiting.keys().isdisjoint(targets)
+            or not report.running.keys().isdisjoint(engines)
+        ]
+
     def surroundings(self, now_ms):
         """Return what the lease for orders depends on."""
         heard = [report for report in self.heard(now_ms) if not report.stopping]
--- a/cassiamount/shared_quota.py
+++ b/cassiamount/shared_quota.py
@@ -53,6 +53,8 @@
         self._used = {}
         self._peers = {}
         self._share = 1.0
+        # Longer in large fleets, whose reports are rarer.
+        self.silent_ms = SILENT_PEER_MS
 
     def set_teams(self, teams, now_ms):
         """Take the teams' rates and bursts."""
@@ -149,7 +151,7 @@
                 del self._peers[peer]
         known = 1 + len(self._peers)
         heard = 1 + sum(
-            now_ms - heard_ms <= SILENT_PEER_MS
+            now_ms - heard_ms <= self.silent_ms
             for _, _, heard_ms in self._peers.values()
         )
         share = heard / known
--- a/cassiamount/store_follower.py
+++ b/cassiamount/store_follower.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from .metadata_store import CONFIGURATION, HistoryTrimmed, StoreUnavailable
+from .metadata_store import CONFIGURATION, FROM_STORE, HistoryTrimmed, StoreUnavailable
 
 # The first VM by name reads each stream all the time; the others begin when what they
 # hear of it is older than this, one after the other.
@@ -77,7 +77,7 @@
         page = await self._store.read(self._stream, from_offset, WAIT_MS)
         self._state.on_store_answer(True)
         self._state.on_records(
-            self._stream, "store", page.records, from_offset, page.next_offset
+            self._stream, FROM_STORE, page.records, from_offset, page.next_offset
         )
         self._state.proof_of(self._stream).prove(sent_ms)
         if page.records:
@@ -90,7 +90,7 @@
         page = await self._store.newest(self._stream)
         self._state.on_store_answer(True)
         self._state.on_records(
-            self._stream, "store", page.records, None, page.next_offset
+            self._stream, FROM_STORE, page.records, None, page.next_offset
         )
         self._state.proof_of(self._stream).prove(sent_ms)
         self._on_change(self._stream)
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -6,7 +6,11 @@
 from cassiamount.errors import InvariantViolation
 from cassiamount.fleet import BackendRecord, EngineRule, ModelRule
 from cassiamount.fleet_orders import EngineReport
-from cassiamount.fleet_placement import FleetPlacement
+from cassiamount.fleet_placement import (
+    ENGINES_WEIGHED,
+    MODELS_WEIGHED,
+    FleetPlacement,
+)
 from cassiamount.model_demand import AskedCount
 
 MODEL_MB = 70_000.0
@@ -172,3 +176,46 @@
     demand(planner, 100.0, {"d": 1}, {"d": 1})
     (change,) = planner.plan(100.0)
     assert (change.engine, change.from_store) == ("e2", False)
+
+
+class CountingPlacement(FleetPlacement):
+    """Counts the changes that are weighed."""
+
+    weighed = 0
+
+    def _change_for(self, *arguments):
+        self.weighed += 1
+        return super()._change_for(*arguments)
+
+
+def test_work_of_a_decision_does_not_grow_with_the_fleet():
+    """Guards against a holder of the orders that is too busy to serve callers.
+
+    Seen on the grown ncl-sewfloor quiet-1: 56 engines and 206 models kept the holder's
+    processor busy all the time.
+    """
+    models = {
+        f"m{n}": ModelRule(f"m{n}", MODEL_MB, 4_000.0, 400.0, 800.0, 60.0)
+        for n in range(200)
+    }
+    rule = EngineRule(48, 100_000, 230_000.0, 2, 16.0, models)
+    planner = CountingPlacement("llm", rule, True, 0.0)
+    engines = {
+        f"e{n}": engine(f"e{n}", "m0", "m1", "m2", on_disk=frozenset({f"m{n}"}))
+        for n in range(60)
+    }
+    planner.set_engines(engines)
+    for belief in planner.engines.values():
+        belief.orders = 0
+    waiting = {f"m{n}": 1 for n in range(10, 110)}
+    asked = {f"m{n}": AskedCount(1) for n in range(10, 110)}
+    planner.set_demand({}, {}, {}, 0.0)
+    planner.set_demand({}, waiting, asked, 100.0)
+    changes = planner.plan(100.0)
+    assert planner.weighed <= (len(changes) + 1) * MODELS_WEIGHED * ENGINES_WEIGHED
+    by_model = {change.model: change for change in changes}
+    for n in range(10, 60):
+        if f"m{n}" in by_model:
+            change = by_model[f"m{n}"]
+            assert (change.engine, change.from_store) == (f"e{n}", False)
+    assert len(by_model) >= 20
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -6,6 +6,7 @@
     Residency,
     StreamPosition,
     StreamRecords,
+    Versions,
     VmReport,
     decode_report,
     encode_report,
@@ -37,6 +38,10 @@
         "order_age_ms": None,
         "residency": {"e1": Residency(1, {"m": ["a"]}, {"n": 80.0}, ["o"])},
         "queued": {"q": 1_500.0},
+        "versions": Versions(7, 3),
+        "since": Versions(5, 0),
+        "seen_started_ms": 4,
+        "seen": Versions(6, 0),
     }
     values.update(changes)
     return VmReport(**values)
--- /dev/null
+++ b/tests/test_fleet_state.py
@@ -0,0 +1,174 @@
+"""Tests of what two VMs of a fleet know of each other by their reports."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cassiamount.clock import ManualClock
+from cassiamount.fleet_reports import Residency, decode_report, encode_report
+from cassiamount.fleet_state import FleetState
+from cassiamount.platform.settings import decode_settings
+from tests.fleet_fixtures import Decoder
+
+SETTINGS = """
+NodeName: {name}
+Zone: z1
+Listen:
+  Frontend: "127.0.0.1:1"
+  Ready: "127.0.0.1:2"
+  Control: "127.0.0.1:3"
+Platform:
+  Address: "127.0.0.1:4"
+Bounds:
+  RevokeMs: 5000
+"""
+
+
+class Pair:
+    """Two VMs of which the first holds the orders, and the messages between them."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.starts = 0
+        self.holder = self.start("v1")
+        self.other = self.start("v2")
+
+    def start(self, name):
+        self.starts += 1
+        parsed = decode_settings(SETTINGS.format(name=name), "boot.yaml").unwrap()
+        return FleetState(parsed, Decoder, self.clock, self.starts)
+
+    def message(self, sender, receiver):
+        """Return the bytes of the next report."""
+        if sender is self.holder:
+            sender.may_order = lambda: True
+            sender.lease.generation = 7
+        return encode_report(sender.build_report(receiver.settings.vm_name))
+
+    def exchange(self):
+        """Let each hear the other, and what it then sends."""
+        for _ in range(2):
+            for pair in ((self.holder, self.other), (self.other, self.holder)):
+                pair[1].on_report(decode_report(self.message(*pair)))
+
+    def known_residency(self):
+        """Return what the other VM knows of the engines, as comparable values."""
+        known, _ = self.other._holder_residency(self.clock.monotonic_ms())
+        return {name: item.to_value() for name, item in known.items()}
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("ask"), st.sampled_from("abc")),
+        st.tuples(st.just("place"), st.sampled_from(["e1", "e2"])),
+        st.tuples(st.just("remove"), st.sampled_from(["e1", "e2"])),
+        st.tuples(st.just("lose-lease"), st.none()),
+        st.tuples(st.just("send"), st.sampled_from(["kept", "lost", "late"])),
+        st.tuples(st.just("answer"), st.sampled_from(["kept", "lost"])),
+        st.tuples(st.just("restart"), st.none()),
+    ),
+    max_size=40,
+)
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(STEPS)
+def test_partial_reports_add_up(steps):
+    """Guards against a change of demand or engines that a VM never hears of.
+
+    Reports carry only what changed since the version that the receiver has, and are
+    lost, late, and between VMs that restart.
+    """
+    pair = Pair()
+    placed = {}
+    late = []
+    models = 0
+    for step, detail in steps:
+        if step == "ask":
+            pair.other.note_asked(detail, hurried=True, with_adapter=False)
+        elif step == "place":
+            models += 1
+            placed[detail] = Residency(1, {f"m{models}": []}, {}, [])
+            pair.holder.set_own_residency(dict(placed), {})
+        elif step == "remove":
+            placed.pop(detail, None)
+            pair.holder.set_own_residency(dict(placed), {})
+        elif step == "lose-lease":
+            pair.holder.set_own_residency(None, {})
+            pair.holder.set_own_residency(dict(placed), {})
+        elif step == "restart":
+            pair.other = pair.start("v2")
+        elif step == "send":
+            data = pair.message(pair.holder, pair.other)
+            if detail == "kept":
+                pair.other.on_report(decode_report(data))
+            elif detail == "late":
+                late.append(data)
+        elif detail == "kept":
+            data = pair.message(pair.other, pair.holder)
+            pair.holder.on_report(decode_report(data))
+    for data in late:
+        pair.other.on_report(decode_report(data))
+    pair.exchange()
+    known = pair.holder.peers.peers["v2"].report.asked
+    assert {name: count.total for name, count in known.items()} == {
+        name: count.total for name, count in pair.other.asked.items()
+    }
+    residency = pair.known_residency()
+    for name, item in placed.items():
+        assert residency[name] == item.to_value()
+
+
+def test_counts_of_a_restarted_vm_add_to_those_before():
+    """Guards against demand that seems to end when a VM restarts."""
+    pair = Pair()
+    for _ in range(3):
+        pair.other.note_asked("a", hurried=False, with_adapter=True)
+    pair.exchange()
+    pair.other = pair.start("v2")
+    pair.other.note_asked("a", hurried=True, with_adapter=False)
+    pair.exchange()
+    count = pair.holder.all_asked()["a"]
+    assert (count.total, count.hurried, count.with_adapter) == (4, 1, 3)
+
+
+@pytest.mark.parametrize(
+    ("later_ms", "told"),
+    [(10.0, False), (1_000.0, True)],
+)
+def test_changed_time_of_a_load_is_told(later_ms, told):
+    """Guards against callers who are told to return at a time that has moved."""
+    pair = Pair()
+    first = Residency(1, {}, {"m": 500.0}, [])
+    pair.holder.set_own_residency({"e1": first}, {})
+    pair.exchange()
+    moved = Residency(1, {}, {"m": 500.0 + later_ms}, [])
+    pair.holder.set_own_residency({"e1": moved}, {})
+    pair.exchange()
+    due_ms = 500.0 + later_ms if told else 500.0
+    assert pair.known_residency()["e1"][2] == {"m": due_ms}
+
+
+def test_requests_of_peers_are_counted_until_they_are_silent():
+    """Guards against replicas that look busy with requests of a VM that is gone."""
+    pair = Pair()
+    view = _add_backend(pair.holder)
+    _add_backend(pair.other).own_by_model["m"] = 3
+    pair.exchange()
+    assert view.peer_requests == 3
+    pair.other.view.backends["e1"].own_by_model["m"] = 1
+    pair.exchange()
+    assert view.peer_requests == 1
+    pair.clock.advance(pair.holder.peers.silent_ms() + 1)
+    pair.holder.review_peers()
+    assert view.peer_requests == 0
+
+
+def _add_backend(state):
+    record = Decoder.backend(
+        "e1",
+        b'{"Service": "llm", "Address": "127.0.0.1:9", "Zone": "z1", "Slots": 8,'
+        b' "State": "ready", "Models": [], "Seq": 1, "born": 1}',
+    )
+    state.view.replace({"e1": record})
+    return state.view.backends["e1"]
