Keep the last holder's word on the engines, and never count unasked copies as spare

Without a holder all VMs went by the platform's list, which is up to 2 s old and still showed a model as resident that was being unloaded: 103 requests not accepted. The new holder took the list's word for an engine that it had not asked yet, counted a second copy of a busy model there and unloaded the only real one for a model with a gain of 0.72 requests per second. Ruled out: refused orders (31 of 415) and the length of the gap itself, which lies in the group of the store. Change: what the last holder said of the engines counts for 2.5 s more; a copy at an engine that was not asked is no spare one. Both tests fail without the change (RESIDENCY_KEPT_MS -1; mutation 'only copies at engines that were asked are spare').

--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -243,8 +243,12 @@
 
     def loss_per_s(self, model, now_ms):
         """Return the requests per second that one copy serves."""
-        # A copy that is only on its way may still fail.
-        copies = sum(model in belief.ready for belief in self.copies(model))
+        # A copy that is only on its way may still fail, and an engine that this VM has
+        # not asked yet may hold something else than the list shows.
+        copies = sum(
+            model in belief.ready and belief.orders is not None
+            for belief in self.copies(model)
+        )
         if copies > max(1, self.wanted_copies(model, now_ms)):
             return 0.0
         demand = self._demand.get(model)
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -31,6 +31,9 @@
 # many intervals of the reports: the reader tells all others at once.
 RELAY_PERIODS = 2.0
 TOLD_KEPT = 64
+# What the last holder of the orders said of the engines counts for this long after it
+# fell silent: the platform's list is older than that by up to 2 s.
+RESIDENCY_KEPT_MS = 2_500.0
 # After the store was out of reach, an entry that vanished may come back.
 RETURN_WINDOW_MS = 4_000.0
 RETURN_GRACE_MS = 900.0
@@ -85,6 +88,9 @@
         self.own_queued = {}
         self._versions = Versions()
         self._asked_versions = {}
+        # What the last holder of the orders said of the engines, and when.
+        self._last_residency = {}
+        self._residency_ms = -float("inf")
         self._residency_versions = {}
         self._all_asked = {}
         self._decoder = decoder
@@ -330,10 +336,14 @@
         if self.own_residency is not None:
             return self.own_residency, self.own_queued
         holder = self.peers.holder(now_ms)
-        if holder is None:
-            return {}, {}
-        peer = self.peers.peers[holder.vm]
-        return peer.residency or {}, peer.queued
+        if holder is not None:
+            peer = self.peers.peers[holder.vm]
+            self._last_residency = peer.residency or {}
+            self._residency_ms = peer.heard_ms
+            return self._last_residency, peer.queued
+        if now_ms - self._residency_ms <= RESIDENCY_KEPT_MS:
+            return self._last_residency, {}
+        return {}, {}
 
     def placement_age_ms(self):
         """Return the age of what is known of the engines; None without a holder."""
@@ -348,6 +358,9 @@
     def set_own_residency(self, residency, queued):
         """Take what this VM knows and plans as the holder; None if it is not."""
         before = self.own_residency or {}
+        if residency is not None:
+            self._last_residency = residency
+            self._residency_ms = self.now_ms()
         self.own_residency = residency
         self.own_queued = queued
         self._versions.residency += 1
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -287,11 +287,18 @@
         "pass",
         "tests/test_fleet_placement.py",
     ),
+    Mutation(
+        "fleet: only copies at engines that were asked are spare",
+        "cassiamount/fleet_placement.py",
+        "            model in belief.ready and belief.orders is not None\n",
+        "            model in belief.ready\n",
+        "tests/test_fleet_placement.py",
+    ),
     Mutation(
         "fleet: only ready copies are spare",
         "cassiamount/fleet_placement.py",
-        "copies = sum(model in belief.ready for belief in self.copies(model))",
-        "copies = len(self.copies(model))",
+        "            model in belief.ready and belief.orders is not None\n",
+        "            belief.orders is not None\n",
         "tests/test_fleet_placement.py",
     ),
     Mutation(
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -157,6 +157,24 @@
     assert planner.plan(3_000.0) == []
 
 
+def test_copy_that_only_the_list_shows_does_not_free_the_last_one():
+    """Guards against a new holder that unloads the only copy of a busy model.
+
+    Seen on ncl-sewfloor scale-2: the list still showed a second copy at an engine that
+    the new holder had not asked yet.
+    """
+    planner = placement(engine("e1", "a", "b"), asked=False)
+    planner.set_engines(
+        {"e1": engine("e1", "a", "b", "c"), "e2": engine("e2", "a", "d", "e")}
+    )
+    planner.engines["e1"].on_report(report(3, "a", "b", "c", on_disk=frozenset("f")))
+    asked = {"a": 2, "b": 2, "c": 2, "f": 1}
+    demand(planner, 0.0, {}, dict.fromkeys("abcf", 0))
+    demand(planner, 100.0, {"f": 2}, asked, {"e1": {"a": 1, "b": 1, "c": 1}})
+    for change in planner.plan(100.0):
+        assert "a" not in change.victims
+
+
 def test_copy_on_its_way_does_not_free_the_last_ready_one():
     """Guards against a model in use that is unloaded before another copy is there."""
     planner = placement(engine("e1", "a", "b", "c"), engine("e2", "b", "c", "f"))
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -149,6 +149,30 @@
     assert pair.known_residency()["e1"][2] == {"m": due_ms}
 
 
+@pytest.mark.parametrize(
+    ("later_ms", "ready"),
+    [(0.0, {"m"}), (2_000.0, {"m"}), (4_000.0, {"old"})],
+)
+def test_engines_stay_known_while_there_is_no_holder(later_ms, ready):
+    """Guards against requests for models that were unloaded a moment ago.
+
+    Seen on ncl-sewfloor scale-2: for two seconds nobody held the orders, and 103
+    requests went by the platform's list, which still showed an unloaded model.
+    """
+    pair = Pair()
+    view = _add_backend(pair.other)
+    view.record.residents = {"old": frozenset()}
+    item = Residency(view.record.started_wall_ms, {"m": []}, {}, [])
+    pair.holder.set_own_residency({"e1": item}, {})
+    pair.exchange()
+    pair.holder.may_order = lambda: False
+    pair.other.on_report(decode_report(encode_report(pair.holder.build_report("v2"))))
+    pair.clock.advance(later_ms)
+    pair.other.review_peers()
+    pair.other._merge_residency()
+    assert set(view.ready) == ready
+
+
 def test_requests_of_peers_are_counted_until_they_are_silent():
     """Guards against replicas that look busy with requests of a VM that is gone."""
     pair = Pair()
