--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -114,7 +114,7 @@
         state.retries.note_request(service, now_ms)
         if engine:
             hurried = route.objective_ms <= HURRIED_OBJECTIVE_MS
-            state.note_asked(call.model, hurried, bool(call.adapter))
+            state.asked.note(call.model, hurried, bool(call.adapter))
         if team is not None:
             tokens = team.cost_tokens(call.tokens)
             wait_ms = state.quota.charge(team.name, tokens, now_ms)
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -4,9 +4,9 @@
 
 import structlog
 
-from .fleet_orders import target_of
+from .asked_counts import AskedCounts
+from .engine_residency import EngineResidency
 from .fleet_reports import (
-    Residency,
     StreamPosition,
     StreamRecords,
     Versions,
@@ -21,7 +21,6 @@
     FROM_STORE,
     KeyedView,
 )
-from .model_demand import NOT_ASKED, AskedCount
 from .order_lease import OrderLease
 from .peer_table import PeerTable
 from .shared_quota import SharedQuota
@@ -31,9 +30,6 @@
 # many intervals of the reports: the reader tells all others at once.
 RELAY_PERIODS = 2.0
 TOLD_KEPT = 64
-# What the last holder of the orders said of the engines counts for this long after it
-# fell silent: the platform's list is older than that by up to 2 s.
-RESIDENCY_KEPT_MS = 2_500.0
 # After the store was out of reach, an entry that vanished may come back.
 RETURN_WINDOW_MS = 4_000.0
 RETURN_GRACE_MS = 900.0
@@ -79,20 +75,11 @@
         self.store_failed_ms = -float("inf")
         self.stopping = False
         self.waiting = {}
-        self.asked = {}
+        self.asked = AskedCounts()
         self.listeners = []
         self.lease = OrderLease(settings.order_turn_ms, now_ms)
         self.last_order_ms = None
-        # What this VM knows and plans as the holder of the orders.
-        self.own_residency = None
-        self.own_queued = {}
-        self._versions = Versions()
-        self._asked_versions = {}
-        # What the last holder of the orders said of the engines, and when.
-        self._last_residency = {}
-        self._residency_ms = -float("inf")
-        self._residency_versions = {}
-        self._all_asked = {}
+        self.residency = EngineResidency(self.peers)
         self._decoder = decoder
         self._started_ms = started_ms
         self._records = {}
@@ -245,10 +232,13 @@
         """Take a report of a peer."""
         now_ms = self.now_ms()
         before = self.peers.peers.get(report.vm)
-        arrived = dict(report.asked)
+        arrived = report.asked
         if not self.peers.on_report(report, now_ms):
             return
-        self._count_asked(before, report, arrived)
+        same_start = (
+            before is not None and before.report.started_ms == report.started_ms
+        )
+        self.asked.add_peer(before.report.asked if same_start else {}, arrived)
         if before is None:
             log.info("peer_heard", peer=report.vm, address=report.address)
         if report.stopping:
@@ -275,15 +265,6 @@
         self._count_running(before, report, now_ms)
         self.notify()
 
-    def _count_asked(self, before, report, arrived):
-        """Add what a peer's counts grew by; a restarted peer counts from 0."""
-        known = {}
-        if before is not None and before.report.started_ms == report.started_ms:
-            known = before.report.asked
-        for model, count in arrived.items():
-            total = self._all_asked.setdefault(model, AskedCount())
-            total.add_growth(known.get(model, NOT_ASKED), count)
-
     def _count_running(self, before, report, now_ms):
         """Bring the requests of the other VMs up to date after one report."""
         if before is None or now_ms - before.heard_ms > self.peers.silent_ms():
@@ -317,7 +298,7 @@
     def _merge_residency(self):
         """Set what each engine holds: by the holder of the orders, else by the list."""
         now_ms = self.now_ms()
-        residency, self.view.queued = self._holder_residency(now_ms)
+        residency, self.view.queued = self.residency.current(now_ms)
         for name, view in self.view.backends.items():
             record = view.record
             item = residency.get(name)
@@ -332,46 +313,13 @@
             view.drained = frozenset(item.drained)
             view.ready = {model: frozenset(held) for model, held in item.ready.items()}
 
-    def _holder_residency(self, now_ms):
-        if self.own_residency is not None:
-            return self.own_residency, self.own_queued
-        holder = self.peers.holder(now_ms)
-        if holder is not None:
-            peer = self.peers.peers[holder.vm]
-            self._last_residency = peer.residency or {}
-            self._residency_ms = peer.heard_ms
-            return self._last_residency, peer.queued
-        if now_ms - self._residency_ms <= RESIDENCY_KEPT_MS:
-            return self._last_residency, {}
-        return {}, {}
-
     def placement_age_ms(self):
         """Return the age of what is known of the engines; None without a holder."""
-        if self.own_residency is not None:
-            return 0
-        now_ms = self.now_ms()
-        holder = self.peers.holder(now_ms)
-        if holder is None:
-            return None
-        return round(now_ms - self.peers.peers[holder.vm].heard_ms)
+        return self.residency.age_ms(self.now_ms())
 
     def set_own_residency(self, residency, queued):
         """Take what this VM knows and plans as the holder; None if it is not."""
-        before = self.own_residency or {}
-        if residency is not None:
-            self._last_residency = residency
-            self._residency_ms = self.now_ms()
-        self.own_residency = residency
-        self.own_queued = queued
-        self._versions.residency += 1
-        versions = {}
-        for name, item in (residency or {}).items():
-            known = before.get(name)
-            if known is None or item.differs(known):
-                versions[name] = self._versions.residency
-            else:
-                versions[name] = self._residency_versions[name]
-        self._residency_versions = versions
+        self.residency.set_own(residency, queued, self.now_ms())
         self._merge_residency()
         self.notify()
 
@@ -404,35 +352,18 @@
                 if view.own_by_model
             },
             waiting={name: count for name, count in self.waiting.items() if count},
-            asked={
-                model: self.asked[model]
-                for model, version in self._asked_versions.items()
-                if version > has.asked
-            },
+            asked=self.asked.since(has.asked),
             used_tokens=self.quota.used_tokens(),
             fence=fence,
             order_age_ms=age_ms,
-            residency=self._residency_since(has.residency, now_ms) if fence else None,
-            queued={
-                name: round(at_ms - now_ms) for name, at_ms in self.own_queued.items()
-            }
-            if fence
-            else {},
-            versions=self._versions,
+            residency=self.residency.since(has.residency, now_ms) if fence else None,
+            queued=self.residency.queued_in_ms(now_ms) if fence else {},
+            versions=Versions(self.asked.version, self.residency.version),
             since=has,
             seen_started_ms=seen_started_ms,
             seen=seen,
         )
 
-    def _residency_since(self, version, now_ms):
-        if self.own_residency is None:
-            return None
-        return {
-            name: self.own_residency[name].shifted(-now_ms)
-            for name, changed in self._residency_versions.items()
-            if changed > version
-        }
-
     def _age_ms(self, stream, now_ms):
         proof = self.proof_of(stream)
         return None if proof.proved_ms is None else now_ms - proof.proved_ms
@@ -490,23 +421,6 @@
                 sums[target] = sums.get(target, 0) + count
         return total
 
-    def all_asked(self):
-        """Return requests that came to any VM since its start, by model.
-
-        Returns
-        -------
-        dict of str to AskedCount
-        """
-        return self._all_asked
-
-    def note_asked(self, model, hurried, with_adapter):
-        """Count a request for a model."""
-        one = AskedCount(1, int(hurried), int(with_adapter))
-        self.asked.setdefault(model, AskedCount()).add(one)
-        self._all_asked.setdefault(model, AskedCount()).add(one)
-        self._versions.asked += 1
-        self._asked_versions[model] = self._versions.asked
-
     def all_waiting(self):
         """Return requests that wait on any VM, by model or adapter."""
         total = self.peers.waiting_elsewhere(self.now_ms())
@@ -514,18 +428,3 @@
             if count:
                 total[target] = total.get(target, 0) + count
         return total
-
-
-def residency_of(belief, now_ms):
-    """Return the `Residency` of an engine as the holder believes it."""
-    coming = dict(belief.loading)
-    if belief.change is not None:
-        coming[belief.change.model] = belief.change.eta_ms
-    for (model, adapter), at_ms in belief.adapters_coming.items():
-        coming[target_of(model, adapter)] = now_ms if at_ms is None else at_ms
-    return Residency(
-        belief.record.started_wall_ms,
-        {name: sorted(held) for name, held in belief.ready.items()},
-        coming,
-        sorted(belief.drained),
-    )
--- a/cassiamount/order_runner.py
+++ b/cassiamount/order_runner.py
@@ -6,6 +6,7 @@
 
 from .background import BackgroundTasks
 from .engine_belief import AdapterChange
+from .engine_residency import residency_of
 from .fleet_orders import (
     ACCEPTED,
     CONFLICT,
@@ -18,7 +19,6 @@
     target_of,
 )
 from .fleet_placement import RETRY_MS, UNLOAD_MS, FleetPlacement
-from .fleet_state import residency_of
 from .metadata_store import StoreUnavailable
 from .order_lease import LEASE_MS, RENEW_MS
 
@@ -143,7 +143,7 @@
         now_ms = self._state.now_ms()
         running = self._state.running()
         waiting = self._state.all_waiting()
-        asked = self._state.all_asked()
+        asked = self._state.asked.total
         for service in configuration.services.values():
             if service.engine is None:
                 continue
@@ -210,8 +210,8 @@
         queued = {}
         for placement in self._placements.values():
             queued.update(placement.queue_due(now_ms))
-        before = self._state.own_residency
-        queued_before = self._state.own_queued
+        before = self._state.residency.own
+        queued_before = self._state.residency.own_queued
         self._state.set_own_residency(residency, queued)
         if before is None or len(self._state.peers.addresses) <= SMALL_FLEET:
             changed = before is None or changes_of(before, residency)
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -53,7 +53,7 @@
 
     def known_residency(self):
         """Return what the other VM knows of the engines, as comparable values."""
-        known, _ = self.other._holder_residency(self.clock.monotonic_ms())
+        known, _ = self.other.residency.current(self.clock.monotonic_ms())
         return {name: item.to_value() for name, item in known.items()}
 
 
@@ -85,7 +85,7 @@
     models = 0
     for step, detail in steps:
         if step == "ask":
-            pair.other.note_asked(detail, hurried=True, with_adapter=False)
+            pair.other.asked.note(detail, hurried=True, with_adapter=False)
         elif step == "place":
             models += 1
             placed[detail] = Residency(1, {f"m{models}": []}, {}, [])
@@ -112,7 +112,7 @@
     pair.exchange()
     known = pair.holder.peers.peers["v2"].report.asked
     assert {name: count.total for name, count in known.items()} == {
-        name: count.total for name, count in pair.other.asked.items()
+        name: count.total for name, count in pair.other.asked.own.items()
     }
     residency = pair.known_residency()
     for name, item in placed.items():
@@ -123,12 +123,12 @@
     """Guards against demand that seems to end when a VM restarts."""
     pair = Pair()
     for _ in range(3):
-        pair.other.note_asked("a", hurried=False, with_adapter=True)
+        pair.other.asked.note("a", hurried=False, with_adapter=True)
     pair.exchange()
     pair.other = pair.start("v2")
-    pair.other.note_asked("a", hurried=True, with_adapter=False)
+    pair.other.asked.note("a", hurried=True, with_adapter=False)
     pair.exchange()
-    count = pair.holder.all_asked()["a"]
+    count = pair.holder.asked.total["a"]
     assert (count.total, count.hurried, count.with_adapter) == (4, 1, 3)
 
 
