--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -33,6 +33,10 @@
         Status of all answers, if set.
     cut_answers : bool
         Whether it breaks off all answers of a plain service.
+    hold : bool
+        Whether plain requests run until their caller leaves.
+    left : list of str
+        Identifiers of the requests whose caller left while they ran.
     """
 
     def __init__(self, name, models=None, load_s=0.05):
@@ -47,6 +51,8 @@
         self.break_streams = 0
         self.status = None
         self.cut_answers = False
+        self.hold = False
+        self.left = []
 
     async def __call__(self, scope, receive, send):
         """Answer one request."""
@@ -67,7 +73,7 @@
         elif scope["path"] == "/order":
             response = self._order(orjson.loads(body))
         else:
-            await self._run(scope, headers, body, send)
+            await self._run(scope, headers, body, receive, send)
             return
         await response(scope, receive, send)
 
@@ -101,7 +107,7 @@
         self.models[model] = []
         self.busy = False
 
-    async def _run(self, scope, headers, body, send):
+    async def _run(self, scope, headers, body, receive, send):
         request_id = headers.get("x-cassiamount-request-id", "")
         query = scope["query_string"].decode()
         target = scope["path"] + (f"?{query}" if query else "")
@@ -115,7 +121,11 @@
             return
         self.ran.append(request_id)
         answer.append((b"x-cassiamount-server-signature", self.name.encode()))
-        if self.status is not None:
+        if self.hold:
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            self.left.append(request_id)
+        elif self.status is not None:
             await _send(send, self.status, answer, b"failed")
         elif model:
             await self._stream(headers, answer, send)
--- a/tests/fleet_fixtures.py
+++ b/tests/fleet_fixtures.py
@@ -133,6 +133,13 @@
         self.nodes[name].request_stop()
         await asyncio.shield(self._tasks[name])
 
+    async def kill_vm(self, name):
+        """End a VM at once, as a loss of power does, but for its sockets."""
+        task = self._tasks.pop(name)
+        task.cancel()
+        await asyncio.wait([task])
+        del self.nodes[name]
+
     async def add_replica(self, name, service, models=None):
         replica = PlatformReplica(name, models)
         self.replicas[name] = replica
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -166,6 +166,44 @@
     assert sum(len(fleet.replicas[name].ran) for name in ("s1", "s2")) == runs
 
 
+async def test_replica_hears_that_the_caller_left(fleet):
+    """Guards against replicas that work on for callers who are gone (GONE)."""
+    fleet.replicas["s1"].hold = True
+    await fleet.add_vm("v1")
+    request = asyncio.create_task(fleet.ask("v1", "/look/x", "GET", key=""))
+    await fleet.until(lambda: bool(fleet.replicas["s1"].ran))
+    request.cancel()
+    await fleet.until(lambda: bool(fleet.replicas["s1"].left))
+    assert fleet.replicas["s1"].left == fleet.replicas["s1"].ran
+
+
+async def test_all_vms_lost_at_once_come_back_from_the_store(fleet):
+    """Guards against a fleet that does not serve again after all power was lost.
+
+    The configuration, the keys and the order of fences come from the platform's store
+    only (RECOVER, ONE, CONFIG).
+    """
+    for name in ("v1", "v2"):
+        await fleet.add_vm(name)
+    assert (await fleet.ask("v1", "/chat/x", X_Cassiamount_Model="m2"))[0] == 200
+    fence = fleet.replicas["e1"].fence
+    assert fence > 0
+    for name in ("v1", "v2"):
+        await fleet.kill_vm(name)
+    fleet.store.put("keyed.op", "config", configuration(2, keys=("other",)))
+    for name in ("v1", "v2"):
+        await fleet.add_vm(name)
+    assert (await fleet.ask("v2", "/chat/x", X_Cassiamount_Model="m1"))[0] == 401
+    answers = [
+        await fleet.ask(name, "/chat/x", key="other", X_Cassiamount_Model="m1")
+        for name in ("v1", "v2")
+    ]
+    assert [status for status, _, _ in answers] == [200, 200]
+    answer = await fleet.ask("v1", "/chat/y", key="other", X_Cassiamount_Model="m1/a9")
+    assert answer[0] == 200
+    assert fleet.replicas["e1"].fence > fence
+
+
 async def test_planned_stop_finishes_what_was_accepted(fleet):
     """Guards against a stop that cuts a stream off."""
     node = await fleet.add_vm("v1")
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -1,7 +1,7 @@
 """Tests of what two VMs of a fleet know of each other by their reports."""
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from cassiamount.clock import ManualClock
@@ -73,6 +73,7 @@
 
 @settings(derandomize=True, max_examples=400, deadline=None)
 @given(STEPS)
+@example([("place", "e1"), ("send", "kept"), ("answer", "kept"), ("restart", None)])
 def test_partial_reports_add_up(steps):
     """Guards against a change of demand or engines that a VM never hears of.
 
