--- a/standins/demo.py
+++ b/standins/demo.py
@@ -182,9 +182,9 @@
     """Publish the configuration and give a key; return the key."""
     print(cassiamount("check", CONFIGURATION))
     print(cassiamount("publish", CONFIGURATION, "--base-version", 0))
-    given = cassiamount("key", "give", "stitchers", "--json")
+    given = cassiamount("key", "give", "team-a", "--json")
     key = json.loads(given)["key"]
-    print(f"  key for team stitchers: {key[:6]}... (shown once, stored as a hash)\n")
+    print(f"  key for team team-a: {key[:6]}... (shown once, stored as a hash)\n")
     return key
 
 
--- a/tests/documents.py
+++ b/tests/documents.py
@@ -48,7 +48,7 @@
         }
     ],
     "teams": [
-        {"name": "stitchers", "template": "standard", "parameters": {"rate": 20}},
+        {"name": "team-a", "template": "standard", "parameters": {"rate": 20}},
         {"name": "riggers", "rate_tokens_per_s": 10, "burst_tokens": 100},
     ],
 }
--- a/tests/edge_fixtures.py
+++ b/tests/edge_fixtures.py
@@ -22,8 +22,8 @@
 from cassiamount.serving import EdgeServer, open_listener
 from cassiamount.tracing import NO_TRACING
 
-KEY = "ck-test-key-of-the-stitchers-team"
-OTHER_KEY = "ck-test-key-of-the-dyers-team"
+KEY = "ck-test-key-of-team-a"
+OTHER_KEY = "ck-test-key-of-team-b"
 
 
 class View:
@@ -155,14 +155,14 @@
         "teams": [
             {
                 **team,
-                "name": "stitchers",
+                "name": "team-a",
                 "models": ["loom-7b"],
                 "adapters": ["hem-check"],
                 "keys": [hash_key(KEY)],
             },
             {
                 **team,
-                "name": "dyers",
+                "name": "team-b",
                 "models": ["dye-3b"],
                 "services": [],
                 "keys": [hash_key(OTHER_KEY)],
@@ -204,7 +204,7 @@
 async def open_site(addresses, limits=None, tracing=NO_TRACING, wait_ms=200.0):
     """Start an edge; `addresses` maps ``engine`` and services to (name, address)."""
     configuration = configuration_from_document(document())
-    keys = KeyTable({hash_key(KEY): "stitchers", hash_key(OTHER_KEY): "dyers"})
+    keys = KeyTable({hash_key(KEY): "team-a", hash_key(OTHER_KEY): "team-b"})
     clock, metrics = SystemClock(), Metrics()
     dispatcher = SimpleDispatcher(addresses)
     backends = BackendClient(metrics, idle_s=5.0)
--- a/tests/process_deployment.py
+++ b/tests/process_deployment.py
@@ -16,7 +16,7 @@
 PRELOAD = ("--preload", f"{MODEL}:1:16")
 RATE_TOKENS_PER_S = 40_000
 BURST_TOKENS = 40_000
-TEAMS = ("stitchers", "riggers")
+TEAMS = ("team-a", "riggers")
 ROUTES = [
     {"path": "/stock", "methods": ["GET"], "idempotent": True},
     {"path": "/print", "methods": ["POST"], "idempotent": False},
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -29,7 +29,7 @@
             "residents": [{"name": "loom", "state": "loading"}, 5],
         }
     ],
-    "budgets": [{"team": "stitchers", "owned": True, "level_tokens": 12.4}],
+    "budgets": [{"team": "team-a", "owned": True, "level_tokens": 12.4}],
     "leases": [{"lease": "budget/0", "holder": "vm-1@f00", "fence": 3}],
     "unknown": 1,
     "uptime_ms": "long",
@@ -182,7 +182,7 @@
     monkeypatch.setattr(cli, "read_status", read_status)
     code, out, _ = run("status", "--admin-address", "127.0.0.1:1")
     assert code == int(missed)
-    for text in ("vm-1@f00", "1.2 s", "engine-1", "stitchers", "budget/0"):
+    for text in ("vm-1@f00", "1.2 s", "engine-1", "team-a", "budget/0"):
         assert text in out
     code, out, _ = run("status", "--admin-address", "127.0.0.1:1", "--json")
     first = json.loads(out)["vms"][0]
--- a/tests/test_config_state.py
+++ b/tests/test_config_state.py
@@ -32,7 +32,7 @@
 
 KEYS = [f"ck-{number}" for number in range(4)]
 HASHES = {key: hash_key(key) for key in KEYS}
-TEAMS = ["stitchers", "riggers"]
+TEAMS = ["team-a", "riggers"]
 BACKENDS = ["engine-1", "orders-1"]
 
 # Documents that differ in the teams, their keys and the backend servers.
@@ -273,7 +273,7 @@
 
 PUBLISH = PublishConfiguration("p", "operator", 0, DOCUMENT)
 HASH = HASHES[KEYS[0]]
-GIVE = GiveKey("g", "operator", "stitchers", HASH, "shop")
+GIVE = GiveKey("g", "operator", "team-a", HASH, "shop")
 
 
 @pytest.mark.parametrize(
@@ -285,9 +285,9 @@
             PublishConfiguration(
                 "x", "o", 1, changed(DOCUMENT, "teams", 1, "keys", value=[HASH])
             ),
-            "was given to 'stitchers'",
+            "was given to 'team-a'",
         ),
-        (GiveKey("x", "o", "riggers", HASH), "belongs to team 'stitchers' already"),
+        (GiveKey("x", "o", "riggers", HASH), "belongs to team 'team-a' already"),
         (GiveKey("x", "o", "nobody", HASHES[KEYS[1]]), "unknown team"),
         (GiveKey("x", "o", "riggers", "sha256:12"), "malformed"),
         (WithdrawKey("x", "o", "ck-plain"), "malformed"),
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -43,7 +43,7 @@
         (("models", 0, "memory_mb"), True, "True is not of type 'integer'"),
         (("models", 0, "load_ms"), ..., "field 'load_ms' is missing"),
         (("models", 0, "memory_mb"), 41, "'loom' (41 MB) fits on no engine"),
-        (("models", 0, "memory_mb"), 41, "team 'stitchers': 'loom' needs 41 MB"),
+        (("models", 0, "memory_mb"), 41, "team 'team-a': 'loom' needs 41 MB"),
         (
             ("models", 0, "memory_mb"),
             39,
@@ -87,7 +87,7 @@
         (("teams", 1, "adapters"), ["loom"], "uses the unknown adapter 'loom'"),
         (("teams", 1, "services"), ["none"], "uses the unknown service 'none'"),
         (("teams", 1, "keys"), ["ck-plain"], "is not a key hash"),
-        (("teams", 1, "name"), "stitchers", "duplicate name 'stitchers' in teams"),
+        (("teams", 1, "name"), "team-a", "duplicate name 'team-a' in teams"),
         (
             ("teams",),
             [
@@ -175,7 +175,7 @@
     assert configuration.adapters["hem"].base == "loom"
     assert configuration.backends["orders-1"].service == "orders"
     assert configuration.services["orders"].routes == (Route("/stock", ["GET"]),)
-    team = configuration.teams["stitchers"]
+    team = configuration.teams["team-a"]
     assert (team.rate_tokens_per_s, team.burst_tokens) == (20, 4000)
     assert (team.models, team.adapters) == (frozenset({"loom"}), frozenset({"hem"}))
     assert configuration.teams["riggers"].key_hashes == frozenset({KEY_HASH})
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -90,7 +90,7 @@
     def submit(self, number=1, tokens=100, **fields):
         ticket = Ticket(
             f"r{number}",
-            "stitchers",
+            "team-a",
             model="loom-7b",
             prompt_tokens=tokens // 2,
             max_output_tokens=tokens - tokens // 2,
@@ -103,7 +103,7 @@
         self.send(request)
         return request
 
-    def grant(self, tokens, team="stitchers"):
+    def grant(self, tokens, team="team-a"):
         self.grants += 1
         deadline_ms = self.clock.now_ms + LIFETIME_MS
         grant = Grant(f"zone-a/0/1/{self.grants}", tokens, deadline_ms, LIFETIME_MS)
@@ -138,7 +138,7 @@
     bench = Bench()
     request = bench.submit()
     assert answer_of(request) is None
-    assert bench.link.asks[0]["stitchers"].min_tokens == 100
+    assert bench.link.asks[0]["team-a"].min_tokens == 100
     bench.grant(100)
     assert isinstance(answer_of(request), Dispatch)
 
@@ -154,8 +154,8 @@
     """Guards against holding back a refusal whose reason is known."""
     bench = Bench()
     request = bench.submit()
-    answers = {} if answer is None else {"stitchers": answer}
-    bench.send(GrantsArrived(["stitchers"], answers))
+    answers = {} if answer is None else {"team-a": answer}
+    bench.send(GrantsArrived(["team-a"], answers))
     refusal = answer_of(request)
     assert (refusal.status, refusal.code, refusal.not_run) == (status, code, True)
     assert refusal.retry_after_s >= 1
@@ -166,7 +166,7 @@
     """Guards against refusing a request whose tokens come within milliseconds."""
     bench = Bench()
     request = bench.submit()
-    bench.send(GrantsArrived(["stitchers"], {"stitchers": Shortage(50.0)}))
+    bench.send(GrantsArrived(["team-a"], {"team-a": Shortage(50.0)}))
     assert answer_of(request) is None
     bench.clock.advance(50)
     bench.send(Tick())
@@ -192,7 +192,7 @@
     """Guards against refusing for ever what only several zones together can grant."""
     bench = Bench()
     request = bench.submit(tokens=2_500)
-    assert bench.link.asks[0]["stitchers"].min_tokens == 1
+    assert bench.link.asks[0]["team-a"].min_tokens == 1
     bench.grant(2_000)
     assert answer_of(request) is None
     bench.grant(500)
@@ -266,9 +266,9 @@
     bench = Bench()
     request = bench.submit(tokens=100)
     bench.grant(100)
-    assert bench.dispatcher.held_tokens()["stitchers"] == 0
+    assert bench.dispatcher.held_tokens()["team-a"] == 0
     bench.end(request, DONE, used_tokens=60)
-    assert bench.dispatcher.held_tokens()["stitchers"] == 40
+    assert bench.dispatcher.held_tokens()["team-a"] == 40
 
 
 async def test_withdrawn_submit_gives_its_dispatch_back():
@@ -287,7 +287,7 @@
 async def test_cancelled_submit_sends_a_withdrawal():
     """Guards against a queue entry without a caller."""
     bench = Bench()
-    task = asyncio.create_task(bench.dispatcher.submit(Ticket("r1", "stitchers")))
+    task = asyncio.create_task(bench.dispatcher.submit(Ticket("r1", "team-a")))
     await asyncio.sleep(0)
     task.cancel()
     with pytest.raises(asyncio.CancelledError):
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -31,8 +31,8 @@
 )
 def test_unknown_key_has_no_team(key):
     """Guards against a key that matches loosely, and against an exception."""
-    table = KeyTable({HASH: "stitchers"})
-    assert table.resolve(KEY) == "stitchers"
+    table = KeyTable({HASH: "team-a"})
+    assert table.resolve(KEY) == "team-a"
     assert table.resolve(key) is None
     assert table.team_of_hash(key) is None or key == HASH
 
@@ -40,17 +40,17 @@
 @pytest.mark.parametrize("withdraw", [KeyTable.withdraw, KeyTable.withdraw_here])
 def test_withdrawn_key_stays_withdrawn(withdraw):
     """Guards against a key that a later configuration brings back."""
-    table = KeyTable({HASH: "stitchers"})
+    table = KeyTable({HASH: "team-a"})
     withdraw(table, HASH)
     assert table.resolve(KEY) is None
-    table.replace({HASH: "stitchers"})
+    table.replace({HASH: "team-a"})
     assert table.resolve(KEY) is None
     assert table.is_withdrawn(HASH)
 
 
 def test_resolving_a_withdrawn_key_is_a_violation():
     """Guards against the check inside the program being dropped."""
-    table = KeyTable({HASH: "stitchers"})
+    table = KeyTable({HASH: "team-a"})
     # Reaches into the table, since its own methods do not allow this state.
     table._withdrawn.add(HASH)
     with pytest.raises(InvariantViolation, match="withdrawn-key-refused"):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -83,12 +83,12 @@
     async with contextlib.AsyncExitStack() as stack:
         kept = []
         for daemon in daemons:
-            connection = kept_connection(deployment.keys["stitchers"])
+            connection = kept_connection(deployment.keys["team-a"])
             caller, made = await stack.enter_async_context(connection)
             assert (await caller.stream(daemon, "before")).whole
             assert (await caller.stock(daemon)).status == 200
             kept.append((daemon, caller, made))
-        await deployment.withdraw_key("stitchers")
+        await deployment.withdraw_key("team-a")
         for daemon, caller, made in kept:
 
             async def refused(daemon=daemon, caller=caller):
