Log every two seconds what a VM's own control work costs

The logs could not tell a late loop from a full link, nor say what the holder of the order lease had left to do.

vm_load has the lag of the event loop, times and numbers of exchanges, orders and engine reports, bytes of reports, and on the holder the missing models and the engines that change. No decision is changed.

--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -66,15 +66,17 @@
         Clients of the platform's metadata store and of the engines.
     exchange : PeerExchange
     metrics : Metrics
+    stats : IntervalStats
     """
 
-    def __init__(self, state, store, engines, exchange, metrics):
+    def __init__(self, state, store, engines, exchange, metrics, stats):
         self._state = state
         self._store = store
         self._engines = engines
         self._lease = state.lease
         self._exchange = exchange
         self._metrics = metrics
+        self._stats = stats
         self._placements = {}
         self._tasks = BackgroundTasks()
         self._wake = asyncio.Event()
@@ -131,8 +133,17 @@
             plan_started_ms = self._state.now_ms()
             self._plan_all()
             took_ms = self._state.now_ms() - plan_started_ms
+            self._stats.observe_ms("plan", took_ms)
             await asyncio.sleep(took_ms * (1 / PLAN_CPU_FRACTION - 1) / 1000)
 
+    def status(self):
+        """Return what the holder of the order lease has to do, for the log."""
+        fields = {}
+        for placement in self._placements.values():
+            for name, value in placement.status(self._state.now_ms()).items():
+                fields[name] = fields.get(name, 0) + value
+        return fields
+
     def _deactivate(self):
         if self._active:
             self._active = False
@@ -418,6 +429,9 @@
             self._lease.generation,
         )
         answer = await self._engines.order(order)
+        self._stats.observe_ms("order", self._state.now_ms() - now_ms)
+        self._stats.count("orders")
+        self._stats.count("orders_unanswered", int(answer == NO_ANSWER))
         log.info(
             "order_answered",
             engine=order.engine,
@@ -434,7 +448,12 @@
         return answer
 
     async def _fetch_report(self, engine):
-        return await self._engines.report(engine.record.name, engine.record.address)
+        sent_ms = self._state.now_ms()
+        report = await self._engines.report(engine.record.name, engine.record.address)
+        self._stats.observe_ms("engine_report", self._state.now_ms() - sent_ms)
+        self._stats.count("engine_reports")
+        self._stats.count("engine_reports_failed", int(report is None))
+        return report
 
     async def _fetch_settled_report(self, engine):
         """Return a report new enough to show all orders sent so far."""
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -12,6 +12,7 @@
 from .fleet_relay import FleetRelay
 from .fleet_state import FleetState
 from .graceful_stop import CLOSE_RESERVE_MS, StopSchedule
+from .interval_stats import IntervalStats
 from .metadata_store import BACKENDS, CONFIGURATION, VMS, StoreUnavailable
 from .metrics import Metrics
 from .peer_exchange import PeerExchange
@@ -22,6 +23,8 @@
 
 # Interval of the checks for unreachable peers and missing backend servers.
 REVIEW_INTERVAL_MS = 100.0
+# Interval of the log lines on the VM's own load.
+LOAD_LOG_INTERVAL_MS = 2_000.0
 ANNOUNCE_RETRY_MS = 500.0
 
 log = structlog.get_logger()
@@ -67,6 +70,7 @@
         self._platform = platform
         self._clock = clock
         self._metrics = Metrics()
+        self._stats = IntervalStats()
         self.state = FleetState(settings, platform.decoder, clock, clock.wall_ms())
         self._exchange = PeerExchange(
             settings.peer_address,
@@ -74,6 +78,7 @@
             self.state.build_report,
             self._on_report,
             clock,
+            self._stats,
         )
         self._controller = FleetController(
             self.state,
@@ -81,6 +86,7 @@
             platform.engines,
             self._exchange,
             self._metrics,
+            self._stats,
         )
         self._pool = ConnectionPool(platform.codec.decode_response, clock)
         prefixes = SentPrefixIndex()
@@ -238,9 +244,16 @@
                 table.addresses.setdefault(record.key, record.value.decode())
 
     async def _review_loop(self):
+        logged_ms = self._clock.monotonic_ms()
         while True:
+            due_ms = self._clock.monotonic_ms() + REVIEW_INTERVAL_MS
             await asyncio.sleep(REVIEW_INTERVAL_MS / 1000)
+            now_ms = self._clock.monotonic_ms()
+            self._stats.observe_ms("loop_lag", max(0.0, now_ms - due_ms))
             self.state.review_peers()
+            if now_ms - logged_ms >= LOAD_LOG_INTERVAL_MS:
+                logged_ms = now_ms
+                log.info("vm_load", **self._stats.take(), **self._controller.status())
 
     async def _drain(self):
         """Finish accepted requests, and stop accepting new ones."""
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -195,6 +195,24 @@
         self._copies = None
         return ready_times
 
+    def status(self, now_ms):
+        """Return counts of engines, changes and missing models, for the log."""
+        missing = [
+            now_ms - demand.missing_since_ms
+            for demand in self._demand.values()
+            if demand.missing_since_ms is not None
+        ]
+        engines = self.engines.values()
+        return {
+            "engines": len(engines),
+            "engines_unknown": sum(e.accepted_orders is None for e in engines),
+            "engines_changing": sum(e.change is not None for e in engines),
+            "models_missing": len(missing),
+            "longest_missing_ms": round(max(missing, default=0.0)),
+            "adapters_waited_for": len(self._adapter_waiting),
+            "store_wait_ms": round(self.store_limiter.wait_ms(now_ms)),
+        }
+
     def copies(self, model):
         """Return the engines that hold or load a model and do not drain it."""
         if self._copies is not None:
--- a/cassiamount/peer_exchange.py
+++ b/cassiamount/peer_exchange.py
@@ -44,14 +44,16 @@
     on_report : callable
         Called with each `VmReport` received.
     clock : SystemClock or ManualClock
+    stats : IntervalStats
     """
 
-    def __init__(self, address, peers, build_report, on_report, clock):
+    def __init__(self, address, peers, build_report, on_report, clock, stats):
         self._address = address
         self._peers = peers
         self._build_report = build_report
         self._on_report = on_report
         self._clock = clock
+        self.stats = stats
         self._links = {}
         self._server = None
         self._exchange_requested = asyncio.Event()
@@ -120,7 +122,11 @@
             log.warning("peer_report_unreadable", error=str(error))
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "no report")
         self._on_report(report)
-        return encode_report(self._build_report(report.vm))
+        reply = encode_report(self._build_report(report.vm))
+        self.stats.count("exchanges_answered")
+        self.stats.count("report_bytes_in", len(data))
+        self.stats.count("report_bytes_out", len(reply))
+        return reply
 
     def on_reply(self, data):
         """Apply the report with which a peer replied to this VM's report."""
@@ -148,6 +154,10 @@
             return PASSIVE_SIDE_PERIODS * period_ms
         return period_ms
 
+    def now_ms(self):
+        """Return the monotonic time."""
+        return self._clock.monotonic_ms()
+
     def last_report_age_ms(self, name):
         """Return the time since the last report of a peer."""
         known = self._peers.peers.get(name)
@@ -181,14 +191,19 @@
                 and self._exchange.last_report_age_ms(self.name) < next_report_ms
             ):
                 continue
+            stats = self._exchange.stats
+            data = self._exchange.encode_report_for(self.name)
+            sent_ms = self._exchange.now_ms()
+            stats.count("report_bytes_out", len(data))
             try:
-                reply = await send_report(
-                    self._exchange.encode_report_for(self.name),
-                    timeout=REPLY_TIMEOUT_MS / 1000,
-                )
+                reply = await send_report(data, timeout=REPLY_TIMEOUT_MS / 1000)
+                stats.observe_ms("exchange", self._exchange.now_ms() - sent_ms)
+                stats.count("exchanges")
+                stats.count("report_bytes_in", len(reply))
                 self._exchange.on_reply(reply)
             except grpc.RpcError:
                 # The peer table detects unreachable peers by the age of their reports.
+                stats.count("exchanges_failed")
                 continue
 
     async def _wait(self, next_report_ms):
