--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -16,6 +16,7 @@
 from .metadata_store import BACKENDS, CONFIGURATION, VMS, StoreUnavailable
 from .metrics import Metrics
 from .peer_exchange import PeerExchange
+from .peer_transport import PeerTransport
 from .replica_selection import ReplicaSelector, SentPrefixIndex
 from .serving import EdgeServer, open_listener
 from .store_follower import StoreFollower
@@ -74,6 +75,7 @@
         self.state = FleetState(settings, platform.decoder, clock, clock.wall_ms())
         self._exchange = PeerExchange(
             settings.peer_address,
+            PeerTransport(),
             self.state.peers,
             self.state.build_report,
             self._on_report,
--- a/cassiamount/peer_exchange.py
+++ b/cassiamount/peer_exchange.py
@@ -1,13 +1,12 @@
-"""Exchanges reports with the other VMs of a fleet over gRPC."""
+"""Exchanges reports with the other VMs of a fleet."""
 
 import asyncio
 
-import grpc
 import structlog
 
 from .fleet_reports import decode_report, encode_report
+from .peer_transport import PeerUnreachable
 
-METHOD = "/cassiamount.Fleet/Exchange"
 # An exchange without a reply by then counts as failed.
 REPLY_TIMEOUT_MS = 400.0
 # A requested exchange begins after this delay, so that several requests share it. The
@@ -18,15 +17,6 @@
 UNKNOWN_PEER_PERIOD_MS = 1_000.0
 # Report periods without a report after which the passive side of a link sends one.
 PASSIVE_SIDE_PERIODS = 2.0
-OPTIONS = (
-    ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 500),
-    ("grpc.enable_http_proxy", 0),
-    ("grpc.keepalive_time_ms", 1_000),
-    ("grpc.keepalive_timeout_ms", 1_000),
-    ("grpc.http2.max_pings_without_data", 0),
-)
 
 log = structlog.get_logger()
 
@@ -38,6 +28,7 @@
     ----------
     address : str
         Address on which this VM listens.
+    transport : PeerTransport
     peers : PeerTable
     build_report : callable
         ``(name) -> VmReport`` for the peer of that name.
@@ -47,36 +38,31 @@
     stats : IntervalStats
     """
 
-    def __init__(self, address, peers, build_report, on_report, clock, stats):
+    def __init__(
+        self, address, transport, peers, build_report, on_report, clock, stats
+    ):
         self._address = address
+        self.transport = transport
         self._peers = peers
         self._build_report = build_report
         self._on_report = on_report
         self._clock = clock
         self.stats = stats
         self._links = {}
-        self._server = None
         self._exchange_requested = asyncio.Event()
         self._requested_vms = set()
         self.stopping = False
 
     async def start(self):
-        """Start the gRPC server."""
-        self._server = grpc.aio.server(compression=grpc.Compression.Deflate)
-        handler = grpc.method_handlers_generic_handler(
-            "cassiamount.Fleet",
-            {"Exchange": grpc.unary_unary_rpc_method_handler(self._handle_report)},
-        )
-        self._server.add_generic_rpc_handlers((handler,))
-        self._server.add_insecure_port(self._address)
-        await self._server.start()
+        """Serve the reports of other VMs."""
+        await self.transport.start(self._address, self._handle_report)
 
     async def close(self):
-        """Stop the gRPC server and close all links."""
+        """Stop serving and close all links."""
         for link in self._links.values():
             link.task.cancel()
         closing = [link.channel.close() for link in self._links.values()]
-        await asyncio.gather(self._server.stop(0.1), *closing)
+        await asyncio.gather(self.transport.close(0.1), *closing)
 
     def exchange_soon(self, vm=None):
         """Request an exchange before the next period, with one VM or with all."""
@@ -115,12 +101,12 @@
         for name in set(self._links) - set(self._peers.addresses):
             self._links.pop(name).task.cancel()
 
-    async def _handle_report(self, data, context):
+    async def _handle_report(self, data):
         try:
             report = decode_report(data)
         except ValueError as error:
             log.warning("peer_report_unreadable", error=str(error))
-            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "no report")
+            raise
         self._on_report(report)
         reply = encode_report(self._build_report(report.vm))
         self.stats.count("exchanges_answered")
@@ -173,14 +159,11 @@
         self.name = name
         self.address = address
         self.wake = asyncio.Event()
-        self.channel = grpc.aio.insecure_channel(
-            address, options=OPTIONS, compression=grpc.Compression.Deflate
-        )
+        self.channel = exchange.transport.connect(address)
         self._exchange = exchange
         self.task = asyncio.create_task(self._run(), name=f"link/{name}")
 
     async def _run(self):
-        send_report = self.channel.unary_unary(METHOD)
         while True:
             next_report_ms = self._exchange.next_report_ms(self.name)
             woken = await self._wait(next_report_ms)
@@ -196,12 +179,12 @@
             sent_ms = self._exchange.now_ms()
             stats.count("report_bytes_out", len(data))
             try:
-                reply = await send_report(data, timeout=REPLY_TIMEOUT_MS / 1000)
+                reply = await self.channel.call(data, REPLY_TIMEOUT_MS)
                 stats.observe_ms("exchange", self._exchange.now_ms() - sent_ms)
                 stats.count("exchanges")
                 stats.count("report_bytes_in", len(reply))
                 self._exchange.on_reply(reply)
-            except grpc.RpcError:
+            except PeerUnreachable:
                 # The peer table detects unreachable peers by the age of their reports.
                 stats.count("exchanges_failed")
                 continue
