--- /dev/null
+++ b/tests/fleet_world/engines.py
@@ -0,0 +1,290 @@
+"""Engines that execute orders and requests, and a VM's client of them."""
+
+import asyncio
+
+from cassiamount.backend_messages import (
+    BodyChunk,
+    ResponseComplete,
+    ResponseFailed,
+    ResponseHead,
+    ResponseMetadata,
+)
+from cassiamount.fleet_orders import (
+    ACCEPTED,
+    ALREADY_DONE,
+    CONFLICT,
+    FENCED,
+    LOAD,
+    NO_ANSWER,
+    EngineReport,
+)
+from cassiamount.platform.engines import ORDER_TIMEOUT_MS, REPORT_TIMEOUT_MS
+
+ORDER_BYTES = 600
+REPORT_REQUEST_BYTES = 300
+REPORT_BYTES = 2_500
+ADAPTER_LOAD_MS = 6.0
+REPORT_LAG_MS = 100.0
+STEP_MS = 5.1
+STEP_MS_PER_REQUEST = 0.0255
+PREFILL_TOKENS_PER_MS = 29.4
+TOKENS_PER_EVENT = 8
+QUEUE = 25
+
+
+class Engine:
+    """One engine: models, adapters, orders and running requests."""
+
+    def __init__(self, loop, name, zone, config, models, on_disk):
+        self._loop = loop
+        self.name = name
+        self.zone = zone
+        self.config = config
+        self.models = {model: set() for model in models}
+        self.on_disk = list(dict.fromkeys([*on_disk, *models]))[-6:]
+        self.in_memory = []
+        self.orders = 0
+        self.fence = 0
+        self.busy = False
+        self.running = 0
+        self.queued = 0
+        self.loads = 0
+        # Time until which orders get no answer, although they are accepted.
+        self.mute_until_ms = 0.0
+        self._free_slot = asyncio.Condition()
+        self._history = []
+        self._snapshot()
+
+    def _snapshot(self):
+        report = EngineReport(
+            self.orders,
+            self.busy,
+            {model: frozenset(held) for model, held in self.models.items()},
+            frozenset(),
+            frozenset(self.in_memory),
+            frozenset(self.on_disk),
+        )
+        self._history.append((self._loop.true_ms, report))
+        del self._history[:-50]
+
+    def report(self):
+        """Return the report as of some time ago."""
+        seen = [
+            report
+            for at_ms, report in self._history
+            if at_ms <= self._loop.true_ms - REPORT_LAG_MS
+        ]
+        return seen[-1] if seen else self._history[0][1]
+
+    def execute(self, order):
+        """Accept or refuse an order; return the answer."""
+        if order.fence < self.fence:
+            return FENCED
+        self.fence = order.fence
+        held = order.model in self.models
+        if order.adapter:
+            held = held and order.adapter in self.models[order.model]
+        if held == (order.action == LOAD):
+            return ALREADY_DONE
+        if self.busy or order.expected_orders != self.orders:
+            return CONFLICT
+        self.orders += 1
+        if order.adapter:
+            self._execute_adapter_order(order)
+        else:
+            self.busy = True
+            task = self._load if order.action == LOAD else self._unload
+            self._task = self._loop.create_task(task(order.model))
+        self._snapshot()
+        return ACCEPTED
+
+    def _execute_adapter_order(self, order):
+        if order.action != LOAD:
+            self.models[order.model].discard(order.adapter)
+            return
+        self.models[order.model].add(order.adapter)
+        adapters = sum(len(held) for held in self.models.values())
+        assert adapters <= self.config.max_adapters, "adapters overcommitted"
+
+    async def _load(self, model):
+        rule = self.config.models[model]
+        held_mb = sum(self.config.models[name].memory_mb for name in self.models)
+        assert held_mb + rule.memory_mb <= self.config.memory_mb, "memory overcommitted"
+        load_ms = rule.load_ms
+        if model in self.in_memory:
+            load_ms = rule.host_load_ms
+        elif model in self.on_disk:
+            load_ms = rule.disk_load_ms
+        else:
+            self.loads += 1
+        await asyncio.sleep(load_ms / 1000)
+        self.models[model] = set()
+        self.on_disk = [*(m for m in self.on_disk if m != model), model][-6:]
+        self.in_memory = [*(m for m in self.in_memory if m != model), model][-2:]
+        self.busy = False
+        self._snapshot()
+
+    async def _unload(self, model):
+        await asyncio.sleep(0.02)
+        self.models.pop(model, None)
+        self.busy = False
+        self._snapshot()
+
+    async def run(self, metadata):
+        """Run a request; yield True for each event, or return if it is refused."""
+        slots = self.config.slots
+        if self.queued >= QUEUE:
+            return
+        self.queued += 1
+        async with self._free_slot:
+            await self._free_slot.wait_for(lambda: self.running < slots)
+            self.queued -= 1
+            self.running += 1
+        try:
+            if not self.holds(metadata):
+                return
+            step_ms = STEP_MS + STEP_MS_PER_REQUEST * self.running
+            await asyncio.sleep(metadata.prompt_tokens / PREFILL_TOKENS_PER_MS / 1000)
+            events = max(1, metadata.output_tokens // TOKENS_PER_EVENT)
+            yield True
+            await asyncio.sleep(events * TOKENS_PER_EVENT * step_ms / 1000)
+            yield True
+        finally:
+            self.running -= 1
+            async with self._free_slot:
+                self._free_slot.notify()
+
+    def holds(self, metadata):
+        """Return whether a request's model and adapter are loaded."""
+        held = self.models.get(metadata.model)
+        return held is not None and (not metadata.adapter or metadata.adapter in held)
+
+
+class WorldEngineClient:
+    """One VM's client of the engines, as the platform's `EngineClient`."""
+
+    def __init__(self, network, engines, vm, rng):
+        self._network = network
+        self._engines = engines
+        self._vm = vm
+        self._rng = rng
+
+    async def order(self, order):
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_MS / 1000):
+                await self._network.transfer(self._vm, order.engine, ORDER_BYTES)
+                engine = self._engines.get(order.engine)
+                if engine is None:
+                    return NO_ANSWER
+                answer = engine.execute(order)
+                if engine.mute_until_ms > engine._loop.true_ms:
+                    await asyncio.sleep(1.0)
+                await self._network.transfer(order.engine, self._vm, ORDER_BYTES)
+                return answer
+        except TimeoutError:
+            return NO_ANSWER
+
+    async def report(self, engine, address):
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_MS / 1000):
+                await self._network.transfer(self._vm, engine, REPORT_REQUEST_BYTES)
+                known = self._engines.get(engine)
+                if known is None:
+                    return None
+                report = known.report()
+                await self._network.transfer(engine, self._vm, REPORT_BYTES)
+                return report
+        except TimeoutError:
+            return None
+
+
+class WorldConnection:
+    """Connection of the relay to one engine."""
+
+    def __init__(self, network, engine, vm, tasks):
+        self._network = network
+        self._engine = engine
+        self._vm = vm
+        self._tasks = tasks
+        self._task = None
+        self.messages = asyncio.Queue()
+
+    def send(self, request, request_id):
+        self._task = asyncio.create_task(self._run(*request))
+        self._tasks.add(self._task)
+        self._task.add_done_callback(self._tasks.discard)
+
+    def abort(self):
+        if self._task is not None:
+            self._task.cancel()
+
+    async def receive(self):
+        return await self.messages.get()
+
+    async def _run(self, metadata, expected):
+        network, vm, engine = self._network, self._vm, self._engine
+        await network.transfer(vm, expected, 1_200)
+        if engine is None or engine.name != expected:
+            self.messages.put_nowait(ResponseFailed("reset", True))
+            return
+        status = 200 if engine.holds(metadata) else 421
+        started = False
+        if status == 200:
+            size = 90 * max(1, metadata.output_tokens // TOKENS_PER_EVENT) // 2
+            async for _ in engine.run(metadata):
+                await network.transfer(expected, vm, size)
+                if not started:
+                    self._put_head(metadata, 200)
+                    started = True
+                self.messages.put_nowait(BodyChunk(b"id: 1\ndata: x\n\n"))
+            status = 200 if started else 503
+        if not started:
+            await network.transfer(expected, vm, 300)
+            self._put_head(metadata, status)
+        self.messages.put_nowait(ResponseComplete())
+
+    def _put_head(self, metadata, status):
+        head = ResponseMetadata(
+            status,
+            metadata.request_id,
+            not_run=status != 200,
+            signed=True,
+            event_stream=status == 200,
+        )
+        self.messages.put_nowait(ResponseHead(head, [], None))
+
+
+class WorldPool:
+    """`ConnectionPool` of one VM."""
+
+    def __init__(self, network, engines, addresses, vm):
+        self._network = network
+        self._engines = engines
+        self._addresses = addresses
+        self._vm = vm
+        self._tasks = set()
+
+    def acquire_idle(self, address):
+        engine = self._engines.get(self._addresses[address])
+        return WorldConnection(self._network, engine, self._vm, self._tasks)
+
+    def release(self, connection):
+        return None
+
+    def close(self):
+        for task in self._tasks:
+            task.cancel()
+
+
+class WorldCodec:
+    """Passes requests to `WorldConnection` without encoding them."""
+
+    def __init__(self):
+        self.metadata = {}
+
+    def encode_request(self, method, target, headers, body, attempt):
+        return body, attempt.backend
+
+    @staticmethod
+    def response_headers(headers):
+        return headers
--- /dev/null
+++ b/tests/fleet_world/world.py
@@ -0,0 +1,525 @@
+"""VMs, callers and the whole world."""
+
+import asyncio
+import collections
+import random
+
+import orjson
+import structlog
+
+from cassiamount.fleet import RequestMetadata
+from cassiamount.fleet_controller import FleetController
+from cassiamount.fleet_relay import FleetRelay
+from cassiamount.fleet_state import FleetState
+from cassiamount.interval_stats import IntervalStats
+from cassiamount.metadata_store import BACKENDS, CONFIGURATION, VMS
+from cassiamount.metrics import Metrics
+from cassiamount.peer_exchange import PeerExchange
+from cassiamount.platform.settings import decode_settings
+from cassiamount.relayed_request import InboundRequest
+from cassiamount.replica_selection import ReplicaSelector, SentPrefixIndex
+from cassiamount.store_follower import StoreFollower
+from tests.fleet_fixtures import Decoder
+from tests.machines.virtual import VirtualLoop
+
+from .engines import Engine, WorldCodec, WorldEngineClient, WorldPool
+from .network import Link, Network, WorldTransport
+from .store import WorldStore, WorldStoreClient
+
+HOST = "fleet.example"
+SERVICE = "llm"
+START_MS = 5_000.0
+HEARTBEAT_S = 1.2
+# Name of a route: objective, time limit, prompt and output tokens.
+ROUTES = {
+    "live": (400, 10_000, 700, 280),
+    "short": (400, 4_000, 380, 48),
+    "batch": (3_000, 15_000, 700, 280),
+}
+SETTINGS = """
+NodeName: {name}
+Zone: {zone}
+Listen:
+  Frontend: "{name}:1"
+  Ready: "{name}:2"
+  Control: "{name}:3"
+Platform:
+  Address: "store:4"
+Seeds: ["vm-00:3", "vm-01:3", "vm-02:3"]
+Bootstrap: true
+Limits:
+  CpuShare: {cores}
+  Cores: 1
+  LinkMbps: {link_mbps}
+Bounds:
+  RevokeMs: 5000
+"""
+
+
+class WorldConfig:
+    """Sizes and demand of a world.
+
+    The defaults are those of a fleet of 59 VMs before 56 engines.
+    """
+
+    def __init__(self, **changes):
+        self.vms = 59
+        self.large_vms = 6
+        self.zones = 3
+        self.engines = 56
+        self.models = 206
+        # Models with the lesser numbers are asked for by live and short requests.
+        self.live_models = 55
+        # Live models with requests at the same time.
+        self.busy_models = 22
+        self.adapters = 40
+        self.slots = 12
+        self.max_adapters = 8
+        self.loads_per_s = 16.0
+        self.requests_per_s = {"live": 200.0, "short": 230.0, "batch": 40.0}
+        self.adapter_share = {"live": 0.1, "short": 0.5, "batch": 0.0}
+        # The busiest models fall silent and others rise, this many every second.
+        self.shift_per_s = 1.0
+        # The VM that holds the order lease first; the last ones are small.
+        self.first_holder = "vm-58"
+        self.small_link_mbps = 5.0
+        self.large_link_mbps = 100.0
+        self.seed = 1
+        for name, value in changes.items():
+            assert hasattr(self, name), name
+            setattr(self, name, value)
+
+
+class LoopClock:
+    """Clock of a VM on the loop's virtual time."""
+
+    def __init__(self, loop):
+        self._loop = loop
+        self.started_ms = loop.true_ms
+
+    def monotonic_ms(self):
+        return self._loop.true_ms
+
+    def wall_ms(self):
+        return 1_700_000_000_000 + int(self._loop.true_ms)
+
+
+class WorldVm:
+    """The parts of one VM that need no sockets."""
+
+    def __init__(self, world, name, zone, is_large):
+        self.world = world
+        self.name = name
+        config = world.config
+        text = SETTINGS.format(
+            name=name,
+            zone=zone,
+            cores=2.15 if is_large else 0.516,
+            link_mbps=config.large_link_mbps if is_large else config.small_link_mbps,
+        )
+        settings = decode_settings(text, "boot.yaml").unwrap()
+        clock = LoopClock(world.loop)
+        self.stats = IntervalStats()
+        self.store = WorldStoreClient(world.network, world.store, name)
+        self.state = FleetState(settings, Decoder, clock, clock.wall_ms())
+        self.exchange = PeerExchange(
+            settings.peer_address,
+            WorldTransport(world.network, world.servers, name),
+            self.state.peers,
+            self.state.build_report,
+            self._on_report,
+            clock,
+            self.stats,
+        )
+        rng = random.Random(world.rng.random())
+        metrics = Metrics()
+        self.controller = FleetController(
+            self.state,
+            self.store,
+            WorldEngineClient(world.network, world.engines, name, rng),
+            self.exchange,
+            metrics,
+            self.stats,
+        )
+        prefixes = SentPrefixIndex()
+        self.pool = WorldPool(world.network, world.engines, world.addresses, name)
+        self.relay = FleetRelay(
+            self.state,
+            ReplicaSelector(self.state.view, zone, prefixes),
+            self.pool,
+            WorldCodec(),
+            prefixes,
+            metrics,
+            structlog.get_logger(),
+            rng,
+            self._notify_lease_holder,
+        )
+        self.tasks = []
+
+    def _on_report(self, report):
+        waiting = bool(report.waiting)
+        self.state.on_report(report)
+        if waiting:
+            self.controller.wake()
+
+    def _notify_lease_holder(self):
+        if self.state.lease.active:
+            self.controller.wake()
+            return
+        holder = self.state.peers.holder(self.state.now_ms())
+        if holder is not None:
+            self.exchange.exchange_soon(holder.vm)
+
+    async def start(self):
+        await self.exchange.start()
+        runs = [
+            self.exchange.run,
+            self.controller.renew_lease,
+            self.controller.run,
+            self._announce,
+            self._review,
+        ]
+        for stream in (CONFIGURATION, BACKENDS):
+            runs.append(
+                StoreFollower(stream, self.store, self.state, self._on_change).run
+            )
+        self.tasks = [asyncio.create_task(run()) for run in runs]
+        for task in self.tasks:
+            task.add_done_callback(self.world.on_task_ended)
+
+    def _on_change(self, stream):
+        if stream == CONFIGURATION:
+            self.exchange.exchange_soon()
+
+    async def _announce(self):
+        table = self.state.peers
+        for address in self.state.settings.seed_addresses:
+            if address != self.state.settings.peer_address:
+                table.addresses[f"seed {address}"] = address
+        address = self.state.settings.peer_address
+        await self.store.put(VMS, self.name, address.encode())
+        page = await self.store.newest(VMS)
+        for record in page.records:
+            if record.key != self.name:
+                table.addresses.setdefault(record.key, record.value.decode())
+
+    async def _review(self):
+        while True:
+            await asyncio.sleep(0.1)
+            self.state.review_peers()
+
+    async def kill(self):
+        """End the VM at once."""
+        for task in self.tasks:
+            task.cancel()
+        self.pool.close()
+        await self.exchange.close()
+
+
+class Caller:
+    """The connection to one caller: collects the response."""
+
+    def __init__(self, loop):
+        self._loop = loop
+        self.first_event_ms = None
+        self.status = None
+        self.retry_after_s = None
+        self.finished = False
+
+    async def start(self, status, headers):
+        self.status = status
+
+    async def send_chunk(self, data):
+        if self.first_event_ms is None:
+            self.first_event_ms = self._loop.true_ms
+
+    async def send_response(self, status, headers, body):
+        self.status = status
+
+    async def finish(self):
+        self.finished = True
+
+    async def refuse(self, refusal, close=False):
+        self.status = refusal.status
+        self.retry_after_s = refusal.retry_after_s
+
+    def abort(self):
+        self.status = 0
+
+
+class World:
+    """Runs a fleet with callers for some virtual seconds.
+
+    Parameters
+    ----------
+    config : WorldConfig
+    """
+
+    def __init__(self, config):
+        self.config = config
+        self.rng = random.Random(config.seed)
+        self.loop = VirtualLoop()
+        self.network = Network(self.loop)
+        self.store = WorldStore(self.loop)
+        self.store.first_holder = config.first_holder
+        self.servers = {}
+        self.engines = {}
+        self.addresses = {}
+        self.vms = {}
+        self.failures = []
+        self.outcomes = collections.defaultdict(collections.Counter)
+        # Target -> [asked, served]; over the whole run.
+        self.targets = collections.defaultdict(lambda: [0, 0])
+        self.duties = collections.Counter()
+        self._calls = set()
+        self._next_id = 0
+
+    def run(self, seconds, script=None):
+        """Start everything, run callers for some seconds, and stop.
+
+        Parameters
+        ----------
+        seconds : float
+        script : callable, optional
+            ``async (world)``; runs beside the callers.
+        """
+        asyncio.set_event_loop(self.loop)
+        try:
+            self.loop.run_until_complete(self._run(seconds, script))
+        finally:
+            asyncio.set_event_loop(None)
+            self.loop.close()
+        assert not self.failures, self.failures[0]
+        return self
+
+    async def _run(self, seconds, script):
+        self._put_configuration()
+        self._create_engines()
+        zones = [f"z{n}" for n in range(self.config.zones)]
+        for index in range(self.config.vms):
+            large = index < self.config.large_vms
+            await self.add_vm(f"vm-{index:02d}", zones[index % len(zones)], large)
+        jobs = [asyncio.create_task(self._heartbeats())]
+        await asyncio.sleep(START_MS / 1000)
+        for link in self.network.links.values():
+            link.bytes = {"out": 0, "in": 0}
+            link.longest_queue_ms = 0.0
+        for vm in self.vms.values():
+            vm.stats.take()
+        if script is not None:
+            jobs.append(asyncio.create_task(script(self)))
+        for job in jobs:
+            job.add_done_callback(self.on_task_ended)
+        await self._call(seconds)
+        for job in jobs:
+            job.cancel()
+        for vm in self.vms.values():
+            for name, value in vm.stats.take().items():
+                if not name.endswith("_ms"):
+                    self.duties[name] += value
+            await vm.kill()
+        rest = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in rest:
+            task.cancel()
+        await asyncio.gather(*rest, return_exceptions=True)
+
+    async def add_vm(self, name, zone, large=False):
+        """Start a VM."""
+        config = self.config
+        mbps = config.large_link_mbps if large else config.small_link_mbps
+        self.network.links[name] = Link(self.loop, mbps * 1000 / 8)
+        self.network.zones[name] = zone
+        self.vms[name] = WorldVm(self, name, zone, large)
+        await self.vms[name].start()
+
+    async def kill_vm(self, name):
+        """End a VM at once."""
+        await self.vms.pop(name).kill()
+
+    def on_task_ended(self, task):
+        """Keep what ended a task that should run on."""
+        if not task.cancelled() and task.exception() is not None:
+            self.failures.append(repr(task.exception()))
+
+    def model_name(self, index):
+        return f"model{index:06d}"
+
+    def _put_configuration(self):
+        config = self.config
+        routes = [
+            {
+                "Name": name,
+                "Host": HOST,
+                "PathPrefix": f"/{name}/",
+                "Type": "streaming",
+                "Service": SERVICE,
+                "TimeoutMs": limit_ms,
+                "GoalMs": objective_ms,
+                "GapGoalMs": 200,
+                "Priority": 1,
+                "Attempts": 2 if name == "batch" else 1,
+                "Resumable": name == "batch",
+                "Public": True,
+            }
+            for name, (objective_ms, limit_ms, _, _) in ROUTES.items()
+        ]
+        models = [
+            {
+                "Name": self.model_name(index),
+                "WeightsMb": 72_700,
+                "LoadTimeS": 4.2,
+                "MemoryLoadS": 0.47,
+                "DiskLoadS": 0.84,
+                "Adapters": config.adapters if index % 2 == 0 else 0,
+                "AdapterSizeMb": 66,
+            }
+            for index in range(config.models)
+        ]
+        engine = {
+            "Slots": config.slots,
+            "KvCapacity": 40_264,
+            "Models": models,
+            "WeightsMb": 230_000,
+            "MaxAdapters": config.max_adapters,
+            "LoadsPerS": config.loads_per_s,
+        }
+        document = {
+            "Version": 1,
+            "Routes": routes,
+            "Services": [{"Name": SERVICE, "Engine": engine}],
+        }
+        self.store.put(CONFIGURATION, "config", orjson.dumps(document))
+
+    def _create_engines(self):
+        """Place the busy models on many engines, and others where room is left."""
+        config = self.config
+        rule = Decoder.configuration(self.store.streams[CONFIGURATION][0].value)
+        rule = rule.services[SERVICE].engine
+        places = 3 * config.engines
+        names = [self.model_name(index) for index in range(config.models)]
+        busy = (names[: config.busy_models] * places)[: places // 3]
+        rest = names[config.busy_models :]
+        filled = [*busy, *rest][:places]
+        for index in range(config.engines):
+            held = dict.fromkeys(filled[index :: config.engines])
+            name = f"engine-{index:02d}"
+            on_disk = self.rng.sample(names, 3)
+            zone = f"z{index % config.zones}"
+            self.engines[name] = Engine(self.loop, name, zone, rule, held, on_disk)
+            self.addresses[f"{name}:9"] = name
+            self._put_engine(name)
+
+    def _put_engine(self, name):
+        engine = self.engines[name]
+        value = {
+            "Service": SERVICE,
+            "Address": f"{name}:9",
+            "Zone": engine.zone,
+            "Slots": self.config.slots,
+            "State": "ready",
+            "Models": [
+                {"Name": m, "Adapters": sorted(a)} for m, a in engine.models.items()
+            ],
+            "Available": {"InMemory": engine.in_memory, "OnDisk": engine.on_disk},
+            "Seq": engine.orders,
+            "born": 1,
+        }
+        self.store.put(BACKENDS, name, orjson.dumps(value))
+
+    def remove_engine(self, name):
+        """Let an engine crash: it answers nothing and leaves the list later."""
+        del self.engines[name]
+        self.loop.call_later(3 * HEARTBEAT_S, self.store.put, BACKENDS, name, None)
+
+    async def _heartbeats(self):
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            for name in list(self.engines):
+                self._put_engine(name)
+
+    async def _call(self, seconds):
+        """Send requests at random times to random VMs."""
+        config = self.config
+        total_per_s = sum(config.requests_per_s.values())
+        names = list(config.requests_per_s)
+        weights = list(config.requests_per_s.values())
+        end_ms = self.loop.true_ms + seconds * 1000
+        begin_ms = self.loop.true_ms
+        while self.loop.true_ms < end_ms:
+            await asyncio.sleep(self.rng.expovariate(total_per_s))
+            route = self.rng.choices(names, weights)[0]
+            elapsed_s = (self.loop.true_ms - begin_ms) / 1000
+            target = self._choose_target(route, elapsed_s)
+            task = asyncio.create_task(self._request(route, *target))
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+            task.add_done_callback(self.on_task_ended)
+
+    def _choose_target(self, route, elapsed_s):
+        config = self.config
+        if route == "batch":
+            index = self.rng.randrange(config.live_models, config.models)
+        else:
+            first = int(elapsed_s * config.shift_per_s)
+            # A quarter of the busy models get half of the requests.
+            rank = int(config.busy_models * self.rng.random() ** 2)
+            index = (first + rank) % config.live_models
+        adapter = ""
+        if index % 2 == 0 and self.rng.random() < config.adapter_share[route]:
+            adapter = f"a{int(config.adapters * self.rng.random() ** 2)}"
+        return self.model_name(index), adapter
+
+    async def _request(self, route, model, adapter):
+        """Send a request, and once more if it is refused with a time in reach."""
+        objective_ms, limit_ms, prompt, output = ROUTES[route]
+        begin_ms = self.loop.true_ms
+        counts = self.targets[f"{model}/{adapter}" if adapter else model]
+        counts[0] += 1
+        outcome = "failed"
+        for attempt in range(2):
+            left_ms = limit_ms - (self.loop.true_ms - begin_ms)
+            caller = Caller(self.loop)
+            await self._send(caller, route, model, adapter, prompt, output, left_ms)
+            if caller.finished:
+                counts[1] += 1
+                waited_ms = caller.first_event_ms - begin_ms
+                outcome = "in_aim" if waited_ms <= objective_ms else "late"
+                break
+            outcome = "refused" if caller.status in (429, 503) else "failed"
+            wait_s = caller.retry_after_s
+            if outcome == "failed" or attempt or wait_s is None:
+                break
+            await asyncio.sleep(min(wait_s, left_ms / 3000))
+        self.outcomes[route][outcome] += 1
+
+    async def _send(self, caller, route, model, adapter, prompt, output, left_ms):
+        self._next_id += 1
+        vm = self.rng.choice(list(self.vms.values()))
+        metadata = RequestMetadata(
+            f"r{self._next_id}",
+            "POST",
+            HOST,
+            f"/{route}/x",
+            timeout_ms=left_ms,
+            model=model,
+            adapter=adapter,
+            prompt_tokens=prompt,
+            output_tokens=max(8, int(output * self.rng.expovariate(1.0))),
+        )
+        inbound = InboundRequest(
+            metadata, b"/", [], metadata, self.loop.true_ms, caller
+        )
+        await vm.relay.serve(inbound)
+
+    def share(self, outcome, route=None):
+        """Return the share of requests with an outcome."""
+        counts = collections.Counter()
+        for name, of_route in self.outcomes.items():
+            if route in (None, name):
+                counts.update(of_route)
+        return counts[outcome] / max(1, counts.total())
+
+    def never_served(self, min_requests=4):
+        """Return the targets that were asked for and never served, and all asked."""
+        asked = {t: c for t, c in self.targets.items() if c[0] >= min_requests}
+        return [t for t, c in asked.items() if not c[1]], list(asked)
