--- a/cassiamount/metadata_store.py
+++ b/cassiamount/metadata_store.py
@@ -1,5 +1,7 @@
 """Types of the platform's metadata store, and a local view of one of its streams."""
 
+import collections
+
 # Streams of keyed records; the latest record of a key replaces the earlier ones.
 CONFIGURATION = "configuration"
 BACKENDS = "backends"
@@ -60,6 +62,8 @@
 
 # Deletions that are kept so that slightly lagging peers can be sent a delta.
 MAX_TOMBSTONES = 1_000
+# Gaps in the history, each closed by a snapshot, that are kept for the same purpose.
+MAX_GAPS = 16
 
 
 class KeyedView:
@@ -82,6 +86,7 @@
         "_is_equivalent",
         "_changed_offsets",
         "_complete_from",
+        "_gaps",
     )
 
     def __init__(self, is_equivalent=None):
@@ -95,8 +100,11 @@
         )
         # Key (also a deleted one) -> offset of the last change of its meaning.
         self._changed_offsets = {}
-        # `_changed_offsets` has all deletions from this offset on.
+        # `_changed_offsets` has all deletions from this offset on, except in the gaps.
         self._complete_from = 0
+        # Pairs of offsets. A peer between them may know keys that this view has never
+        # had, because they were created and deleted between them.
+        self._gaps = collections.deque(maxlen=MAX_GAPS)
 
     def load_snapshot(self, records, next_offset):
         """Apply a snapshot: the latest record of every key up to `next_offset`.
@@ -114,10 +122,14 @@
             if key not in present and offset < next_offset:
                 changed |= self._apply_record(KeyedRecord(next_offset - 1, key, None))
         for record in records:
-            changed |= self._apply_record(record, mark_changed=True)
-        # Keys deleted before the snapshot may be missing from `_changed_offsets`.
-        self._complete_from = next_offset
-        self.next_offset = max(next_offset, self.next_offset or 0)
+            changed |= self._apply_record(record)
+        if self.next_offset is None:
+            self._complete_from = next_offset
+        else:
+            if len(self._gaps) == MAX_GAPS:
+                self._complete_from = max(self._complete_from, self._gaps[0][1])
+            self._gaps.append((self.next_offset, next_offset))
+        self.next_offset = next_offset
         return changed
 
     def apply(self, records, from_offset, next_offset, is_delta=False):
@@ -156,6 +168,8 @@
         """
         if self.next_offset is None or offset < self._complete_from:
             return None
+        if any(first < offset < end for first, end in self._gaps):
+            return None
         records = []
         for key, changed_offset in self._changed_offsets.items():
             if changed_offset >= offset:
@@ -174,8 +188,8 @@
         """Apply one record; return whether the meaning of the key's value changed.
 
         With `mark_changed`, the record is relayed to peers even if it changes nothing
-        here: a delta or snapshot may skip a deletion between two equal values, and a
-        peer may have applied that deletion.
+        here: a delta may skip a deletion between two equal values, and a peer may have
+        applied that deletion.
         """
         current = self.values.get(record.key)
         if current is not None and current[0] >= record.offset:
--- a/tests/test_metadata_store.py
+++ b/tests/test_metadata_store.py
@@ -77,8 +77,9 @@
     return before[:1] == after[:1]
 
 
+@pytest.mark.parametrize("trims", [False, True])
 @pytest.mark.parametrize("seed", range(30))
-def test_peers_converge_by_deltas(seed, monkeypatch):
+def test_peers_converge_by_deltas(seed, trims, monkeypatch):
     """Guards against deltas that lose a change.
 
     Views exchange deltas because relaying every record was too much: heartbeats of
@@ -90,14 +91,26 @@
     peers = [KeyedView(first_byte_is_equal) for _ in range(3)]
     reader.load_snapshot([], 0)
     first_bytes = {}
+    log = []
+    is_behind = False
     for offset in range(200):
         key = rng.choice("abcdefgh")
         value = rng.choice([b"x%d", b"x%d", b"x%d", b"y%d", None])
         value = None if value is None else value % offset
-        changed = reader.apply([record(offset, key, value)], offset, offset + 1)
         before = first_bytes.get(key)
         first_bytes[key] = None if value is None else value[:1]
-        assert changed == (first_bytes[key] != before)
+        log.append(record(offset, key, value))
+        if trims and rng.random() < 0.3:
+            # The reader is late, and the store has trimmed what it lacks.
+            is_behind = True
+        elif is_behind:
+            newest = {item.key: item for item in log}
+            newest = [item for item in newest.values() if item.value is not None]
+            reader.load_snapshot(newest, offset + 1)
+            is_behind = False
+        else:
+            changed = reader.apply([log[-1]], offset, offset + 1)
+            assert changed == (first_bytes[key] != before)
         receiver, sender = rng.choice(peers), rng.choice([reader, *peers])
         if sender.next_offset is None or sender is receiver:
             continue
@@ -110,6 +123,9 @@
             receiver.apply(
                 records, receiver.next_offset, sender.next_offset, is_delta=True
             )
+    newest = {item.key: item for item in log}
+    newest = [item for item in newest.values() if item.value is not None]
+    reader.load_snapshot(newest, len(log))
     for peer in peers:
         records = reader.since(peer.next_offset)
         if records is None:
@@ -120,6 +136,17 @@
         assert known == {key: m for key, m in first_bytes.items() if m is not None}
 
 
+def test_snapshot_is_passed_on_as_the_changes_that_it_brings():
+    """Guards against the whole list for every VM each time the store trims it."""
+    view = KeyedView(first_byte_is_equal)
+    view.load_snapshot([record(0, "a", b"x1"), record(1, "b", b"x1")], 2)
+    view.load_snapshot([record(8, "a", b"x2"), record(7, "c", b"x1")], 9)
+    assert [(r.key, r.value) for r in view.since(2)] == [("c", b"x1"), ("b", None)]
+    # A VM that has read some of the trimmed records may know more keys.
+    assert view.since(5) is None
+    assert view.since(9) == []
+
+
 def test_equivalent_values_are_not_sent_to_peers():
     """Guards against relaying each heartbeat of each backend server."""
     view = KeyedView(first_byte_is_equal)
