--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -40,10 +40,6 @@
 MAX_REPORT_LAG_MS = 130.0
 # Delay before an order is sent again, and after a failed adapter load.
 ORDER_RETRY_MS = 40.0
-# Up to this number of other VMs, each change is sent to all of them at once. In larger
-# fleets only the VMs whose requests it concerns get it at once, the others with their
-# next report.
-BROADCAST_MAX_VMS = 12
 # Maximum fraction of the processor's time for planning.
 PLAN_CPU_FRACTION = 0.25
 
@@ -150,7 +146,7 @@
             log.info("orders_ended", fence=self._lease.generation)
             self._placements.clear()
             self._tasks.cancel()
-            self._state.set_own_residency(None, {})
+            self._state.end_own_residency()
 
     def _plan_all(self):
         configuration = self._state.configuration
@@ -159,7 +155,7 @@
         now_ms = self._state.now_ms()
         running = self._state.running_requests()
         waiting = self._state.waiting_requests()
-        request_counts = self._state.request_counts.total
+        rates = self._state.request_rates()
         for service in configuration.services.values():
             if service.engine is None:
                 continue
@@ -170,7 +166,7 @@
                     for view in self._state.view.of_service(service.name)
                 }
             )
-            placement.set_demand(running, waiting, request_counts, now_ms)
+            placement.set_demand(running, waiting, rates, now_ms)
             for engine in placement.engines.values():
                 self._query_if_unknown(engine, now_ms)
             for change in placement.plan(now_ms):
@@ -219,24 +215,17 @@
             return
         now_ms = self._state.now_ms()
         residency = {
-            engine.record.name: engine_residency(engine, now_ms)
+            engine.record.name: engine_residency(engine)
             for placement in self._placements.values()
             for engine in placement.engines.values()
         }
         queued = {}
         for placement in self._placements.values():
             queued.update(placement.queued_ready_times(now_ms))
-        before = self._state.residency.own
-        queued_before = self._state.residency.own_queued
-        self._state.set_own_residency(residency, queued)
-        if before is None or len(self._state.peers.addresses) <= BROADCAST_MAX_VMS:
-            changed = before is None or residency_changes(before, residency)
-            if changed or queued.keys() != queued_before.keys():
-                self._exchange.exchange_soon()
-            return
-        engines, targets = residency_changes(before, residency) or ((), ())
-        for name in self._state.peers.affected_peers(engines, targets, now_ms):
-            self._exchange.exchange_soon(name)
+        changes = self._state.set_own_residency(residency, queued)
+        if changes:
+            for name in self._state.peers_to_tell(changes):
+                self._exchange.exchange_soon(name)
 
     async def _run_model_change(self, placement, engine, change):
         try:
@@ -417,7 +406,6 @@
             raise OrderFailed("order lease lost")
         if placement.engines.get(engine.record.name) is not engine:
             raise OrderFailed("engine is no longer listed")
-        self._state.last_order_ms = now_ms
         order = EngineOrder(
             engine.record.name,
             engine.record.address,
@@ -494,28 +482,3 @@
     )
     held = held or target_name(model, adapter) in report.pending
     return held if action == LOAD else not held
-
-
-def residency_changes(before, after):
-    """Return the changes that concern the requests of other VMs.
-
-    Parameters
-    ----------
-    before, after : dict of str to Residency
-
-    Returns
-    -------
-    (set of str, set of str) or None
-        Engines that changed, and the models and adapters added there; None if no
-        engine changed.
-    """
-    engines = before.keys() ^ after.keys()
-    targets = set()
-    for name, item in after.items():
-        known = before.get(name)
-        if known is not None and not item.differs(known):
-            continue
-        engines.add(name)
-        added = item.targets()
-        targets |= added if known is None else added - known.targets()
-    return (engines, targets) if engines else None
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -16,6 +16,7 @@
 from .metadata_store import BACKENDS, CONFIGURATION, VMS, StoreUnavailable
 from .metrics import Metrics
 from .peer_exchange import PeerExchange
+from .peer_topology import decode_place, encode_place
 from .peer_transport import PeerTransport
 from .replica_selection import ReplicaSelector, SentPrefixIndex
 from .serving import EdgeServer, open_listener
@@ -62,20 +63,33 @@
     Parameters
     ----------
     settings : VmSettings
-    platform : PlatformParts
+    platform : PlatformAdapter
     clock : SystemClock or ManualClock
+    transport : PeerTransport, optional
+    pool : ConnectionPool, optional
+    rng : random.Random, optional
+    stats : IntervalStats, optional
     """
 
-    def __init__(self, settings, platform, clock):
+    def __init__(
+        self,
+        settings,
+        platform,
+        clock,
+        transport=None,
+        pool=None,
+        rng=None,
+        stats=None,
+    ):
         self._settings = settings
         self._platform = platform
         self._clock = clock
         self._metrics = Metrics()
-        self._stats = IntervalStats()
+        self._stats = stats or IntervalStats()
         self.state = FleetState(settings, platform.decoder, clock, clock.wall_ms())
         self._exchange = PeerExchange(
             settings.peer_address,
-            PeerTransport(),
+            transport or PeerTransport(),
             self.state.peers,
             self.state.build_report,
             self._on_report,
@@ -90,7 +104,7 @@
             self._metrics,
             self._stats,
         )
-        self._pool = ConnectionPool(platform.codec.decode_response, clock)
+        self._pool = pool or ConnectionPool(platform.codec.decode_response, clock)
         prefixes = SentPrefixIndex()
         selector = ReplicaSelector(self.state.view, settings.zone, prefixes)
         self._relay = FleetRelay(
@@ -101,7 +115,7 @@
             prefixes,
             self._metrics,
             log,
-            random.Random(),
+            rng or random.Random(),
             self._notify_lease_holder,
         )
         self._edge = FleetEdge(self.state, self._relay, platform.codec.decode_request)
@@ -116,20 +130,19 @@
         self._stop_requested.set()
 
     def _on_report(self, report):
-        waiting = bool(report.waiting)
-        self.state.on_report(report)
-        if waiting:
+        for name in self.state.on_report(report):
+            self._exchange.exchange_soon(name)
+        if report.waiting:
             self._controller.wake()
 
     def _notify_lease_holder(self):
         """Tell the VM that holds the order lease that requests wait."""
-        now_ms = self._clock.monotonic_ms()
         if self.state.lease.active:
             self._controller.wake()
             return
-        holder = self.state.peers.holder(now_ms)
-        if holder is not None:
-            self._exchange.exchange_soon(holder.vm)
+        name = self.state.way_to_holder()
+        if name is not None:
+            self._exchange.exchange_soon(name)
 
     def _on_store_change(self, stream):
         if stream == CONFIGURATION:
@@ -199,8 +212,7 @@
         self.state.retry_budget.slack = settings.retry_slack
         self._settings.grace_s = settings.grace_s
         for address in settings.seed_addresses:
-            if address != settings.peer_address:
-                self.state.peers.addresses.setdefault(f"seed {address}", address)
+            self.state.add_address(f"seed {address}", address)
 
     def ready(self):
         """Return whether the load balancer should send requests to this VM."""
@@ -224,17 +236,14 @@
         await _respond(send, 200, self._metrics.render().encode())
 
     async def _announce(self):
-        """Register this VM's address in the store, and read those of the other VMs."""
-        table = self.state.peers
-        for address in self._settings.seed_addresses:
-            if address != self._settings.peer_address:
-                table.addresses[f"seed {address}"] = address
+        """Register this VM in the store, and read where the other VMs are."""
+        settings = self._settings
+        for address in settings.seed_addresses:
+            self.state.add_address(f"seed {address}", address)
         while True:
             try:
                 await self._platform.store.put(
-                    VMS,
-                    self._settings.vm_name,
-                    self._settings.peer_address.encode(),
+                    VMS, settings.vm_name, encode_place(self.state.peers.own)
                 )
                 page = await self._platform.store.newest(VMS)
                 break
@@ -242,8 +251,8 @@
                 log.info("announcement_failed", error=str(error))
                 await asyncio.sleep(ANNOUNCE_RETRY_MS / 1000)
         for record in page.records:
-            if record.value is not None and record.key != self._settings.vm_name:
-                table.addresses.setdefault(record.key, record.value.decode())
+            if record.value is not None:
+                self.state.add_address(record.key, *decode_place(record.value))
 
     async def _review_loop(self):
         logged_ms = self._clock.monotonic_ms()
@@ -252,7 +261,8 @@
             await asyncio.sleep(REVIEW_INTERVAL_MS / 1000)
             now_ms = self._clock.monotonic_ms()
             self._stats.observe_ms("loop_lag", max(0.0, now_ms - due_ms))
-            self.state.review_peers()
+            for name in self.state.review_peers():
+                self._exchange.exchange_soon(name)
             if now_ms - logged_ms >= LOAD_LOG_INTERVAL_MS:
                 logged_ms = now_ms
                 log.info("vm_load", **self._stats.take(), **self._controller.status())
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -6,7 +6,8 @@
 from .engine_state import AdapterChange, EngineState, ModelChange
 from .fleet_orders import target_name
 from .invariants import MEMORY_NOT_OVERCOMMITTED, require
-from .model_demand import ADAPTER_IDLE_MS, NO_REQUESTS, REQUEST_DURATION_MS, ModelDemand
+from .model_demand import ADAPTER_IDLE_MS, REQUEST_DURATION_MS, ModelDemand
+from .request_rates import RequestRate
 from .store_load_limiter import StoreLoadLimiter
 
 # Fraction of an engine's slots that requests for one model should use at most; higher
@@ -113,7 +114,7 @@
             # The list is seconds old, so the residents from the engine's reports stay.
             engine.record = record
 
-    def set_demand(self, running, waiting, request_counts, now_ms):
+    def set_demand(self, running, waiting, rates, now_ms):
         """Update the demand from the requests of all VMs.
 
         Parameters
@@ -122,8 +123,8 @@
             Engine -> model or adapter -> requests that run there.
         waiting : dict of str to int
             Model or adapter -> requests that wait for it.
-        request_counts : dict of str to RequestCount
-            Model -> requests received by all VMs so far.
+        rates : dict of str to RequestRate
+            By model, over all VMs.
         """
         self._running = running
         running_by_model = {}
@@ -144,15 +145,15 @@
             if adapter:
                 self._adapter_waiting[(model, adapter)] = count
                 adapters_in_use[model] = adapters_in_use.get(model, 0) + 1
+        no_requests = RequestRate(as_of_ms=now_ms)
         for name in self.rule.models:
-            count = request_counts.get(name, NO_REQUESTS)
             demand = self._demand.get(name)
             if demand is None:
-                demand = self._demand[name] = ModelDemand(now_ms - 1, count)
+                demand = self._demand[name] = ModelDemand()
             demand.update(
                 running_by_model.get(name, 0),
                 waiting_by_model.get(name, 0),
-                count,
+                rates.get(name, no_requests),
                 now_ms,
             )
             demand.adapters_in_use = adapters_in_use.get(name, 0)
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -126,8 +126,8 @@
         state.retry_budget.record_request(service, now_ms)
         if is_model_request:
             latency_sensitive = route.objective_ms <= LATENCY_SENSITIVE_OBJECTIVE_MS
-            state.request_counts.record_request(
-                metadata.model, latency_sensitive, bool(metadata.adapter)
+            state.demand.record_request(
+                metadata.model, latency_sensitive, bool(metadata.adapter), now_ms
             )
         if team is not None:
             tokens = team.cost_tokens(metadata.tokens)
@@ -274,7 +274,7 @@
             or refused.retry_after_ms is None
         ):
             return
-        waiting = self._state.waiting
+        waiting = self._state.demand.waiting
         target = request.target
         waiting[target] = waiting.get(target, 0) + 1
         asyncio.get_running_loop().call_later(
@@ -297,7 +297,7 @@
                 patience_ms=round(request.start_deadline_ms - self._state.now_ms()),
                 placement_age_ms=self._state.placement_age_ms(),
             )
-            waiting = self._state.waiting
+            waiting = self._state.demand.waiting
             waiting[target] = waiting.get(target, 0) + 1
             self._notify_waiting()
         timeout_ms = PLACEMENT_DECISION_MS if found.wait_ms is None else 400.0
@@ -314,11 +314,11 @@
         request.waiting_targets.clear()
 
     def _decrement_waiting(self, target):
-        left = self._state.waiting.get(target, 1) - 1
+        left = self._state.demand.waiting.get(target, 1) - 1
         if left > 0:
-            self._state.waiting[target] = left
+            self._state.demand.waiting[target] = left
         else:
-            self._state.waiting.pop(target, None)
+            self._state.demand.waiting.pop(target, None)
 
     async def _connect(self, request, view):
         connection = self._pool.acquire_idle(view.record.address)
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -2,68 +2,9 @@
 
 import orjson
 
-from .fleet_orders import target_name
+from .engine_residency import ResidencyPart
 from .metadata_store import KeyedRecord
-from .model_demand import RequestCount
-
-# A ready time that changes by less is not reported again.
-READY_TIME_TOLERANCE_MS = 50.0
-
-
-class Residency:
-    """What the VM that holds the order lease knows about one engine.
-
-    Parameters
-    ----------
-    started_wall_ms : int
-        Wall-clock time at which the engine started.
-    ready : dict of str to list of str
-        Loaded model -> its loaded adapters.
-    loading : dict of str to float
-        Model or adapter -> time at which it should be ready; in a report, in ms after
-        the report.
-    drained : list of str
-        Models that are about to be evicted and get no new requests.
-    """
-
-    __slots__ = ("started_wall_ms", "ready", "loading", "drained")
-
-    def __init__(self, started_wall_ms, ready, loading, drained):
-        self.started_wall_ms = started_wall_ms
-        self.ready = ready
-        self.loading = loading
-        self.drained = drained
-
-    def targets(self):
-        """Return the models and adapters that are loaded or loading."""
-        held = {
-            target_name(model, adapter)
-            for model, adapters in self.ready.items()
-            for adapter in ("", *adapters)
-        }
-        return held | self.loading.keys()
-
-    def differs(self, known):
-        """Return whether a VM that has `known` needs this update."""
-        return (
-            self.started_wall_ms != known.started_wall_ms
-            or self.ready != known.ready
-            or self.drained != known.drained
-            or self.loading.keys() != known.loading.keys()
-            or any(
-                abs(at_ms - known.loading[name]) > READY_TIME_TOLERANCE_MS
-                for name, at_ms in self.loading.items()
-            )
-        )
-
-    def shifted(self, ms):
-        """Return a copy with all times shifted by some ms."""
-        loading = {name: at + ms for name, at in self.loading.items()}
-        return Residency(self.started_wall_ms, self.ready, loading, self.drained)
-
-    def to_value(self):
-        """Return the list that represents this object in a report."""
-        return [self.started_wall_ms, self.ready, self.loading, self.drained]
+from .vm_state import VmState
 
 
 class StreamPosition:
@@ -95,85 +36,62 @@
         self.records = records
 
 
-class Versions:
-    """Versions of those parts of a VM's state that are reported incrementally.
-
-    Parameters
-    ----------
-    asked, residency : int
-    """
-
-    __slots__ = ("asked", "residency")
-
-    def __init__(self, asked=0, residency=0):
-        self.asked = asked
-        self.residency = residency
-
-
 class VmReport:
     """What one VM reports to another one several times a second.
 
+    Requests and rates are sums: over the sender's own requests, or also over those of
+    the VMs for which it speaks to this receiver.
+
     Parameters
     ----------
-    vm, zone, address : str
+    vm : str
     started_ms : int
-        Distinguishes two starts of a VM.
-    stopping : bool
-    store_reachable : bool
+        Distinguishes two starts of the sender.
+    version : int
+        Version of the sender's state after this report.
+    since : int
+        Version to which this report adds the changes.
+    seen_started_ms : int
+        Start of the receiver to which `seen` applies; 0 without a report from it.
+    seen : int
+        Version of the receiver's state that the sender has.
+    states : list of VmState
+        States of VMs that changed.
+    vouched_ages : dict of str to float
+        VM that hears others -> time in ms since it was last known to go on.
     positions : dict of str to StreamPosition
         By stream of the store.
     records : dict of str to StreamRecords
         Records that the receiver lacks.
-    running : dict of str to dict of str to int
-        Backend server -> model, adapter or service -> this VM's requests there.
+    running : dict of str to dict of str to int or None
+        Backend server -> model, adapter or service -> requests there. The inner key is
+        empty for a receiver that needs no more than the sum. None if this report does
+        not repeat it.
     waiting : dict of str to int
-        Model or adapter -> requests that wait on this VM.
-    asked : dict of str to RequestCount
-        Requests that arrived at this VM since its start, by model; only the counts
-        that changed since the version that the receiver has.
-    used_tokens : dict of str to float
-        Tokens used since the VM's start, by team.
-    fence : int
-        Fencing token if this VM holds the order lease, else 0.
-    order_age_ms : float or None
-        Time since this VM last sent an order.
-    residency : dict of str to Residency or None
-        By engine; only from the lease holder, and only what changed since the version
-        that the receiver has.
-    queued : dict of str to float
-        Model -> time in ms until some engine should have it ready; only from the lease
-        holder.
-    versions : Versions
-        Versions of this VM's state after this report.
-    since : Versions
-        Versions of this VM's state to which this report adds the changes.
-    seen_started_ms : int
-        Start of the receiver to which `seen` applies; 0 without a report from it.
-    seen : Versions
-        Versions of the receiver's state that this VM has.
+        Model or adapter -> requests that wait.
+    rates : dict of str to list
+        Model -> `RequestRate.to_value`, of models that were requested.
+    wants_demand : bool
+        Whether the sender needs `waiting`, `rates` and all of `running`.
+    residency : ResidencyPart or None
     """
 
     __slots__ = (
         "vm",
-        "zone",
-        "address",
         "started_ms",
-        "stopping",
-        "store_reachable",
+        "version",
+        "since",
+        "seen_started_ms",
+        "seen",
+        "states",
+        "vouched_ages",
         "positions",
         "records",
         "running",
         "waiting",
-        "asked",
-        "used_tokens",
-        "fence",
-        "order_age_ms",
+        "rates",
+        "wants_demand",
         "residency",
-        "queued",
-        "versions",
-        "since",
-        "seen_started_ms",
-        "seen",
     )
 
     def __init__(self, **values):
@@ -181,18 +99,10 @@
             setattr(self, name, values[name])
 
 
-VERSION_FIELDS = ("versions", "since", "seen")
-
-
 def encode_report(report):
     """Encode a `VmReport` as a JSON array in the order of its slots."""
     value = {name: getattr(report, name) for name in VmReport.__slots__}
-    for name in VERSION_FIELDS:
-        value[name] = [value[name].asked, value[name].residency]
-    value["asked"] = {
-        name: [count.total, count.latency_sensitive, count.with_adapter]
-        for name, count in report.asked.items()
-    }
+    value["states"] = [state.to_value() for state in report.states]
     value["positions"] = {
         name: [position.next_offset, position.age_ms]
         for name, position in report.positions.items()
@@ -212,11 +122,8 @@
         ]
         for name, part in report.records.items()
     }
-    value["residency"] = (
-        None
-        if report.residency is None
-        else {name: item.to_value() for name, item in report.residency.items()}
-    )
+    if report.residency is not None:
+        value["residency"] = report.residency.to_value()
     return orjson.dumps([value[name] for name in VmReport.__slots__])
 
 
@@ -230,8 +137,7 @@
     """
     try:
         value = dict(zip(VmReport.__slots__, orjson.loads(data), strict=True))
-        for name in VERSION_FIELDS:
-            value[name] = Versions(*value[name])
+        value["states"] = [VmState(*item) for item in value["states"]]
         value["positions"] = {
             name: StreamPosition(*item) for name, item in value["positions"].items()
         }
@@ -248,13 +154,8 @@
             )
             for name, item in value["records"].items()
         }
-        value["asked"] = {
-            name: RequestCount(*item) for name, item in value["asked"].items()
-        }
         if value["residency"] is not None:
-            value["residency"] = {
-                name: Residency(*item) for name, item in value["residency"].items()
-            }
+            value["residency"] = ResidencyPart(*value["residency"])
         return VmReport(**value)
     except (KeyError, TypeError, AttributeError, IndexError) as error:
         raise ValueError(f"invalid report: {error!r}") from error
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -4,13 +4,10 @@
 
 import structlog
 
-from .engine_residency import EngineResidency
-from .fleet_reports import (
-    StreamPosition,
-    StreamRecords,
-    Versions,
-    VmReport,
-)
+from .change_counter import ChangeCounter
+from .engine_residency import RESIDENCY_EXPIRY_MS, EngineResidency
+from .fleet_demand import FleetDemand
+from .fleet_reports import StreamPosition, StreamRecords, VmReport
 from .fleet_view import FleetView
 from .key_freshness import KeyFreshness, StreamFreshness
 from .metadata_store import (
@@ -21,16 +18,22 @@
     KeyedView,
 )
 from .order_lease import OrderLease
-from .peer_table import PeerTable
-from .request_counts import RequestCounts
+from .peer_table import REPORT_PERIOD_MS, PeerTable
+from .peer_topology import OTHERS, OWN, VmPlace
+from .request_rates import RequestRate
 from .shared_quota import SharedQuota
 from .shared_retries import SharedRetryBudget
+from .vm_state import VmState
 
-# A VM relays records that a peer reported only to VMs that still lack them after this
-# many report periods, because the VM that read the store reports them to all.
+# In a small fleet a VM relays records that a peer reported only to VMs that still lack
+# them after this many report periods, because the VM that read the store reports them
+# to all.
 RELAY_DELAY_PERIODS = 2.0
 # Positions in a stream, as received from peers, that are kept for this decision.
 MAX_RELAYED_POSITIONS = 64
+# In a large fleet running requests are reported again after this part of the report
+# period, and not with each report in between.
+RUNNING_PERIOD_FRACTION = 0.8
 # For this long after a failed call to the store, a backend server whose entry is
 # missing stays in use for the grace time, because the entry may reappear.
 STORE_RECOVERY_WINDOW_MS = 4_000.0
@@ -58,7 +61,17 @@
         now_ms = clock.monotonic_ms()
         self.configuration = None
         self.view = FleetView()
-        self.peers = PeerTable(settings.vm_name)
+        self._counter = ChangeCounter()
+        self.peers = PeerTable(
+            VmState(
+                settings.vm_name,
+                settings.zone,
+                settings.peer_address,
+                started_ms,
+                capacity=settings.processor_cores,
+            ),
+            self._counter,
+        )
         self.quota = SharedQuota(settings.first_start, clock.started_ms)
         self.retry_budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s * 1000
@@ -78,13 +91,11 @@
         self.store_reachable = False
         self.store_failed_ms = -float("inf")
         self.stopping = False
-        # Model or adapter -> number of requests that wait on this VM.
-        self.waiting = {}
-        self.request_counts = RequestCounts()
+        self.demand = FleetDemand(self.view, self._counter)
         self.listeners = []
         self.lease = OrderLease(settings.order_turn_ms, now_ms)
-        self.last_order_ms = None
-        self.residency = EngineResidency(self.peers)
+        self.residency = EngineResidency(self._counter)
+        self._wants_demand = False
         self._decoder = decoder
         self._started_ms = started_ms
         # Backend server -> (offset of its entry, BackendRecord).
@@ -240,26 +251,77 @@
     # Reports of peers.
 
     def on_report(self, report):
-        """Apply a report of a peer."""
+        """Apply a report of a peer.
+
+        Returns
+        -------
+        set of str
+            Peers to which this VM should pass on what is new, without delay.
+        """
         now_ms = self.now_ms()
-        before = self.peers.peers.get(report.vm)
-        reported_counts = report.asked
-        if not self.peers.on_report(report, now_ms):
-            return
-        same_start = (
-            before is not None and before.report.started_ms == report.started_ms
-        )
-        self.request_counts.add_peer_growth(
-            before.report.asked if same_start else {}, reported_counts
-        )
-        if before is None:
-            log.info("peer_heard", peer=report.vm, address=report.address)
-        if report.stopping:
-            self.quota.remove_peer(report.vm)
-        else:
-            self.quota.on_peer_report(
-                report.vm, report.started_ms, report.used_tokens, now_ms
+        known = self.peers.link(report.vm)
+        link = self.peers.on_contact(report.vm, report.started_ms, now_ms)
+        if link is None:
+            return set()
+        if known is not None and known is not link:
+            self.demand.on_restart(report.vm)
+            self._recount_peer_requests()
+        if report.seen_started_ms == self._started_ms:
+            link.acked_version = report.seen
+        if report.since <= link.received_version:
+            link.received_version = max(link.received_version, report.version)
+        link.wants_demand = report.wants_demand
+        link.positions = report.positions
+        version_before = self._configuration_version()
+        has_news = self._apply_states(report, now_ms)
+        self.peers.on_vouched(report.vouched_ages, now_ms)
+        self._apply_records(report, now_ms)
+        waited_before = self.demand.waiting_of(report.vm)
+        self._apply_demand(report, now_ms)
+        changes = None
+        if report.residency is not None:
+            changes = self.residency.apply(report.residency, report.vm, now_ms)
+            if changes:
+                self._merge_residency()
+        self.notify()
+        if self.peers.topology.is_mesh:
+            return set()
+        targets = set()
+        if has_news or self._configuration_version() != version_before:
+            targets |= self._linked_peers(now_ms)
+        if changes:
+            targets |= self.peers_to_tell(changes)
+        if report.waiting.keys() - waited_before.keys():
+            targets.add(self.way_to_holder())
+        return targets - {report.vm, None}
+
+    def _configuration_version(self):
+        return None if self.configuration is None else self.configuration.version
+
+    def _apply_states(self, report, now_ms):
+        """Apply the states in a report; return whether there is urgent news."""
+        has_news = False
+        for before, state in self.peers.apply_states(report.states, report.vm, now_ms):
+            if before is None:
+                log.info(
+                    "peer_heard", peer=state.vm, address=state.address, by=report.vm
+                )
+            if state.stopping:
+                self.quota.remove_peer(state.vm)
+            else:
+                self.quota.on_peer_report(
+                    state.vm, state.started_ms, state.used_tokens, now_ms
+                )
+            has_news |= (
+                before is None
+                or before.started_ms != state.started_ms
+                or before.stopping != state.stopping
+                or before.fence != state.fence
+                or before.lost != state.lost
             )
+        return has_news
+
+    def _apply_records(self, report, now_ms):
         for stream, part in report.records.items():
             if stream in self.streams:
                 self.on_records(
@@ -275,40 +337,102 @@
                 and view.next_offset >= position.next_offset
             ):
                 self.freshness_of(stream).confirm(now_ms - position.age_ms)
-        if report.residency is not None:
-            self._merge_residency()
-        self._update_peer_requests(before, report, now_ms)
-        self.notify()
 
-    def _update_peer_requests(self, before, report, now_ms):
-        """Update the counts of other VMs' requests after one report."""
-        if before is None or now_ms - before.last_report_ms > self.peers.timeout_ms():
-            self._recount_peer_requests()
+    def _apply_demand(self, report, now_ms):
+        """Apply the requests that a peer reports, and update the counts with them."""
+        before = self.demand.running_by_backend([report.vm])
+        rates = {
+            model: RequestRate.from_value(value, now_ms)
+            for model, value in report.rates.items()
+        }
+        self.demand.apply(report.vm, report.running, report.waiting, rates)
+        if not self.peers.topology.counts(report.vm, self.peers.places):
             return
-        running = before.report.running
-        for name in running.keys() | report.running.keys():
+        after = self.demand.running_by_backend([report.vm])
+        for name in before.keys() | after.keys():
             view = self.view.backends.get(name)
             if view is not None:
-                view.peer_requests += sum(report.running.get(name, {}).values())
-                view.peer_requests -= sum(running.get(name, {}).values())
+                view.peer_requests += after.get(name, 0) - before.get(name, 0)
 
     def review_peers(self):
-        """Remove expired peers, and stop counting requests of unreachable ones."""
+        """Remove expired peers, and stop counting requests of unreachable ones.
+
+        Returns
+        -------
+        set of str
+            Peers to which this VM should pass on what is new, without delay.
+        """
         now_ms = self.now_ms()
         for name in self.peers.remove_expired(now_ms):
             log.info("peer_forgotten", peer=name)
+        lost = self.peers.mark_lost(now_ms)
+        for name in lost:
+            log.info("peer_lost", peer=name)
+        for name in list(self.peers.links):
+            if not self.peers.is_linked(name, now_ms):
+                self.demand.remove(name)
+        self.demand.rates.forget_idle(now_ms)
+        self._review_quota(now_ms)
+        self._recount_peer_requests()
+        self.remove_missing_backends()
+        flags_changed = self._update_own_state(now_ms)
+        return self._linked_peers(now_ms) if lost or flags_changed else set()
+
+    def _review_quota(self, now_ms):
         self.quota.peer_timeout_ms = self.peers.timeout_ms()
+        for state in self.peers.states.values():
+            self.quota.on_peer_heard(state.vm, self.peers.heard_ms(state))
         share = self.quota.share
         self.quota.update_share(now_ms)
         if self.quota.share != share:
             log.info("quota_share_changed", share=self.quota.share, before=share)
-        self._recount_peer_requests()
-        self.remove_missing_backends()
 
     def _recount_peer_requests(self):
-        total = self.peers.running_elsewhere(self.now_ms())
+        totals = self.demand.running_by_backend(self._linked_peers(self.now_ms()))
         for name, view in self.view.backends.items():
-            view.peer_requests = sum(total.get(name, {}).values())
+            view.peer_requests = totals.get(name, 0)
+
+    def _linked_peers(self, now_ms):
+        return set(self.peers.linked_names(now_ms))
+
+    def _update_own_state(self, now_ms):
+        return self.peers.set_own(
+            now_ms,
+            self.quota.used_tokens(),
+            stopping=self.stopping,
+            store_reachable=self.store_reachable,
+            fence=self.lease.generation if self.may_order() else 0,
+        )
+
+    def way_to_holder(self):
+        """Return the peer through which the lease holder is reached, or None."""
+        if self.lease.active:
+            return None
+        holder = self.peers.holder(self.now_ms())
+        return None if holder is None else self.peers.next_hop(holder.vm)
+
+    def peers_to_tell(self, changes):
+        """Return the peers whose requests a change of engines concerns.
+
+        A relay also tells the other relays, which decide the same for their zones.
+
+        Parameters
+        ----------
+        changes : ResidencyChanges
+        """
+        now_ms = self.now_ms()
+        linked = self._linked_peers(now_ms)
+        topology = self.peers.topology
+        if topology.is_mesh:
+            return linked
+        return {
+            name
+            for name in linked
+            if name in topology.relays
+            or name == topology.relay
+            or not self.demand.waiting_of(name).keys().isdisjoint(changes.targets)
+            or not self.demand.running_of(name).keys().isdisjoint(changes.withdrawn)
+        }
 
     def _merge_residency(self):
         """Set what each engine holds, by the lease holder's report or by its entry."""
@@ -329,58 +453,105 @@
             view.ready = {model: frozenset(held) for model, held in item.ready.items()}
 
     def placement_age_ms(self):
-        """Return the age of the known engine state; None without a lease holder."""
-        return self.residency.age_ms(self.now_ms())
+        """Return the age of the known engine state; None if it is out of use."""
+        age_ms = self.residency.age_ms(self.now_ms())
+        return round(age_ms) if age_ms <= RESIDENCY_EXPIRY_MS else None
 
     def set_own_residency(self, residency, queued):
-        """Set the engine state to report as lease holder, or None if not the holder."""
-        self.residency.set_own(residency, queued, self.now_ms())
+        """Set the engine state to report as lease holder.
+
+        Returns
+        -------
+        ResidencyChanges
+        """
+        changes = self.residency.set_own(
+            self.lease.generation, residency, queued, self.now_ms()
+        )
         self._merge_residency()
         self.notify()
+        return changes
+
+    def end_own_residency(self):
+        """Cease to report as lease holder."""
+        self.residency.end_own()
 
     def build_report(self, name):
         """Return the `VmReport` for one peer."""
         now_ms = self.now_ms()
-        known = self.peers.peers.get(name)
-        peer = None if known is None else known.report
-        base_versions = Versions()
-        if peer is not None and peer.seen_started_ms == self._started_ms:
-            base_versions = peer.seen
-        seen_started_ms, seen = self.peers.seen_versions(name)
-        fence = self.lease.generation if self.may_order() else 0
-        age_ms = None if self.last_order_ms is None else now_ms - self.last_order_ms
+        self._update_own_state(now_ms)
+        peers = self.peers
+        link = peers.link(name)
+        since = 0 if link is None else link.acked_version
+        scope = peers.topology.speaks_for(name, peers.places)
+        sources = self._sources_for(name, scope, now_ms)
+        needs_demand = scope != OTHERS or (link is not None and link.wants_demand)
+        self._update_wants_demand()
         return VmReport(
-            vm=self.settings.vm_name,
-            zone=self.settings.zone,
-            address=self.settings.peer_address,
+            vm=peers.own_name,
             started_ms=self._started_ms,
-            stopping=self.stopping,
-            store_reachable=self.store_reachable,
+            version=self._counter.version,
+            since=since,
+            seen_started_ms=0 if link is None else link.started_ms,
+            seen=0 if link is None else link.received_version,
+            states=peers.states_for(name, since),
+            vouched_ages=peers.vouched_ages(name, now_ms),
             positions={
-                name: StreamPosition(view.next_offset, self._age_ms(name, now_ms))
-                for name, view in self.streams.items()
+                stream: StreamPosition(view.next_offset, self._age_ms(stream, now_ms))
+                for stream, view in self.streams.items()
             },
-            records={} if known is None else self._records_for(known),
-            running={
-                name: view.own_requests_by_target
-                for name, view in self.view.backends.items()
-                if view.own_requests_by_target
-            },
-            waiting={name: count for name, count in self.waiting.items() if count},
-            asked=self.request_counts.since(base_versions.asked),
-            used_tokens=self.quota.used_tokens(),
-            fence=fence,
-            order_age_ms=age_ms,
-            residency=self.residency.since(base_versions.residency, now_ms)
-            if fence
-            else None,
-            queued=self.residency.queued_in_ms(now_ms) if fence else {},
-            versions=Versions(self.request_counts.version, self.residency.version),
-            since=base_versions,
-            seen_started_ms=seen_started_ms,
-            seen=seen,
+            records={} if link is None else self._records_for(link),
+            running=self._running_for(name, link, sources, needs_demand, now_ms),
+            waiting=self.demand.waiting_total(sources) if needs_demand else {},
+            rates={
+                model: rate.to_value(now_ms)
+                for model, rate in self.demand.rates_total(
+                    sources, now_ms, since
+                ).items()
+            }
+            if needs_demand
+            else {},
+            wants_demand=self._wants_demand,
+            residency=self.residency.part_for(name, since, now_ms),
         )
 
+    def _sources_for(self, name, scope, now_ms):
+        """Return the peers whose requests a report to a peer includes."""
+        if scope == OWN:
+            return set()
+        linked = self._linked_peers(now_ms) - {name}
+        if scope == OTHERS:
+            return linked
+        places = self.peers.places
+        return {
+            peer
+            for peer in linked
+            if peer != self.peers.topology.relay
+            and peer in places
+            and places[peer].zone == self.settings.zone
+        }
+
+    def _running_for(self, name, link, sources, needs_demand, now_ms):
+        """Return the running requests to report, or None to not repeat them yet."""
+        if link is not None:
+            period_ms = 0.0
+            if not self.peers.topology.is_mesh:
+                period_ms = RUNNING_PERIOD_FRACTION * self.peers.period_ms(name)
+            if now_ms - link.running_sent_ms < period_ms:
+                return None
+            link.running_sent_ms = now_ms
+        running = self.demand.running(sources)
+        if needs_demand:
+            return running
+        return {name: {"": sum(t.values())} for name, t in running.items()}
+
+    def _update_wants_demand(self):
+        wants = self.lease.granted
+        if wants and not self._wants_demand:
+            # The peers have left out parts of their reports until now.
+            for link in self.peers.links.values():
+                link.received_version = 0
+        self._wants_demand = wants
+
     def _age_ms(self, stream, now_ms):
         freshness = self.freshness_of(stream)
         return (
@@ -389,16 +560,18 @@
             else now_ms - freshness.current_as_of_ms
         )
 
-    def _records_for(self, peer):
+    def _records_for(self, link):
         """Return the records that a peer lacks, by stream."""
-        relay_ms = RELAY_DELAY_PERIODS * self.peers.report_period_ms()
+        relay_ms = RELAY_DELAY_PERIODS * REPORT_PERIOD_MS
+        if not self.peers.topology.is_mesh:
+            relay_ms = 0.0
         parts = {}
         for name, view in self.streams.items():
-            position = peer.report.positions.get(name)
+            position = link.positions.get(name)
             if position is None or view.next_offset is None:
                 continue
             received_ms = self._received_ms(name, position.next_offset or 0)
-            if received_ms is not None and peer.last_report_ms < received_ms + relay_ms:
+            if received_ms is not None and link.heard_ms < received_ms + relay_ms:
                 # The VM that read the records reports them at the same time.
                 continue
             if position.next_offset is not None:
@@ -435,17 +608,18 @@
 
     def running_requests(self):
         """Return the requests of all VMs: backend server -> target -> count."""
-        total = self.peers.running_elsewhere(self.now_ms())
-        for name, view in self.view.backends.items():
-            sums = total.setdefault(name, {})
-            for target, count in view.own_requests_by_target.items():
-                sums[target] = sums.get(target, 0) + count
-        return total
+        return self.demand.running(self._linked_peers(self.now_ms()))
 
     def waiting_requests(self):
         """Return the number of requests that wait on all VMs, by model or adapter."""
-        total = self.peers.waiting_elsewhere(self.now_ms())
-        for target, count in self.waiting.items():
-            if count:
-                total[target] = total.get(target, 0) + count
-        return total
+        return self.demand.waiting_total(self._linked_peers(self.now_ms()))
+
+    def request_rates(self):
+        """Return the request rates over all VMs, by model."""
+        now_ms = self.now_ms()
+        return self.demand.rates_total(self._linked_peers(now_ms), now_ms)
+
+    def add_address(self, name, address, zone=None, capacity=0.0):
+        """Add another VM that may be running."""
+        if name != self.peers.own_name and address != self.settings.peer_address:
+            self.peers.add_place(VmPlace(name, address, zone, capacity))
--- a/cassiamount/model_demand.py
+++ b/cassiamount/model_demand.py
@@ -5,10 +5,6 @@
 # Assumed time that a request spends at an engine; the measured times of the engines are
 # not known here.
 REQUEST_DURATION_MS = 1_500.0
-# Time constants of the exponentially decaying request rates: the fast one shows the
-# current demand, the slow one which models will soon be requested again.
-FAST_WINDOW_MS = 1_500.0
-SLOW_WINDOW_MS = 10_000.0
 # Waiting requests, also of callers told to retry, count as a request rate, as if they
 # had arrived within this time.
 WAITING_WINDOW_S = 3.0
@@ -19,43 +15,6 @@
 LATENCY_SENSITIVE_OBJECTIVE_MS = 1_500.0
 
 
-class RequestCount:
-    """Requests for one model that one or all VMs have received since their start.
-
-    Parameters
-    ----------
-    total : int
-    hurried : int
-        Requests whose callers do not wait for a model load.
-    with_adapter : int
-        Requests that name an adapter of the model.
-    """
-
-    __slots__ = ("total", "latency_sensitive", "with_adapter")
-
-    def __init__(self, total=0, latency_sensitive=0, with_adapter=0):
-        self.total = total
-        self.latency_sensitive = latency_sensitive
-        self.with_adapter = with_adapter
-
-    def add(self, other):
-        """Add the numbers of another count."""
-        self.total += other.total
-        self.latency_sensitive += other.latency_sensitive
-        self.with_adapter += other.with_adapter
-
-    def add_growth(self, before, after):
-        """Add the increase of another count between two of its readings."""
-        self.total += max(0, after.total - before.total)
-        self.latency_sensitive += max(
-            0, after.latency_sensitive - before.latency_sensitive
-        )
-        self.with_adapter += max(0, after.with_adapter - before.with_adapter)
-
-
-NO_REQUESTS = RequestCount()
-
-
 class ModelDemand:
     """Demand for one model over all VMs.
 
@@ -67,27 +26,21 @@
         "running",
         "waiting",
         "last_request_ms",
-        "updated_ms",
-        "total",
         "fast_rate_per_s",
         "slow_rate_per_s",
         "missing_since_ms",
         "latency_sensitive",
-        "adapter_total",
         "adapter_rate_per_s",
         "adapters_in_use",
     )
 
-    def __init__(self, now_ms, request_count):
+    def __init__(self):
         self.running = 0
         self.waiting = 0
         self.last_request_ms = -math.inf
-        self.updated_ms = now_ms
-        self.total = request_count.total
         self.fast_rate_per_s = 0.0
         self.slow_rate_per_s = 0.0
-        # Requests for the model's adapters: in total and per second.
-        self.adapter_total = request_count.with_adapter
+        # Requests per second for the model's adapters.
         self.adapter_rate_per_s = 0.0
         # Adapter slots with running requests, plus adapters that requests wait for.
         self.adapters_in_use = 0
@@ -96,40 +49,29 @@
         # Whether any caller does not wait for a load; None before the first request.
         self.latency_sensitive = None
 
-    def update(self, running, waiting, request_count, now_ms):
-        """Update the demand and its rates.
+    def update(self, running, waiting, rate, now_ms):
+        """Update the demand.
 
         Parameters
         ----------
         running, waiting : int
             Requests that run or wait now.
-        request_count : RequestCount
-            All requests so far.
+        rate : RequestRate
+            Over all VMs.
         now_ms : float
         """
-        elapsed_ms = now_ms - self.updated_ms
-        if elapsed_ms <= 0:
-            return
-        self.updated_ms = now_ms
+        rate.decay(now_ms)
         self.running = running
         self.waiting = waiting
-        arrived = max(0, request_count.total - self.total)
-        self.total = request_count.total
-        adapter_arrivals = max(0, request_count.with_adapter - self.adapter_total)
-        self.adapter_total = request_count.with_adapter
-        self.adapter_rate_per_s = _decayed_rate(
-            self.adapter_rate_per_s, adapter_arrivals, elapsed_ms, SLOW_WINDOW_MS
-        )
-        self.fast_rate_per_s = _decayed_rate(
-            self.fast_rate_per_s, arrived, elapsed_ms, FAST_WINDOW_MS
-        )
-        self.slow_rate_per_s = _decayed_rate(
-            self.slow_rate_per_s, arrived, elapsed_ms, SLOW_WINDOW_MS
-        )
-        if running or waiting or arrived:
+        self.fast_rate_per_s = rate.fast_per_s
+        self.slow_rate_per_s = rate.slow_per_s
+        self.adapter_rate_per_s = rate.adapter_per_s
+        self.last_request_ms = max(self.last_request_ms, rate.last_request_ms)
+        if running or waiting:
             self.last_request_ms = now_ms
+        if self.last_request_ms > -math.inf:
             self.latency_sensitive = (
-                bool(self.latency_sensitive) or request_count.latency_sensitive > 0
+                bool(self.latency_sensitive) or rate.latency_sensitive
             )
 
     @property
@@ -149,8 +91,3 @@
         return max(
             self.fast_rate_per_s, self.slow_rate_per_s, self.waiting / WAITING_WINDOW_S
         )
-
-
-def _decayed_rate(rate_per_s, arrived, elapsed_ms, window_ms):
-    decay = math.exp(-elapsed_ms / window_ms)
-    return decay * rate_per_s + 1000 * arrived / window_ms
--- a/cassiamount/order_lease.py
+++ b/cassiamount/order_lease.py
@@ -100,6 +100,11 @@
         self._granted = False
         self._deactivate(now_ms)
 
+    @property
+    def granted(self):
+        """Whether the store has given this VM the lease."""
+        return self._granted
+
     @property
     def active(self):
         """Whether the last decision of `may_order` allowed orders."""
--- a/cassiamount/peer_table.py
+++ b/cassiamount/peer_table.py
@@ -1,207 +1,420 @@
-"""Latest reports of the other VMs of a fleet."""
+"""What one VM knows about the other VMs of a fleet."""
 
-from .fleet_reports import Versions
 from .order_lease import PeerSummary
+from .peer_topology import PeerTopology, VmPlace
 
 # Interval of the reports to one peer in a small fleet.
 REPORT_PERIOD_MS = 100.0
-# Maximum number of reports that a VM exchanges in a second, so that reports do not
-# overload the small VMs of a large fleet.
-REPORTS_PER_S = 60.0
-# A peer without a report for this long counts as unreachable.
+# The same between a VM and the relay of its zone, and between two relays.
+MEMBER_PERIOD_MS = 500.0
+RELAY_PERIOD_MS = 250.0
+# A peer without a report for this long counts as unreachable. In a large fleet a report
+# passes two relays.
 PEER_TIMEOUT_MS = 700.0
-# The same in report periods, for large fleets: a single lost report does not make a
-# peer unreachable.
-PEER_TIMEOUT_PERIODS = 2.5
-# A peer without a report for this long is removed.
+RELAYED_TIMEOUT_MS = 2_000.0
+# Time without a report after which a relay says that a VM of its zone is lost, and a VM
+# uses another relay.
+MEMBER_TIMEOUT_MS = 1_250.0
+RELAY_TIMEOUT_MS = 800.0
+# A VM that was not heard of for this long is removed.
 PEER_EXPIRY_MS = 20_000.0
+# Time for which the set of reachable VMs is not determined again.
+LIVE_CACHE_MS = 20.0
+# Interval at which a VM tells the others which tokens it charged, in a large fleet.
+USE_INTERVAL_MS = 500.0
 
 
-class Peer:
-    """The last report of one peer, merged with its earlier ones.
+class Link:
+    """What is known about the exchange with one peer.
 
     Parameters
     ----------
-    report : VmReport
-        Its `asked` has the counts of all models.
-    last_report_ms : float
-    residency : dict of str to Residency or None
-        All engines, with times of this VM's clock; only of a lease holder.
-    queued : dict of str to float
-        Model -> time at which some engine should have it ready.
-    seen : Versions
-        Versions up to which this VM has all changes of the peer's state.
+    started_ms : int
+        Start of the peer to which this applies.
     """
 
-    __slots__ = ("report", "last_report_ms", "residency", "queued", "seen")
+    __slots__ = (
+        "started_ms",
+        "received_version",
+        "acked_version",
+        "positions",
+        "heard_ms",
+        "wants_demand",
+        "running_sent_ms",
+    )
 
-    def __init__(self, report, last_report_ms, residency, queued, seen):
-        self.report = report
-        self.last_report_ms = last_report_ms
-        self.residency = residency
-        self.queued = queued
-        self.seen = seen
+    def __init__(self, started_ms):
+        self.started_ms = started_ms
+        # Version of the peer's state up to which this VM has all changes.
+        self.received_version = 0
+        # Version of this VM's state up to which the peer has all changes.
+        self.acked_version = 0
+        # Stream of the store -> the peer's `StreamPosition`.
+        self.positions = {}
+        self.heard_ms = -float("inf")
+        # Whether the peer needs the demand of all VMs, to send orders.
+        self.wants_demand = False
+        # When this VM last reported its running requests to the peer.
+        self.running_sent_ms = -float("inf")
 
 
 class PeerTable:
-    """The latest report of each peer.
+    """The states of all VMs, and whether they are reachable.
 
     Parameters
     ----------
-    own_name : str
+    own : VmState
+        This VM's own state; `set_own` changes it.
+    counter : ChangeCounter
     """
 
-    def __init__(self, own_name):
-        self.own_name = own_name
-        self.peers = {}
-        # Name -> address of each VM that may be running.
-        self.addresses = {}
+    def __init__(self, own, counter):
+        self.own = own
+        self.own.voucher = own.vm
+        self.own_name = own.vm
+        # Name -> VmState of each other VM that was heard of.
+        self.states = {}
+        # Name -> Link of each VM that has sent reports to this one.
+        self.links = {}
+        # Name -> VmPlace of each other VM that may be running.
+        self.places = {}
+        # VMs to which this VM's exchanges fail.
+        self.failing = set()
+        self._counter = counter
+        self._versions = {own.vm: counter.next()}
+        # Name -> the peer that reported its state.
+        self._sources = {}
+        # VM that hears others -> time at which it was last known to go on.
+        self._vouched_ms = {}
+        self._heard_ms = {}
+        self._use_told_ms = -float("inf")
+        self._topology = None
+        self._relay = None
+        self._live = None
+        self._live_ms = 0.0
 
-    def on_report(self, report, now_ms):
-        """Apply a report, unless it is of an earlier start of the peer.
+    # Links.
+
+    @property
+    def topology(self):
+        """The current `PeerTopology`."""
+        if self._topology is None:
+            own = VmPlace(
+                self.own_name, self.own.address, self.own.zone, self.own.capacity
+            )
+            self._topology = PeerTopology(own, self.places, self.failing)
+            if self._topology.relay != self._relay:
+                self._relay = self._topology.relay
+                # A new sequence number, because the new relay vouches for this VM.
+                self._bump_own()
+        return self._topology
+
+    def add_place(self, place):
+        """Add a VM that may be running, unless more is known about it already."""
+        known = self.places.get(place.name)
+        if known is not None and (known.zone is not None or place.zone is None):
+            return
+        self.places[place.name] = place
+        self._topology = None
+
+    def set_failing(self, name, failing):
+        """Record whether the exchanges with a VM fail; return whether that is new."""
+        if (name in self.failing) == failing:
+            return False
+        if failing:
+            self.failing.add(name)
+        else:
+            self.failing.discard(name)
+        self._topology = None
+        return True
+
+    def link(self, name):
+        """Return the `Link` of a peer, or None before its first report."""
+        return self.links.get(name)
+
+    def period_ms(self, name):
+        """Return the interval of the reports to a peer."""
+        topology = self.topology
+        if topology.is_mesh:
+            return REPORT_PERIOD_MS
+        return RELAY_PERIOD_MS if name in topology.relays else MEMBER_PERIOD_MS
+
+    def link_timeout_ms(self, name):
+        """Return how long the requests that a peer reported count without news."""
+        topology = self.topology
+        if topology.is_mesh:
+            return PEER_TIMEOUT_MS
+        return RELAY_TIMEOUT_MS if name in topology.relays else MEMBER_TIMEOUT_MS
+
+    def is_linked(self, name, now_ms):
+        """Return whether a peer reports to this VM and its requests count."""
+        link = self.links.get(name)
+        return (
+            link is not None
+            and now_ms - link.heard_ms <= self.link_timeout_ms(name)
+            and self.topology.counts(name, self.places)
+        )
+
+    def linked_names(self, now_ms):
+        """Return the names of all linked peers."""
+        return [name for name in self.links if self.is_linked(name, now_ms)]
+
+    def next_hop(self, name):
+        """Return the peer through which a VM is reached."""
+        topology = self.topology
+        if topology.is_mesh or topology.relay is None:
+            state = self.states.get(name)
+            if topology.is_mesh or state is None or state.zone == self.own.zone:
+                return name
+            for relay in topology.relays:
+                if self.places[relay].zone == state.zone:
+                    return relay
+            return name
+        return topology.relay
+
+    # States.
+
+    def set_own(self, now_ms, used_tokens, **flags):
+        """Update this VM's own state.
+
+        Parameters
+        ----------
+        now_ms : float
+        used_tokens : dict of str to float
+        **flags
+            `stopping`, `store_reachable` and `fence`.
 
         Returns
         -------
         bool
-            Whether it was applied.
+            Whether a flag changed, which the others should hear of soon.
         """
-        known = self.peers.get(report.vm)
-        if known is not None and report.started_ms < known.report.started_ms:
-            return False
-        for name, address in list(self.addresses.items()):
-            if address == report.address:
-                # Seed addresses are entered without the names of their VMs.
-                del self.addresses[name]
-        if not report.stopping:
-            self.addresses[report.vm] = report.address
-        is_same_start = (
-            known is not None and known.report.started_ms == report.started_ms
-        )
-        self.peers[report.vm] = self._merge_report(
-            report, known if is_same_start else None, now_ms
+        changed = [
+            name for name, value in flags.items() if getattr(self.own, name) != value
+        ]
+        for name in changed:
+            setattr(self.own, name, flags[name])
+        interval_ms = 0.0 if self.topology.is_mesh else USE_INTERVAL_MS
+        use_due = (
+            now_ms - self._use_told_ms >= interval_ms
+            and used_tokens != self.own.used_tokens
         )
-        return True
+        if use_due:
+            self._use_told_ms = now_ms
+            self.own.used_tokens = dict(used_tokens)
+        if changed or use_due:
+            self._bump_own()
+        return bool(changed)
+
+    def _bump_own(self):
+        self.own.sequence += 1
+        self._versions[self.own_name] = self._counter.next()
 
-    def _merge_report(self, report, known, now_ms):
-        """Return the `Peer` of a report merged with earlier ones of the same start."""
-        seen = Versions()
-        residency = None
-        if report.residency is not None:
-            residency = {
-                name: item.shifted(now_ms) for name, item in report.residency.items()
-            }
-        if known is not None:
-            seen.asked = known.seen.asked
-            report.asked = {**known.report.asked, **report.asked}
-            if residency is not None and known.residency is not None:
-                seen.residency = known.seen.residency
-                residency = {**known.residency, **residency}
-        if report.since.asked <= seen.asked:
-            seen.asked = report.versions.asked
-        if residency is not None and report.since.residency <= seen.residency:
-            seen.residency = report.versions.residency
-        queued = {name: now_ms + ms for name, ms in report.queued.items()}
-        return Peer(report, now_ms, residency, queued, seen)
-
-    def report_period_ms(self):
-        """Return the interval of reports to one peer."""
-        return max(REPORT_PERIOD_MS, 1000 * len(self.addresses) / REPORTS_PER_S)
+    def on_contact(self, name, started_ms, now_ms):
+        """Record that a peer's own report has arrived.
+
+        Returns
+        -------
+        Link or None
+            None if the report is of an earlier start of the peer.
+        """
+        link = self.links.get(name)
+        if link is not None and started_ms < link.started_ms:
+            return None
+        if link is None or started_ms > link.started_ms:
+            link = self.links[name] = Link(started_ms)
+        if now_ms - link.heard_ms > LIVE_CACHE_MS:
+            self._live = None
+        link.heard_ms = now_ms
+        self._heard_ms[name] = now_ms
+        self._vouched_ms[name] = now_ms
+        self.set_failing(name, False)
+        state = self.states.get(name)
+        if state is not None and state.lost and state.voucher == self.own_name:
+            state.lost = False
+            self._versions[name] = self._counter.next()
+        return link
+
+    def apply_states(self, states, source, now_ms):
+        """Apply the states in a peer's report.
+
+        Returns
+        -------
+        list of (VmState or None, VmState)
+            Those that were new to this VM, each with the one before.
+        """
+        applied = []
+        for state in states:
+            if state.vm == self.own_name:
+                continue
+            if state.vm == source:
+                # This VM hears it directly.
+                state.voucher = source if self.topology.is_mesh else self.own_name
+                state.lost = False
+            known = self.states.get(state.vm)
+            if known is not None and not _is_newer(state, known, source):
+                continue
+            self.states[state.vm] = state
+            self._sources[state.vm] = source
+            self._versions[state.vm] = self._counter.next()
+            self._heard_ms.setdefault(state.vm, now_ms)
+            self._live = None
+            self._place(state)
+            applied.append((known, state))
+        return applied
+
+    def _place(self, state):
+        known = self.places.get(state.vm)
+        if state.stopping:
+            if known is not None:
+                del self.places[state.vm]
+                self._topology = None
+            return
+        for name, place in list(self.places.items()):
+            if place.address == state.address and name != state.vm:
+                # Seed addresses are entered without the names of their VMs, and an
+                # address may be used again by a new VM.
+                del self.places[name]
+                self._topology = None
+        if (
+            known is None
+            or known.zone != state.zone
+            or known.address != state.address
+            or known.capacity != state.capacity
+        ):
+            self.places[state.vm] = VmPlace(
+                state.vm, state.address, state.zone, state.capacity
+            )
+            self._topology = None
+
+    def states_for(self, peer, since_version):
+        """Return the states that a peer lacks, this VM's own included."""
+        place = self.places.get(peer)
+        # The relay of another zone hears of the VMs of the other zones by their relays.
+        own_zone_only = place is not None and place.zone != self.own.zone
+        states = []
+        for name, version in self._versions.items():
+            if version <= since_version or name == peer:
+                continue
+            if name == self.own_name:
+                states.append(self.own)
+                continue
+            state = self.states[name]
+            if (
+                not self.topology.is_mesh
+                and self._sources[name] != peer
+                and (not own_zone_only or state.zone == self.own.zone)
+            ):
+                states.append(state)
+        return states
+
+    def vouched_ages(self, peer, now_ms):
+        """Return the age of what this VM knows through others, by voucher."""
+        if self.topology.is_mesh:
+            return {}
+        vouchers = {state.voucher for state in self.states.values()}
+        return {
+            name: round(now_ms - at_ms)
+            for name, at_ms in self._vouched_ms.items()
+            if name in vouchers and name != peer
+        }
+
+    def on_vouched(self, ages, now_ms):
+        """Apply the ages in a peer's report."""
+        for name, age_ms in ages.items():
+            at_ms = now_ms - age_ms
+            if at_ms > self._vouched_ms.get(name, -float("inf")):
+                self._vouched_ms[name] = at_ms
+
+    def heard_ms(self, state):
+        """Return when a VM was last known to go on."""
+        own_ms = self._heard_ms.get(state.vm, -float("inf"))
+        if state.lost or state.voucher == self.own_name:
+            return own_ms
+        return max(own_ms, self._vouched_ms.get(state.voucher, -float("inf")))
+
+    def mark_lost(self, now_ms):
+        """Say of silent VMs for which this VM vouches that they are lost.
+
+        Returns
+        -------
+        list of str
+        """
+        lost = []
+        for name, state in self.states.items():
+            if (
+                state.voucher == self.own_name
+                and not state.lost
+                and now_ms - self._heard_ms[name] > MEMBER_TIMEOUT_MS
+            ):
+                state.lost = True
+                self._live = None
+                self._versions[name] = self._counter.next()
+                lost.append(name)
+        return lost
 
     def timeout_ms(self):
-        """Return the time without a report after which a peer is unreachable."""
-        return max(PEER_TIMEOUT_MS, PEER_TIMEOUT_PERIODS * self.report_period_ms())
+        """Return the time without news after which a VM counts as unreachable."""
+        return PEER_TIMEOUT_MS if self.topology.is_mesh else RELAYED_TIMEOUT_MS
 
-    def seen_versions(self, name):
-        """Return the start of a peer and the `Versions` of its state on this VM."""
-        known = self.peers.get(name)
-        if known is None:
-            return 0, Versions()
-        return known.report.started_ms, known.seen
+    def is_reachable(self, state, now_ms):
+        """Return whether a VM's reports arrive, on whichever way."""
+        return not state.lost and now_ms - self.heard_ms(state) <= self.timeout_ms()
 
     def remove_expired(self, now_ms):
-        """Remove expired peers; return their names."""
+        """Remove VMs that were not heard of for long; return their names."""
         expired = [
             name
-            for name, peer in self.peers.items()
-            if now_ms - peer.last_report_ms > PEER_EXPIRY_MS
+            for name, state in self.states.items()
+            if now_ms - self.heard_ms(state) > PEER_EXPIRY_MS
         ]
+        if expired:
+            self._live = None
         for name in expired:
-            del self.peers[name]
+            for table in (self.states, self.links, self._versions, self._sources):
+                table.pop(name, None)
+            self._heard_ms.pop(name, None)
+            self._vouched_ms.pop(name, None)
         return expired
 
-    def live_reports(self, now_ms):
-        """Return the reports of all reachable peers."""
-        timeout_ms = self.timeout_ms()
-        return [
-            peer.report
-            for peer in self.peers.values()
-            if now_ms - peer.last_report_ms <= timeout_ms
-        ]
+    def live_states(self, now_ms):
+        """Return the states of all reachable VMs."""
+        if self._live is None or not 0 <= now_ms - self._live_ms < LIVE_CACHE_MS:
+            self._live = [
+                s for s in self.states.values() if self.is_reachable(s, now_ms)
+            ]
+            self._live_ms = now_ms
+        return self._live
 
     def vm_count(self, now_ms):
         """Return how many VMs may be sending requests, including this one."""
-        return 1 + sum(
-            now_ms - peer.last_report_ms <= PEER_EXPIRY_MS and not peer.report.stopping
-            for peer in self.peers.values()
-        )
+        return 1 + sum(not state.stopping for state in self.states.values())
 
     def store_reader_rank(self, now_ms):
-        """Return this VM's rank by name among the VMs that can read the store."""
+        """Return this VM's rank among the VMs that can read the store."""
         return sum(
-            report.vm < self.own_name and not report.stopping and report.store_reachable
-            for report in self.live_reports(now_ms)
+            state.rank < self.own.rank and not state.stopping and state.store_reachable
+            for state in self.live_states(now_ms)
         )
 
-    def running_elsewhere(self, now_ms):
-        """Return requests of reachable peers: backend server -> target -> count."""
-        total = {}
-        for report in self.live_reports(now_ms):
-            for backend, targets in report.running.items():
-                sums = total.setdefault(backend, {})
-                for target, count in targets.items():
-                    sums[target] = sums.get(target, 0) + count
-        return total
-
-    def waiting_elsewhere(self, now_ms):
-        """Return the number of requests that wait at reachable peers, by target."""
-        total = {}
-        for report in self.live_reports(now_ms):
-            for target, count in report.waiting.items():
-                total[target] = total.get(target, 0) + count
-        return total
-
-    def affected_peers(self, engines, targets, now_ms):
-        """Return the peers that have requests affected by a change of engines.
-
-        Parameters
-        ----------
-        engines : collection of str
-            Engines that changed.
-        targets : collection of str
-            Models and adapters that became available.
-        now_ms : float
-
-        Returns
-        -------
-        list of str
-        """
-        return [
-            report.vm
-            for report in self.live_reports(now_ms)
-            if not report.waiting.keys().isdisjoint(targets)
-            or not report.running.keys().isdisjoint(engines)
-        ]
-
     def peer_summary(self, now_ms):
         """Return the state of the peers on which the order lease depends."""
-        reachable = [
-            report for report in self.live_reports(now_ms) if not report.stopping
-        ]
-        known = sum(not peer.report.stopping for peer in self.peers.values())
-        fence = max((report.fence for report in reachable), default=0)
+        reachable = [s for s in self.live_states(now_ms) if not s.stopping]
+        known = sum(not state.stopping for state in self.states.values())
+        fence = max((state.fence for state in reachable), default=0)
         return PeerSummary(len(reachable), known, fence)
 
     def holder(self, now_ms):
-        """Return the report of the peer that holds the order lease, or None."""
-        holders = [report for report in self.live_reports(now_ms) if report.fence]
-        return max(holders, key=lambda report: report.fence, default=None)
+        """Return the state of the VM that holds the order lease, or None."""
+        holders = [state for state in self.live_states(now_ms) if state.fence]
+        return max(holders, key=lambda state: state.fence, default=None)
+
+
+def _is_newer(state, known, source):
+    """Return whether a reported state replaces the known one of the same VM."""
+    if state.age_order != known.age_order:
+        return state.age_order > known.age_order
+    if state.voucher != known.voucher:
+        return state.vm == source
+    # The VM that hears it directly says that it is lost, or no longer is.
+    return state.lost != known.lost
--- a/cassiamount/platform/settings.py
+++ b/cassiamount/platform/settings.py
@@ -30,6 +30,8 @@
     (("Bounds", "RetrySlack"), (int, float), "retry_slack", 10),
     (("Bounds", "LeaseMs"), (int, float), "order_turn_ms", 3_000),
     (("Platform", "MinTtlMs"), (int, float), "min_lease_ms", 1_000),
+    (("Limits", "CpuShare"), (int, float), "cpu_share", 1.0),
+    (("Limits", "Cores"), (int, float), "cores", 1),
 )
 
 
@@ -77,6 +79,8 @@
             )
     if findings:
         return Err(findings)
+    # The share is one of a core that is this many times as fast.
+    values["processor_cores"] = round(values.pop("cpu_share") * values.pop("cores"), 2)
     return Ok(VmSettings(**values))
 
 
--- a/cassiamount/shared_quota.py
+++ b/cassiamount/shared_quota.py
@@ -151,6 +151,12 @@
         self._peers[peer] = (started, dict(used), now_ms)
         self.update_share(now_ms)
 
+    def on_peer_heard(self, peer, heard_ms):
+        """Record when a peer was last known to go on, though it reported no use."""
+        known = self._peers.get(peer)
+        if known is not None:
+            self._peers[peer] = (known[0], known[1], heard_ms)
+
     def remove_peer(self, peer):
         """Remove a peer that reported that it is stopping."""
         self._peers.pop(peer, None)
--- a/cassiamount/vm_settings.py
+++ b/cassiamount/vm_settings.py
@@ -32,6 +32,8 @@
         Time within which two holders of the order lease must not both send orders.
     min_lease_ms : float
         Shortest lease that the store grants.
+    processor_cores : float
+        Processor capacity of this VM.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         "retry_window_s",
         "order_turn_ms",
         "min_lease_ms",
+        "processor_cores",
     )
 
     def __init__(self, **values):
--- a/tests/fleet_world/engines.py
+++ b/tests/fleet_world/engines.py
@@ -163,11 +163,16 @@
 class WorldEngineClient:
     """One VM's client of the engines, as the platform's `EngineClient`."""
 
-    def __init__(self, network, engines, vm, rng):
+    def __init__(self, network, engines, vm):
         self._network = network
         self._engines = engines
         self._vm = vm
-        self._rng = rng
+
+    async def start(self):
+        return None
+
+    async def close(self):
+        return None
 
     async def order(self, order):
         try:
@@ -279,8 +284,7 @@
 class WorldCodec:
     """Passes requests to `WorldConnection` without encoding them."""
 
-    def __init__(self):
-        self.metadata = {}
+    decode_request = None
 
     def encode_request(self, method, target, headers, body, attempt):
         return body, attempt.backend
--- a/tests/fleet_world/store.py
+++ b/tests/fleet_world/store.py
@@ -61,6 +61,12 @@
         self._vm = vm
         self.calls = 0
 
+    async def start(self):
+        return None
+
+    async def close(self):
+        return None
+
     async def _call(self, size):
         self.calls += 1
         if not self._store.up:
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -5,20 +5,13 @@
 import random
 
 import orjson
-import structlog
 
 from cassiamount.fleet import RequestMetadata
-from cassiamount.fleet_controller import FleetController
-from cassiamount.fleet_relay import FleetRelay
-from cassiamount.fleet_state import FleetState
+from cassiamount.fleet_node import FleetNode, PlatformAdapter
 from cassiamount.interval_stats import IntervalStats
-from cassiamount.metadata_store import BACKENDS, CONFIGURATION, VMS
-from cassiamount.metrics import Metrics
-from cassiamount.peer_exchange import PeerExchange
+from cassiamount.metadata_store import BACKENDS, CONFIGURATION
 from cassiamount.platform.settings import decode_settings
 from cassiamount.relayed_request import InboundRequest
-from cassiamount.replica_selection import ReplicaSelector, SentPrefixIndex
-from cassiamount.store_follower import StoreFollower
 from tests.fleet_fixtures import Decoder
 from tests.machines.virtual import VirtualLoop
 
@@ -50,7 +43,6 @@
 Limits:
   CpuShare: {cores}
   Cores: 1
-  LinkMbps: {link_mbps}
 Bounds:
   RevokeMs: 5000
 """
@@ -104,116 +96,69 @@
         return 1_700_000_000_000 + int(self._loop.true_ms)
 
 
-class WorldVm:
-    """The parts of one VM that need no sockets."""
+class TotalStats(IntervalStats):
+    """Also keeps the sums of all counts."""
+
+    __slots__ = ("totals",)
+
+    def __init__(self):
+        super().__init__()
+        self.totals = collections.Counter()
+
+    def count(self, name, amount=1):
+        super().count(name, amount)
+        self.totals[name] += amount
+
+
+class NoServer:
+    """Takes the place of a listening server."""
+
+    async def stop(self, timeout_ms):
+        return 0
+
+
+class WorldVm(FleetNode):
+    """One VM without listening sockets."""
 
     def __init__(self, world, name, zone, is_large):
-        self.world = world
-        self.name = name
-        config = world.config
-        text = SETTINGS.format(
-            name=name,
-            zone=zone,
-            cores=2.15 if is_large else 0.516,
-            link_mbps=config.large_link_mbps if is_large else config.small_link_mbps,
+        text = SETTINGS.format(name=name, zone=zone, cores=2.15 if is_large else 0.516)
+        self.pool = WorldPool(world.network, world.engines, world.addresses, name)
+        platform = PlatformAdapter(
+            WorldStoreClient(world.network, world.store, name),
+            WorldEngineClient(world.network, world.engines, name),
+            Decoder,
+            WorldCodec(),
         )
-        settings = decode_settings(text, "boot.yaml").unwrap()
-        clock = LoopClock(world.loop)
-        self.stats = IntervalStats()
-        self.store = WorldStoreClient(world.network, world.store, name)
-        self.state = FleetState(settings, Decoder, clock, clock.wall_ms())
-        self.exchange = PeerExchange(
-            settings.peer_address,
+        super().__init__(
+            decode_settings(text, "boot.yaml").unwrap(),
+            platform,
+            LoopClock(world.loop),
             WorldTransport(world.network, world.servers, name),
-            self.state.peers,
-            self.state.build_report,
-            self._on_report,
-            clock,
-            self.stats,
-        )
-        rng = random.Random(world.rng.random())
-        metrics = Metrics()
-        self.controller = FleetController(
-            self.state,
-            self.store,
-            WorldEngineClient(world.network, world.engines, name, rng),
-            self.exchange,
-            metrics,
-            self.stats,
-        )
-        prefixes = SentPrefixIndex()
-        self.pool = WorldPool(world.network, world.engines, world.addresses, name)
-        self.relay = FleetRelay(
-            self.state,
-            ReplicaSelector(self.state.view, zone, prefixes),
             self.pool,
-            WorldCodec(),
-            prefixes,
-            metrics,
-            structlog.get_logger(),
-            rng,
-            self._notify_lease_holder,
+            random.Random(world.rng.random()),
+            TotalStats(),
         )
-        self.tasks = []
-
-    def _on_report(self, report):
-        waiting = bool(report.waiting)
-        self.state.on_report(report)
-        if waiting:
-            self.controller.wake()
-
-    def _notify_lease_holder(self):
-        if self.state.lease.active:
-            self.controller.wake()
-            return
-        holder = self.state.peers.holder(self.state.now_ms())
-        if holder is not None:
-            self.exchange.exchange_soon(holder.vm)
-
-    async def start(self):
-        await self.exchange.start()
-        runs = [
-            self.exchange.run,
-            self.controller.renew_lease,
-            self.controller.run,
-            self._announce,
-            self._review,
-        ]
-        for stream in (CONFIGURATION, BACKENDS):
-            runs.append(
-                StoreFollower(stream, self.store, self.state, self._on_change).run
-            )
-        self.tasks = [asyncio.create_task(run()) for run in runs]
-        for task in self.tasks:
-            task.add_done_callback(self.world.on_task_ended)
-
-    def _on_change(self, stream):
-        if stream == CONFIGURATION:
-            self.exchange.exchange_soon()
-
-    async def _announce(self):
-        table = self.state.peers
-        for address in self.state.settings.seed_addresses:
-            if address != self.state.settings.peer_address:
-                table.addresses[f"seed {address}"] = address
-        address = self.state.settings.peer_address
-        await self.store.put(VMS, self.name, address.encode())
-        page = await self.store.newest(VMS)
-        for record in page.records:
-            if record.key != self.name:
-                table.addresses.setdefault(record.key, record.value.decode())
-
-    async def _review(self):
-        while True:
-            await asyncio.sleep(0.1)
-            self.state.review_peers()
+        self.task = None
+
+    async def _start_servers(self):
+        self._servers = {"callers": NoServer()}
+
+    def start(self):
+        self.task = asyncio.create_task(self.run())
+
+    async def serve(self, inbound):
+        """Serve a caller's request."""
+        await self._relay.serve(inbound)
+
+    @property
+    def totals(self):
+        """Counts of the VM's own work."""
+        return self._stats.totals
 
     async def kill(self):
         """End the VM at once."""
-        for task in self.tasks:
-            task.cancel()
-        self.pool.close()
-        await self.exchange.close()
+        self.task.cancel()
+        await asyncio.wait([self.task])
 
 
 class Caller:
@@ -298,14 +243,14 @@
         zones = [f"z{n}" for n in range(self.config.zones)]
         for index in range(self.config.vms):
             large = index < self.config.large_vms
-            await self.add_vm(f"vm-{index:02d}", zones[index % len(zones)], large)
+            self.add_vm(f"vm-{index:02d}", zones[index % len(zones)], large)
         jobs = [asyncio.create_task(self._heartbeats())]
         await asyncio.sleep(START_MS / 1000)
         for link in self.network.links.values():
             link.bytes = {"out": 0, "in": 0}
             link.longest_queue_ms = 0.0
         for vm in self.vms.values():
-            vm.stats.take()
+            vm.totals.clear()
         if script is not None:
             jobs.append(asyncio.create_task(script(self)))
         for job in jobs:
@@ -314,23 +259,22 @@
         for job in jobs:
             job.cancel()
         for vm in self.vms.values():
-            for name, value in vm.stats.take().items():
-                if not name.endswith("_ms"):
-                    self.duties[name] += value
+            self.duties.update(vm.totals)
             await vm.kill()
         rest = asyncio.all_tasks() - {asyncio.current_task()}
         for task in rest:
             task.cancel()
         await asyncio.gather(*rest, return_exceptions=True)
 
-    async def add_vm(self, name, zone, large=False):
+    def add_vm(self, name, zone, large=False):
         """Start a VM."""
         config = self.config
         mbps = config.large_link_mbps if large else config.small_link_mbps
         self.network.links[name] = Link(self.loop, mbps * 1000 / 8)
         self.network.zones[name] = zone
         self.vms[name] = WorldVm(self, name, zone, large)
-        await self.vms[name].start()
+        self.vms[name].start()
+        self.vms[name].task.add_done_callback(self.on_task_ended)
 
     async def kill_vm(self, name):
         """End a VM at once."""
@@ -509,7 +453,7 @@
         inbound = InboundRequest(
             metadata, b"/", [], metadata, self.loop.true_ms, caller
         )
-        await vm.relay.serve(inbound)
+        await vm.serve(inbound)
 
     def share(self, outcome, route=None):
         """Return the share of requests with an outcome."""
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -111,7 +111,7 @@
     """Guards against a VM that gets no updates while it alone can't reach the store."""
     await fleet.add_vm("v1")
     unreachable = await fleet.add_vm("v2")
-    await fleet.wait_until(lambda: len(unreachable.state.peers.peers) == 1)
+    await fleet.wait_until(lambda: len(unreachable.state.peers.states) == 1)
     unreachable._platform.store._base = "http://127.0.0.1:9"
     fleet.store.put("keyed.op", "config", configuration(7))
     await fleet.wait_until(lambda: unreachable.state.configuration.version == 7)
@@ -261,7 +261,7 @@
     request = asyncio.create_task(
         fleet.send_request("v1", "/chat/x", X_Cassiamount_Model="m2")
     )
-    await fleet.wait_until(lambda: bool(node.state.waiting))
+    await fleet.wait_until(lambda: bool(node.state.demand.waiting))
     node.request_stop()
     status, head, _ = await request
     assert status == 503
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -11,7 +11,7 @@
     MAX_CANDIDATE_MODELS,
     FleetPlacement,
 )
-from cassiamount.model_demand import RequestCount
+from cassiamount.request_rates import RequestRate
 
 MODEL_MB = 70_000.0
 MODELS = {
@@ -54,9 +54,35 @@
     return placement
 
 
+def make_rate(now_ms, requests, with_adapter=False):
+    rate = RequestRate(as_of_ms=now_ms)
+    for _ in range(requests):
+        rate.record_request(False, with_adapter, now_ms)
+    return rate
+
+
+class Requests:
+    """Rates of the requests that arrived between two calls of `update_demand`."""
+
+    def __init__(self):
+        self.totals = None
+        self.rates = {}
+
+    def update(self, totals, now_ms):
+        before = totals if self.totals is None else self.totals
+        self.totals = totals
+        for name, total in totals.items():
+            rate = self.rates.setdefault(name, RequestRate(as_of_ms=now_ms))
+            rate.add(make_rate(now_ms, total - before.get(name, 0)), now_ms)
+        return self.rates
+
+
 def update_demand(placement, now_ms, waiting=None, requests=None, running=None):
-    counts = {name: RequestCount(count) for name, count in (requests or {}).items()}
-    placement.set_demand(running or {}, waiting or {}, counts, now_ms)
+    """Set the demand, by the numbers of requests since the first call."""
+    if not hasattr(placement, "requests"):
+        placement.requests = Requests()
+    rates = placement.requests.update(requests or {}, now_ms)
+    placement.set_demand(running or {}, waiting or {}, rates, now_ms)
 
 
 def test_backend_list_does_not_override_an_engine_report():
@@ -215,9 +241,9 @@
         make_record("e1", "a"), make_record("e2", "b"), make_record("e3", "c")
     )
     waiting = {f"a/x{n}": 1 for n in range(5)}
-    counts = {"a": RequestCount(5, with_adapter=5)}
+    rates = {"a": make_rate(100.0, 5, with_adapter=True)}
     placement.set_demand({}, {}, {}, 0.0)
-    placement.set_demand({}, waiting, counts, 100.0)
+    placement.set_demand({}, waiting, rates, 100.0)
     assert placement.wanted_copies("a", 100.0) >= 5 / RULE.max_adapters
     changes = [c for c in placement.plan(100.0) if isinstance(c, ModelChange)]
     assert {change.model for change in changes} == {"a"}
@@ -253,9 +279,9 @@
     for engine in placement.engines.values():
         engine.accepted_orders = 0
     waiting = {f"m{n}": 1 for n in range(10, 110)}
-    requests = {f"m{n}": RequestCount(1) for n in range(10, 110)}
+    rates = {f"m{n}": make_rate(100.0, 1) for n in range(10, 110)}
     placement.set_demand({}, {}, {}, 0.0)
-    placement.set_demand({}, waiting, requests, 100.0)
+    placement.set_demand({}, waiting, rates, 100.0)
     changes = placement.plan(100.0)
     assert (
         placement.evaluated
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -2,28 +2,34 @@
 
 import pytest
 
+from cassiamount.change_counter import ChangeCounter
+from cassiamount.engine_residency import ResidencyPart
 from cassiamount.fleet_reports import (
-    Residency,
     StreamPosition,
     StreamRecords,
-    Versions,
     VmReport,
     decode_report,
     encode_report,
 )
 from cassiamount.metadata_store import KeyedRecord
-from cassiamount.model_demand import RequestCount
 from cassiamount.peer_table import PEER_EXPIRY_MS, PEER_TIMEOUT_MS, PeerTable
+from cassiamount.peer_topology import VmPlace
+from cassiamount.vm_state import VmState
 
 
 def report(vm="v2", **changes):
     values = {
         "vm": vm,
-        "zone": "z1",
-        "address": f"{vm}:1",
         "started_ms": 5,
-        "stopping": False,
-        "store_reachable": True,
+        "version": 7,
+        "since": 5,
+        "seen_started_ms": 4,
+        "seen": 6,
+        "states": [
+            VmState(vm, "z1", f"{vm}:1", 5, 3, 0.5, used_tokens={"t": 100.5}),
+            VmState("v9", "z1", "v9:1", 5, fence=4, voucher="v2", lost=True),
+        ],
+        "vouched_ages": {"v2": 20},
         "positions": {"configuration": StreamPosition(7, 12.5)},
         "records": {
             "backends": StreamRecords(
@@ -32,16 +38,11 @@
         },
         "running": {"e1": {"m/a": 2}},
         "waiting": {"m": 1},
-        "asked": {"m": RequestCount(9, 4, 2)},
-        "used_tokens": {"t": 100.5},
-        "fence": 0,
-        "order_age_ms": None,
-        "residency": {"e1": Residency(1, {"m": ["a"]}, {"n": 80.0}, ["o"])},
-        "queued": {"q": 1_500.0},
-        "versions": Versions(7, 3),
-        "since": Versions(5, 0),
-        "seen_started_ms": 4,
-        "seen": Versions(6, 0),
+        "rates": {"m": [0.667, 0.1, 0.1, 40, 1]},
+        "wants_demand": False,
+        "residency": ResidencyPart(
+            4, 30, {"e1": (9, [1, {"m": ["a"]}, {"n": 80}, ["o"]])}, {"q": (9, 1_500)}
+        ),
     }
     values.update(changes)
     return VmReport(**values)
@@ -54,7 +55,8 @@
     assert encode_report(decoded) == encode_report(original)
     assert decoded.records["backends"].records[0].value == b"\xff{}"
     assert decoded.records["backends"].records[1].value is None
-    assert decoded.asked["m"].latency_sensitive == 4
+    assert decoded.states[1].lost
+    assert decoded.residency.engines["e1"][1][2] == {"n": 80}
 
 
 @pytest.mark.parametrize(
@@ -67,12 +69,25 @@
         decode_report(data)
 
 
+def make_table(name="v1", zone="z1"):
+    return PeerTable(VmState(name, zone, f"{name}:1", 1), ChangeCounter())
+
+
+def hear(table, vm, now_ms, **changes):
+    """Let a table hear a VM's own report."""
+    state = VmState(vm, "z1", f"{vm}:1", **{"started_ms": 5, **changes})
+    table.on_contact(vm, state.started_ms, now_ms)
+    table.apply_states([state], vm, now_ms)
+
+
 def test_report_of_an_earlier_start_is_ignored():
     """Guards against delayed reports that a VM sent before it restarted."""
-    table = PeerTable("v1")
-    assert table.on_report(report(started_ms=6, waiting={}), 0.0)
-    assert not table.on_report(report(started_ms=5), 1.0)
-    assert table.waiting_elsewhere(1.0) == {}
+    table = make_table()
+    hear(table, "v2", 0.0, started_ms=6)
+    assert table.on_contact("v2", 5, 1.0) is None
+    state = VmState("v2", "z1", "v2:1", 5, sequence=90, fence=4)
+    assert table.apply_states([state], "v2", 1.0) == []
+    assert table.holder(1.0) is None
 
 
 @pytest.mark.parametrize(
@@ -82,35 +97,39 @@
 )
 def test_unreachable_and_expired_peers(age_ms, reachable, vm_count):
     """Guards against requests of an unreachable VM that are counted for ever."""
-    table = PeerTable("v1")
-    table.on_report(report(), 0.0)
-    assert len(table.live_reports(age_ms)) == reachable
+    table = make_table()
+    hear(table, "v2", 0.0)
+    assert len(table.live_states(age_ms)) == reachable
+    assert len(table.linked_names(age_ms)) == reachable
+    table.remove_expired(age_ms)
     assert table.vm_count(age_ms) == vm_count
 
 
 def test_seed_address_is_replaced_by_the_name_of_its_vm():
     """Guards against two links to one VM, by its seed address and by its name."""
-    table = PeerTable("v1")
-    table.addresses["seed v2:1"] = "v2:1"
-    table.on_report(report("v2"), 0.0)
-    assert table.addresses == {"v2": "v2:1"}
-    table.on_report(report("v2", stopping=True), 0.0)
-    assert table.addresses == {}
+    table = make_table()
+    table.add_place(VmPlace("seed v2:1", "v2:1"))
+    hear(table, "v2", 0.0)
+    assert table.places.keys() == {"v2"}
+    hear(table, "v2", 0.0, sequence=2, stopping=True)
+    assert table.places == {}
 
 
 def test_lease_holder_with_the_highest_fence_counts():
     """Guards against a VM that follows a former holder of the order lease."""
-    table = PeerTable("v1")
-    table.on_report(report("v2", fence=4), 0.0)
-    table.on_report(report("v3", fence=9), 0.0)
+    table = make_table()
+    hear(table, "v2", 0.0, fence=4)
+    hear(table, "v3", 0.0, fence=9)
     assert table.holder(1.0).vm == "v3"
     assert table.peer_summary(1.0).fence == 9
 
 
-def test_first_vm_by_name_that_reaches_the_store_reads_it():
+def test_first_vm_by_rank_that_reaches_the_store_reads_it():
     """Guards against a store that all VMs read, or that none reads."""
-    table = PeerTable("v3")
-    table.on_report(report("v1", store_reachable=False), 0.0)
+    table = make_table("v3")
+    hear(table, "v1", 0.0, store_reachable=False)
     assert table.store_reader_rank(1.0) == 0
-    table.on_report(report("v2"), 0.0)
+    hear(table, "v2", 0.0, store_reachable=True)
     assert table.store_reader_rank(1.0) == 1
+    hear(table, "v9", 0.0, store_reachable=True, capacity=2.0)
+    assert table.store_reader_rank(1.0) == 2
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -5,9 +5,13 @@
 from hypothesis import strategies as st
 
 from cassiamount.clock import ManualClock
-from cassiamount.fleet_reports import Residency, decode_report, encode_report
+from cassiamount.engine_residency import Residency
+from cassiamount.fleet_demand import OWN_SOURCE
+from cassiamount.fleet_reports import decode_report, encode_report
 from cassiamount.fleet_state import FleetState
+from cassiamount.peer_table import PEER_EXPIRY_MS
 from cassiamount.platform.settings import decode_settings
+from cassiamount.request_rates import FAST_WINDOW_MS, SLOW_WINDOW_MS
 from tests.fleet_fixtures import Decoder
 
 SETTINGS = """
@@ -31,6 +35,7 @@
         self.clock = ManualClock()
         self.starts = 0
         self.holder = self.start("v1")
+        self.holder.lease.generation = 7
         self.other = self.start("v2")
 
     def start(self, name):
@@ -38,11 +43,16 @@
         parsed = decode_settings(SETTINGS.format(name=name), "boot.yaml").unwrap()
         return FleetState(parsed, Decoder, self.clock, self.starts)
 
+    def record_request(self, model, latency_sensitive=False, with_adapter=False):
+        """Let the other VM receive a request."""
+        self.other.demand.record_request(
+            model, latency_sensitive, with_adapter, self.clock.monotonic_ms()
+        )
+
     def encode_next_report(self, sender, receiver):
         """Return the next report, encoded."""
         if sender is self.holder:
             sender.may_order = lambda: True
-            sender.lease.generation = 7
         return encode_report(sender.build_report(receiver.settings.vm_name))
 
     def exchange(self):
@@ -53,8 +63,18 @@
 
     def known_residency(self):
         """Return the engine state at the other VM, as comparable values."""
-        known, _ = self.other.residency.current(self.clock.monotonic_ms())
-        return {name: item.to_value() for name, item in known.items()}
+        now_ms = self.clock.monotonic_ms()
+        known, _ = self.other.residency.current(now_ms)
+        return {name: item.to_value(now_ms) for name, item in known.items()}
+
+    def reported_rates(self):
+        """Return the other VM's request rates, at itself and at the holder."""
+        now_ms = self.clock.monotonic_ms()
+        rates = (
+            self.other.demand.rates.total([OWN_SOURCE], now_ms),
+            self.holder.demand.rates.total(["v2"], now_ms),
+        )
+        return [{n: r.to_value(now_ms) for n, r in rate.items()} for rate in rates]
 
 
 STEPS = st.lists(
@@ -88,9 +108,7 @@
     model_count = 0
     for step, detail in steps:
         if step == "request":
-            pair.other.request_counts.record_request(
-                detail, latency_sensitive=True, with_adapter=False
-            )
+            pair.record_request(detail, latency_sensitive=True)
         elif step == "place":
             model_count += 1
             engine_states[detail] = Residency(1, {f"m{model_count}": []}, {}, [])
@@ -99,7 +117,7 @@
             engine_states.pop(detail, None)
             pair.holder.set_own_residency(dict(engine_states), {})
         elif step == "lose-lease":
-            pair.holder.set_own_residency(None, {})
+            pair.holder.end_own_residency()
             pair.holder.set_own_residency(dict(engine_states), {})
         elif step == "restart":
             pair.other = pair.start("v2")
@@ -115,30 +133,43 @@
     for data in delayed:
         pair.other.on_report(decode_report(data))
     pair.exchange()
-    known = pair.holder.peers.peers["v2"].report.asked
-    assert {name: count.total for name, count in known.items()} == {
-        name: count.total for name, count in pair.other.request_counts.own.items()
+    own, reported = pair.reported_rates()
+    if pair.starts == 2:
+        assert own == reported
+    for model, (fast_per_s, *_) in own.items():
+        assert reported[model][0] >= fast_per_s
+    assert pair.known_residency() == {
+        name: item.to_value(pair.clock.monotonic_ms())
+        for name, item in engine_states.items()
     }
-    residency = pair.known_residency()
-    for name, item in engine_states.items():
-        assert residency[name] == item.to_value()
 
 
-def test_counts_of_a_restarted_vm_add_to_those_before():
+def test_rates_of_a_restarted_vm_add_to_those_before():
     """Guards against demand that drops to zero when a VM restarts."""
     pair = VmPair()
     for _ in range(3):
-        pair.other.request_counts.record_request(
-            "a", latency_sensitive=False, with_adapter=True
-        )
+        pair.record_request("a", with_adapter=True)
     pair.exchange()
     pair.other = pair.start("v2")
-    pair.other.request_counts.record_request(
-        "a", latency_sensitive=True, with_adapter=False
-    )
+    pair.record_request("a", latency_sensitive=True)
+    pair.exchange()
+    rate = pair.holder.request_rates()["a"]
+    assert rate.fast_per_s == pytest.approx(4000 / FAST_WINDOW_MS, abs=0.01)
+    assert rate.adapter_per_s == pytest.approx(3000 / SLOW_WINDOW_MS, abs=0.01)
+    assert rate.latency_sensitive
+
+
+def test_silence_of_a_vm_adds_no_demand():
+    """Guards against requests that count again when a VM is heard after a silence."""
+    pair = VmPair()
+    for _ in range(3):
+        pair.record_request("a")
+    pair.exchange()
+    pair.clock.advance(PEER_EXPIRY_MS + 1)
+    pair.holder.review_peers()
     pair.exchange()
-    count = pair.holder.request_counts.total["a"]
-    assert (count.total, count.latency_sensitive, count.with_adapter) == (4, 1, 3)
+    rates = pair.holder.request_rates()
+    assert "a" not in rates or rates["a"].fast_per_s < 0.01
 
 
 @pytest.mark.parametrize(
