Plan for a large fleet without computing what candidates share again

Cause: each candidate change ranked the models of its engine anew, 288 times for each change that was started, and each order's outcome published all engines and estimated all queued models again. Each VM also determined several times every 50 ms which of the others are reachable.

Change: ModelPlanner ranks an engine's models once, and again only after a change that affects them; a change of one engine publishes that engine; reachability is kept for 50 ms, in a large fleet for 200 ms, or until a VM's state changes. The policy is the same.

test_cost_of_a_plan_is_bounded_in_a_large_fleet now also bounds the rankings by the models that the engines hold, which the old code exceeded (it ranked three models for each of 288 candidates of a change).

--- a/cassiamount/engine_residency.py
+++ b/cassiamount/engine_residency.py
@@ -169,11 +169,7 @@
         self._change += 1
         changes = ResidencyChanges()
         for name, item in residency.items():
-            known = self._engines.get(name)
-            before = None if known is None else known.value
-            if before is None or item.differs(before):
-                changes.add(name, before, item)
-                self._set(self._engines, name, item, self._change)
+            self._update_engine(name, item, changes)
         for name in self._engines.keys() - residency.keys():
             if self._engines[name].value is not None:
                 changes.add(name, self._engines[name].value, None)
@@ -192,6 +188,26 @@
                 self._set(self._queued, model, None, self._change)
         return changes
 
+    def update_own(self, engine, item, now_ms):
+        """Set what this VM knows of one engine while it holds the order lease.
+
+        Returns
+        -------
+        ResidencyChanges
+        """
+        self._heard_ms = now_ms
+        self._change += 1
+        changes = ResidencyChanges()
+        self._update_engine(engine, item, changes)
+        return changes
+
+    def _update_engine(self, name, item, changes):
+        known = self._engines.get(name)
+        before = None if known is None else known.value
+        if before is None or item.differs(before):
+            changes.add(name, before, item)
+            self._set(self._engines, name, item, self._change)
+
     def end_own(self):
         """Keep the table as that of the last holder, because the lease is lost."""
         self.active = False
@@ -250,24 +266,26 @@
         }
         return ResidencyPart(self.fence, round(self.age_ms(now_ms)), engines, queued)
 
-    def current(self, now_ms):
-        """Return the residency and the queued models that the lease holder knows.
+    def is_current(self, now_ms):
+        """Return whether a lease holder was heard of recently."""
+        return self.age_ms(now_ms) <= RESIDENCY_EXPIRY_MS
 
-        Returns
-        -------
-        (dict of str to Residency, dict of str to float)
-            Empty if no holder was heard of recently.
-        """
-        if self.age_ms(now_ms) > RESIDENCY_EXPIRY_MS:
-            return {}, {}
-        return (
-            {n: entry.value for n, entry in self._engines.items() if entry.value},
-            {
-                model: entry.value
-                for model, entry in self._queued.items()
-                if entry.value is not None
-            },
-        )
+    def of(self, engine):
+        """Return the `Residency` of an engine, or None."""
+        entry = self._engines.get(engine)
+        return None if entry is None else entry.value
+
+    def engines(self):
+        """Return the `Residency` of each engine by name."""
+        return {n: entry.value for n, entry in self._engines.items() if entry.value}
+
+    def queued(self):
+        """Return the time at which each queued model should be loaded."""
+        return {
+            model: entry.value
+            for model, entry in self._queued.items()
+            if entry.value is not None
+        }
 
     def age_ms(self, now_ms):
         """Return the time since the holder was last heard of."""
--- a/cassiamount/engine_state.py
+++ b/cassiamount/engine_state.py
@@ -111,6 +111,30 @@
                 total += models[name].adapter_mb
         return total
 
+    def copies(self):
+        """Return the models that are loaded or will be, and are not drained."""
+        models = self.ready.keys() | self.loading.keys()
+        if self.change is not None:
+            models.add(self.change.model)
+        return models - self.drained
+
+    def has_cached(self, model):
+        """Return whether a model can be loaded without the weight store."""
+        return model in self.in_memory or model in self.on_disk
+
+    def load_ms(self, rule):
+        """Return how long the load of a model takes, and if it is from the store.
+
+        Parameters
+        ----------
+        rule : ModelConfig
+        """
+        if rule.name in self.in_memory:
+            return rule.host_load_ms, False
+        if rule.name in self.on_disk:
+            return rule.disk_load_ms, False
+        return rule.load_ms, True
+
     def adapters(self):
         """Return the (model, adapter) pairs that are loaded or loading."""
         held = {
--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -171,7 +171,7 @@
                 self._query_if_unknown(engine, now_ms)
             for change in placement.plan(now_ms):
                 self._start_change(placement, change)
-        self._publish_residency()
+        self._publish_all()
 
     def _query_if_unknown(self, engine, now_ms):
         if (
@@ -209,27 +209,33 @@
         )
         self._tasks.start(self._run_model_change(placement, engine, change))
 
-    def _publish_residency(self):
-        """Publish the residency of all engines to the other VMs."""
+    def _publish_all(self):
+        """Publish the residency of all engines and the queued models."""
         if not self._active:
             return
-        now_ms = self._state.now_ms()
-        residency = {
-            engine.record.name: engine_residency(engine)
-            for placement in self._placements.values()
-            for engine in placement.engines.values()
-        }
+        residency = {}
         queued = {}
         for placement in self._placements.values():
-            queued.update(placement.queued_ready_times(now_ms))
-        changes = self._state.set_own_residency(residency, queued)
+            queued.update(placement.queued)
+            for engine in placement.engines.values():
+                residency[engine.record.name] = engine_residency(engine)
+        self._tell_peers(self._state.set_own_residency(residency, queued))
+
+    def _publish(self, placement, engine):
+        """Publish the residency of one engine after a change of it."""
+        name = engine.record.name
+        if self._active and placement.engines.get(name) is engine:
+            item = engine_residency(engine)
+            self._tell_peers(self._state.update_own_residency(name, item))
+
+    def _tell_peers(self, changes):
         if changes:
             for name in self._state.peers_to_tell(changes):
                 self._exchange.exchange_soon(name)
 
     async def _run_model_change(self, placement, engine, change):
         try:
-            self._publish_residency()
+            self._publish(placement, engine)
             if change.victims:
                 await asyncio.sleep(DRAIN_NOTICE_MS / 1000)
             for victim in change.victims:
@@ -248,7 +254,7 @@
             engine.change = None
             engine.loading.pop(change.model, None)
             engine.drained -= set(change.victims)
-            self._publish_residency()
+            self._publish(placement, engine)
             self.wake()
 
     async def _unload(self, placement, engine, victim):
@@ -269,18 +275,13 @@
     async def _load(self, placement, engine, change):
         model = change.model
         rule = placement.rule.models[model]
-        cached_models = engine.in_memory, engine.on_disk
-        load_ms = rule.load_ms
-        if model in cached_models[0]:
-            load_ms = rule.host_load_ms
-        elif model in cached_models[1]:
-            load_ms = rule.disk_load_ms
+        load_ms, _ = engine.load_ms(rule)
         engine.loading[model] = self._state.now_ms() + load_ms
         await self._order_until_accepted(placement, engine, LOAD, model, "")
         due_ms = self._state.now_ms() + load_ms
         engine.loading[model] = change.eta_ms = due_ms
         self._metrics.count("model_loads_total", from_store=change.from_store)
-        self._publish_residency()
+        self._publish(placement, engine)
         await asyncio.sleep(load_ms * 0.9 / 1000)
         await self._wait_until_reported(
             placement, engine, lambda ready: model in ready, due_ms
@@ -338,7 +339,7 @@
             engine.last_order_ms = self._state.now_ms()
             engine.adapters_loading.pop(key, None)
             engine.adapters_unloading.discard(change.victim)
-            self._publish_residency()
+            self._publish(placement, engine)
             self.wake()
 
     async def _order_until_accepted(self, placement, engine, action, model, adapter):
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -96,6 +96,7 @@
         self.lease = OrderLease(settings.order_turn_ms, now_ms)
         self.residency = EngineResidency(self._counter)
         self._wants_demand = False
+        self._reviewed_ms = -float("inf")
         self._decoder = decoder
         self._started_ms = started_ms
         # Backend server -> (offset of its entry, BackendRecord).
@@ -282,7 +283,7 @@
         if report.residency is not None:
             changes = self.residency.apply(report.residency, report.vm, now_ms)
             if changes:
-                self._merge_residency()
+                self._merge_residency(changes.engines)
         self.notify()
         if self.peers.topology.is_mesh:
             return set()
@@ -363,8 +364,11 @@
             Peers to which this VM should pass on what is new, without delay.
         """
         now_ms = self.now_ms()
-        for name in self.peers.remove_expired(now_ms):
-            log.info("peer_forgotten", peer=name)
+        if not 0 <= now_ms - self._reviewed_ms < self.peers.cache_ms():
+            self._reviewed_ms = now_ms
+            for name in self.peers.remove_expired(now_ms):
+                log.info("peer_forgotten", peer=name)
+            self._review_quota(now_ms)
         lost = self.peers.mark_lost(now_ms)
         for name in lost:
             log.info("peer_lost", peer=name)
@@ -372,7 +376,6 @@
             if not self.peers.is_linked(name, now_ms):
                 self.demand.remove(name)
         self.demand.rates.forget_idle(now_ms)
-        self._review_quota(now_ms)
         self._recount_peer_requests()
         self.remove_missing_backends()
         flags_changed = self._update_own_state(now_ms)
@@ -380,8 +383,8 @@
 
     def _review_quota(self, now_ms):
         self.quota.peer_timeout_ms = self.peers.timeout_ms()
-        for state in self.peers.states.values():
-            self.quota.on_peer_heard(state.vm, self.peers.heard_ms(state))
+        for name, heard_ms in self.peers.all_heard_ms().items():
+            self.quota.on_peer_heard(name, heard_ms)
         share = self.quota.share
         self.quota.update_share(now_ms)
         if self.quota.share != share:
@@ -434,23 +437,20 @@
             or not self.demand.running_of(name).keys().isdisjoint(changes.withdrawn)
         }
 
-    def _merge_residency(self):
-        """Set what each engine holds, by the lease holder's report or by its entry."""
-        now_ms = self.now_ms()
-        residency, self.view.queued = self.residency.current(now_ms)
-        for name, view in self.view.backends.items():
-            record = view.record
-            item = residency.get(name)
-            view.ready = {
-                model: frozenset(held) for model, held in record.residents.items()
-            }
-            view.loading = {}
-            view.drained = frozenset()
-            if item is None or item.started_wall_ms != record.started_wall_ms:
-                continue
-            view.loading = item.loading
-            view.drained = frozenset(item.drained)
-            view.ready = {model: frozenset(held) for model, held in item.ready.items()}
+    def _merge_residency(self, engines=None):
+        """Set what engines hold, by the lease holder's report or by their entries.
+
+        Parameters
+        ----------
+        engines : collection of str, optional
+            All by default.
+        """
+        is_current = self.residency.is_current(self.now_ms())
+        self.view.queued = self.residency.queued() if is_current else {}
+        for name in self.view.backends if engines is None else engines:
+            view = self.view.backends.get(name)
+            if view is not None:
+                _set_engine(view, self.residency.of(name) if is_current else None)
 
     def placement_age_ms(self):
         """Return the age of the known engine state; None if it is out of use."""
@@ -467,10 +467,23 @@
         changes = self.residency.set_own(
             self.lease.generation, residency, queued, self.now_ms()
         )
-        self._merge_residency()
+        self._merge_residency(changes.engines)
         self.notify()
         return changes
 
+    def update_own_residency(self, engine, item):
+        """Set the state of one engine, to report as lease holder.
+
+        Returns
+        -------
+        ResidencyChanges
+        """
+        changes = self.residency.update_own(engine, item, self.now_ms())
+        if changes:
+            self._merge_residency(changes.engines)
+            self.notify()
+        return changes
+
     def end_own_residency(self):
         """Cease to report as lease holder."""
         self.residency.end_own()
@@ -623,3 +636,24 @@
         """Add another VM that may be running."""
         if name != self.peers.own_name and address != self.settings.peer_address:
             self.peers.add_place(VmPlace(name, address, zone, capacity))
+
+
+def _set_engine(view, item):
+    """Set what an engine holds.
+
+    Parameters
+    ----------
+    view : BackendView
+    item : Residency or None
+        What the lease holder knows; it counts only for the same start of the engine.
+    """
+    record = view.record
+    if item is None or item.started_wall_ms != record.started_wall_ms:
+        ready, view.loading, view.drained = record.residents, {}, frozenset()
+    else:
+        ready, view.loading, view.drained = (
+            item.ready,
+            item.loading,
+            frozenset(item.drained),
+        )
+    view.ready = {model: frozenset(held) for model, held in ready.items()}
--- a/cassiamount/peer_table.py
+++ b/cassiamount/peer_table.py
@@ -18,8 +18,10 @@
 RELAY_TIMEOUT_MS = 800.0
 # A VM that was not heard of for this long is removed.
 PEER_EXPIRY_MS = 20_000.0
-# Time for which the set of reachable VMs is not determined again.
-LIVE_CACHE_MS = 20.0
+# Time for which the set of reachable VMs is not determined again, unless a VM's state
+# changes; in a small and in a large fleet.
+LIVE_CACHE_MS = 50.0
+RELAYED_LIVE_CACHE_MS = 200.0
 # Interval at which a VM tells the others which tokens it charged, in a large fleet.
 USE_INTERVAL_MS = 500.0
 
@@ -92,6 +94,7 @@
         self._relay = None
         self._live = None
         self._live_ms = 0.0
+        self._reader_rank = None
 
     # Links.
 
@@ -223,7 +226,7 @@
             return None
         if link is None or started_ms > link.started_ms:
             link = self.links[name] = Link(started_ms)
-        if now_ms - link.heard_ms > LIVE_CACHE_MS:
+        if now_ms - link.heard_ms > PEER_TIMEOUT_MS:
             self._live = None
         link.heard_ms = now_ms
         self._heard_ms[name] = now_ms
@@ -333,6 +336,10 @@
             return own_ms
         return max(own_ms, self._vouched_ms.get(state.voucher, -float("inf")))
 
+    def all_heard_ms(self):
+        """Return when each VM was last known to go on, by name."""
+        return {name: self.heard_ms(state) for name, state in self.states.items()}
+
     def mark_lost(self, now_ms):
         """Say of silent VMs for which this VM vouches that they are lost.
 
@@ -363,10 +370,9 @@
 
     def remove_expired(self, now_ms):
         """Remove VMs that were not heard of for long; return their names."""
+        heard_ms = self.all_heard_ms()
         expired = [
-            name
-            for name, state in self.states.items()
-            if now_ms - self.heard_ms(state) > PEER_EXPIRY_MS
+            name for name, at_ms in heard_ms.items() if now_ms - at_ms > PEER_EXPIRY_MS
         ]
         if expired:
             self._live = None
@@ -377,13 +383,18 @@
             self._vouched_ms.pop(name, None)
         return expired
 
+    def cache_ms(self):
+        """Return how long the set of reachable VMs is used."""
+        return LIVE_CACHE_MS if self.topology.is_mesh else RELAYED_LIVE_CACHE_MS
+
     def live_states(self, now_ms):
         """Return the states of all reachable VMs."""
-        if self._live is None or not 0 <= now_ms - self._live_ms < LIVE_CACHE_MS:
+        if self._live is None or not 0 <= now_ms - self._live_ms < self.cache_ms():
             self._live = [
                 s for s in self.states.values() if self.is_reachable(s, now_ms)
             ]
             self._live_ms = now_ms
+            self._reader_rank = None
         return self._live
 
     def vm_count(self, now_ms):
@@ -392,10 +403,14 @@
 
     def store_reader_rank(self, now_ms):
         """Return this VM's rank among the VMs that can read the store."""
-        return sum(
-            state.rank < self.own.rank and not state.stopping and state.store_reachable
-            for state in self.live_states(now_ms)
-        )
+        live = self.live_states(now_ms)
+        if self._reader_rank is None:
+            own_rank = self.own.rank
+            self._reader_rank = sum(
+                state.store_reachable and not state.stopping and state.rank < own_rank
+                for state in live
+            )
+        return self._reader_rank
 
     def peer_summary(self, now_ms):
         """Return the state of the peers on which the order lease depends."""
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -6,10 +6,11 @@
 from cassiamount.errors import InvariantViolation
 from cassiamount.fleet import BackendRecord, EngineConfig, ModelConfig
 from cassiamount.fleet_orders import EngineReport
-from cassiamount.fleet_placement import (
+from cassiamount.fleet_placement import FleetPlacement
+from cassiamount.model_planner import (
     MAX_CANDIDATE_ENGINES,
     MAX_CANDIDATE_MODELS,
-    FleetPlacement,
+    ModelPlanner,
 )
 from cassiamount.request_rates import RequestRate
 
@@ -218,7 +219,7 @@
         requests = {"a": step // 4, "b": step, "c": step, "f": step}
         update_demand(placement, 100.0 * step, {}, dict(requests))
     placement.engines["e2"].change = ModelChange("e2", "a", (), 9.0, True, 9_000.0)
-    assert placement.loss_per_s("a", 3_000.0) > 0
+    assert ModelPlanner(placement, 3_000.0).loss_per_s("a") > 0
 
 
 def test_disk_copy_is_preferred_over_the_weight_store():
@@ -244,19 +245,25 @@
     rates = {"a": make_rate(100.0, 5, with_adapter=True)}
     placement.set_demand({}, {}, {}, 0.0)
     placement.set_demand({}, waiting, rates, 100.0)
-    assert placement.wanted_copies("a", 100.0) >= 5 / RULE.max_adapters
+    planner = ModelPlanner(placement, 100.0)
+    assert planner.wanted_copies("a") >= 5 / RULE.max_adapters
     changes = [c for c in placement.plan(100.0) if isinstance(c, ModelChange)]
     assert {change.model for change in changes} == {"a"}
 
 
-class CountingPlacement(FleetPlacement):
-    """Counts the changes that the policy evaluates."""
+class CountingPlanner(ModelPlanner):
+    """Counts the changes that it evaluates and the rankings that it computes."""
 
     evaluated = 0
+    ranked = 0
 
-    def _evaluate_change(self, *arguments):
+    def evaluate(self, *arguments):
         self.evaluated += 1
-        return super()._evaluate_change(*arguments)
+        return super().evaluate(*arguments)
+
+    def _may_evict(self, *arguments):
+        self.ranked += 1
+        return super()._may_evict(*arguments)
 
 
 def test_cost_of_a_plan_is_bounded_in_a_large_fleet():
@@ -270,7 +277,7 @@
         for n in range(200)
     }
     rule = EngineConfig(48, 100_000, 230_000.0, 2, 16.0, models)
-    placement = CountingPlacement("llm", rule, True, 0.0)
+    placement = FleetPlacement("llm", rule, True, 0.0)
     engines = {
         f"e{n}": make_record(f"e{n}", "m0", "m1", "m2", on_disk=frozenset({f"m{n}"}))
         for n in range(60)
@@ -282,11 +289,14 @@
     rates = {f"m{n}": make_rate(100.0, 1) for n in range(10, 110)}
     placement.set_demand({}, {}, {}, 0.0)
     placement.set_demand({}, waiting, rates, 100.0)
-    changes = placement.plan(100.0)
+    planner = CountingPlanner(placement, 100.0)
+    changes = planner.plan()
     assert (
-        placement.evaluated
+        planner.evaluated
         <= (len(changes) + 1) * MAX_CANDIDATE_MODELS * MAX_CANDIDATE_ENGINES
     )
+    held = sum(len(engine.ready) for engine in placement.engines.values())
+    assert planner.ranked <= (len(changes) + 1) * held
     by_model = {change.model: change for change in changes}
     for n in range(10, 60):
         if f"m{n}" in by_model:
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -64,7 +64,7 @@
     def known_residency(self):
         """Return the engine state at the other VM, as comparable values."""
         now_ms = self.clock.monotonic_ms()
-        known, _ = self.other.residency.current(now_ms)
+        known = self.other.residency.engines()
         return {name: item.to_value(now_ms) for name, item in known.items()}
 
     def reported_rates(self):
