Ask an engine for its report less often the longer a change takes

Change: the interval grows from 60 to 400 ms, and at most eight requests are under way at the same time, so that a slow link delays them instead of filling up.

--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -26,8 +26,14 @@
 PLAN_INTERVAL_MS = 100.0
 # Time that the other VMs need to learn that a model is about to be unloaded.
 DRAIN_NOTICE_MS = 60.0
-# Interval between requests for an engine's report.
+# Interval between the first requests for an engine's report; it grows by this factor up
+# to the maximum, because an unload waits for the engine's requests to end.
 REPORT_POLL_MS = 60.0
+REPORT_POLL_FACTOR = 1.4
+MAX_REPORT_POLL_MS = 400.0
+# Requests for engine reports at the same time, so that a slow link delays them instead
+# of filling up.
+MAX_CONCURRENT_REPORTS = 8
 # Time that an engine takes to unload a model without requests.
 IDLE_UNLOAD_MS = 25.0
 # A load or unload that no report shows this long after it was due has failed.
@@ -77,6 +83,7 @@
         self._tasks = BackgroundTasks()
         self._wake = asyncio.Event()
         self._active = False
+        self._report_slots = asyncio.Semaphore(MAX_CONCURRENT_REPORTS)
 
     def wake(self):
         """Plan without delay, because requests wait for a model or an adapter."""
@@ -297,6 +304,7 @@
     async def _wait_until_reported(self, placement, engine, is_done, due_ms):
         """Wait until a report of an engine shows the expected models."""
         deadline_ms = max(due_ms, self._state.now_ms()) + CHANGE_TIMEOUT_MS
+        poll_ms = REPORT_POLL_MS
         while self._state.now_ms() < deadline_ms:
             report = await self._fetch_report(engine)
             if report is not None and not report.busy:
@@ -307,7 +315,8 @@
                     return
             if engine.record.name not in placement.engines:
                 raise OrderFailed("engine is no longer listed")
-            await asyncio.sleep(REPORT_POLL_MS / 1000)
+            await asyncio.sleep(poll_ms / 1000)
+            poll_ms = min(MAX_REPORT_POLL_MS, REPORT_POLL_FACTOR * poll_ms)
         raise OrderFailed("no report showed the result in time")
 
     async def _run_adapter_change(self, placement, engine, change):
@@ -437,8 +446,11 @@
         return answer
 
     async def _fetch_report(self, engine):
-        sent_ms = self._state.now_ms()
-        report = await self._engines.report(engine.record.name, engine.record.address)
+        async with self._report_slots:
+            sent_ms = self._state.now_ms()
+            report = await self._engines.report(
+                engine.record.name, engine.record.address
+            )
         self._stats.observe_ms("engine_report", self._state.now_ms() - sent_ms)
         self._stats.count("engine_reports")
         self._stats.count("engine_reports_failed", int(report is None))
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -389,8 +389,11 @@
         weights = list(config.requests_per_s.values())
         end_ms = self.loop.true_ms + seconds * 1000
         begin_ms = self.loop.true_ms
-        while self.loop.true_ms < end_ms:
-            await asyncio.sleep(self.rng.expovariate(total_per_s))
+        while True:
+            next_ms = self.loop.true_ms + 1000 * self.rng.expovariate(total_per_s)
+            await asyncio.sleep((min(next_ms, end_ms) - self.loop.true_ms) / 1000)
+            if next_ms >= end_ms:
+                return
             route = self.rng.choices(names, weights)[0]
             elapsed_s = (self.loop.true_ms - begin_ms) / 1000
             target = self._choose_target(route, elapsed_s)
