Write log lines with one call and without searching every value

Cause: of the 3.3 ms that a VM spends on a request with one event, its log lines were the largest single part (cProfile, one VM, 60 requests a second). Each line was written with two calls (text and line end), each value was searched by two regular expressions, and each line configured its logger anew.

Change: orjson, one write for a line, regular expressions only for values that contain the word or prefix that they look for (the same values are redacted), and loggers that keep their configuration on the users' platform.

--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -54,7 +54,7 @@
 def main():
     """Print the processor time in us for each request: the median of some rounds."""
     descriptor = os.open(os.devnull, os.O_WRONLY)
-    configure_logs("info", BoundedStream(descriptor, SteppingClock()))
+    configure_logs("info", BoundedStream(descriptor, SteppingClock()), cached=True)
     log = structlog.get_logger()
     rounds = []
     for _ in range(ROUNDS + 1):
--- a/cassiamount/logs.py
+++ b/cassiamount/logs.py
@@ -4,6 +4,7 @@
 import re
 import sys
 
+import orjson
 import structlog
 
 from .keys import KEY_PREFIX
@@ -24,12 +25,26 @@
         if name.lower() in SECRET_FIELDS:
             event_dict[name] = REDACTED
         elif isinstance(value, str):
-            text = BEARER.sub(rf"\1{REDACTED}", value[:MAX_VALUE_CHARACTERS])
-            event_dict[name] = GENERATED_KEY.sub(REDACTED, text)
+            event_dict[name] = _remove_credentials(value[:MAX_VALUE_CHARACTERS])
     return event_dict
 
 
-def configure_logs(level="info", stream=None, **common):
+def _remove_credentials(text):
+    # Most values contain neither, and a search for a constant is cheaper than a regex.
+    if "bearer" in text.lower():
+        text = BEARER.sub(rf"\1{REDACTED}", text)
+    if KEY_PREFIX in text:
+        text = GENERATED_KEY.sub(REDACTED, text)
+    return text
+
+
+def _to_json(event_dict, **options):
+    return orjson.dumps(
+        event_dict, default=repr, option=orjson.OPT_NON_STR_KEYS
+    ).decode()
+
+
+def configure_logs(level="info", stream=None, cached=False, **common):
     """Write logs as JSON lines and return a logger.
 
     Parameters
@@ -37,6 +52,9 @@
     level : str
     stream : file, optional
         Standard error by default.
+    cached : bool
+        Whether loggers keep this configuration after their first line, which makes each
+        line cheaper.
     **common
         Fields of every line, for example the VM's name.
     """
@@ -47,12 +65,12 @@
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
             remove_secrets,
-            structlog.processors.JSONRenderer(),
+            structlog.processors.JSONRenderer(serializer=_to_json),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
-        cache_logger_on_first_use=False,
+        logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
+        cache_logger_on_first_use=cached,
     )
     return structlog.get_logger(**common)
--- a/cassiamount/platform/__main__.py
+++ b/cassiamount/platform/__main__.py
@@ -46,7 +46,7 @@
             print(finding, file=sys.stderr)
         return EXIT_FINDINGS
     settings = decoded.unwrap()
-    configure_logs("info", BoundedStream(sys.stdout.fileno()))
+    configure_logs("info", BoundedStream(sys.stdout.fileno()), cached=True)
     structlog.contextvars.bind_contextvars(vm=settings.vm_name)
     return asyncio.run(serve(settings, file_name))
 
