Write stream events to the caller without a change of task for each

Cause: each event of a stream went from the connection to a queue and woke the task of its request, which wrote it in the next round of the event loop.

Change: after the first event the connection hands pieces of the body to a sink that writes complete events at once. If the caller's connection does not accept them, they wait in order for the task, and reading pauses after 256 KiB.

--- a/cassiamount/backend_connection.py
+++ b/cassiamount/backend_connection.py
@@ -40,6 +40,9 @@
         self.idle_since_ms = clock.monotonic_ms()
         self.keep_alive_ms = DEFAULT_KEEP_ALIVE_MS
         self.messages = None
+        # Takes the pieces of the body instead of `messages`, if set; it saves a change
+        # of task for each event of a stream. Reset at the end of the response.
+        self.body_sink = None
         self.on_idle_closed = None
         self._decode_response = decode_response
         self._clock = clock
@@ -74,6 +77,7 @@
     def send(self, data, request_id):
         """Send a request; its response is queued in `messages`."""
         self._busy = True
+        self.body_sink = None
         self._request_id = request_id
         self.messages = asyncio.Queue()
         self._parser = httptools.HttpResponseParser(self)
@@ -89,11 +93,22 @@
     async def receive(self):
         """Wait for the next message of the current response."""
         message = await self.messages.get()
-        if self._reading_paused and self.messages.qsize() < MAX_QUEUED_MESSAGES // 2:
+        if self.body_sink is None and self.messages.qsize() < MAX_QUEUED_MESSAGES // 2:
+            self.resume_reading()
+        return message
+
+    def pause_reading(self):
+        """Read no more of the response until `resume_reading`."""
+        if not self._reading_paused:
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self):
+        """Read on after `pause_reading`."""
+        if self._reading_paused:
             self._reading_paused = False
             if not self._closed:
                 self._transport.resume_reading()
-        return message
 
     def data_received(self, data):
         """Parse received bytes; without a request in flight, close the connection."""
@@ -106,13 +121,8 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, ValueError) as error:
             self._fail(f"no HTTP response: {type(error).__name__}")
-        if (
-            self._busy
-            and self.messages.qsize() > MAX_QUEUED_MESSAGES
-            and not self._reading_paused
-        ):
-            self._reading_paused = True
-            self._transport.pause_reading()
+        if self._busy and self.messages.qsize() > MAX_QUEUED_MESSAGES:
+            self.pause_reading()
 
     def eof_received(self):
         """Record that the backend server closed its side without a reset."""
@@ -177,7 +187,11 @@
 
     def on_body(self, data):
         """Queue a piece of the body if it belongs to the current request."""
-        if self._matches_request and self._busy:
+        if not (self._matches_request and self._busy):
+            return
+        if self.body_sink is not None:
+            self.body_sink(data)
+        else:
             self.messages.put_nowait(BodyChunk(data))
 
     def on_message_complete(self):
@@ -196,6 +210,7 @@
     def _finish(self):
         self.idle_since_ms = self._clock.monotonic_ms()
         self._busy = False
+        self.body_sink = None
         self.messages.put_nowait(ResponseComplete())
         if self._closed:
             self._transport.close()
@@ -203,6 +218,7 @@
     def _fail(self, reason):
         if self._busy:
             self._busy = False
+            self.body_sink = None
             self.messages.put_nowait(ResponseFailed(reason, True))
         self.abort()
 
--- a/cassiamount/backend_messages.py
+++ b/cassiamount/backend_messages.py
@@ -126,6 +126,12 @@
         self.data = data
 
 
+class EventsWaiting:
+    """Events could not be written to the caller at once and wait for its connection."""
+
+    __slots__ = ()
+
+
 class ResponseComplete:
     """The whole response was received."""
 
--- a/cassiamount/fleet_edge.py
+++ b/cassiamount/fleet_edge.py
@@ -84,9 +84,19 @@
             {"type": "http.response.start", "status": status, "headers": headers}
         )
 
+    def write_at_once(self, data):
+        """Write a chunk if the connection accepts it without waiting.
+
+        Returns
+        -------
+        bool
+            Whether it was written.
+        """
+        return self._write_part is not None and self._write_part(data)
+
     async def send_chunk(self, data):
         """Send a chunk of the response body."""
-        if self._write_part is not None and self._write_part(data):
+        if self.write_at_once(data):
             return
         await self._send(
             {"type": "http.response.body", "body": data, "more_body": True}
--- a/cassiamount/response_forwarding.py
+++ b/cassiamount/response_forwarding.py
@@ -1,6 +1,11 @@
 """Forwards the response of a backend server to the caller."""
 
-from .backend_messages import BodyChunk, ResponseComplete, ResponseFailed
+from .backend_messages import (
+    BodyChunk,
+    EventsWaiting,
+    ResponseComplete,
+    ResponseFailed,
+)
 from .event_framing import EventFramer
 from .relayed_request import AttemptFailure, BrokenStream
 from .requests import FIRST_BYTE
@@ -8,6 +13,61 @@
 # Bodies up to this size are buffered, so that the request can still be retried if the
 # response breaks off.
 MAX_BUFFERED_BODY_BYTES = 1 << 20
+# Reading from the backend server pauses while this many bytes wait for a slow caller.
+MAX_WAITING_BYTES = 1 << 18
+
+
+class EventSink:
+    """Writes the events of one response to the caller as they arrive.
+
+    Parameters
+    ----------
+    request : RelayedRequest
+    connection : BackendConnection
+    framer : EventFramer
+    """
+
+    __slots__ = ("_request", "_connection", "_framer", "_waiting", "_waiting_bytes")
+
+    def __init__(self, request, connection, framer):
+        self._request = request
+        self._connection = connection
+        self._framer = framer
+        # Events that wait for the caller's connection, each with the ID of its last.
+        self._waiting = []
+        self._waiting_bytes = 0
+
+    def feed(self, data):
+        """Take a piece of the response body.
+
+        Raises
+        ------
+        ValueError
+            If an event is too large.
+        """
+        events = self._framer.feed(data)
+        if not events:
+            return
+        last_event_id = self._framer.last_event_id
+        if not self._waiting and self._request.inbound.caller.write_at_once(events):
+            self._request.last_event_id = last_event_id
+            return
+        if not self._waiting:
+            self._connection.messages.put_nowait(EventsWaiting())
+        self._waiting.append((events, last_event_id))
+        self._waiting_bytes += len(events)
+        if self._waiting_bytes > MAX_WAITING_BYTES:
+            self._connection.pause_reading()
+
+    async def drain(self):
+        """Send what waits, at the speed of the caller."""
+        while self._waiting:
+            events, last_event_id = self._waiting[0]
+            await self._request.inbound.caller.send_chunk(events)
+            self._request.last_event_id = last_event_id
+            del self._waiting[0]
+            self._waiting_bytes -= len(events)
+        self._connection.resume_reading()
 
 
 class ResponseForwarder:
@@ -123,37 +183,44 @@
     async def _forward_event_stream(self, request, connection, head):
         """Forward events as they arrive, but only complete ones."""
         framer = EventFramer()
-        caller = request.inbound.caller
+        sink = EventSink(request, connection, framer)
         while True:
+            if request.first_event_ms is not None and connection.messages.empty():
+                connection.body_sink = sink.feed
             message = await connection.receive()
-            if isinstance(message, BodyChunk):
+            if isinstance(message, EventsWaiting):
+                await sink.drain()
+            elif isinstance(message, BodyChunk):
                 try:
                     events = framer.feed(message.data)
                 except ValueError as error:
                     return self._stream_failure(request, str(error))
-                if not events:
-                    continue
-                if request.first_event_ms is None:
-                    request.first_event_ms = self._clock.monotonic_ms()
-                if not request.response_started:
-                    request.response_started = True
-                    request.state.transition_to(FIRST_BYTE)
-                    headers = self._codec.response_headers(head.headers)
-                    await caller.start(head.metadata.status, headers)
-                await caller.send_chunk(events)
-                request.last_event_id = framer.last_event_id
+                if events:
+                    await self._forward_events(request, head, events)
+                    request.last_event_id = framer.last_event_id
             elif isinstance(message, ResponseComplete):
                 if framer.has_partial_event:
                     return self._stream_failure(request, "ends within an event")
                 if not request.response_started:
-                    request.response_started = True
-                    headers = self._codec.response_headers(head.headers)
-                    await caller.start(head.metadata.status, headers)
-                await caller.finish()
+                    await self._start_stream(request, head)
+                await request.inbound.caller.finish()
                 return head.metadata.status
             else:
                 return self._stream_failure(request, message.reason)
 
+    async def _forward_events(self, request, head, events):
+        if request.first_event_ms is None:
+            request.first_event_ms = self._clock.monotonic_ms()
+        if not request.response_started:
+            request.state.transition_to(FIRST_BYTE)
+            await self._start_stream(request, head)
+        await request.inbound.caller.send_chunk(events)
+
+    async def _start_stream(self, request, head):
+        request.response_started = True
+        headers = self._codec.response_headers(head.headers)
+        await request.inbound.caller.start(head.metadata.status, headers)
+
     def _stream_failure(self, request, reason):
         if request.response_started and not (
             request.route.resumable and request.last_event_id
--- /dev/null
+++ b/tests/test_response_forwarding.py
@@ -0,0 +1,158 @@
+"""Tests of the way of events from a backend server to a caller."""
+
+import asyncio
+import random
+
+import pytest
+
+from cassiamount.backend_connection import BackendConnection
+from cassiamount.clock import ManualClock
+from cassiamount.fleet import RequestMetadata, RouteConfig
+from cassiamount.platform import headers
+from cassiamount.relayed_request import AttemptFailure, InboundRequest, RelayedRequest
+from cassiamount.requests import ADMITTED, DISPATCHED
+from cassiamount.response_forwarding import MAX_WAITING_BYTES, ResponseForwarder
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nx-cassiamount-request-id: r1\r\n"
+    b"x-cassiamount-server-signature: s\r\ncontent-type: text/event-stream\r\n"
+    b"transfer-encoding: chunked\r\n\r\n"
+)
+
+
+class Transport:
+    """Records whether reading is paused."""
+
+    def __init__(self):
+        self.paused = False
+
+    def get_extra_info(self, name):
+        return None
+
+    def is_closing(self):
+        return False
+
+    def write(self, data):
+        return None
+
+    def abort(self):
+        return None
+
+    def pause_reading(self):
+        self.paused = True
+
+    def resume_reading(self):
+        self.paused = False
+
+
+class Caller:
+    """A caller whose connection accepts data at once only now and then."""
+
+    def __init__(self, rng, blocked_share):
+        self._rng = rng
+        self._blocked_share = blocked_share
+        self.body = b""
+        self.finished = False
+        self.writable = asyncio.Event()
+        self.writable.set()
+
+    async def start(self, status, head):
+        await asyncio.sleep(0)
+
+    def write_at_once(self, data):
+        if self._rng.random() < self._blocked_share:
+            return False
+        self.body += data
+        return True
+
+    async def send_chunk(self, data):
+        if not self.write_at_once(data):
+            await asyncio.sleep(0)
+            await self.writable.wait()
+            self.body += data
+
+    async def finish(self):
+        self.finished = True
+
+
+def open_stream(caller):
+    """Return a connection that has sent a request, and the task that forwards."""
+    clock = ManualClock()
+    connection = BackendConnection("a:1", headers.decode_response, clock)
+    transport = Transport()
+    connection.connection_made(transport)
+    route = RouteConfig("chat", "h", "/", [("s", 1.0)], streamed=True)
+    metadata = RequestMetadata("r1", "POST", "h", "/")
+    inbound = InboundRequest(metadata, b"/", [], b"", 0.0, caller)
+    request = RelayedRequest(inbound, route, "s", False, None, 0.0)
+    request.state.transition_to(ADMITTED)
+    request.state.transition_to(DISPATCHED)
+    connection.send(b"", "r1")
+    forwarder = ResponseForwarder(headers, clock)
+    task = asyncio.create_task(forwarder.forward(request, connection))
+    return connection, transport, request, task
+
+
+def encode_events(count, rng):
+    events = [
+        b"id: %d\ndata: %b\n\n" % (number, b"x" * rng.randrange(40))
+        for number in range(1, count + 1)
+    ]
+    return events, b"".join(b"%x\r\n%b\r\n" % (len(e), e) for e in events)
+
+
+@pytest.mark.parametrize("blocked_share", [0.0, 0.3, 1.0])
+@pytest.mark.parametrize("seed", range(10))
+async def test_events_arrive_once_and_in_order(seed, blocked_share):
+    """Guards against lost, repeated or swapped events when the caller is slow."""
+    rng = random.Random(seed)
+    caller = Caller(rng, blocked_share)
+    connection, _, request, task = open_stream(caller)
+    events, body = encode_events(60, rng)
+    data = HEAD + body + b"0\r\n\r\n"
+    while data:
+        size = rng.randrange(1, 200)
+        connection.data_received(data[:size])
+        data = data[size:]
+        for _ in range(rng.randrange(4)):
+            await asyncio.sleep(0)
+    assert await task == 200
+    assert caller.body == b"".join(events)
+    assert caller.finished
+    assert request.last_event_id == "60"
+
+
+async def test_slow_caller_stops_the_reading():
+    """Guards against a stream that fills the memory while its caller reads nothing."""
+    caller = Caller(random.Random(0), 0.0)
+    connection, transport, _, task = open_stream(caller)
+    event = b"data: %b\n\n" % (b"x" * 10_000)
+    chunk = b"%x\r\n%b\r\n" % (len(event), event)
+    connection.data_received(HEAD + chunk)
+    await asyncio.sleep(0.01)
+    caller._blocked_share = 1.0
+    caller.writable.clear()
+    sent = 1
+    while not transport.paused:
+        connection.data_received(chunk)
+        await asyncio.sleep(0)
+        sent += 1
+        assert sent * len(event) < 4 * MAX_WAITING_BYTES
+    caller.writable.set()
+    connection.data_received(b"0\r\n\r\n")
+    assert await task == 200
+    assert caller.body == event * sent
+    assert not transport.paused
+
+
+async def test_broken_stream_is_not_ended_as_complete():
+    """Guards against a part of an event, or an end, after the server broke off."""
+    caller = Caller(random.Random(0), 0.0)
+    connection, _, request, task = open_stream(caller)
+    connection.data_received(HEAD + b"6\r\nid: 1\n\r\n")
+    await asyncio.sleep(0)
+    connection.connection_lost(ConnectionResetError())
+    assert isinstance(await task, AttemptFailure)
+    assert not caller.body
+    assert not caller.finished
+    assert not request.response_started
