Log why an attempt broke off, and the shared parts of its prompt

The line is written only for attempts whose answer was lost, not for those that a replica turned away. No decision changes.

--- a/cassiamount/fleet.py
+++ b/cassiamount/fleet.py
@@ -432,3 +432,7 @@
         if self.prompt_tokens is None:
             return None
         return self.prompt_tokens + self.output_tokens
+
+    def shared_parts(self):
+        """Return the prompt's parts without the last, which no other caller sends."""
+        return [name for name, _ in self.prefix[:-1]]
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -416,7 +416,12 @@
         try:
             connection.send(data, request.metadata.request_id)
             outcome = await self._forwarder.forward(request, connection)
+            if isinstance(outcome, AttemptFailure) and not outcome.not_run:
+                self._log_broken_attempt(request, name, outcome.reason)
             return outcome
+        except BrokenStream as broken:
+            self._log_broken_attempt(request, name, str(broken))
+            raise
         finally:
             state.view.record_ended(view, request.target)
             now_ms = state.now_ms()
@@ -432,6 +437,16 @@
                 connection.abort()
             self._record_outcome(request, view, outcome, now_ms)
 
+    def _log_broken_attempt(self, request, backend, reason):
+        self._log.info(
+            "attempt_broken",
+            request_id=request.metadata.request_id,
+            backend=backend,
+            reason=reason,
+            had_events=request.first_event_ms is not None,
+            prompt_parts=request.metadata.shared_parts(),
+        )
+
     def _record_outcome(self, request, view, outcome, now_ms):
         if outcome is None:
             if not request.response_started:
