Never refuse as not run a request that an engine may have run

What callers saw: an idempotent request whose answer was lost, or a resumable stream that had begun, ended in an internal error (500, or a connection closed without a log line of its own) if no other replica could take the repeat.

Cause: a repeat waits for a replica like a first attempt, and what ends that wait (no_backend, model_missing, stopping, unknown key) is a refusal that states not run.

Change: once a response has begun, such an end breaks the stream off; before that the caller gets 502, which promises nothing. Both tests failed before (500, no_backend instead of broken: no_backend).

--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -86,6 +86,12 @@
             request = self._admit(inbound)
             status = await self._run_with_deadline(request)
         except Refused as refused:
+            if request is not None and request.response_started:
+                code = f"broken: {refused.code}"
+                inbound.caller.abort()
+                return
+            if request is not None and request.may_have_run:
+                refused = _refused_after_attempt(refused)
             status, code = refused.status, refused.code
             await self._refuse(inbound, request, refused)
         except BrokenStream as broken:
@@ -541,3 +547,10 @@
             version=0 if configuration is None else configuration.version,
             took_ms=round(took_ms, 1),
         )
+
+
+def _refused_after_attempt(refused):
+    """Return the error for a request that may have run and can't be sent again."""
+    if refused.status in (502, 504):
+        return refused
+    return Refused(502, "backend_failed", f"not repeated: {refused.message}")
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+import aiohttp
 import pytest
+import structlog
 
 from tests.fleet_fixtures import KEY, TIMEOUT_S, Fleet, configuration
 
@@ -94,6 +96,24 @@
         assert head["X-Cassiamount-Server-Signature"] == "e1"
 
 
+async def test_broken_stream_that_no_replica_continues_ends_as_broken(fleet):
+    """Guards against "not run" for a stream of which events were delivered."""
+    fleet.replicas["e1"].break_streams = 1
+    await fleet.add_vm("v1")
+    with structlog.testing.capture_logs() as lines:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await fleet.send_request("v1", "/chat/x", X_Cassiamount_Model="m1")
+    (ended,) = [line for line in lines if line["event"] == "request_ended"]
+    assert ended["code"] == "broken: no_backend"
+
+
+async def test_lost_answer_that_no_replica_repeats_is_no_refusal(fleet):
+    """Guards against "not run" for a request that a replica may have run."""
+    fleet.replicas["s1"].cut_answers = True
+    await fleet.add_vm("v1")
+    assert (await fleet.send_request("v1", "/look/x"))[0] == 502
+
+
 async def test_withdrawn_key_stops_everywhere(fleet):
     """Guards against a VM that still accepts a withdrawn API key."""
     await fleet.add_vm("v1")
