--- a/tests/fleet_world/engines.py
+++ b/tests/fleet_world/engines.py
@@ -51,6 +51,14 @@
         self.loads = 0
         # Time until which orders get no answer, although they are accepted.
         self.mute_until_ms = 0.0
+        self.has_ended = False
+        # Connections with a request, which an end of the engine breaks.
+        self.connections = set()
+        # Called with a request that is about to be answered; returns whether the engine
+        # ends by it.
+        self.ends_by = lambda metadata: False
+        # Called with a request that arrived, and the VM that sent it.
+        self.record_arrival = lambda metadata, vm: None
         self._free_slot = asyncio.Condition()
         self._history = []
         self._snapshot()
@@ -146,6 +154,8 @@
             step_ms = STEP_MS + STEP_MS_PER_REQUEST * self.running
             await asyncio.sleep(metadata.prompt_tokens / PREFILL_TOKENS_PER_MS / 1000)
             events = max(1, metadata.output_tokens // TOKENS_PER_EVENT)
+            if self.ends_by(metadata):
+                self.end()
             yield True
             await asyncio.sleep(events * TOKENS_PER_EVENT * step_ms / 1000)
             yield True
@@ -154,6 +164,11 @@
             async with self._free_slot:
                 self._free_slot.notify()
 
+    def end(self):
+        """Break all connections, as the end of the process does."""
+        for connection in list(self.connections):
+            connection.break_off()
+
     def holds(self, metadata):
         """Return whether a request's model and adapter are loaded."""
         held = self.models.get(metadata.model)
@@ -215,6 +230,8 @@
         self.messages = asyncio.Queue()
 
     def send(self, request, request_id):
+        if self._engine is not None:
+            self._engine.connections.add(self)
         self._task = asyncio.create_task(self._run(*request))
         self._tasks.add(self._task)
         self._task.add_done_callback(self._tasks.discard)
@@ -223,6 +240,12 @@
         if self._task is not None:
             self._task.cancel()
 
+    def break_off(self):
+        """Fail the response; the run of the request ends."""
+        self._engine.connections.discard(self)
+        self.messages.put_nowait(ResponseFailed("connection lost", True))
+        self._task.cancel()
+
     async def receive(self):
         return await self.messages.get()
 
@@ -232,6 +255,7 @@
         if engine is None or engine.name != expected:
             self.messages.put_nowait(ResponseFailed("reset", True))
             return
+        engine.record_arrival(metadata, vm)
         status = 200 if engine.holds(metadata) else 421
         started = False
         if status == 200:
@@ -246,6 +270,7 @@
         if not started:
             await network.transfer(expected, vm, 300)
             self._put_head(metadata, status)
+        engine.connections.discard(self)
         self.messages.put_nowait(ResponseComplete())
 
     def _put_head(self, metadata, status):
@@ -271,8 +296,18 @@
 
     def acquire_idle(self, address):
         engine = self._engines.get(self._addresses[address])
+        if engine is None:
+            return None
         return WorldConnection(self._network, engine, self._vm, self._tasks)
 
+    async def open(self, address):
+        """Open a connection; without an engine at the address it is refused."""
+        await asyncio.sleep(0.002)
+        connection = self.acquire_idle(address)
+        if connection is None:
+            raise ConnectionRefusedError(address)
+        return connection
+
     def release(self, connection):
         return None
 
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -22,6 +22,12 @@
 HOST = "fleet.example"
 SERVICE = "llm"
 START_MS = 5_000.0
+# A prompt part that ends each engine which begins an answer on it.
+CRASHING_PART = "c0ffee"
+# Time without disturbance after which bounds hold for a VM.
+IN_TOUCH_MS = 3_000.0
+# Second parts of prompts, shared by requests of one route.
+DOCUMENTS = 12
 HEARTBEAT_S = 1.2
 # Name of a route: objective, time limit, prompt and output tokens.
 ROUTES = {
@@ -76,6 +82,10 @@
         self.first_holder = "vm-58"
         self.small_link_mbps = 5.0
         self.large_link_mbps = 100.0
+        # Requests a second with the prompt part that ends engines; no others have it.
+        self.crashing_per_s = 0.0
+        # Time until an engine that ended is back, under a new name.
+        self.restart_s = 3.5
         self.seed = 1
         for name, value in changes.items():
             assert hasattr(self, name), name
@@ -216,6 +226,14 @@
         # Target -> [asked, served]; over the whole run.
         self.targets = collections.defaultdict(lambda: [0, 0])
         self.duties = collections.Counter()
+        # Time of each end of an engine by the part that ends engines.
+        self.crashes_ms = []
+        # (time, VM) of each arrival of a request with that part at an engine.
+        self.crashing_arrivals = []
+        # (time, first part, whether the first attempt began an answer) of the others.
+        self.first_attempts = []
+        # VM -> spans during which it was cut off or starting.
+        self.disturbed_ms = {}
         self._calls = set()
         self._next_id = 0
 
@@ -251,6 +269,8 @@
             link.longest_queue_ms = 0.0
         for vm in self.vms.values():
             vm.totals.clear()
+        if self.config.crashing_per_s:
+            jobs.append(asyncio.create_task(self._call_crashing()))
         if script is not None:
             jobs.append(asyncio.create_task(script(self)))
         for job in jobs:
@@ -272,10 +292,23 @@
         mbps = config.large_link_mbps if large else config.small_link_mbps
         self.network.links[name] = Link(self.loop, mbps * 1000 / 8)
         self.network.zones[name] = zone
+        self.record_disturbance(name, self.loop.true_ms, self.loop.true_ms)
         self.vms[name] = WorldVm(self, name, zone, large)
         self.vms[name].start()
         self.vms[name].task.add_done_callback(self.on_task_ended)
 
+    def record_disturbance(self, name, begin_ms, end_ms):
+        """Note a span in which a VM is not bound by any limit."""
+        self.disturbed_ms.setdefault(name, []).append((begin_ms, end_ms))
+
+    async def cut_vm(self, name, seconds):
+        """Cut a VM from all others, the store and the engines for some time."""
+        begin_ms = self.loop.true_ms
+        self.record_disturbance(name, begin_ms, begin_ms + seconds * 1000)
+        self.network.cut.add(name)
+        await asyncio.sleep(seconds)
+        self.network.cut.discard(name)
+
     async def kill_vm(self, name):
         """End a VM at once."""
         await self.vms.pop(name).kill()
@@ -349,9 +382,34 @@
             name = f"engine-{index:02d}"
             on_disk = self.rng.sample(names, 3)
             zone = f"z{index % config.zones}"
-            self.engines[name] = Engine(self.loop, name, zone, rule, held, on_disk)
-            self.addresses[f"{name}:9"] = name
-            self._put_engine(name)
+            self._add_engine(Engine(self.loop, name, zone, rule, held, on_disk))
+
+    def _add_engine(self, engine):
+        self.engines[engine.name] = engine
+        self.addresses[f"{engine.name}:9"] = engine.name
+        engine.record_arrival = self._record_arrival
+        engine.ends_by = lambda metadata: self._ends_engine(engine, metadata)
+        self._put_engine(engine.name)
+
+    def _record_arrival(self, metadata, vm):
+        if CRASHING_PART in metadata.shared_parts():
+            self.crashing_arrivals.append((self.loop.true_ms, vm))
+
+    def _ends_engine(self, engine, metadata):
+        if CRASHING_PART not in metadata.shared_parts() or engine.has_ended:
+            return False
+        engine.has_ended = True
+        self.crashes_ms.append(self.loop.true_ms)
+        self.crash_engine(engine.name)
+        return True
+
+    def crash_engine(self, name):
+        """End an engine's process; another one starts empty some seconds later."""
+        old = self.engines[name]
+        self.remove_engine(name)
+        old.end()
+        new = Engine(self.loop, f"{name}+", old.zone, old.config, [], old.on_disk)
+        self.loop.call_later(self.config.restart_s, self._add_engine, new)
 
     def _put_engine(self, name):
         engine = self.engines[name]
@@ -375,6 +433,18 @@
         del self.engines[name]
         self.loop.call_later(3 * HEARTBEAT_S, self.store.put, BACKENDS, name, None)
 
+    async def _call_crashing(self):
+        """Send requests with the part that ends engines, no two alike."""
+        while True:
+            await asyncio.sleep(self.rng.expovariate(self.config.crashing_per_s))
+            route = self.rng.choice(["live", "short"])
+            _, limit_ms, prompt, output = ROUTES[route]
+            metadata = self._metadata(route, *self._choose_target(route, 0.0))
+            parts = [name for name, _ in metadata.prefix]
+            parts.insert(self.rng.randrange(len(parts)), CRASHING_PART)
+            metadata.prefix = tuple((name, 100) for name in parts)
+            self._start_call(self._send(Caller(self.loop), metadata))
+
     async def _heartbeats(self):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
@@ -397,10 +467,13 @@
             route = self.rng.choices(names, weights)[0]
             elapsed_s = (self.loop.true_ms - begin_ms) / 1000
             target = self._choose_target(route, elapsed_s)
-            task = asyncio.create_task(self._request(route, *target))
-            self._calls.add(task)
-            task.add_done_callback(self._calls.discard)
-            task.add_done_callback(self.on_task_ended)
+            self._start_call(self._request(route, *target))
+
+    def _start_call(self, call):
+        task = asyncio.create_task(call)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+        task.add_done_callback(self.on_task_ended)
 
     def _choose_target(self, route, elapsed_s):
         config = self.config
@@ -418,7 +491,7 @@
 
     async def _request(self, route, model, adapter):
         """Send a request, and once more if it is refused with a time in reach."""
-        objective_ms, limit_ms, prompt, output = ROUTES[route]
+        objective_ms, limit_ms, _, _ = ROUTES[route]
         begin_ms = self.loop.true_ms
         counts = self.targets[f"{model}/{adapter}" if adapter else model]
         counts[0] += 1
@@ -426,7 +499,11 @@
         for attempt in range(2):
             left_ms = limit_ms - (self.loop.true_ms - begin_ms)
             caller = Caller(self.loop)
-            await self._send(caller, route, model, adapter, prompt, output, left_ms)
+            metadata = self._metadata(route, model, adapter, left_ms)
+            await self._send(caller, metadata)
+            if attempt == 0:
+                begun = caller.first_event_ms is not None
+                self.first_attempts.append((begin_ms, metadata.prefix[0][0], begun))
             if caller.finished:
                 counts[1] += 1
                 waited_ms = caller.first_event_ms - begin_ms
@@ -439,20 +516,25 @@
             await asyncio.sleep(min(wait_s, left_ms / 3000))
         self.outcomes[route][outcome] += 1
 
-    async def _send(self, caller, route, model, adapter, prompt, output, left_ms):
+    def _metadata(self, route, model, adapter, left_ms=None):
+        _, limit_ms, prompt, output = ROUTES[route]
         self._next_id += 1
-        vm = self.rng.choice(list(self.vms.values()))
-        metadata = RequestMetadata(
+        parts = (route, f"{route}-doc{self.rng.randrange(DOCUMENTS)}", self._next_id)
+        return RequestMetadata(
             f"r{self._next_id}",
             "POST",
             HOST,
             f"/{route}/x",
-            timeout_ms=left_ms,
+            timeout_ms=limit_ms if left_ms is None else left_ms,
             model=model,
             adapter=adapter,
             prompt_tokens=prompt,
             output_tokens=max(8, int(output * self.rng.expovariate(1.0))),
+            prefix=tuple((str(name), prompt // len(parts)) for name in parts),
         )
+
+    async def _send(self, caller, metadata):
+        vm = self.rng.choice(list(self.vms.values()))
         inbound = InboundRequest(
             metadata, b"/", [], metadata, self.loop.true_ms, caller
         )
@@ -466,6 +548,30 @@
                 counts.update(of_route)
         return counts[outcome] / max(1, counts.total())
 
+    async def sleep(self, seconds):
+        """Let virtual time pass."""
+        await asyncio.sleep(seconds)
+
+    async def sleep_until_crashes(self, count):
+        """Wait until the part that ends engines has ended some."""
+        while len(self.crashes_ms) < count:
+            await asyncio.sleep(0.05)
+
+    def in_touch(self, vm, at_ms):
+        """Return whether a VM ran undisturbed for some seconds before a time."""
+        return all(
+            not begin_ms <= at_ms <= end_ms + IN_TOUCH_MS
+            for begin_ms, end_ms in self.disturbed_ms.get(vm, ())
+        )
+
+    def begun(self, part, from_ms, to_ms):
+        """Return whether each first attempt with a first part began an answer."""
+        return [
+            begun
+            for at_ms, first, begun in self.first_attempts
+            if first == part and from_ms <= at_ms < to_ms
+        ]
+
     def never_served(self, min_requests=4):
         """Return the targets that were asked for and never served, and all asked."""
         asked = {t: c for t, c in self.targets.items() if c[0] >= min_requests}
--- /dev/null
+++ b/tests/test_crashing_prompts.py
@@ -0,0 +1,126 @@
+"""Tests of a fleet that gets requests whose prompts end engines."""
+
+import logging
+
+import pytest
+import structlog
+
+from tests.fleet_world import World, WorldConfig
+
+# Requests with the part that may reach engines once the fleet must have learned of it.
+MAX_ARRIVALS = 3
+# Time from the fifth end of an engine until then, and until others are served again.
+LEARN_MS = 3_000.0
+RECOVER_MS = 2 * LEARN_MS
+# Share of the rate at which the others' first attempts began before.
+MIN_SHARE = 0.5
+MIN_REQUESTS = 20
+
+
+@pytest.fixture(autouse=True)
+def quiet_logs():
+    """Keep tens of thousands of log lines out of the report of a failure."""
+    before = structlog.get_config()
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+    yield
+    structlog.configure(**before)
+
+
+def small_world(seed, **changes):
+    """Return a world of 7 VMs before 6 engines."""
+    values = {
+        "vms": 7,
+        "large_vms": 7,
+        "engines": 6,
+        "models": 12,
+        "live_models": 9,
+        "busy_models": 6,
+        "adapters": 4,
+        "slots": 48,
+        "loads_per_s": 2.0,
+        "requests_per_s": {"live": 18.0, "short": 16.0, "batch": 2.0},
+        "shift_per_s": 0.0,
+        "crashing_per_s": 0.8,
+        "first_holder": "vm-06",
+        "seed": seed,
+    }
+    values.update(changes)
+    return World(WorldConfig(**values))
+
+
+async def cut_one_vm(world):
+    await world.sleep_until_crashes(1)
+    await world.cut_vm("vm-02", 6.0)
+
+
+async def restart_one_vm(world):
+    await world.sleep_until_crashes(4)
+    await world.kill_vm("vm-01")
+    await world.sleep(3.0)
+    world.add_vm("vm-01", "z1", True)
+
+
+async def add_late_vm(world):
+    await world.sleep_until_crashes(5)
+    await world.sleep(6.0)
+    world.add_vm("vm-07", "z0", True)
+
+
+async def restart_all_vms(world):
+    await world.sleep_until_crashes(5)
+    await world.sleep(6.0)
+    names = list(world.vms)
+    for name in names:
+        await world.kill_vm(name)
+    for index, name in enumerate(names):
+        world.add_vm(name, f"z{index % 3}", True)
+
+
+async def crash_other_engines(world):
+    for name in ("engine-00", "engine-03", "engine-04"):
+        await world.sleep(1.5)
+        if name in world.engines:
+            world.crash_engine(name)
+
+
+SCRIPTS = [
+    None,
+    cut_one_vm,
+    restart_one_vm,
+    add_late_vm,
+    restart_all_vms,
+    crash_other_engines,
+]
+
+
+def check(world):
+    """Check the two bounds on requests with the part and on all others."""
+    crashes = world.crashes_ms
+    if len(crashes) >= 5:
+        learned_ms = crashes[4] + LEARN_MS
+        arrivals = [
+            at_ms
+            for at_ms, vm in world.crashing_arrivals
+            if at_ms > learned_ms and world.in_touch(vm, at_ms)
+        ]
+        assert len(arrivals) <= MAX_ARRIVALS, f"{len(arrivals)} more, {len(crashes)}"
+    recovered_ms = crashes[min(4, len(crashes) - 1)] + RECOVER_MS
+    for part in ("live", "short"):
+        before = world.begun(part, 0.0, crashes[0])
+        after = world.begun(part, recovered_ms, float("inf"))
+        if min(len(before), len(after)) >= MIN_REQUESTS:
+            share = sum(after) / len(after) / (sum(before) / len(before))
+            assert share >= MIN_SHARE, f"{part}: {share:.2f} of the share before"
+
+
+@pytest.mark.parametrize(
+    "script", SCRIPTS, ids=lambda s: getattr(s, "__name__", "calm")
+)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_prompt_part_that_ends_engines_is_kept_from_them(seed, script):
+    """Guards against requests with one prompt part that end engine after engine."""
+    world = small_world(seed).run(40.0, script)
+    assert world.crashes_ms
+    check(world)
