Keep prompt parts on which engines crash from the engines

Cause: a crashed engine was an ordinary lost connection. Nothing kept what had waited at it for a first event, and no VM saw more than a part of the crashes, so each such request went on to the next engine. Class: a failure that the request carries with it is treated as one of the server. Elsewhere: a request that a grey replica fails is repeated in the same way, but within the shared retry budget; orders that crash an engine are bounded by the ledger of its memory.

Change: a VM that loses a connection before the first event checks whether the engine refuses connections, and records the shared parts of all requests that waited there. Evidence, and answers to suspect parts, go to all VMs with their reports. After three separate crashes without an answer in between (five for a part that was answered before) a request that has all parts common to what explains the crashes is refused at once, 503 with the time that is left of ten minutes. What shares only some of these parts is served; an answer releases a part. Quarantined parts are kept in the topic keyed.quarantine, so they outlive a power loss of all VMs.

Ruled out: a decision by one VM (it would be lost or late with that VM), a quarantine by key or first part (sound requests share them), counting failed attempts without the check of the engine (cut links and answers would count).

A connection that was opened for a request whose key was withdrawn meanwhile went unused and open; it goes back to the pool now.

--- /dev/null
+++ b/cassiamount/crash_detector.py
@@ -0,0 +1,65 @@
+"""Tells crashed backend servers from single lost connections."""
+
+import asyncio
+
+import structlog
+
+from .background import BackgroundTasks
+
+# The end of a process breaks all its connections at about the same time.
+GATHER_MS = 20.0
+
+log = structlog.get_logger()
+
+
+class CrashDetector:
+    """Checks a backend server after connections to it were lost.
+
+    A server that crashed refuses new connections; after a timeout nothing is known.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+    on_crash : callable
+        Called with the `BackendRecord` and the prompt parts of each request that had
+        waited there for its first event.
+    """
+
+    def __init__(self, pool, on_crash):
+        self._pool = pool
+        self._on_crash = on_crash
+        self._tasks = BackgroundTasks()
+        # (backend, started_wall_ms) -> parts of the requests, while it is checked.
+        self._pending = {}
+
+    def on_connection_lost(self, record, parts):
+        """Record a request whose connection was lost before its first event.
+
+        Parameters
+        ----------
+        record : BackendRecord
+        parts : sequence of str
+        """
+        key = (record.name, record.started_wall_ms)
+        if key not in self._pending:
+            self._pending[key] = []
+            self._tasks.start(self._check(key, record))
+        self._pending[key].append(parts)
+
+    async def _check(self, key, record):
+        await asyncio.sleep(GATHER_MS / 1000)
+        try:
+            self._pool.release(await self._pool.open(record.address))
+            crashed = False
+        except ConnectionRefusedError:
+            crashed = True
+        except OSError:
+            crashed = False
+        requests = self._pending.pop(key)
+        if crashed:
+            log.warning("backend_crashed", backend=record.name, prompt_parts=requests)
+            self._on_crash(record, requests)
+
+    def close(self):
+        """Stop all checks."""
+        self._tasks.cancel()
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -18,6 +18,7 @@
 from .peer_exchange import PeerExchange
 from .peer_topology import decode_place, encode_place
 from .peer_transport import PeerTransport
+from .quarantine_store import QuarantineStore
 from .replica_selection import ReplicaSelector, SentPrefixIndex
 from .serving import EdgeServer, open_listener
 from .store_follower import StoreFollower
@@ -117,6 +118,7 @@
             log,
             rng or random.Random(),
             self._notify_lease_holder,
+            self._exchange.exchange_soon,
         )
         self._edge = FleetEdge(self.state, self._relay, platform.codec.decode_request)
         self._stop_requested = asyncio.Event()
@@ -164,6 +166,8 @@
             )
             supervisor.add(f"follow-{stream}", follower.run)
         supervisor.add("announce", self._announce)
+        quarantine = QuarantineStore(self._platform.store, self.state)
+        supervisor.add("quarantine", quarantine.run)
         supervisor.add("exchange", self._exchange.run)
         supervisor.add("lease", self._controller.renew_lease)
         supervisor.add("orders", self._controller.run)
@@ -287,6 +291,7 @@
         log.info("stopped", requests_cut_off=requests_cut_off, took_ms=round(took_ms))
 
     async def _close(self):
+        self._relay.close()
         self._pool.close()
         servers = [
             server.stop(100.0)
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from .backend_messages import Attempt
+from .crash_detector import CrashDetector
 from .fleet import choose_target
 from .model_demand import LATENCY_SENSITIVE_OBJECTIVE_MS
 from .relayed_request import (
@@ -34,6 +35,8 @@
 OVERLOADED_RETRY_AFTER_MS = 150.0
 STALE_KEYS_RETRY_AFTER_MS = 1_000.0
 STARTING_RETRY_AFTER_MS = 500.0
+# An engine that runs on this long after the first event did not crash by the request.
+SURVIVED_MS = 500.0
 # Short, because another VM can take the request at once.
 STOPPING_RETRY_AFTER_MS = 50.0
 
@@ -56,10 +59,23 @@
     notify_waiting : callable
         Called when a request begins to wait for a model or adapter, or its caller was
         told to retry, so that the VM that holds the order lease learns of it.
+    notify_peers : callable
+        Called when other VMs should learn soon of a crashed engine, or of an answer
+        that clears a prompt part.
     """
 
     def __init__(
-        self, state, selector, pool, codec, prefixes, metrics, log, rng, notify_waiting
+        self,
+        state,
+        selector,
+        pool,
+        codec,
+        prefixes,
+        metrics,
+        log,
+        rng,
+        notify_waiting,
+        notify_peers,
     ):
         self._state = state
         self._selector = selector
@@ -70,6 +86,8 @@
         self._log = log
         self._rng = rng
         self._notify_waiting = notify_waiting
+        self._notify_peers = notify_peers
+        self._crash_detector = CrashDetector(pool, self._on_crash)
         self._forwarder = ResponseForwarder(codec, state.clock)
         self._changed = asyncio.Event()
         state.listeners.append(self._on_change)
@@ -78,6 +96,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def close(self):
+        """Stop the checks of backend servers."""
+        self._crash_detector.close()
+
     async def serve(self, inbound):
         """Handle one request from admission to the last byte of its response."""
         request = None
@@ -125,6 +147,7 @@
         )
         if is_model_request and metadata.model not in rule.engine.models:
             raise Refused(404, "unknown_model", "no such model")
+        self._check_quarantine(metadata, now_ms)
         request = RelayedRequest(
             inbound, route, service, is_model_request, team, now_ms
         )
@@ -146,6 +169,20 @@
         request.state.transition_to(ADMITTED)
         return request
 
+    def _check_quarantine(self, metadata, now_ms):
+        """Refuse a request on whose prompt engines crash."""
+        if not metadata.prefix:
+            return
+        parts = metadata.shared_parts()
+        blocked_for_ms = self._state.quarantine.blocked_for_ms(parts, now_ms)
+        if blocked_for_ms > 0:
+            raise Refused(
+                503,
+                "prompt_quarantined",
+                "engines crash on a part of this prompt",
+                blocked_for_ms,
+            )
+
     def _authenticate(self, configuration, route, metadata, now_ms):
         if route.open or not configuration.keyed:
             return None
@@ -195,6 +232,7 @@
         try:
             while True:
                 now_ms = self._state.now_ms()
+                self._check_quarantine(request.metadata, now_ms)
                 found = self._select_replica(request, now_ms)
                 if isinstance(found, SelectedReplica):
                     if (
@@ -354,7 +392,12 @@
             # The backend server began to leave while the connection was opened.
             self._pool.release(connection)
             return None
-        self._recheck_key(request)
+        try:
+            self._recheck_key(request)
+            self._check_quarantine(request.metadata, self._state.now_ms())
+        except Refused:
+            self._pool.release(connection)
+            raise
         return connection
 
     def _recheck_key(self, request):
@@ -441,8 +484,41 @@
                 self._pool.release(connection)
             else:
                 connection.abort()
+            self._record_evidence(request, view.record, outcome, now_ms)
             self._record_outcome(request, view, outcome, now_ms)
 
+    def _record_evidence(self, request, record, outcome, now_ms):
+        """Record whether the engine answered a prompt, or may have crashed by it."""
+        parts = request.metadata.shared_parts()
+        if not parts:
+            return
+        begun_ms = request.first_event_ms
+        if isinstance(outcome, int):
+            is_empty = request.route.streamed and begun_ms is None
+            survived = outcome < 300 and not is_empty
+        else:
+            survived = begun_ms is not None and now_ms - begun_ms >= SURVIVED_MS
+        if survived:
+            if self._state.quarantine.record_answer(parts, now_ms):
+                self._notify_peers()
+        elif (
+            isinstance(outcome, AttemptFailure)
+            and outcome.connection_lost
+            and begun_ms is None
+        ):
+            self._crash_detector.on_connection_lost(record, parts)
+
+    def _on_crash(self, record, requests):
+        now_ms = self._state.now_ms()
+        view = self._state.view.backends.get(record.name)
+        if view is not None and view.record.started_wall_ms == record.started_wall_ms:
+            view.avoided_until_ms = now_ms + UNREACHABLE_AVOID_MS
+        if self._state.quarantine.record_crash(
+            record.name, record.started_wall_ms, requests, now_ms
+        ):
+            self._state.notify()
+            self._notify_peers()
+
     def _log_broken_attempt(self, request, backend, reason):
         self._log.info(
             "attempt_broken",
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -4,6 +4,7 @@
 
 from .engine_residency import ResidencyPart
 from .metadata_store import KeyedRecord
+from .prompt_quarantine import QuarantinePart
 from .vm_state import VmState
 
 
@@ -74,6 +75,7 @@
     wants_demand : bool
         Whether the sender needs `waiting`, `rates` and all of `running`.
     residency : ResidencyPart or None
+    quarantine : QuarantinePart or None
     """
 
     __slots__ = (
@@ -92,6 +94,7 @@
         "rates",
         "wants_demand",
         "residency",
+        "quarantine",
     )
 
     def __init__(self, **values):
@@ -124,6 +127,8 @@
     }
     if report.residency is not None:
         value["residency"] = report.residency.to_value()
+    if report.quarantine is not None:
+        value["quarantine"] = report.quarantine.to_value()
     return orjson.dumps([value[name] for name in VmReport.__slots__])
 
 
@@ -156,6 +161,8 @@
         }
         if value["residency"] is not None:
             value["residency"] = ResidencyPart(*value["residency"])
+        if value["quarantine"] is not None:
+            value["quarantine"] = QuarantinePart(*value["quarantine"])
         return VmReport(**value)
     except (KeyError, TypeError, AttributeError, IndexError) as error:
         raise ValueError(f"invalid report: {error!r}") from error
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -20,6 +20,7 @@
 from .order_lease import OrderLease
 from .peer_table import REPORT_PERIOD_MS, PeerTable
 from .peer_topology import OTHERS, OWN, VmPlace
+from .prompt_quarantine import PromptQuarantine
 from .request_rates import RequestRate
 from .shared_quota import SharedQuota
 from .shared_retries import SharedRetryBudget
@@ -95,6 +96,7 @@
         self.listeners = []
         self.lease = OrderLease(settings.order_turn_ms, now_ms)
         self.residency = EngineResidency(self._counter)
+        self.quarantine = PromptQuarantine(self._counter)
         self._wants_demand = False
         self._reviewed_ms = -float("inf")
         self._decoder = decoder
@@ -275,6 +277,8 @@
         link.positions = report.positions
         version_before = self._configuration_version()
         has_news = self._apply_states(report, now_ms)
+        if report.quarantine is not None:
+            has_news |= self.quarantine.apply(report.quarantine, now_ms)
         self.peers.on_vouched(report.vouched_ages, now_ms)
         self._apply_records(report, now_ms)
         waited_before = self.demand.waiting_of(report.vm)
@@ -378,6 +382,7 @@
         self.demand.rates.forget_idle(now_ms)
         self._recount_peer_requests()
         self.remove_missing_backends()
+        self.quarantine.remove_expired(now_ms)
         flags_changed = self._update_own_state(now_ms)
         return self._linked_peers(now_ms) if lost or flags_changed else set()
 
@@ -407,6 +412,11 @@
             fence=self.lease.generation if self.may_order() else 0,
         )
 
+    def load_quarantine(self, rules):
+        """Take over quarantined combinations of prompt parts from the store."""
+        self.quarantine.load_rules(rules, self.now_ms())
+        self.notify()
+
     def way_to_holder(self):
         """Return the peer through which the lease holder is reached, or None."""
         if self.lease.active:
@@ -525,6 +535,7 @@
             else {},
             wants_demand=self._wants_demand,
             residency=self.residency.part_for(name, since, now_ms),
+            quarantine=self.quarantine.part_since(since, now_ms),
         )
 
     def _sources_for(self, name, scope, now_ms):
--- a/cassiamount/platform/store.py
+++ b/cassiamount/platform/store.py
@@ -8,6 +8,7 @@
 from ..metadata_store import (
     BACKENDS,
     CONFIGURATION,
+    QUARANTINE,
     VMS,
     HistoryTrimmed,
     KeyedPage,
@@ -20,6 +21,7 @@
     CONFIGURATION: "keyed.op",
     BACKENDS: "keyed.servers",
     VMS: "keyed.vms",
+    QUARANTINE: "keyed.quarantine",
 }
 # The member of this group that owns the first partition of the topic holds the order
 # lease.
--- a/cassiamount/relayed_request.py
+++ b/cassiamount/relayed_request.py
@@ -154,12 +154,28 @@
         Whether the backend server states that it did not run the request.
     connection_reusable : bool
         Whether the connection can carry another request.
+    connection_lost : bool
+        Whether the connection ended, as it does when the backend server crashes.
     """
 
-    __slots__ = ("reason", "status", "not_run", "connection_reusable")
+    __slots__ = (
+        "reason",
+        "status",
+        "not_run",
+        "connection_reusable",
+        "connection_lost",
+    )
 
-    def __init__(self, reason, status=0, not_run=False, connection_reusable=False):
+    def __init__(
+        self,
+        reason,
+        status=0,
+        not_run=False,
+        connection_reusable=False,
+        connection_lost=False,
+    ):
         self.reason = reason
         self.status = status
         self.not_run = not_run
         self.connection_reusable = connection_reusable
+        self.connection_lost = connection_lost
--- a/cassiamount/response_forwarding.py
+++ b/cassiamount/response_forwarding.py
@@ -105,7 +105,9 @@
         message = await connection.receive()
         if isinstance(message, ResponseFailed):
             request.may_have_run = True
-            return AttemptFailure(message.reason)
+            return AttemptFailure(
+                message.reason, connection_lost=message.connection_lost
+            )
         metadata = message.metadata
         if metadata.not_run:
             await self._discard_body(connection)
@@ -147,7 +149,9 @@
             elif isinstance(message, ResponseComplete):
                 break
             else:
-                return AttemptFailure(message.reason)
+                return AttemptFailure(
+                    message.reason, connection_lost=message.connection_lost
+                )
         status = head.metadata.status
         if (
             status >= 500
@@ -200,13 +204,15 @@
                     request.last_event_id = framer.last_event_id
             elif isinstance(message, ResponseComplete):
                 if framer.has_partial_event:
-                    return self._stream_failure(request, "ends within an event")
+                    return self._stream_failure(request, "ends within an event", True)
                 if not request.response_started:
                     await self._start_stream(request, head)
                 await request.inbound.caller.finish()
                 return head.metadata.status
             else:
-                return self._stream_failure(request, message.reason)
+                return self._stream_failure(
+                    request, message.reason, message.connection_lost
+                )
 
     async def _forward_events(self, request, head, events):
         if request.first_event_ms is None:
@@ -221,9 +227,9 @@
         headers = self._codec.response_headers(head.headers)
         await request.inbound.caller.start(head.metadata.status, headers)
 
-    def _stream_failure(self, request, reason):
+    def _stream_failure(self, request, reason, connection_lost=False):
         if request.response_started and not (
             request.route.resumable and request.last_event_id
         ):
             raise BrokenStream(reason)
-        return AttemptFailure(reason)
+        return AttemptFailure(reason, connection_lost=connection_lost)
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -6,6 +6,7 @@
 import pytest
 import structlog
 
+from cassiamount.prompt_quarantine import MIN_CRASHES
 from tests.fleet_fixtures import KEY, TIMEOUT_S, Fleet, configuration
 
 STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
@@ -238,6 +239,46 @@
     assert fleet.replicas["e1"].fence > fence
 
 
+PROMPT = "aa:10,bad:20,last:5"
+
+
+def quarantine_prompt_part(node):
+    state = node.state
+    for number in range(MIN_CRASHES):
+        at_ms = state.now_ms() - 1_000.0 * (number + 1)
+        state.quarantine.record_crash(f"x{number}", 1, [["bad"]], at_ms)
+
+
+async def test_quarantined_prompt_is_refused_at_once_on_every_vm(fleet):
+    """Guards against a prompt that crashes engines by way of another VM."""
+    node = await fleet.add_vm("v1")
+    other = await fleet.add_vm("v2")
+    quarantine_prompt_part(node)
+    await fleet.wait_until(lambda: bool(other.state.quarantine.rules()))
+    for vm in ("v1", "v2"):
+        headers = {"X_Cassiamount_Model": "m1", "X_Cassiamount_Prefix_Hash": PROMPT}
+        status, head, _ = await fleet.send_request(vm, "/chat/x", **headers)
+        assert status == 503
+        assert float(head["Retry-After"]) > 60
+        headers["X_Cassiamount_Prefix_Hash"] = "aa:10,bad:5"
+        assert (await fleet.send_request(vm, "/chat/x", **headers))[0] == 200
+
+
+async def test_quarantine_outlives_a_power_loss_of_all_vms(fleet):
+    """Guards against engines that crash again after all VMs have restarted."""
+    for name in ("v1", "v2"):
+        quarantine_prompt_part(await fleet.add_vm(name))
+    await fleet.wait_until(lambda: bool(fleet.store.topics.get("keyed.quarantine")))
+    for name in ("v1", "v2"):
+        await fleet.kill_vm(name)
+    node = await fleet.add_vm("v3")
+    await fleet.wait_until(lambda: bool(node.state.quarantine.rules()))
+    now_ms = node.state.now_ms()
+    node.state.quarantine.record_answer(["bad"], now_ms)
+    await fleet.wait_until(lambda: len(fleet.store.topics["keyed.quarantine"]) > 1)
+    assert fleet.store.topics["keyed.quarantine"][-1][33:] == b""
+
+
 async def test_graceful_stop_finishes_accepted_requests(fleet):
     """Guards against a stop that truncates a stream."""
     node = await fleet.add_vm("v1")
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -14,6 +14,7 @@
 from cassiamount.metadata_store import KeyedRecord
 from cassiamount.peer_table import PEER_EXPIRY_MS, PEER_TIMEOUT_MS, PeerTable
 from cassiamount.peer_topology import VmPlace
+from cassiamount.prompt_quarantine import QuarantinePart
 from cassiamount.vm_state import VmState
 
 
@@ -43,6 +44,9 @@
         "residency": ResidencyPart(
             4, 30, {"e1": (9, [1, {"m": ["a"]}, {"n": 80}, ["o"]])}, {"q": (9, 1_500)}
         ),
+        "quarantine": QuarantinePart(
+            [["e1", 1, 30, [["p1", "p2"]]]], {"p1": 20}, [[["p2"], 5]]
+        ),
     }
     values.update(changes)
     return VmReport(**values)
@@ -57,6 +61,7 @@
     assert decoded.records["backends"].records[1].value is None
     assert decoded.states[1].lost
     assert decoded.residency.engines["e1"][1][2] == {"n": 80}
+    assert decoded.quarantine.crashes == [["e1", 1, 30, [["p1", "p2"]]]]
 
 
 @pytest.mark.parametrize(
