Log the request limits that backend servers name

The header Server-Limit was not decoded, so logs could not tell a limit that is not read from one that each VM keeps alone, or from an engine with the only copy of a model. The head of each response is now decoded with it and a change is logged. No decision changes.

--- a/cassiamount/backend_messages.py
+++ b/cassiamount/backend_messages.py
@@ -57,6 +57,9 @@
         Whether the body is compressed or otherwise encoded.
     event_stream : bool
         Whether the body is a stream of server-sent events.
+    limit_per_s : float or None
+        Requests a second that the backend server takes from all VMs together, if it
+        names a limit.
     """
 
     __slots__ = (
@@ -70,6 +73,7 @@
         "keep_alive_ms",
         "content_encoded",
         "event_stream",
+        "limit_per_s",
     )
 
     def __init__(
@@ -84,6 +88,7 @@
         keep_alive_ms=None,
         content_encoded=False,
         event_stream=False,
+        limit_per_s=None,
     ):
         self.status = status
         self.request_id = request_id
@@ -95,6 +100,7 @@
         self.keep_alive_ms = keep_alive_ms
         self.content_encoded = content_encoded
         self.event_stream = event_stream
+        self.limit_per_s = limit_per_s
 
 
 class ResponseHead:
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -464,7 +464,9 @@
         request.first_event_ms = None
         try:
             connection.send(data, request.metadata.request_id)
-            outcome = await self._forwarder.forward(request, connection)
+            outcome = await self._forwarder.forward(
+                request, connection, lambda metadata: self._on_head(view, metadata)
+            )
             if isinstance(outcome, AttemptFailure) and not outcome.not_run:
                 self._log_broken_attempt(request, name, outcome.reason)
             return outcome
@@ -487,6 +489,16 @@
             self._record_evidence(request, view.record, outcome, now_ms)
             self._record_outcome(request, view, outcome, now_ms)
 
+    def _on_head(self, view, metadata):
+        """Record what the head of a response says about its backend server."""
+        if metadata.limit_per_s != view.limit_per_s:
+            view.limit_per_s = metadata.limit_per_s
+            self._log.info(
+                "backend_limit_changed",
+                backend=view.record.name,
+                limit_per_s=metadata.limit_per_s,
+            )
+
     def _record_evidence(self, request, record, outcome, now_ms):
         """Record whether the engine answered a prompt, or may have crashed by it."""
         parts = request.metadata.shared_parts()
--- a/cassiamount/platform/headers.py
+++ b/cassiamount/platform/headers.py
@@ -1,5 +1,7 @@
 """The platform's HTTP headers, decoded into request and response metadata."""
 
+import math
+
 from ..backend_messages import ResponseMetadata
 from ..fleet import RequestMetadata
 
@@ -16,6 +18,7 @@
 LOAD = b"x-cassiamount-server-load"
 SIGNATURE = b"x-cassiamount-server-signature"
 LAST_EVENT = b"last-event-id"
+SERVER_LIMIT = b"server-limit"
 
 # Headers that only the system may set; those of a caller are dropped.
 SYSTEM_HEADERS = frozenset(
@@ -161,9 +164,19 @@
         _keep_alive_ms(values.get(b"keep-alive", b"")),
         b"content-encoding" in values,
         b"text/event-stream" in values.get(b"content-type", b""),
+        _limit_per_s(values.get(SERVER_LIMIT)),
     )
 
 
+def _limit_per_s(value):
+    """Return the named limit, or None if there is none or it is no such number."""
+    try:
+        limit_per_s = float(value)
+    except (TypeError, ValueError):
+        return None
+    return limit_per_s if 0 <= limit_per_s < math.inf else None
+
+
 def _keep_alive_ms(value):
     for item in value.split(b","):
         name, _, seconds = item.strip().partition(b"=")
--- a/cassiamount/response_forwarding.py
+++ b/cassiamount/response_forwarding.py
@@ -84,13 +84,15 @@
         self._codec = codec
         self._clock = clock
 
-    async def forward(self, request, connection):
+    async def forward(self, request, connection, on_head):
         """Forward the response to one attempt.
 
         Parameters
         ----------
         request : RelayedRequest
         connection : BackendConnection
+        on_head : callable
+            Called with the `ResponseMetadata`, before the body is received.
 
         Returns
         -------
@@ -109,6 +111,7 @@
                 message.reason, connection_lost=message.connection_lost
             )
         metadata = message.metadata
+        on_head(metadata)
         if metadata.not_run:
             await self._discard_body(connection)
             return AttemptFailure(
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -157,3 +157,23 @@
     names = [line.partition(b":")[0] for line in lines[1:]]
     assert len(names) == len(set(names))
     assert not {b"authorization", b"x-own", b"connection"} & set(names)
+
+
+@pytest.mark.parametrize(
+    ("value", "limit_per_s"),
+    [
+        (b"1.4", 1.4),
+        (b"5", 5.0),
+        (b"0", 0.0),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"many", None),
+        (b"", None),
+        (None, None),
+    ],
+)
+def test_request_limit_of_a_replica(value, limit_per_s):
+    """Guards against limits that are missed, and against senseless ones."""
+    named = [] if value is None else [(b"server-limit", value)]
+    assert headers.decode_response(200, named).limit_per_s == limit_per_s
