--- a/tests/fleet_world/engines.py
+++ b/tests/fleet_world/engines.py
@@ -59,6 +59,9 @@
         self.ends_by = lambda metadata: False
         # Called with a request that arrived, and the VM that sent it.
         self.record_arrival = lambda metadata, vm: None
+        # Request limit that answers name, and what is called when one arrives at a VM.
+        self.limit_per_s = None
+        self.record_told = lambda vm: None
         self._free_slot = asyncio.Condition()
         self._history = []
         self._snapshot()
@@ -280,7 +283,10 @@
             not_run=status != 200,
             signed=True,
             event_stream=status == 200,
+            limit_per_s=self._engine.limit_per_s,
         )
+        if self._engine.limit_per_s is not None:
+            self._engine.record_told(self._vm)
         self.messages.put_nowait(ResponseHead(head, [], None))
 
 
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -26,6 +26,8 @@
 CRASHING_PART = "c0ffee"
 # Time without disturbance after which bounds hold for a VM.
 IN_TOUCH_MS = 3_000.0
+# Time after an answer that names a limit from which the limit binds its VM.
+TOLD_MS = 500.0
 # Second parts of prompts, shared by requests of one route.
 DOCUMENTS = 12
 HEARTBEAT_S = 1.2
@@ -230,6 +232,10 @@
         self.crashes_ms = []
         # (time, VM) of each arrival of a request with that part at an engine.
         self.crashing_arrivals = []
+        # (time, engine, VM) of each arrival of a request at an engine.
+        self.arrivals = []
+        # (engine, VM) -> when the VM first got an answer that names a limit.
+        self.told_ms = {}
         # (time, first part, whether the first attempt began an answer) of the others.
         self.first_attempts = []
         # VM -> spans during which it was cut off or starting.
@@ -387,11 +393,17 @@
     def _add_engine(self, engine):
         self.engines[engine.name] = engine
         self.addresses[f"{engine.name}:9"] = engine.name
-        engine.record_arrival = self._record_arrival
+        engine.record_arrival = lambda metadata, vm: self._record_arrival(
+            engine, metadata, vm
+        )
+        engine.record_told = lambda vm: self.told_ms.setdefault(
+            (engine.name, vm), self.loop.true_ms
+        )
         engine.ends_by = lambda metadata: self._ends_engine(engine, metadata)
         self._put_engine(engine.name)
 
-    def _record_arrival(self, metadata, vm):
+    def _record_arrival(self, engine, metadata, vm):
+        self.arrivals.append((self.loop.true_ms, engine.name, vm))
         if CRASHING_PART in metadata.shared_parts():
             self.crashing_arrivals.append((self.loop.true_ms, vm))
 
@@ -445,6 +457,24 @@
             metadata.prefix = tuple((name, 100) for name in parts)
             self._start_call(self._send(Caller(self.loop), metadata))
 
+    def most_arrivals(self, engine, from_ms, to_ms, window_ms):
+        """Return the most requests that an engine got in a span of some length.
+
+        Only requests of undisturbed VMs count that had got an answer which names its
+        limit half a second before.
+        """
+        times = [
+            at_ms
+            for at_ms, name, vm in self.arrivals
+            if name == engine
+            and from_ms <= at_ms <= to_ms
+            and at_ms >= self.told_ms.get((engine, vm), float("inf")) + TOLD_MS
+            and self.in_touch(vm, at_ms)
+        ]
+        return max(
+            (sum(at <= t < at + window_ms for t in times) for at in times), default=0
+        )
+
     async def _heartbeats(self):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
