Keep the request limits that backend servers name, over all VMs

Engines that named limits of 1.3 and 3.2 requests a second got 55 and 53 in 4 s; 13 and 24 are allowed.

Cause: the limit was not read, and nothing could have kept it: the choice of a replica knows load, prefixes and failures, but no rate that VMs share. Class: a bound over all VMs without state that they share. Elsewhere: quotas, retries and loads from the store have such state; channels to a replica (MaxConns) have none and rely on the pool's size.

Ruled out: that each VM keeps the limit alone (the rate was the same after 8 s, on all VMs), and placement as the cause (the excess came for models of every engine).

Change: the head of an answer names the limit, reports bring it to all VMs, and an answer without one ends it 2 s after the last that named it. Each VM sends at its part, never two at once; since every VM may begin at any moment, only three VMs and one more for each request a second send to such a server, in an order that differs by server. A request that no other server can take reserves the VM's next turn, or is refused at once with the time of the next turn of some VM if that is too late for it. The holder of the orders counts an engine with a limit as no copy, unless all have limits, so its models come elsewhere. A server whose limit no answer has named for 5 s gets a request when it may, to learn of the end.

--- a/cassiamount/crash_detector.py
+++ b/cassiamount/crash_detector.py
@@ -29,7 +29,7 @@
         self._pool = pool
         self._on_crash = on_crash
         self._tasks = BackgroundTasks()
-        # (backend, started_wall_ms) -> parts of the requests, while it is checked.
+        # `BackendRecord.start` -> parts of the requests, while it is checked.
         self._pending = {}
 
     def on_connection_lost(self, record, parts):
@@ -40,7 +40,7 @@
         record : BackendRecord
         parts : sequence of str
         """
-        key = (record.name, record.started_wall_ms)
+        key = record.start
         if key not in self._pending:
             self._pending[key] = []
             self._tasks.start(self._check(key, record))
--- a/cassiamount/fleet.py
+++ b/cassiamount/fleet.py
@@ -353,6 +353,11 @@
         self.in_memory = in_memory
         self.on_disk = on_disk
 
+    @property
+    def start(self):
+        """Name and start time, which identify one start of the server."""
+        return self.name, self.started_wall_ms
+
     def same_as(self, other):
         """Return whether another entry is equal, apart from `remaining_ms`."""
         return all(
--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -173,6 +173,13 @@
                     for view in self._state.view.of_service(service.name)
                 }
             )
+            placement.set_limited(
+                {
+                    view.record.name
+                    for view in self._state.view.of_service(service.name)
+                    if self._state.limits.is_limited(view.record.start)
+                }
+            )
             placement.set_demand(running, waiting, rates, now_ms)
             for engine in placement.engines.values():
                 self._query_if_unknown(engine, now_ms)
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -107,7 +107,9 @@
         )
         self._pool = pool or ConnectionPool(platform.codec.decode_response, clock)
         prefixes = SentPrefixIndex()
-        selector = ReplicaSelector(self.state.view, settings.zone, prefixes)
+        selector = ReplicaSelector(
+            self.state.view, settings.zone, prefixes, self.state.limits
+        )
         self._relay = FleetRelay(
             self.state,
             selector,
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -43,6 +43,8 @@
         self.demand = {}
         # Model without a copy -> time at which some engine should have loaded it.
         self.queued = {}
+        # Engines that name a request limit; their copies serve too few requests.
+        self.limited = frozenset()
         self._adapter_waiting = {}
         self._running = {}
         # Engine -> its requests, in total and by model.
@@ -73,6 +75,11 @@
             # The list is seconds old, so the residents from the engine's reports stay.
             engine.record = record
 
+    def set_limited(self, names):
+        """Set the engines that name a limit; if all do, none is treated differently."""
+        live = {n for n, e in self.engines.items() if not e.record.leaving}
+        self.limited = frozenset() if live <= set(names) else frozenset(names)
+
     def set_demand(self, running, waiting, rates, now_ms):
         """Update the demand from the requests of all VMs.
 
@@ -218,7 +225,11 @@
     def _adapter_change(self, model, adapter, now_ms):
         best = None
         for engine in self.engines.values():
-            if engine.record.leaving or model in engine.drained:
+            if (
+                engine.record.leaving
+                or model in engine.drained
+                or engine.record.name in self.limited
+            ):
                 continue
             if (model, adapter) in engine.adapters_loading:
                 return None
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -221,6 +221,7 @@
             connection = await self._connect(request, selected.view)
             if connection is None:
                 continue
+            request.reserved = None
             outcome = await self._attempt(request, selected, connection)
             if isinstance(outcome, int):
                 return outcome
@@ -235,6 +236,7 @@
                 self._check_quarantine(request.metadata, now_ms)
                 found = self._select_replica(request, now_ms)
                 if isinstance(found, SelectedReplica):
+                    self._reserve(request, found.view, now_ms)
                     if (
                         now_ms + found.wait_ms
                         > max(request.start_deadline_ms, now_ms + 1)
@@ -252,6 +254,8 @@
                     unknown_since_ms = now_ms
                 try:
                     self._check_wait(request, found, unknown_since_ms, now_ms)
+                    if found.limited is not None:
+                        self._reserve(request, found.limited, now_ms)
                 except Refused as refused:
                     self._count_expected_retry(request, refused)
                     raise
@@ -262,15 +266,25 @@
                 waited_ms = self._state.now_ms() - wait_started_ms
                 self._metrics.observe_ms("wait_ms", waited_ms, cause="replica")
 
+    def _reserve(self, request, view, now_ms):
+        """Reserve this VM's next request to a backend server that names a limit."""
+        start = view.record.start
+        if not self._state.limits.is_limited(start):
+            return
+        if request.reserved is None or request.reserved[0] != start:
+            request.reserved = (start, self._state.limits.reserve(start, now_ms))
+
     def _select_replica(self, request, now_ms):
         exclude = set(request.unreachable_backends)
         if len(request.tried) < request.route.attempts:
             exclude.update(request.tried)
         if request.is_model_request:
             return self._selector.select_for_model(
-                request.service, request.metadata, now_ms, exclude
+                request.service, request.metadata, now_ms, exclude, request.reserved
             )
-        return self._selector.select_for_service(request.service, now_ms, exclude)
+        return self._selector.select_for_service(
+            request.service, now_ms, exclude, request.reserved
+        )
 
     def _check_wait(self, request, found, unknown_since_ms, now_ms):
         """Refuse a request that will not be ready in time or that has waited too long.
@@ -289,7 +303,15 @@
             raise Refused(
                 503, "no_backend", "no backend server", clamp_retry_after_ms(None)
             )
-        if found.wait_ms is None:
+        if found.limited is not None:
+            if now_ms + found.wait_ms > request.start_deadline_ms:
+                raise Refused(
+                    503,
+                    "backend_limited",
+                    "backend servers take no more requests now",
+                    clamp_retry_after_ms(found.retry_after_ms),
+                )
+        elif found.wait_ms is None:
             # An engine or an adapter slot may become free soon.
             limit_ms = max(
                 PLACEMENT_DECISION_MS,
@@ -345,6 +367,8 @@
             waiting[target] = waiting.get(target, 0) + 1
             self._notify_waiting()
         timeout_ms = PLACEMENT_DECISION_MS if found.wait_ms is None else 400.0
+        if found.limited is not None:
+            timeout_ms = min(timeout_ms, found.wait_ms)
         changed = self._changed
         try:
             async with asyncio.timeout(timeout_ms / 1000):
@@ -491,13 +515,14 @@
 
     def _on_head(self, view, metadata):
         """Record what the head of a response says about its backend server."""
-        if metadata.limit_per_s != view.limit_per_s:
-            view.limit_per_s = metadata.limit_per_s
-            self._log.info(
-                "backend_limit_changed",
-                backend=view.record.name,
-                limit_per_s=metadata.limit_per_s,
-            )
+        # Only an answer that ran shows that a limit has ended.
+        if metadata.limit_per_s is None and not 200 <= metadata.status < 300:
+            return
+        if self._state.limits.record_answer(
+            view.record.start, metadata.limit_per_s, self._state.now_ms()
+        ):
+            self._state.notify()
+            self._notify_peers()
 
     def _record_evidence(self, request, record, outcome, now_ms):
         """Record whether the engine answered a prompt, or may have crashed by it."""
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -5,6 +5,7 @@
 from .engine_residency import ResidencyPart
 from .metadata_store import KeyedRecord
 from .prompt_quarantine import QuarantinePart
+from .request_limits import LimitsPart
 from .vm_state import VmState
 
 
@@ -76,6 +77,7 @@
         Whether the sender needs `waiting`, `rates` and all of `running`.
     residency : ResidencyPart or None
     quarantine : QuarantinePart or None
+    limits : LimitsPart or None
     """
 
     __slots__ = (
@@ -95,6 +97,7 @@
         "wants_demand",
         "residency",
         "quarantine",
+        "limits",
     )
 
     def __init__(self, **values):
@@ -129,6 +132,8 @@
         value["residency"] = report.residency.to_value()
     if report.quarantine is not None:
         value["quarantine"] = report.quarantine.to_value()
+    if report.limits is not None:
+        value["limits"] = report.limits.to_value()
     return orjson.dumps([value[name] for name in VmReport.__slots__])
 
 
@@ -163,6 +168,8 @@
             value["residency"] = ResidencyPart(*value["residency"])
         if value["quarantine"] is not None:
             value["quarantine"] = QuarantinePart(*value["quarantine"])
+        if value["limits"] is not None:
+            value["limits"] = LimitsPart(*value["limits"])
         return VmReport(**value)
     except (KeyError, TypeError, AttributeError, IndexError) as error:
         raise ValueError(f"invalid report: {error!r}") from error
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -21,6 +21,7 @@
 from .peer_table import REPORT_PERIOD_MS, PeerTable
 from .peer_topology import OTHERS, OWN, VmPlace
 from .prompt_quarantine import PromptQuarantine
+from .request_limits import RequestLimits
 from .request_rates import RequestRate
 from .shared_quota import SharedQuota
 from .shared_retries import SharedRetryBudget
@@ -97,6 +98,9 @@
         self.lease = OrderLease(settings.order_turn_ms, now_ms)
         self.residency = EngineResidency(self._counter)
         self.quarantine = PromptQuarantine(self._counter)
+        self.limits = RequestLimits(
+            settings.vm_name, self._counter, self.peers.sending_vms
+        )
         self._wants_demand = False
         self._reviewed_ms = -float("inf")
         self._decoder = decoder
@@ -220,6 +224,9 @@
                 state="gone" if view is None else "leaving" if view.leaving else "live",
                 service="" if view is None else view.record.service,
             )
+        self.limits.remove_others(
+            {view.record.start for view in self.view.backends.values()}
+        )
         self._merge_residency()
         self.notify()
 
@@ -279,6 +286,8 @@
         has_news = self._apply_states(report, now_ms)
         if report.quarantine is not None:
             has_news |= self.quarantine.apply(report.quarantine, now_ms)
+        if report.limits is not None:
+            has_news |= self.limits.apply(report.limits, now_ms)
         self.peers.on_vouched(report.vouched_ages, now_ms)
         self._apply_records(report, now_ms)
         waited_before = self.demand.waiting_of(report.vm)
@@ -536,6 +545,7 @@
             wants_demand=self._wants_demand,
             residency=self.residency.part_for(name, since, now_ms),
             quarantine=self.quarantine.part_since(since, now_ms),
+            limits=self.limits.part_since(since, now_ms),
         )
 
     def _sources_for(self, name, scope, now_ms):
--- a/cassiamount/fleet_view.py
+++ b/cassiamount/fleet_view.py
@@ -42,7 +42,6 @@
         "loading",
         "drained",
         "own_requests_by_target",
-        "limit_per_s",
         "_outcomes",
         "_failures",
     )
@@ -64,8 +63,6 @@
         # Models that are about to be evicted and get no new requests.
         self.drained = frozenset()
         self.own_requests_by_target = {}
-        # Request limit that the last response named, or None.
-        self.limit_per_s = None
         self._outcomes = deque()
         self._failures = 0
 
--- a/cassiamount/model_planner.py
+++ b/cassiamount/model_planner.py
@@ -94,7 +94,7 @@
         self._engines = {
             name: engine
             for name, engine in placement.engines.items()
-            if not engine.record.leaving
+            if not engine.record.leaving and name not in placement.limited
         }
         # Model -> engines with a copy.
         self._copies = {}
--- a/cassiamount/peer_table.py
+++ b/cassiamount/peer_table.py
@@ -401,6 +401,11 @@
         """Return how many VMs may be sending requests, including this one."""
         return 1 + sum(not state.stopping for state in self.states.values())
 
+    def sending_vms(self):
+        """Return the names of the VMs that may be sending requests, with this one."""
+        names = [s.vm for s in self.states.values() if not s.stopping]
+        return sorted([self.own_name, *names])
+
     def store_reader_rank(self, now_ms):
         """Return this VM's rank among the VMs that can read the store."""
         live = self.live_states(now_ms)
--- a/cassiamount/relayed_request.py
+++ b/cassiamount/relayed_request.py
@@ -91,6 +91,7 @@
         "configuration_version",
         "sends",
         "first_event_ms",
+        "reserved",
     )
 
     def __init__(self, inbound, route, service, is_model_request, team, now_ms):
@@ -126,6 +127,8 @@
         self.sends = 0
         # Arrival of the first event of the current attempt.
         self.first_event_ms = None
+        # Start of a backend server with a limit, and time of this request's turn.
+        self.reserved = None
 
     @property
     def target(self):
--- a/cassiamount/replica_selection.py
+++ b/cassiamount/replica_selection.py
@@ -21,6 +21,8 @@
 GAP_TIMEOUT_FACTOR = 8.0
 # Time for the VM that holds the order lease to decide when a model will be ready.
 PLACEMENT_DECISION_MS = 250.0
+# Leaves a server with a limit to requests that no other one serves.
+LIMITED_PENALTY_MS = 100.0
 # Limits of the Retry-After time of refused requests.
 MIN_RETRY_AFTER_MS = 50.0
 MAX_RETRY_AFTER_MS = 5_000.0
@@ -44,16 +46,22 @@
     Parameters
     ----------
     reason : str
-        What is missing: ``no-backend``, ``model`` or ``adapter``.
+        What is missing: ``no-backend``, ``model``, ``adapter`` or ``limit``.
     wait_ms : float or None
         Estimated time until a replica is ready; None if unknown.
+    limited : BackendView, optional
+        A replica that could take the request if it named no limit.
+    retry_after_ms : float, optional
+        Time until some VM may send it a request.
     """
 
-    __slots__ = ("reason", "wait_ms")
+    __slots__ = ("reason", "wait_ms", "limited", "retry_after_ms")
 
-    def __init__(self, reason, wait_ms):
+    def __init__(self, reason, wait_ms, limited=None, retry_after_ms=None):
         self.reason = reason
         self.wait_ms = wait_ms
+        self.limited = limited
+        self.retry_after_ms = retry_after_ms
 
 
 def first_byte_timeout_ms(route, remaining_ms):
@@ -91,16 +99,27 @@
     zone : str
         Availability zone of this VM.
     prefixes : SentPrefixIndex
+    limits : RequestLimits
     """
 
-    def __init__(self, view, zone, prefixes):
+    def __init__(self, view, zone, prefixes, limits):
         self._view = view
         self._zone = zone
         self._prefixes = prefixes
+        self._limits = limits
 
-    def select_for_service(self, service, now_ms, exclude=()):
+    def select_for_service(self, service, now_ms, exclude=(), reserved=None):
         """Select a replica for a request that names no model.
 
+        Parameters
+        ----------
+        service : str
+        now_ms : float
+        exclude : collection of str
+        reserved : ((str, int), float), optional
+            `BackendRecord.start` of a replica with a limit, and the time of the turn
+            that was reserved there.
+
         Returns
         -------
         SelectedReplica or NoReplicaReady
@@ -108,10 +127,36 @@
         views = self._view.usable(service, now_ms, exclude)
         if not views:
             return NoReplicaReady("no-backend", None)
-        return min(
-            (self._estimate_for_service(view) for view in views),
-            key=lambda candidate: candidate.wait_ms,
-        )
+        candidates = [self._estimate_for_service(view) for view in views]
+        return self._best_within_limits(candidates, now_ms, reserved)
+
+    def _best_within_limits(self, candidates, now_ms, reserved):
+        """Return the best candidate that may get a request now.
+
+        Returns
+        -------
+        SelectedReplica or NoReplicaReady
+        """
+        best = next_turn = None
+        for candidate in candidates:
+            start = candidate.view.record.start
+            if self._limits.is_limited(start):
+                delay_ms = self._limits.delay_ms(start, now_ms)
+                if reserved is not None and reserved[0] == start:
+                    delay_ms = max(0.0, reserved[1] - now_ms)
+                if delay_ms > 0:
+                    if next_turn is None or delay_ms < next_turn[0]:
+                        next_turn = (delay_ms, candidate.view)
+                    continue
+                if not self._limits.is_stale(start, now_ms):
+                    candidate.wait_ms += LIMITED_PENALTY_MS
+            if best is None or candidate.wait_ms < best.wait_ms:
+                best = candidate
+        if best is not None or next_turn is None:
+            return best
+        delay_ms, view = next_turn
+        retry_after_ms = self._limits.retry_after_ms(view.record.start, now_ms)
+        return NoReplicaReady("limit", delay_ms, view, retry_after_ms)
 
     def _estimate_for_service(self, view):
         mean_service_ms = view.service_ms or DEFAULT_SERVICE_MS
@@ -123,16 +168,23 @@
         )
         return SelectedReplica(view, wait_ms + self._zone_penalty_ms(view))
 
-    def select_for_model(self, service, metadata, now_ms, exclude=()):
+    def select_for_model(self, service, metadata, now_ms, exclude=(), reserved=None):
         """Select a replica for a request that names a model.
 
+        Parameters
+        ----------
+        service : str
+        metadata : RequestMetadata
+        now_ms : float
+        exclude, reserved
+            As in `select_for_service`.
+
         Returns
         -------
         SelectedReplica or NoReplicaReady
         """
         target = target_name(metadata.model, metadata.adapter)
-        best = None
-        ready_in_ms = None
+        candidates = []
         usable = self._view.usable(service, now_ms, exclude)
         for view in usable:
             if (
@@ -141,13 +193,22 @@
             ):
                 continue
             if self._has_loaded(view, metadata):
-                candidate = self._estimate_for_model(view, metadata)
-                if best is None or candidate.wait_ms < best.wait_ms:
-                    best = candidate
-        if best is not None:
+                candidates.append(self._estimate_for_model(view, metadata))
+        best = self._best_within_limits(candidates, now_ms, reserved)
+        if isinstance(best, SelectedReplica):
             return best
         if not usable:
             return NoReplicaReady("no-backend", None)
+        missing = self._when_loaded(usable, target, metadata, now_ms)
+        if best is not None and (
+            missing.wait_ms is None or best.wait_ms <= missing.wait_ms
+        ):
+            return best
+        return missing
+
+    def _when_loaded(self, usable, target, metadata, now_ms):
+        """Return when some replica will have loaded a model or adapter."""
+        ready_in_ms = None
         for view in usable:
             for name in (target, metadata.model):
                 ready_at_ms = view.loading.get(name)
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -303,3 +303,16 @@
             change = by_model[f"m{n}"]
             assert (change.engine, change.from_store) == (f"e{n}", False)
     assert len(by_model) >= 20
+
+
+def test_engine_with_a_request_limit_counts_as_no_copy():
+    """Guards against a model that only an engine with a limit serves."""
+    placement = make_placement(make_record("e1", "a"), make_record("e2", "b"))
+    update_demand(placement, 0.0, requests={"a": 0})
+    update_demand(placement, 500.0, requests={"a": 20})
+    assert not [c for c in placement.plan(500.0) if c.model == "a"]
+    placement.set_limited({"e1"})
+    (change,) = [c for c in placement.plan(600.0) if c.model == "a"]
+    assert change.engine == "e2"
+    placement.set_limited({"e1", "e2"})
+    assert not placement.limited
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -15,6 +15,7 @@
 from cassiamount.peer_table import PEER_EXPIRY_MS, PEER_TIMEOUT_MS, PeerTable
 from cassiamount.peer_topology import VmPlace
 from cassiamount.prompt_quarantine import QuarantinePart
+from cassiamount.request_limits import LimitsPart
 from cassiamount.vm_state import VmState
 
 
@@ -47,6 +48,7 @@
         "quarantine": QuarantinePart(
             [["e1", 1, 30, [["p1", "p2"]]]], {"p1": 20}, [[["p2"], 5]]
         ),
+        "limits": LimitsPart([["e1", 1, 1.4, 30], ["e2", 1, None, 5]]),
     }
     values.update(changes)
     return VmReport(**values)
@@ -61,6 +63,7 @@
     assert decoded.records["backends"].records[1].value is None
     assert decoded.states[1].lost
     assert decoded.residency.engines["e1"][1][2] == {"n": 80}
+    assert decoded.limits.limits[1] == ["e2", 1, None, 5]
     assert decoded.quarantine.crashes == [["e1", 1, 30, [["p1", "p2"]]]]
 
 
--- a/tests/test_replica_selection.py
+++ b/tests/test_replica_selection.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cassiamount.change_counter import ChangeCounter
 from cassiamount.errors import InvariantViolation
 from cassiamount.fleet import BackendRecord, RequestMetadata, RouteConfig
 from cassiamount.fleet_view import MIN_FAILURES, FleetView
@@ -16,6 +17,7 @@
     clamp_retry_after_ms,
     first_byte_timeout_ms,
 )
+from cassiamount.request_limits import RequestLimits
 
 
 def record(name, service="s", zone="z1", leaving=False, started=1, models=()):
@@ -38,8 +40,12 @@
     return view
 
 
-def selector_of(view):
-    return ReplicaSelector(view, "z1", SentPrefixIndex())
+def make_limits(vms=("v1",)):
+    return RequestLimits("v1", ChangeCounter(), lambda: sorted(vms))
+
+
+def selector_of(view, limits=None):
+    return ReplicaSelector(view, "z1", SentPrefixIndex(), limits or make_limits())
 
 
 def call_metadata(model="m", adapter="", prefix=()):
@@ -115,7 +121,7 @@
     """Guards against prefilling a prompt that another engine has cached."""
     view = view_of(record("e1", models=["m"]), record("e2", models=["m"]))
     prefixes = SentPrefixIndex()
-    selector = ReplicaSelector(view, "z1", prefixes)
+    selector = ReplicaSelector(view, "z1", prefixes, make_limits())
     asked = call_metadata(prefix=(("p", 300), ("q", 200)))
     prefixes.record_sent("e2", asked)
     assert selector.select_for_model("s", asked, 0.0).view.record.name == "e2"
@@ -209,3 +215,32 @@
     found = selector_of(view).select_for_model("s", call_metadata("m", "a2"), 100.0)
     assert isinstance(found, NoReplicaReady)
     assert (found.reason, found.wait_ms) == ("adapter", wait_ms)
+
+
+def test_replica_beyond_its_limit_is_left_to_others():
+    """Guards against requests beyond a limit, and against a limited replica unused."""
+    view = view_of(record("b1", models=["m"]), record("b2", models=["m"]))
+    limits = make_limits()
+    limits.record_answer(("b1", 1), 0.5, 0.0)
+    selector = selector_of(view, limits)
+    for _ in range(2):
+        found = selector.select_for_model("s", call_metadata(), 10.0)
+        assert found.view.record.name == "b2"
+    found = selector.select_for_model("s", call_metadata(), 5_100.0, ["b2"])
+    assert found.view.record.name == "b1"
+    reserved = (("b1", 1), limits.reserve(("b1", 1), 5_100.0))
+    found = selector.select_for_model("s", call_metadata(), 5_100.0, ["b2"])
+    assert (found.reason, found.wait_ms) == ("limit", 2_000.0)
+    found = selector.select_for_model("s", call_metadata(), 5_100.0, ["b2"], reserved)
+    assert found.view.record.name == "b1"
+
+
+def test_model_that_loads_elsewhere_is_not_awaited_at_a_limited_replica():
+    """Guards against a long wait for a limit while another replica is nearly ready."""
+    view = view_of(record("b1", models=["m"]), record("b2"))
+    view.backends["b2"].loading = {"m": 400.0}
+    limits = make_limits(["v1", "v2", "v3", "v4", "v5"])
+    limits.record_answer(("b1", 1), 0.2, 0.0)
+    limits.reserve(("b1", 1), 0.0)
+    found = selector_of(view, limits).select_for_model("s", call_metadata(), 0.0)
+    assert (found.reason, found.wait_ms) == ("model", 400.0)
