Forward the blank lines after the last event of a stream

What callers saw: nothing that was reported. A stream whose last event was followed by further blank lines reached the caller without them, so its body was not the replica's.

Cause: at the end of a response only complete events had been forwarded; a rest of blank lines is no broken event and was dropped.

--- a/cassiamount/event_framing.py
+++ b/cassiamount/event_framing.py
@@ -22,6 +22,11 @@
         """Whether the buffer holds an incomplete event."""
         return bool(self._buffer.strip())
 
+    @property
+    def rest(self):
+        """The bytes after the last complete event."""
+        return self._buffer
+
     def feed(self, data):
         """Add received bytes; return the bytes of all events that are now complete.
 
--- a/cassiamount/response_forwarding.py
+++ b/cassiamount/response_forwarding.py
@@ -210,6 +210,9 @@
                     return self._stream_failure(request, "ends within an event", True)
                 if not request.response_started:
                     await self._start_stream(request, head)
+                if framer.rest:
+                    # Blank lines belong to the body, which is forwarded unchanged.
+                    await request.inbound.caller.send_chunk(framer.rest)
                 await request.inbound.caller.finish()
                 return head.metadata.status
             else:
--- a/tests/test_response_forwarding.py
+++ b/tests/test_response_forwarding.py
@@ -9,7 +9,12 @@
 from cassiamount.clock import ManualClock
 from cassiamount.fleet import RequestMetadata, RouteConfig
 from cassiamount.platform import headers
-from cassiamount.relayed_request import AttemptFailure, InboundRequest, RelayedRequest
+from cassiamount.relayed_request import (
+    AttemptFailure,
+    BrokenStream,
+    InboundRequest,
+    RelayedRequest,
+)
 from cassiamount.requests import ADMITTED, DISPATCHED
 from cassiamount.response_forwarding import MAX_WAITING_BYTES, ResponseForwarder
 
@@ -38,6 +43,9 @@
     def abort(self):
         return None
 
+    def close(self):
+        return None
+
     def pause_reading(self):
         self.paused = True
 
@@ -71,6 +79,10 @@
             await self.writable.wait()
             self.body += data
 
+    async def send_response(self, status, head, body):
+        self.body += body
+        self.finished = True
+
     async def finish(self):
         self.finished = True
 
@@ -156,3 +168,73 @@
     assert not caller.body
     assert not caller.finished
     assert not request.response_started
+
+
+UNFRAMED_HEAD = (
+    b"HTTP/1.1 200 OK\r\nx-cassiamount-request-id: r1\r\n"
+    b"x-cassiamount-server-signature: s\r\n"
+)
+STREAM_HEAD = UNFRAMED_HEAD + b"content-type: text/event-stream\r\n\r\n"
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+
+@pytest.mark.parametrize("size", [1, 7, 1_000])
+@pytest.mark.parametrize(
+    ("data", "error", "delivered", "result"),
+    [
+        (STREAM_HEAD + EVENTS, None, EVENTS, "complete"),
+        (STREAM_HEAD + EVENTS + b"\n", None, EVENTS + b"\n", "complete"),
+        (STREAM_HEAD + EVENTS + b"id: 3\nda", None, EVENTS, "broken"),
+        (STREAM_HEAD + EVENTS + b"id: 3\ndata: c\n", None, EVENTS, "broken"),
+        (STREAM_HEAD + b"id: 1\nda", None, b"", "failed"),
+        (STREAM_HEAD + EVENTS, ConnectionResetError(), EVENTS, "broken"),
+        (STREAM_HEAD[:-2], None, b"", "failed"),
+        (HEAD + b"f\r\n" + EVENTS[:15] + b"\r\n", None, EVENTS[:15], "broken"),
+    ],
+    ids=[
+        "whole-events",
+        "blank-line-after",
+        "within-a-field",
+        "without-the-blank-line",
+        "within-the-first-event",
+        "reset",
+        "within-the-head",
+        "chunked-without-the-last-chunk",
+    ],
+)
+async def test_stream_that_ends_with_its_connection(
+    data, error, delivered, result, size
+):
+    """Guards against a broken-off stream that ends as complete, and the reverse."""
+    caller = Caller(random.Random(0), 0.5)
+    connection, _, _, task = open_stream(caller)
+    for start in range(0, len(data), size):
+        connection.data_received(data[start : start + size])
+        await asyncio.sleep(0)
+    if error is None:
+        connection.eof_received()
+    connection.connection_lost(error)
+    outcome = (await asyncio.gather(task, return_exceptions=True))[0]
+    expected = {"complete": int, "broken": BrokenStream, "failed": AttemptFailure}
+    assert isinstance(outcome, expected[result])
+    assert caller.body == delivered
+    assert caller.finished is (result == "complete")
+
+
+@pytest.mark.parametrize(
+    ("error", "is_complete"), [(None, True), (ConnectionResetError(), False)]
+)
+async def test_body_that_ends_with_its_connection(error, is_complete):
+    """Guards against a body that was reset and is delivered as if it were whole."""
+    caller = Caller(random.Random(0), 0.0)
+    connection, _, request, task = open_stream(caller)
+    request.route = RouteConfig("look", "h", "/", [("s", 1.0)], idempotent=True)
+    connection.data_received(UNFRAMED_HEAD + b"\r\nfirst ")
+    await asyncio.sleep(0)
+    connection.data_received(b"second")
+    if error is None:
+        connection.eof_received()
+    connection.connection_lost(error)
+    outcome = await task
+    assert isinstance(outcome, int) is is_complete
+    assert caller.body == (b"first second" if is_complete else b"")
