Soak VM processes with overlapping stops, signals, crashes and changes

Real processes of the platform's entry point before the stand-ins. Clients use open connections until the process is gone; SIGTERM, SIGKILL, SIGHUP with changed settings, new configurations, a store that refuses calls, engines that end, named limits and requests with a crashing prompt part begin one after the other and overlap.

Checked: whole bodies, refusals that say not run never ran, calls that are not idempotent ran once, a request that ran has an answer unless its VM was killed or its replica ended, exit status 0 after SIGTERM, no traceback in any log, and after all VMs know of the crashing part no engine ends by it. No check has a time limit of its own but a hang.

--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -37,6 +37,12 @@
         Whether plain requests run until their caller leaves.
     left : list of str
         Identifiers of the requests whose caller left while they ran.
+    crashing_part : str
+        Prompt part by which the replica ends when it begins an answer on it.
+    on_crash : callable
+        Ends the replica's server.
+    limit_per_s : str or None
+        Request limit that answers name.
     """
 
     def __init__(self, name, models=None, load_s=0.05):
@@ -53,6 +59,9 @@
         self.cut_answers = False
         self.hold = False
         self.left = []
+        self.crashing_part = ""
+        self.on_crash = None
+        self.limit_per_s = None
 
     async def __call__(self, scope, receive, send):
         """Answer one request."""
@@ -121,6 +130,12 @@
             return
         self.ran.append(request_id)
         answer.append((b"x-cassiamount-server-signature", self.name.encode()))
+        if self.limit_per_s is not None:
+            answer.append((b"server-limit", self.limit_per_s.encode()))
+        prompt = headers.get("x-cassiamount-prefix-hash", "").split(",")
+        if self.crashing_part in [part.partition(":")[0] for part in prompt[:-1]]:
+            self.on_crash()
+            return
         if self.hold:
             while (await receive())["type"] != "http.disconnect":
                 pass
--- a/tests/fleet_fixtures.py
+++ b/tests/fleet_fixtures.py
@@ -113,6 +113,8 @@
         self.settings = {}
         self._tasks = {}
         self._servers = []
+        self._servers_of = {}
+        self.ended_replicas = set()
         self.session = None
 
     async def start(self):
@@ -144,9 +146,20 @@
         replica = PlatformReplica(name, models)
         self.replicas[name] = replica
         self.addresses[name] = f"127.0.0.1:{await self._serve(replica)}"
+        self._servers_of[name] = self._servers[-1][0]
         self.register_replica(name, service)
         return replica
 
+    def end_replica(self, name):
+        """End a replica's server at once; its connections are reset."""
+        self.ended_replicas.add(name)
+        server = self._servers_of[name]
+        for listener in server.servers:
+            listener.close()
+        for connection in list(server.server_state.connections):
+            connection.transport.abort()
+        server.should_exit = server.force_exit = True
+
     def register_replica(self, name, service, state="ready"):
         models = self.replicas[name].models or {}
         self.store.put(
