--- a/tests/fleet_fixtures.py
+++ b/tests/fleet_fixtures.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import itertools
+import os
+import random
 import socket
 
 import aiohttp
@@ -18,6 +21,10 @@
 
 HOST = "fleet.example"
 KEY = "key-of-t"
+# Below the range of local ports, in another order in each process.
+_PORTS = itertools.cycle(
+    random.Random(os.getpid()).sample(range(10_000, 32_000), 22_000)
+)
 # Far longer than any test takes; only a hang exceeds it.
 TIMEOUT_S = 30
 
@@ -30,9 +37,15 @@
 
 
 def free_port():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
+    """Return a port that no connection gets as its own, unlike those of the system."""
+    while True:
+        port = next(_PORTS)
+        with socket.socket() as listener:
+            try:
+                listener.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def configuration(version=1, keys=(KEY,), **route):
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -327,11 +327,13 @@
         """All VMs learn of the crashing part, after which it ends no engine."""
         async with asyncio.timeout(STEP_TIMEOUT_S):
             known = 0
-            while known < len(self.vms):
+            while known < len(self.vms) and not self.failures:
                 # An engine that crashed a moment ago would count once with others.
                 await asyncio.sleep(0.3)
                 answers = [await self.send_crashing(vm) for vm in self.vms.values()]
                 known = sum(b"prompt_quarantined" in answer for answer in answers)
+        if self.failures:
+            return
         crashes = self.crashes
         for vm in self.vms.values():
             for _ in range(3):
