Let sums of requests not go round between members of a zone

VMs counted up to 1,392 requests at an engine; there were 60 callers.

Cause: in a fleet with relays a VM that was no relay reported to every VM of its zone but its own relay as if it were theirs: with the sums of all VMs that it hears. A member that got such a report passed it on to the relay as requests of its zone, the relay sent its new sum to the first member, and so on: the sums grew with each round of reports. Members exchange reports with each other while they know only each other's addresses, and when their relays differ.

Change: a report to a VM that ranks before this one in its zone has this VM's part of the zone only, whether that VM is its relay or not. Reports up the ranks then never hold sums that came down.

Evidence: test_sums_do_not_grow_with_reports_between_members_of_a_zone failed before (17, 18, 15 requests after ten rounds and 32, 33, 30 after twenty, of 3) and passes.

--- a/cassiamount/peer_topology.py
+++ b/cassiamount/peer_topology.py
@@ -113,7 +113,9 @@
         place = places.get(peer)
         if place is None or place.zone is None:
             return OWN
-        if peer == self.relay or place.zone != self.own.zone:
+        if place.zone != self.own.zone or place.rank < self.own.rank:
+            # Also for a member that is not the relay: what the relay sums up would
+            # come back to it through that member.
             return ZONE
         return OTHERS
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import collections
 import os
 import random
 import signal
@@ -14,6 +15,8 @@
 import tempfile
 from pathlib import Path
 
+import orjson
+
 from cassiamount.platform.settings import FILE_VARIABLE
 from tests.fleet_fixtures import HOST, KEY, Fleet, configuration, free_port
 
@@ -118,6 +121,8 @@
         self.version = 1
         self.failures = []
         self.refused = set()
+        # Code of a refusal -> how often it was given.
+        self.codes = collections.Counter()
         self.lost = set()
         self.answered = 0
         self.crashes = 0
@@ -223,6 +228,7 @@
         self.answered += 1
         if status in NOT_RUN:
             self.refused.add(request_id)
+            self.codes[orjson.loads(body)["error"]["code"]] += 1
         elif status == 200:
             if body != STREAM if kind == "chat" else not body.startswith(b"done by s"):
                 raise SoakFailure(f"{request_id} ({kind}): wrong body {body!r}")
@@ -252,6 +258,11 @@
 
     # Disturbances.
 
+    def live_replicas(self, prefix=""):
+        """Return the names of the replicas that serve."""
+        served = self._servers_of.keys() - self.ended_replicas
+        return sorted(name for name in served if name.startswith(prefix))
+
     async def restart(self, how):
         vm = self.rng.choice(list(self.vms.values()))
         if vm.busy.locked() or sum(v.busy.locked() for v in self.vms.values()) > 1:
@@ -285,15 +296,12 @@
         self.store.refusing.discard("*")
 
     async def crash_any_engine(self):
-        live = [
-            n for n in self.replicas if n[0] == "e" and n not in self.ended_replicas
-        ]
+        live = self.live_replicas("e")
         if len(live) > 1:
             self.crash_engine(self.rng.choice(live))
 
     async def name_limit(self):
-        live = [n for n in self.replicas if n not in self.ended_replicas]
-        replica = self.replicas[self.rng.choice(live)]
+        replica = self.replicas[self.rng.choice(self.live_replicas())]
         replica.limit_per_s = self.rng.choice(["1.4", "5", "0.5"])
         await asyncio.sleep(self.rng.uniform(0.5, 3.0))
         replica.limit_per_s = None
@@ -451,7 +459,8 @@
             print(f"seed {seed}: {type(error).__name__}: {error}", flush=True)
         else:
             print(
-                f"seed {seed}: {fleet.answered} answers, {len(fleet.refused)} refused, "
+                f"seed {seed}: {fleet.answered} answers, {len(fleet.refused)} refused "
+                f"({dict(fleet.codes.most_common(4))}), "
                 f"{fleet.crashes} engines ended",
                 flush=True,
             )
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -1,11 +1,14 @@
 """Tests of the state that two VMs of a fleet exchange in their reports."""
 
+import itertools
+
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from cassiamount.clock import ManualClock
 from cassiamount.engine_residency import Residency
+from cassiamount.fleet import BackendRecord
 from cassiamount.fleet_demand import OWN_SOURCE
 from cassiamount.fleet_reports import decode_report, encode_report
 from cassiamount.fleet_state import FleetState
@@ -236,3 +239,36 @@
     )
     state.view.replace({"e1": record})
     return state.view.backends["e1"]
+
+
+def loads_of_zone(rounds):
+    """Return the requests that three VMs of a zone count, each of which runs one."""
+    clock = ManualClock()
+    states = {}
+    for name in ("v0", "v3", "v6"):
+        text = SETTINGS.format(name=name).replace(":3", f":3{name[1:]}")
+        parsed = decode_settings(text, "boot.yaml").unwrap()
+        state = states[name] = FleetState(parsed, Decoder, clock, 1)
+        state.view.replace({"e1": BackendRecord("e1", "s", "e1:1", "z1", 8)})
+        state.view.record_sent("e1", "m")
+    for state in states.values():
+        for name in (*states, *(f"w{n}" for n in range(12))):
+            state.add_address(name, f"{name}:1", "z1", state.peers.own.capacity)
+    for _ in range(rounds):
+        clock.advance(500.0)
+        for source, target in itertools.permutations(states, 2):
+            report = encode_report(states[source].build_report(target))
+            states[target].on_report(decode_report(report))
+        for state in states.values():
+            state.review_peers()
+    return [state.view.backends["e1"].load for state in states.values()]
+
+
+def test_sums_do_not_grow_with_reports_between_members_of_a_zone():
+    """Guards against requests that go round through the relay and are added again."""
+    assert loads_of_zone(20) == loads_of_zone(10)
+
+
+def test_requests_that_members_report_to_each_other_count_once():
+    """Guards against a member that passes on what the relay hears itself."""
+    assert loads_of_zone(10) == [3, 3, 3]
