Share the small test world and the quiet logs between test modules

Read as a newcomer: two tests had the same world with other numbers, and one imported a fixture of the other. No check, bound or seed changes; the tests of crashing prompts state their own rates. BackendRecord.start replaces a comparison and a pair spelled out.

--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -60,8 +60,8 @@
         Called when a request begins to wait for a model or adapter, or its caller was
         told to retry, so that the VM that holds the order lease learns of it.
     notify_peers : callable
-        Called when other VMs should learn soon of a crashed engine, or of an answer
-        that clears a prompt part.
+        Called when other VMs should learn soon of a crashed engine, of an answer that
+        clears a prompt part, or of a request limit.
     """
 
     def __init__(
@@ -548,11 +548,9 @@
     def _on_crash(self, record, requests):
         now_ms = self._state.now_ms()
         view = self._state.view.backends.get(record.name)
-        if view is not None and view.record.started_wall_ms == record.started_wall_ms:
+        if view is not None and view.record.start == record.start:
             view.avoided_until_ms = now_ms + UNREACHABLE_AVOID_MS
-        if self._state.quarantine.record_crash(
-            record.name, record.started_wall_ms, requests, now_ms
-        ):
+        if self._state.quarantine.record_crash(*record.start, requests, now_ms):
             self._state.notify()
             self._notify_peers()
 
--- a/tests/fleet_world/__init__.py
+++ b/tests/fleet_world/__init__.py
@@ -6,6 +6,6 @@
 not modelled.
 """
 
-from .world import World, WorldConfig
+from .world import World, WorldConfig, small_world
 
-__all__ = ["World", "WorldConfig"]
+__all__ = ["World", "WorldConfig", "small_world"]
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -94,6 +94,26 @@
             setattr(self, name, value)
 
 
+def small_world(**changes):
+    """Return a world of 7 VMs before 6 engines whose demand does not move."""
+    values = {
+        "vms": 7,
+        "large_vms": 7,
+        "engines": 6,
+        "models": 12,
+        "live_models": 9,
+        "busy_models": 6,
+        "adapters": 4,
+        "slots": 48,
+        "loads_per_s": 2.0,
+        "requests_per_s": {"live": 30.0, "short": 26.0, "batch": 3.0},
+        "shift_per_s": 0.0,
+        "first_holder": "vm-06",
+    }
+    values.update(changes)
+    return World(WorldConfig(**values))
+
+
 class LoopClock:
     """Clock of a VM on the loop's virtual time."""
 
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -1,11 +1,8 @@
 """Tests of a fleet that gets requests whose prompts end engines."""
 
-import logging
-
 import pytest
-import structlog
 
-from tests.fleet_world import World, WorldConfig
+from tests.fleet_world import small_world
 
 # Requests with the part that may reach engines once the fleet must have learned of it.
 MAX_ARRIVALS = 3
@@ -17,37 +14,7 @@
 MIN_REQUESTS = 20
 
 
-@pytest.fixture(autouse=True)
-def quiet_logs():
-    """Keep tens of thousands of log lines out of the report of a failure."""
-    before = structlog.get_config()
-    structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
-    )
-    yield
-    structlog.configure(**before)
-
-
-def small_world(seed, **changes):
-    """Return a world of 7 VMs before 6 engines."""
-    values = {
-        "vms": 7,
-        "large_vms": 7,
-        "engines": 6,
-        "models": 12,
-        "live_models": 9,
-        "busy_models": 6,
-        "adapters": 4,
-        "slots": 48,
-        "loads_per_s": 2.0,
-        "requests_per_s": {"live": 18.0, "short": 16.0, "batch": 2.0},
-        "shift_per_s": 0.0,
-        "crashing_per_s": 0.8,
-        "first_holder": "vm-06",
-        "seed": seed,
-    }
-    values.update(changes)
-    return World(WorldConfig(**values))
+pytestmark = pytest.mark.usefixtures("quiet_logs")
 
 
 async def cut_one_vm(world):
@@ -121,6 +88,10 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_prompt_part_that_ends_engines_is_kept_from_them(seed, script):
     """Guards against requests with one prompt part that end engine after engine."""
-    world = small_world(seed).run(40.0, script)
+    world = small_world(
+        seed=seed,
+        requests_per_s={"live": 18.0, "short": 16.0, "batch": 2.0},
+        crashing_per_s=0.8,
+    ).run(40.0, script)
     assert world.crashes_ms
     check(world)
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -1,24 +1,13 @@
 """Tests of a large fleet on modelled links: control traffic, orders, placement."""
 
-import logging
-
 import pytest
-import structlog
 
 from tests.fleet_world import World, WorldConfig
 
 SECONDS = 4
 
 
-@pytest.fixture(autouse=True)
-def quiet_logs():
-    """Keep tens of thousands of log lines out of the report of a failure."""
-    before = structlog.get_config()
-    structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
-    )
-    yield
-    structlog.configure(**before)
+pytestmark = pytest.mark.usefixtures("quiet_logs")
 
 
 def test_orders_get_through_while_the_fleet_is_told_of_changes():
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -2,8 +2,7 @@
 
 import pytest
 
-from tests.fleet_world import World, WorldConfig
-from tests.test_crashing_prompts import quiet_logs  # noqa: F401
+from tests.fleet_world import small_world
 
 LIMIT_AT_S = 4.0
 # Time after the first answer with a limit from which it binds.
@@ -14,25 +13,7 @@
 MAX_BEYOND = 5
 
 
-def small_world(seed, **changes):
-    """Return a world of 7 VMs before 6 engines."""
-    values = {
-        "vms": 7,
-        "large_vms": 7,
-        "engines": 6,
-        "models": 12,
-        "live_models": 9,
-        "busy_models": 6,
-        "adapters": 4,
-        "slots": 48,
-        "loads_per_s": 2.0,
-        "requests_per_s": {"live": 30.0, "short": 26.0, "batch": 3.0},
-        "shift_per_s": 0.0,
-        "first_holder": "vm-06",
-        "seed": seed,
-    }
-    values.update(changes)
-    return World(WorldConfig(**values))
+pytestmark = pytest.mark.usefixtures("quiet_logs")
 
 
 async def calm(world):
@@ -58,7 +39,7 @@
 
 def play(seed, script, limits, seconds=25.0, **changes):
     """Let engines name limits, and check the rate of requests that they get."""
-    world = small_world(seed, **changes)
+    world = small_world(seed=seed, **changes)
 
     async def run_script(world):
         await world.sleep(LIMIT_AT_S)
