Take the ports of process tests outside the system's own range too

Its log names the cause: a daemon could not bind 127.0.0.1:52647, Address already in use, a port that the system gives to outgoing connections.

--- a/tests/fleet_fixtures.py
+++ b/tests/fleet_fixtures.py
@@ -2,10 +2,6 @@
 
 import asyncio
 import contextlib
-import itertools
-import os
-import random
-import socket
 
 import aiohttp
 import uvicorn
@@ -18,13 +14,10 @@
 from cassiamount.platform.store import PlatformStore as StoreClient
 from standins.platform_replica import PlatformReplica
 from standins.platform_store import PlatformStore
+from tests.free_ports import free_port
 
 HOST = "fleet.example"
 KEY = "key-of-t"
-# Below the range of local ports, in another order in each process.
-_PORTS = itertools.cycle(
-    random.Random(os.getpid()).sample(range(10_000, 32_000), 22_000)
-)
 # Far longer than any test takes; only a hang exceeds it.
 TIMEOUT_S = 30
 
@@ -36,18 +29,6 @@
     backend = staticmethod(documents.decode_backend)
 
 
-def free_port():
-    """Return a port that no connection gets as its own, unlike those of the system."""
-    while True:
-        port = next(_PORTS)
-        with socket.socket() as listener:
-            try:
-                listener.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-
-
 def configuration(version=1, keys=(KEY,), **route):
     model = {
         "WeightsMb": 100,
--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-import socket
 import sys
 import uuid
 from pathlib import Path
@@ -11,6 +10,7 @@
 import orjson
 
 from cassiamount.records import PublishConfiguration, encode_record
+from tests.free_ports import free_port
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
@@ -25,9 +25,7 @@
 
 def free_address():
     """Return a loopback address that is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return f"{HOST}:{probe.getsockname()[1]}"
+    return f"{HOST}:{free_port()}"
 
 
 class OwnedProcess:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,7 +18,8 @@
 import orjson
 
 from cassiamount.platform.settings import FILE_VARIABLE
-from tests.fleet_fixtures import HOST, KEY, Fleet, configuration, free_port
+from tests.fleet_fixtures import HOST, KEY, Fleet, configuration
+from tests.free_ports import free_port
 
 STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
 CRASHING_PART = "c0ffee"
