--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -152,6 +152,14 @@
         """
         view = self.streams[stream]
         if from_offset is None:
+            if view.next_offset is not None and next_offset < view.next_offset:
+                log.info(
+                    "snapshot_ignored",
+                    stream=stream,
+                    source=source,
+                    next_offset=next_offset,
+                    view_offset=view.next_offset,
+                )
             changed = view.load_snapshot(records, next_offset)
         else:
             from_peer = source != FROM_STORE
--- a/cassiamount/platform/store.py
+++ b/cassiamount/platform/store.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 import orjson
+import structlog
 
 from ..metadata_store import (
     BACKENDS,
@@ -32,6 +33,10 @@
 # Length prefix of each record, and each of the two offsets at the start of a page.
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
+# Number of times that the store has come back from an older copy of its data.
+ERA_HEADER = "Store-Era"
+
+log = structlog.get_logger()
 
 
 class PlatformStore:
@@ -46,6 +51,7 @@
     def __init__(self, address):
         self._base = f"http://{address}"
         self._session = None
+        self._era = None
         self.calls = 0
 
     async def start(self):
@@ -173,10 +179,16 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
+                self._observe_era(response.headers.get(ERA_HEADER))
                 return response.status, await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise StoreUnavailable(f"{path}: {type(error).__name__}") from error
 
+    def _observe_era(self, text):
+        if text is not None and text != self._era:
+            log.info("store_era_changed", era=text, before=self._era)
+            self._era = text
+
 
 def _decode_page(body, from_offset):
     records = []
