--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -5,6 +5,8 @@
 
 import orjson
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
+from starlette.middleware.base import BaseHTTPMiddleware
 from starlette.responses import Response
 from starlette.routing import Route
 
@@ -27,8 +29,12 @@
         self.first_offsets = {}
         self.members = {}
         self.generation = 0
+        # Generations that joins named as the last ones received.
+        self.named_generations = []
         self.refusing = set()
         self.calls = 0
+        # Rises each time the store comes back from an older copy.
+        self.era = 1
         self.app = Starlette(
             routes=[
                 Route("/log-newest", self.newest),
@@ -36,9 +42,30 @@
                 Route("/log-append", self.append, methods=["POST"]),
                 Route("/log-join", self.join, methods=["POST"]),
                 Route("/log-leave", self.leave, methods=["POST"]),
-            ]
+            ],
+            middleware=[Middleware(BaseHTTPMiddleware, dispatch=self._add_era)],
         )
 
+    async def _add_era(self, request, call_next):
+        response = await call_next(request)
+        response.headers["Store-Era"] = str(self.era)
+        return response
+
+    def restore(self, kept, generation):
+        """Come back from an older copy.
+
+        Parameters
+        ----------
+        kept : dict of str to int
+            Topic -> number of its records in the copy.
+        generation : int
+            Generation of the group in the copy.
+        """
+        self.era += 1
+        for topic, records in self.topics.items():
+            del records[kept.get(topic, len(records)) :]
+        self.generation = generation
+
     def put(self, topic, key, value):
         """Append a record; None drops the key."""
         name = key.encode()
@@ -78,7 +105,7 @@
                 return Response(status_code=503)
             first = self.first_offsets.get(topic, 0)
             records = self.topics.get(topic, [])
-            if start < first:
+            if start < first or start > len(records):
                 return json_response({"FirstOffset": first}, 410)
             if len(records) > start or left_s <= 0:
                 break
@@ -107,6 +134,7 @@
         value = orjson.loads(await request.body())
         if self._refuses() or value["Member"] in self.refusing:
             return Response(status_code=503)
+        self.named_generations.append(value["Generation"])
         if value["Member"] not in self.members:
             self.generation += 1
         self.members[value["Member"]] = value["Topics"][0]
--- a/tests/fleet_world/engines.py
+++ b/tests/fleet_world/engines.py
@@ -52,6 +52,9 @@
         # Time until which orders get no answer, although they are accepted.
         self.mute_until_ms = 0.0
         self.has_ended = False
+        self.draining = False
+        # Heartbeats that the engine has written to the store.
+        self.heartbeats = 0
         # Connections with a request, which an end of the engine breaks.
         self.connections = set()
         # Called with a request that is about to be answered; returns whether the engine
@@ -59,6 +62,8 @@
         self.ends_by = lambda metadata: False
         # Called with a request that arrived, and the VM that sent it.
         self.record_arrival = lambda metadata, vm: None
+        # Called with each order that arrived.
+        self.record_order = lambda order: None
         # Request limit that answers name, and what is called when one arrives at a VM.
         self.limit_per_s = None
         self.record_told = lambda vm: None
@@ -89,6 +94,7 @@
 
     def execute(self, order):
         """Accept or refuse an order; return the answer."""
+        self.record_order(order)
         if order.fence < self.fence:
             return FENCED
         self.fence = order.fence
--- a/tests/fleet_world/store.py
+++ b/tests/fleet_world/store.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cassiamount.metadata_store import (
+    HistoryTrimmed,
     KeyedPage,
     KeyedRecord,
     LeaseReply,
@@ -21,17 +22,40 @@
         self.loop = loop
         self.streams = {}
         self.up = True
+        # Number of times that the store came back from an older copy, plus one.
+        self.era = 1
+        # VMs that the store turns away while it serves the others.
+        self.refused = set()
         # The member that holds the lease first.
         self.first_holder = None
         self.generation = 1
         # Member -> time until which it belongs to the group.
         self.members = {}
         self.holder = None
+        # Times at which the records of each stream were written.
+        self._written_ms = {}
+        # (time, generation, holder) after each change of the group.
+        self._group_history = [(0.0, self.generation, self.holder)]
 
     def put(self, stream, key, value):
-        """Append the newest record of a key."""
+        """Append the newest record of a key; return its offset."""
         records = self.streams.setdefault(stream, [])
         records.append(KeyedRecord(len(records), key, value))
+        self._written_ms.setdefault(stream, []).append(self.loop.true_ms)
+        return len(records) - 1
+
+    def restore(self, age_s):
+        """Come back as the store was some time ago."""
+        copied_ms = self.loop.true_ms - age_s * 1000
+        self.era += 1
+        for stream, records in self.streams.items():
+            written_ms = self._written_ms.get(stream, [])
+            kept = sum(at_ms <= copied_ms for at_ms in written_ms)
+            del records[kept:], written_ms[kept:]
+        while self._group_history[-1][0] > copied_ms:
+            self._group_history.pop()
+        _, self.generation, self.holder = self._group_history[-1]
+        self.members = {}
 
     def join(self, member, ttl_ms):
         """Renew a member's part in the group; return its lease reply."""
@@ -45,6 +69,7 @@
                 self.holder = member
         elif self.holder not in self.members:
             self.holder = sorted(self.members)[self.generation % len(self.members)]
+        self._group_history.append((now_ms, self.generation, self.holder))
         return LeaseReply(self.generation, self.holder == member)
 
     def leave(self, member):
@@ -69,7 +94,7 @@
 
     async def _call(self, size):
         self.calls += 1
-        if not self._store.up:
+        if not self._store.up or self._vm in self._store.refused:
             await asyncio.sleep(LATENCY_MS / 1000)
             raise StoreUnavailable("down")
         try:
@@ -89,9 +114,15 @@
 
     async def read(self, stream, from_offset, wait_ms):
         records = self._store.streams.setdefault(stream, [])
+        era = self._store.era
         deadline_ms = self._store.loop.true_ms + wait_ms
-        while len(records) <= from_offset and self._store.loop.true_ms < deadline_ms:
+        while len(records) == from_offset and self._store.loop.true_ms < deadline_ms:
             await asyncio.sleep(0.01)
+            if not self._store.up or self._store.era != era:
+                raise StoreUnavailable("reset")
+        if len(records) < from_offset:
+            await self._call(CALL_BYTES)
+            raise HistoryTrimmed(stream)
         page = records[from_offset:]
         await self._call(sum(self._size(r) for r in page))
         return KeyedPage(list(page), from_offset + len(page))
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -260,6 +260,8 @@
         self.first_attempts = []
         # VM -> spans during which it was cut off or starting.
         self.disturbed_ms = {}
+        # The first configuration, encoded.
+        self.configuration = b""
         self._calls = set()
         self._next_id = 0
 
@@ -391,7 +393,8 @@
             "Routes": routes,
             "Services": [{"Name": SERVICE, "Engine": engine}],
         }
-        self.store.put(CONFIGURATION, "config", orjson.dumps(document))
+        self.configuration = orjson.dumps(document)
+        self.store.put(CONFIGURATION, "config", self.configuration)
 
     def _create_engines(self):
         """Place the busy models on many engines, and others where room is left."""
@@ -450,15 +453,21 @@
             "Address": f"{name}:9",
             "Zone": engine.zone,
             "Slots": self.config.slots,
-            "State": "ready",
+            "State": "draining" if engine.draining else "ready",
             "Models": [
                 {"Name": m, "Adapters": sorted(a)} for m, a in engine.models.items()
             ],
             "Available": {"InMemory": engine.in_memory, "OnDisk": engine.on_disk},
-            "Seq": engine.orders,
+            "Seq": engine.heartbeats,
             "born": 1,
         }
-        self.store.put(BACKENDS, name, orjson.dumps(value))
+        engine.heartbeats += 1
+        return self.store.put(BACKENDS, name, orjson.dumps(value))
+
+    def drain_engine(self, name):
+        """Let an engine announce that it leaves."""
+        self.engines[name].draining = True
+        self._put_engine(name)
 
     def remove_engine(self, name):
         """Let an engine crash: it answers nothing and leaves the list later."""
@@ -499,7 +508,8 @@
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             for name in list(self.engines):
-                self._put_engine(name)
+                if self.store.up:
+                    self._put_engine(name)
 
     async def _call(self, seconds):
         """Send requests at random times to random VMs."""
