Compare offsets, generations and records of the store within its eras only

Cause: offsets of two eras were compared.

Change: positions hold the era (store_position), so those of a later era are higher everywhere: views, reports, lease and fences. Between two eras records are compared by what their writers count, since a copy has old records under new offsets; what is newer than the copy goes from VM to VM. A new era's configuration counts as current 1.5 s later, as the operator writes it again by then. VMs register again, and the quarantine is written again. Why this works: no comparison between numbers of two eras is left, and nothing in force is taken from a copy that is older.

--- a/cassiamount/fleet.py
+++ b/cassiamount/fleet.py
@@ -311,6 +311,8 @@
         Loaded model -> its loaded adapters.
     in_memory, on_disk : frozenset of str
         Models of which the server keeps a copy in host memory or on disk.
+    heartbeats : int
+        Increases with each entry that the server writes after a start.
     """
 
     __slots__ = (
@@ -325,6 +327,7 @@
         "residents",
         "in_memory",
         "on_disk",
+        "heartbeats",
     )
 
     def __init__(
@@ -340,6 +343,7 @@
         residents=None,
         in_memory=frozenset(),
         on_disk=frozenset(),
+        heartbeats=0,
     ):
         self.name = name
         self.service = service
@@ -352,6 +356,15 @@
         self.residents = residents or {}
         self.in_memory = in_memory
         self.on_disk = on_disk
+        self.heartbeats = heartbeats
+
+    @property
+    def rank(self):
+        """Sorts the entries of one name from old to new.
+
+        A server that leaves never becomes available again before it restarts.
+        """
+        return self.started_wall_ms, self.leaving, self.heartbeats
 
     @property
     def start(self):
@@ -359,11 +372,15 @@
         return self.name, self.started_wall_ms
 
     def same_as(self, other):
-        """Return whether another entry is equal, apart from `remaining_ms`."""
+        """Return whether another entry has the same meaning.
+
+        Heartbeats and the remaining time, which follows from the first entry that
+        states it, change without a meaning.
+        """
         return all(
             getattr(self, name) == getattr(other, name)
             for name in self.__slots__
-            if name != "remaining_ms"
+            if name not in ("remaining_ms", "heartbeats")
         )
 
 
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -29,6 +29,7 @@
 # Interval of the log lines on the VM's own load.
 LOAD_LOG_INTERVAL_MS = 2_000.0
 ANNOUNCE_RETRY_MS = 500.0
+ANNOUNCE_SPREAD_MS = 1_000.0
 
 log = structlog.get_logger()
 
@@ -85,6 +86,7 @@
         self._settings = settings
         self._platform = platform
         self._clock = clock
+        self._rng = rng or random.Random()
         self._metrics = Metrics()
         self._stats = stats or IntervalStats()
         self.state = FleetState(settings, platform.decoder, clock, clock.wall_ms())
@@ -118,7 +120,7 @@
             prefixes,
             self._metrics,
             log,
-            rng or random.Random(),
+            self._rng,
             self._notify_lease_holder,
             self._exchange.exchange_soon,
         )
@@ -242,23 +244,40 @@
         await _respond(send, 200, self._metrics.render().encode())
 
     async def _announce(self):
-        """Register this VM in the store, and read where the other VMs are."""
-        settings = self._settings
-        for address in settings.seed_addresses:
+        """Register this VM in the store, again whenever the store has lost records."""
+        for address in self._settings.seed_addresses:
             self.state.add_address(f"seed {address}", address)
         while True:
             try:
-                await self._platform.store.put(
-                    VMS, settings.vm_name, encode_place(self.state.peers.own)
-                )
-                page = await self._platform.store.newest(VMS)
-                break
+                registered_era = await self._register()
             except StoreUnavailable as error:
                 log.info("announcement_failed", error=str(error))
                 await asyncio.sleep(ANNOUNCE_RETRY_MS / 1000)
-        for record in page.records:
+                continue
+            while self.state.store_era <= registered_era:
+                await asyncio.sleep(ANNOUNCE_RETRY_MS / 1000)
+            # All VMs write at about the same time.
+            await asyncio.sleep(self._rng.uniform(0.0, ANNOUNCE_SPREAD_MS) / 1000)
+
+    async def _register(self):
+        """Write where this VM is, and read where the others are.
+
+        Returns
+        -------
+        int
+            Era of the store that has the record.
+
+        Raises
+        ------
+        StoreUnavailable
+        """
+        store = self._platform.store
+        place = encode_place(self.state.peers.own)
+        era = await store.put(VMS, self._settings.vm_name, place)
+        for record in (await store.newest(VMS)).records:
             if record.value is not None:
                 self.state.add_address(record.key, *decode_place(record.value))
+        return era
 
     async def _review_loop(self):
         logged_ms = self._clock.monotonic_ms()
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -28,14 +28,17 @@
         None if these are the newest records of all keys.
     next_offset : int
     records : list of KeyedRecord
+    carried : list of KeyedRecord, optional
+        Records of earlier eras of the store that are newer than what it has now.
     """
 
-    __slots__ = ("from_offset", "next_offset", "records")
+    __slots__ = ("from_offset", "next_offset", "records", "carried")
 
-    def __init__(self, from_offset, next_offset, records):
+    def __init__(self, from_offset, next_offset, records, carried=()):
         self.from_offset = from_offset
         self.next_offset = next_offset
         self.records = records
+        self.carried = carried
 
 
 class VmReport:
@@ -117,14 +120,8 @@
         name: [
             part.from_offset,
             part.next_offset,
-            [
-                [
-                    r.offset,
-                    r.key,
-                    None if r.value is None else r.value.decode("latin-1"),
-                ]
-                for r in part.records
-            ],
+            [_record_to_value(record) for record in part.records],
+            [_record_to_value(record) for record in part.carried],
         ]
         for name, part in report.records.items()
     }
@@ -137,6 +134,21 @@
     return orjson.dumps([value[name] for name in VmReport.__slots__])
 
 
+def _record_to_value(record):
+    value = None if record.value is None else record.value.decode("latin-1")
+    return [record.offset, record.key, value, record.rank]
+
+
+def _record_from_value(item):
+    offset, key, value, rank = item
+    return KeyedRecord(
+        offset,
+        key,
+        None if value is None else value.encode("latin-1"),
+        None if rank is None else tuple(rank),
+    )
+
+
 def decode_report(data):
     """Decode a `VmReport`.
 
@@ -155,12 +167,8 @@
             name: StreamRecords(
                 item[0],
                 item[1],
-                [
-                    KeyedRecord(
-                        r[0], r[1], None if r[2] is None else r[2].encode("latin-1")
-                    )
-                    for r in item[2]
-                ],
+                [_record_from_value(record) for record in item[2]],
+                [_record_from_value(record) for record in item[3]],
             )
             for name, item in value["records"].items()
         }
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -25,6 +25,7 @@
 from .request_rates import RequestRate
 from .shared_quota import SharedQuota
 from .shared_retries import SharedRetryBudget
+from .store_position import era_of
 from .vm_state import VmState
 
 # In a small fleet a VM relays records that a peer reported only to VMs that still lack
@@ -40,6 +41,12 @@
 # missing stays in use for the grace time, because the entry may reappear.
 STORE_RECOVERY_WINDOW_MS = 4_000.0
 MISSING_ENTRY_GRACE_MS = 900.0
+# The same for entries that the store has lost by coming back from an older copy: their
+# servers write them again with the next heartbeat.
+LOST_ENTRY_GRACE_MS = 2_000.0
+# Time after a new era of the store from which its configuration counts as current. The
+# operator writes the one that the store has lost again until then.
+ERA_SETTLE_MS = 1_500.0
 
 log = structlog.get_logger()
 
@@ -81,8 +88,12 @@
         self.key_freshness = KeyFreshness(settings.key_limit_ms)
         self.backends_freshness = StreamFreshness()
         self.streams = {
-            CONFIGURATION: KeyedView(),
-            BACKENDS: KeyedView(self._same_backend),
+            CONFIGURATION: KeyedView(
+                rank=self._rank_configuration, keeps_lost=True, counter=self._counter
+            ),
+            BACKENDS: KeyedView(
+                self._same_backend, self._rank_backend, counter=self._counter
+            ),
         }
         # Stream -> (next offset, time received) of records that peers reported; empty
         # if this VM reads the stream itself.
@@ -111,6 +122,10 @@
         self._unreadable = {}
         # Backend server -> time since which its entry is missing.
         self._missing_since_ms = {}
+        # Backend server -> time until which its entry, which the store lost, is kept.
+        self._lost_until_ms = {}
+        # Time from which the configuration of the store's era counts as current.
+        self._settled_ms = now_ms
 
     def now_ms(self):
         """Return the monotonic time to which all times here refer."""
@@ -129,6 +144,33 @@
             self.key_freshness if stream == CONFIGURATION else self.backends_freshness
         )
 
+    @property
+    def store_era(self):
+        """Latest era of the store that this VM knows of."""
+        offsets = [view.next_offset for view in self.streams.values()]
+        return max((era_of(n) for n in offsets if n is not None), default=0)
+
+    def confirm(self, stream, source, next_offset, as_of_ms):
+        """Record that a stream had no records after an offset at some time.
+
+        Parameters
+        ----------
+        stream, source : str
+            As in `on_records`.
+        next_offset : int
+        as_of_ms : float
+        """
+        view = self.streams[stream]
+        if view.next_offset is None or view.next_offset < next_offset:
+            return
+        if era_of(view.next_offset) != era_of(next_offset):
+            # The store may have lost, or had written again, what the view has.
+            return
+        is_settling = stream == CONFIGURATION and self.now_ms() < self._settled_ms
+        if is_settling and source == FROM_STORE:
+            return
+        self.freshness_of(stream).confirm(as_of_ms)
+
     def on_store_response(self, reached):
         """Record whether the store responded."""
         now_ms = self.now_ms()
@@ -138,7 +180,7 @@
         if not reached:
             self.store_failed_ms = now_ms
 
-    def on_records(self, stream, source, records, from_offset, next_offset):
+    def on_records(self, stream, source, records, from_offset, next_offset, carried=()):
         """Apply records of a stream that were read or reported by a peer.
 
         Parameters
@@ -149,8 +191,11 @@
         from_offset : int or None
             None if these are the newest records of all keys.
         next_offset : int
+        carried : list of KeyedRecord
+            Records of earlier eras that are newer than what the store has now.
         """
         view = self.streams[stream]
+        before_offset, before_keys = view.next_offset, set(view.values)
         if from_offset is None:
             if view.next_offset is not None and next_offset < view.next_offset:
                 log.info(
@@ -164,6 +209,11 @@
         else:
             from_peer = source != FROM_STORE
             changed = view.apply(records, from_offset, next_offset, from_peer)
+        changed |= view.apply_carried(carried)
+        if view.next_offset is not None and (
+            before_offset is None or era_of(before_offset) < era_of(view.next_offset)
+        ):
+            self._begin_era(stream, before_offset, before_keys - view.values.keys())
         if not changed:
             return
         if source == FROM_STORE:
@@ -175,6 +225,26 @@
         else:
             self._apply_backends()
 
+    def _begin_era(self, stream, before_offset, lost):
+        """Enter another era of the store, or the first one that this VM knows of."""
+        now_ms = self.now_ms()
+        is_start = before_offset is None
+        if stream == CONFIGURATION:
+            # After a start the store may just have lost what other VMs had taken.
+            if not is_start or not self.settings.first_start:
+                self._settled_ms = now_ms + ERA_SETTLE_MS
+        else:
+            for name in lost:
+                self._lost_until_ms[name] = now_ms + LOST_ENTRY_GRACE_MS
+        if not is_start:
+            log.warning(
+                "store_restored",
+                stream=stream,
+                era=era_of(self.streams[stream].next_offset),
+                before=era_of(before_offset),
+                lost=sorted(lost),
+            )
+
     def _apply_configuration(self, source):
         known = self.streams[CONFIGURATION].values.get(CONFIGURATION_KEY)
         if known is None:
@@ -216,13 +286,18 @@
             if name in records or known[1] is None:
                 continue
             since_ms = self._missing_since_ms.setdefault(name, now_ms)
-            if store_recovering and now_ms - since_ms < MISSING_ENTRY_GRACE_MS:
+            until_ms = self._lost_until_ms.get(name, 0.0)
+            if store_recovering:
+                until_ms = max(until_ms, since_ms + MISSING_ENTRY_GRACE_MS)
+            if now_ms < until_ms:
                 records[name] = known[1]
         for name in list(self._missing_since_ms):
             if name in self.streams[BACKENDS].values:
                 del self._missing_since_ms[name]
+                self._lost_until_ms.pop(name, None)
             elif name not in records:
                 del self._missing_since_ms[name]
+                self._lost_until_ms.pop(name, None)
                 self._records.pop(name, None)
         for name in self.view.replace(records):
             view = self.view.backends.get(name)
@@ -259,6 +334,18 @@
         self._records[name] = (offset, record)
         return record
 
+    def _rank_configuration(self, key, data):
+        try:
+            return (self._decoder.configuration(data).version,)
+        except ValueError:
+            return ()
+
+    def _rank_backend(self, name, data):
+        try:
+            return self._decoder.backend(name, data).rank
+        except ValueError:
+            return ()
+
     def _same_backend(self, name, before, after):
         try:
             known = self._decoder.backend(name, before)
@@ -347,18 +434,22 @@
         for stream, part in report.records.items():
             if stream in self.streams:
                 self.on_records(
-                    stream, report.vm, part.records, part.from_offset, part.next_offset
+                    stream,
+                    report.vm,
+                    part.records,
+                    part.from_offset,
+                    part.next_offset,
+                    part.carried,
                 )
         for stream, position in report.positions.items():
-            view = self.streams.get(stream)
             if (
-                view is not None
-                and view.next_offset is not None
+                stream in self.streams
                 and position.next_offset is not None
                 and position.age_ms is not None
-                and view.next_offset >= position.next_offset
             ):
-                self.freshness_of(stream).confirm(now_ms - position.age_ms)
+                self.confirm(
+                    stream, report.vm, position.next_offset, now_ms - position.age_ms
+                )
 
     def _apply_demand(self, report, now_ms):
         """Apply the requests that a peer reports, and update the counts with them."""
@@ -536,7 +627,11 @@
             states=peers.states_for(name, since),
             vouched_ages=peers.vouched_ages(name, now_ms),
             positions={
-                stream: StreamPosition(view.next_offset, self._age_ms(stream, now_ms))
+                # Without a link, the report lacks records that belong to its position.
+                stream: StreamPosition(
+                    view.next_offset,
+                    None if link is None else self._age_ms(stream, now_ms),
+                )
                 for stream, view in self.streams.items()
             },
             records={} if link is None else self._records_for(link),
@@ -604,30 +699,34 @@
 
     def _records_for(self, link):
         """Return the records that a peer lacks, by stream."""
-        relay_ms = RELAY_DELAY_PERIODS * REPORT_PERIOD_MS
-        if not self.peers.topology.is_mesh:
-            relay_ms = 0.0
         parts = {}
         for name, view in self.streams.items():
             position = link.positions.get(name)
             if position is None or view.next_offset is None:
                 continue
-            received_ms = self._received_ms(name, position.next_offset or 0)
-            if received_ms is not None and link.heard_ms < received_ms + relay_ms:
-                # The VM that read the records reports them at the same time.
-                continue
-            if position.next_offset is not None:
-                if position.next_offset >= view.next_offset:
-                    continue
-                records = view.since(position.next_offset)
-                if records is not None:
-                    parts[name] = StreamRecords(
-                        position.next_offset, view.next_offset, records
-                    )
-                    continue
-            parts[name] = StreamRecords(None, view.next_offset, view.all_records())
+            part = None
+            carried = view.carried_since(link.acked_version)
+            if not self._is_told_by_reader(name, link, position):
+                part = _records_since(view, position.next_offset)
+            if carried:
+                # A peer that has no records yet cannot apply these without the others.
+                part = part or _records_since(view, position.next_offset)
+                part = part or StreamRecords(view.next_offset, view.next_offset, [])
+                part.carried = carried
+            if part is not None:
+                if part.from_offset is None:
+                    part.carried = [*carried, *view.tombstones()]
+                parts[name] = part
         return parts
 
+    def _is_told_by_reader(self, stream, link, position):
+        """Return whether the VM that read the records is telling a peer now."""
+        relay_ms = RELAY_DELAY_PERIODS * REPORT_PERIOD_MS
+        if not self.peers.topology.is_mesh:
+            relay_ms = 0.0
+        received_ms = self._received_ms(stream, position.next_offset or 0)
+        return received_ms is not None and link.heard_ms < received_ms + relay_ms
+
     def _received_ms(self, stream, offset):
         """Return when a peer reported the first record that follows an offset.
 
@@ -667,6 +766,17 @@
             self.peers.add_place(VmPlace(name, address, zone, capacity))
 
 
+def _records_since(view, offset):
+    """Return the `StreamRecords` for a peer at an offset; None if it lacks none."""
+    if offset is not None:
+        if offset >= view.next_offset:
+            return None
+        records = view.since(offset)
+        if records is not None:
+            return StreamRecords(offset, view.next_offset, records)
+    return StreamRecords(None, view.next_offset, view.all_records())
+
+
 def _set_engine(view, item):
     """Set what an engine holds.
 
--- a/cassiamount/metadata_store.py
+++ b/cassiamount/metadata_store.py
@@ -2,6 +2,9 @@
 
 import collections
 
+from .change_counter import ChangeCounter
+from .store_position import era_of, position
+
 # Streams of keyed records; the latest record of a key replaces the earlier ones.
 CONFIGURATION = "configuration"
 BACKENDS = "backends"
@@ -19,18 +22,32 @@
 
 
 class HistoryTrimmed(Exception):
-    """The store no longer has the records at the offset of the reader."""
+    """The store does not have, or no longer has, the records after a reader's offset.
+
+    It has dropped its oldest records, or come back from an older copy.
+    """
 
 
 class KeyedRecord:
-    """Latest record of a key; a value of None is a tombstone (the key was deleted)."""
+    """Latest record of a key; a value of None is a tombstone (the key was deleted).
+
+    Parameters
+    ----------
+    offset : int
+        Position in the stream, see `store_position`; so are all offsets here.
+    key : str
+    value : bytes or None
+    rank : tuple, optional
+        Rank of the value that a tombstone deleted, if it is of an earlier era.
+    """
 
-    __slots__ = ("offset", "key", "value")
+    __slots__ = ("offset", "key", "value", "rank")
 
-    def __init__(self, offset, key, value):
+    def __init__(self, offset, key, value, rank=None):
         self.offset = offset
         self.key = key
         self.value = value
+        self.rank = rank
 
 
 class KeyedPage:
@@ -49,7 +66,8 @@
     Parameters
     ----------
     generation : int
-        Increases with each membership change; the fencing token of the lease holder.
+        Position that increases with each membership change; the fencing token of the
+        lease holder.
     is_holder : bool
         Whether the requesting VM holds the lease.
     """
@@ -71,7 +89,10 @@
     """Local view of a stream: the latest known record of each key.
 
     Records may arrive from the store and from peers, in any order and repeatedly. An
-    older record never replaces a newer one.
+    older record never replaces a newer one. Within an era of the store, offsets tell
+    which of two records is newer. Between eras their ranks do: a store that came back
+    from an older copy has old records under new offsets, until their writers write the
+    newer ones again.
 
     Parameters
     ----------
@@ -79,18 +100,29 @@
         ``(key, before, after) -> bool``: whether two values have the same meaning. Most
         records are heartbeats that only repeat the previous value; those are not
         relayed to peers.
+    rank : callable, optional
+        ``(key, value) -> tuple``: increases with each value that the writer of a key
+        writes; empty if the value cannot be read.
+    keeps_lost : bool
+        Whether keys that the store has lost stay.
+    counter : ChangeCounter, optional
     """
 
     __slots__ = (
         "next_offset",
         "values",
         "_is_equivalent",
+        "_rank",
+        "_keeps_lost",
+        "_counter",
         "_changed_offsets",
+        "_deleted_ranks",
+        "_carried",
         "_complete_from",
         "_gaps",
     )
 
-    def __init__(self, is_equivalent=None):
+    def __init__(self, is_equivalent=None, rank=None, keeps_lost=False, counter=None):
         # Offset of the next record to read; None before the first snapshot.
         self.next_offset = None
         self.values = {}
@@ -99,8 +131,16 @@
             if is_equivalent is None
             else is_equivalent
         )
+        self._rank = rank
+        self._keeps_lost = keeps_lost
+        self._counter = counter or ChangeCounter()
         # Key (also a deleted one) -> offset of the last change of its meaning.
         self._changed_offsets = {}
+        # Deleted key -> rank of its last value.
+        self._deleted_ranks = {}
+        # Key whose record of an earlier era is newer than what the store has now ->
+        # version of the counter. Peers cannot get these records from the store.
+        self._carried = {}
         # `_changed_offsets` has all deletions from this offset on, except in the gaps.
         self._complete_from = 0
         # Pairs of offsets. A peer between them may know keys that this view has never
@@ -119,9 +159,19 @@
             return False
         present = {record.key for record in records}
         changed = False
+        era = era_of(next_offset)
         for key, (offset, _) in list(self.values.items()):
-            if key not in present and offset < next_offset:
-                changed |= self._apply_record(KeyedRecord(next_offset - 1, key, None))
+            if key in present or offset >= next_offset:
+                continue
+            if self._keeps_lost and era_of(offset) < era:
+                self._carry(key)
+                continue
+            # A key that the store has lost may be written again as it was.
+            was_lost = era_of(offset) < era
+            self._delete(
+                key, max(next_offset - 1, position(era, 0)), () if was_lost else None
+            )
+            changed = True
         for record in records:
             changed |= self._apply_record(record)
         if self.next_offset is None:
@@ -185,6 +235,57 @@
             for key, (offset, value) in self.values.items()
         ]
 
+    def apply_carried(self, records):
+        """Apply records of earlier eras that a peer carries.
+
+        Returns
+        -------
+        bool
+            Whether any value changed.
+        """
+        if self.next_offset is None:
+            return False
+        changed = False
+        for record in records:
+            changed |= self._apply_record(record)
+            if record.key not in self._carried and self._holds(record):
+                self._carry(record.key)
+        return changed
+
+    def carried_since(self, version):
+        """Return the carried records that are new since a version of the counter."""
+        return [
+            self._known_record(key)
+            for key, changed in self._carried.items()
+            if changed > version
+        ]
+
+    def tombstones(self):
+        """Return the known deletions, so that no older copy brings the keys back."""
+        return [self._known_record(key) for key in self._deleted_ranks]
+
+    def _holds(self, record):
+        """Return whether a record of an earlier era is the latest of its key."""
+        known = self._known_record(record.key)
+        return (
+            known is not None
+            and known.offset == record.offset
+            and era_of(known.offset) < era_of(self.next_offset)
+        )
+
+    def _known_record(self, key):
+        """Return the latest record of a key, also if it is a tombstone, or None."""
+        if key in self.values:
+            offset, value = self.values[key]
+            return KeyedRecord(offset, key, value)
+        if key in self._deleted_ranks:
+            rank = self._deleted_ranks[key]
+            return KeyedRecord(self._changed_offsets[key], key, None, rank)
+        return None
+
+    def _carry(self, key):
+        self._carried[key] = self._counter.next()
+
     def _apply_record(self, record, mark_changed=False):
         """Apply one record; return whether the meaning of the key's value changed.
 
@@ -192,13 +293,20 @@
         here: a delta may skip a deletion between two equal values, and a peer may have
         applied that deletion.
         """
-        current = self.values.get(record.key)
-        if current is not None and current[0] >= record.offset:
+        known = self._known_record(record.key)
+        if known is not None and self._is_outdated(record, known):
+            if era_of(record.offset) > era_of(known.offset) and (
+                known.value is None
+                or not self._is_equivalent(record.key, known.value, record.value)
+            ):
+                self._carry(record.key)
             return False
+        self._carried.pop(record.key, None)
+        current = self.values.get(record.key)
         if record.value is None:
-            self.values.pop(record.key, None)
-            self._changed_offsets[record.key] = record.offset
+            self._delete(record.key, record.offset, record.rank)
             return current is not None
+        self._deleted_ranks.pop(record.key, None)
         self.values[record.key] = (record.offset, record.value)
         equivalent = current is not None and self._is_equivalent(
             record.key, current[1], record.value
@@ -207,12 +315,52 @@
             self._changed_offsets[record.key] = record.offset
         return not equivalent
 
+    def _delete(self, key, offset, rank=None):
+        """Replace the record of a key by a tombstone.
+
+        Parameters
+        ----------
+        key : str
+        offset : int
+        rank : tuple, optional
+            Rank of the tombstone; by default that of the value that it replaces.
+        """
+        current = self.values.pop(key, None)
+        self._changed_offsets[key] = offset
+        if rank is not None:
+            self._deleted_ranks[key] = rank
+        elif current is not None and self._rank is not None:
+            self._deleted_ranks[key] = self._rank(key, current[1])
+
+    def _is_outdated(self, record, known):
+        """Return whether a record is not newer than the latest known one of its key."""
+        if era_of(record.offset) == era_of(known.offset):
+            # Readers pass each record on once, so a value after a tombstone is newer.
+            return known.value is not None and record.offset <= known.offset
+        order = self._order(record)
+        if order is None:
+            return record.offset <= known.offset
+        return (order, record.offset) <= (self._order(known), known.offset)
+
+    def _order(self, record):
+        """Return what orders the records of a key between eras; None if unknown.
+
+        A value sorts before the tombstone that deleted it.
+        """
+        if record.value is None:
+            return None if record.rank is None else (record.rank, True)
+        if self._rank is None:
+            return None
+        return self._rank(record.key, record.value), False
+
     def _prune_tombstones(self):
         excess = len(self._changed_offsets) - len(self.values) - MAX_TOMBSTONES
         if excess <= 0:
             return
         deleted = [key for key in self._changed_offsets if key not in self.values]
         for key in sorted(deleted, key=self._changed_offsets.get)[:excess]:
+            self._deleted_ranks.pop(key, None)
+            self._carried.pop(key, None)
             self._complete_from = max(
                 self._complete_from, self._changed_offsets.pop(key) + 1
             )
--- a/cassiamount/order_lease.py
+++ b/cassiamount/order_lease.py
@@ -81,7 +81,10 @@
             Whether this VM became or ceased to be the holder.
         """
         before = self._granted
-        self.generation = max(self.generation, answer.generation)
+        if answer.generation < self.generation:
+            # The store has lost what this answer says.
+            return False
+        self.generation = answer.generation
         self._granted = answer.is_holder
         self._last_answer_ms = sent_ms
         if answer.is_holder:
--- a/cassiamount/platform/documents.py
+++ b/cassiamount/platform/documents.py
@@ -151,6 +151,7 @@
             residents(value.get("Models")),
             frozenset(available.get("InMemory") or ()),
             frozenset(available.get("OnDisk") or ()),
+            value["Seq"] if isinstance(value.get("Seq"), int) else 0,
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise UnreadableDocument(f"server {name!r}: {error!r}") from error
--- a/cassiamount/platform/store.py
+++ b/cassiamount/platform/store.py
@@ -17,6 +17,7 @@
     LeaseReply,
     StoreUnavailable,
 )
+from ..store_position import position, split_position
 
 TOPICS = {
     CONFIGURATION: "keyed.op",
@@ -33,7 +34,7 @@
 # Length prefix of each record, and each of the two offsets at the start of a page.
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
-# Number of times that the store has come back from an older copy of its data.
+# Rises each time the store comes back from an older copy of its data.
 ERA_HEADER = "Store-Era"
 
 log = structlog.get_logger()
@@ -51,7 +52,8 @@
     def __init__(self, address):
         self._base = f"http://{address}"
         self._session = None
-        self._era = None
+        # Latest era of the store; 0 if it names none.
+        self._era = 0
         self.calls = 0
 
     async def start(self):
@@ -66,20 +68,29 @@
         await self._session.close()
 
     async def newest(self, stream):
-        """Return a `KeyedPage` with the newest record of each key."""
+        """Return a `KeyedPage` with the newest record of each key.
+
+        Raises
+        ------
+        StoreUnavailable
+        """
         records = []
-        next_offset = after = None
+        next_offset = after = first_era = None
         while True:
             query = {"Topic": TOPICS[stream], "part": "0"}
             if after is not None:
                 query["after"] = after
-            page = await self._json("GET", "/log-newest", query)
+            page, era = await self._json("GET", "/log-newest", query)
             if next_offset is None:
                 # Pages are not one snapshot: reading continues at the end of the first.
-                next_offset = page["EndOffset"]
+                first_era = era
+                next_offset = position(era, page["EndOffset"])
+            if era != first_era:
+                raise StoreUnavailable("/log-newest: a new era between two pages")
             for item in page["items"]:
                 value = base64.b64decode(item.get("Value") or "")
-                records.append(KeyedRecord(item["Offset"], item["Key"], value or None))
+                offset = position(era, item["Offset"])
+                records.append(KeyedRecord(offset, item["Key"], value or None))
                 after = item["Key"]
             if not page.get("HasMore") or not page["items"]:
                 return KeyedPage(records, next_offset)
@@ -91,22 +102,35 @@
         ------
         HistoryTrimmed, StoreUnavailable
         """
+        era, first = split_position(from_offset)
+        if era < self._era:
+            raise HistoryTrimmed(stream)
         query = {
             "Topic": TOPICS[stream],
             "part": "0",
-            "From": str(from_offset),
+            "From": str(first),
             "WaitMs": str(int(wait_ms)),
         }
-        status, body = await self._call("GET", "/log-read", query, None, wait_ms)
+        status, body, found_era = await self._call(
+            "GET", "/log-read", query, None, wait_ms
+        )
         if status == 410:
             raise HistoryTrimmed(stream)
         if status != 200 or len(body) < 2 * OFFSET_BYTES:
             raise StoreUnavailable(f"read of {stream}: status {status}")
+        if found_era != era:
+            # The offset has been given out again, for another record.
+            raise HistoryTrimmed(stream)
         return _decode_page(body, from_offset)
 
     async def put(self, stream, key, value):
         """Append a record with the new value of a key.
 
+        Returns
+        -------
+        int
+            Era of the store that has the record.
+
         Raises
         ------
         StoreUnavailable
@@ -115,13 +139,21 @@
         content = bytes([len(name)]) + name + value
         record = len(content).to_bytes(LENGTH_BYTES, "big") + content
         query = {"Topic": TOPICS[stream], "part": "0"}
-        status, _ = await self._call("POST", "/log-append", query, record, 0)
+        status, _, era = await self._call("POST", "/log-append", query, record, 0)
         if status != 200:
             raise StoreUnavailable(f"append to {stream}: status {status}")
+        return era
 
     async def join_lease(self, member, ttl_ms, generation):
         """Claim or renew the order lease.
 
+        Parameters
+        ----------
+        member : str
+        ttl_ms : float
+        generation : int
+            Position of the last reply.
+
         Returns
         -------
         LeaseReply
@@ -130,7 +162,8 @@
         ------
         StoreUnavailable
         """
-        reply = await self._json(
+        known_era, known = split_position(generation)
+        reply, era = await self._json(
             "POST",
             "/log-join",
             None,
@@ -139,11 +172,13 @@
                 "Member": member,
                 "Topics": [LEASE_TOPIC],
                 "TtlMs": int(ttl_ms),
-                "Generation": generation,
+                # A generation of an earlier era would confirm changes of the group
+                # that this member has not heard of.
+                "Generation": known if known_era == self._era else 0,
             },
         )
         holds = any(row[0] == LEASE_TOPIC and row[1] == 0 for row in reply["parts"])
-        return LeaseReply(reply["Generation"], holds)
+        return LeaseReply(position(era, reply["Generation"]), holds)
 
     async def leave_lease(self, member):
         """Release the order lease.
@@ -158,11 +193,11 @@
 
     async def _json(self, method, path, query, value=None):
         body = None if value is None else orjson.dumps(value)
-        status, data = await self._call(method, path, query, body, 0)
+        status, data, era = await self._call(method, path, query, body, 0)
         if status != 200:
             raise StoreUnavailable(f"{path}: status {status}")
         try:
-            return orjson.loads(data or b"{}")
+            return orjson.loads(data or b"{}"), era
         except ValueError as error:
             raise StoreUnavailable(f"{path}: {error}") from error
 
@@ -179,15 +214,27 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
-                self._observe_era(response.headers.get(ERA_HEADER))
-                return response.status, await response.read()
+                era = self._observe_era(response.headers.get(ERA_HEADER))
+                return response.status, await response.read(), era
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise StoreUnavailable(f"{path}: {type(error).__name__}") from error
 
     def _observe_era(self, text):
-        if text is not None and text != self._era:
-            log.info("store_era_changed", era=text, before=self._era)
-            self._era = text
+        """Return the era that a response names.
+
+        Raises
+        ------
+        StoreUnavailable
+            If the response is of an earlier era than another one before.
+        """
+        if text is None:
+            return self._era
+        if not text.isdecimal() or int(text) < self._era:
+            raise StoreUnavailable(f"response of era {text!r} in era {self._era}")
+        if int(text) > self._era:
+            log.info("store_era_changed", era=int(text), before=self._era)
+            self._era = int(text)
+        return self._era
 
 
 def _decode_page(body, from_offset):
--- a/cassiamount/quarantine_store.py
+++ b/cassiamount/quarantine_store.py
@@ -55,6 +55,8 @@
         # Rules that the store has, as far as this VM knows; None after another VM may
         # have written.
         self._stored = None
+        # Era of the store in which they were read or written.
+        self._era = 0
 
     async def run(self):
         """Load the quarantine, then write its changes forever."""
@@ -64,7 +66,10 @@
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
             if self._state.peers.store_reader_rank(self._state.now_ms()) != 0:
                 self._stored = None
-            elif self._settled_rules() != self._stored:
+            elif (
+                self._settled_rules() != self._stored
+                or self._state.store_era > self._era
+            ):
                 if not await self._succeeds(self._synchronize()):
                     await asyncio.sleep(RETRY_DELAY_MS / 1000)
 
@@ -98,6 +103,7 @@
         )
 
     async def _synchronize(self):
+        era = self._state.store_era
         stored = await self._read()
         current = set(self._state.quarantine.rules())
         released = (self._stored or frozenset()) - current
@@ -109,3 +115,4 @@
         for rule in settled - stored.keys():
             await self._store.put(QUARANTINE, *encode_rule(rule))
         self._stored = settled
+        self._era = era
--- a/cassiamount/store_follower.py
+++ b/cassiamount/store_follower.py
@@ -80,7 +80,7 @@
         self._state.on_records(
             self._stream, FROM_STORE, page.records, from_offset, page.next_offset
         )
-        self._state.freshness_of(self._stream).confirm(sent_ms)
+        self._state.confirm(self._stream, FROM_STORE, page.next_offset, sent_ms)
         if page.records:
             self._on_change(self._stream)
             if self._stream != CONFIGURATION:
@@ -93,9 +93,10 @@
         self._state.on_records(
             self._stream, FROM_STORE, page.records, None, page.next_offset
         )
-        self._state.freshness_of(self._stream).confirm(sent_ms)
+        self._state.confirm(self._stream, FROM_STORE, page.next_offset, sent_ms)
         self._on_change(self._stream)
-        if not page.records:
+        is_ahead = self._state.streams[self._stream].next_offset > page.next_offset
+        if is_ahead or not page.records:
             await asyncio.sleep(RETRY_DELAY_MS / 1000)
 
     async def _load_snapshot_or_delay(self):
--- a/tests/fleet_world/store.py
+++ b/tests/fleet_world/store.py
@@ -9,6 +9,7 @@
     LeaseReply,
     StoreUnavailable,
 )
+from cassiamount.store_position import position, split_position
 
 LATENCY_MS = 4.0
 CALL_BYTES = 400
@@ -70,7 +71,7 @@
         elif self.holder not in self.members:
             self.holder = sorted(self.members)[self.generation % len(self.members)]
         self._group_history.append((now_ms, self.generation, self.holder))
-        return LeaseReply(self.generation, self.holder == member)
+        return LeaseReply(position(self.era, self.generation), self.holder == member)
 
     def leave(self, member):
         self.members.pop(member, None)
@@ -107,29 +108,39 @@
     async def newest(self, stream):
         records = self._store.streams.setdefault(stream, [])
         newest = {record.key: record for record in records}
+        era, end = self._store.era, len(records)
         await self._call(sum(self._size(r) for r in newest.values()))
         return KeyedPage(
-            [r for r in newest.values() if r.value is not None], len(records)
+            [
+                KeyedRecord(position(era, r.offset), r.key, r.value)
+                for r in newest.values()
+                if r.value is not None
+            ],
+            position(era, end),
         )
 
     async def read(self, stream, from_offset, wait_ms):
         records = self._store.streams.setdefault(stream, [])
+        reader_era, from_offset = split_position(from_offset)
         era = self._store.era
         deadline_ms = self._store.loop.true_ms + wait_ms
         while len(records) == from_offset and self._store.loop.true_ms < deadline_ms:
             await asyncio.sleep(0.01)
             if not self._store.up or self._store.era != era:
                 raise StoreUnavailable("reset")
-        if len(records) < from_offset:
-            await self._call(CALL_BYTES)
-            raise HistoryTrimmed(stream)
-        page = records[from_offset:]
+        page = [
+            KeyedRecord(position(era, r.offset), r.key, r.value)
+            for r in records[from_offset:]
+        ]
         await self._call(sum(self._size(r) for r in page))
-        return KeyedPage(list(page), from_offset + len(page))
+        if reader_era != era or len(records) < from_offset:
+            raise HistoryTrimmed(stream)
+        return KeyedPage(page, position(era, from_offset + len(page)))
 
     async def put(self, stream, key, value):
         await self._call(CALL_BYTES)
         self._store.put(stream, key, value)
+        return self._store.era
 
     async def join_lease(self, member, ttl_ms, generation):
         await self._call(CALL_BYTES)
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -47,7 +47,7 @@
 Platform:
   Address: "store:4"
 Seeds: ["vm-00:3", "vm-01:3", "vm-02:3"]
-Bootstrap: true
+Bootstrap: {first_start}
 Limits:
   CpuShare: {cores}
   Cores: 1
@@ -153,7 +153,12 @@
     """One VM without listening sockets."""
 
     def __init__(self, world, name, zone, is_large):
-        text = SETTINGS.format(name=name, zone=zone, cores=2.15 if is_large else 0.516)
+        text = SETTINGS.format(
+            name=name,
+            zone=zone,
+            first_start=str(world.loop.true_ms < START_MS).lower(),
+            cores=2.15 if is_large else 0.516,
+        )
         self.pool = WorldPool(world.network, world.engines, world.addresses, name)
         platform = PlatformAdapter(
             WorldStoreClient(world.network, world.store, name),
--- a/tests/test_metadata_store.py
+++ b/tests/test_metadata_store.py
@@ -6,6 +6,7 @@
 
 from cassiamount import metadata_store
 from cassiamount.metadata_store import KeyedRecord, KeyedView
+from cassiamount.store_position import position
 
 
 def record(offset, key, value=b"v"):
@@ -154,3 +155,93 @@
     assert not view.apply([record(2, "a", b"x2")], 2, 3)
     assert view.apply([record(3, "b", b"y1")], 3, 4)
     assert [item.key for item in view.since(2)] == ["b"]
+
+
+def old(offset, key, value=b"v"):
+    """Return a record of the first era."""
+    return record(position(1, offset), key, value)
+
+
+def new(offset, key, value=b"v"):
+    """Return a record of the second era."""
+    return record(position(2, offset), key, value)
+
+
+def first_number(key, value):
+    return (int(value[:1]),)
+
+
+def make_ranked_view(records, **options):
+    """Return a view in the first era whose values begin with their rank."""
+    view = KeyedView(rank=first_number, **options)
+    view.load_snapshot(records, position(1, 50))
+    return view
+
+
+@pytest.mark.parametrize(
+    ("keeps_lost", "copy", "later", "expected"),
+    [
+        (False, [new(0, "a", b"1")], [], {"a": b"3"}),
+        (False, [new(0, "a", b"3x")], [], {"a": b"3x"}),
+        (False, [new(0, "a", b"4")], [], {"a": b"4"}),
+        (False, [new(0, "a", b"1")], [new(9, "a", b"3y")], {"a": b"3y"}),
+        (False, [new(0, "a", b"1")], [new(9, "a", None)], {}),
+        (False, [], [], {}),
+        (False, [], [new(9, "a", b"3")], {"a": b"3"}),
+        (True, [], [], {"a": b"3"}),
+        (True, [], [new(9, "a", b"3y")], {"a": b"3y"}),
+        (False, [new(0, "gone", b"1")], [], {}),
+        (False, [new(0, "gone", b"2")], [], {}),
+        (False, [new(0, "gone", b"3")], [], {"gone": b"3"}),
+    ],
+    ids=[
+        "older",
+        "same rank",
+        "newer",
+        "written again",
+        "deleted again",
+        "lost",
+        "lost, written again",
+        "lost, kept",
+        "lost, kept, written again",
+        "deleted before",
+        "deleted at this rank",
+        "created again",
+    ],
+)
+def test_copy_of_the_store_against_what_was_known(keeps_lost, copy, later, expected):
+    """Guards against records that come back with the older copy of a restored store."""
+    known = [old(20, "gone", b"2"), old(21, "a", b"3")]
+    view = make_ranked_view(known, keeps_lost=keeps_lost)
+    view.apply([old(50, "gone", None)], position(1, 50), position(1, 51))
+    view.load_snapshot(copy, position(2, 9))
+    view.apply(later, position(2, 9), position(2, 10))
+    assert {key: value for key, (_, value) in view.values.items()} == expected
+
+
+def test_records_of_an_earlier_era_change_nothing():
+    """Guards against a peer in the old era that brings lost records back."""
+    view = make_ranked_view([old(3, "a", b"3")])
+    view.load_snapshot([new(0, "a", b"4")], position(2, 1))
+    assert not view.load_snapshot([old(60, "a", b"3")], position(1, 70))
+    assert not view.apply([old(60, "a", b"3")], position(1, 55), position(1, 70))
+    assert view.next_offset == position(2, 1)
+    assert view.values["a"][1] == b"4"
+
+
+@pytest.mark.parametrize(
+    ("key", "value"), [("a", b"3"), ("gone", None)], ids=["value", "tombstone"]
+)
+def test_newer_records_than_the_copy_reach_a_vm_that_has_only_the_copy(key, value):
+    """Guards against a restarted VM that works with what a restored store has."""
+    view = make_ranked_view([old(3, "a", b"3"), old(4, "gone", b"2")])
+    view.apply([old(50, "gone", None)], position(1, 50), position(1, 51))
+    copy = [new(0, "a", b"1"), new(1, "gone", b"2")]
+    view.load_snapshot(copy, position(2, 2))
+    restarted = KeyedView(rank=first_number)
+    restarted.load_snapshot(copy, position(2, 2))
+    assert restarted.apply_carried(view.carried_since(0))
+    assert restarted.values.get(key, (None, None))[1] == value
+    assert view.carried_since(2) == []
+    # A third VM learns the same from the second.
+    assert {r.key for r in restarted.carried_since(0)} == {"a", "gone"}
