Log the fingerprint of a broken request, and crashes under requests without prompts

Whether the same request came again could not be seen, as each time has its own id, nor whether a server of a plain service refused connections after it broke off. Logs only: a crash without prompt parts is logged and used for nothing.

--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -527,8 +527,6 @@
     def _record_evidence(self, request, record, outcome, now_ms):
         """Record whether the engine answered a prompt, or may have crashed by it."""
         parts = request.metadata.shared_parts()
-        if not parts:
-            return
         begun_ms = request.first_event_ms
         if isinstance(outcome, int):
             is_empty = request.route.streamed and begun_ms is None
@@ -536,7 +534,7 @@
         else:
             survived = begun_ms is not None and now_ms - begun_ms >= SURVIVED_MS
         if survived:
-            if self._state.quarantine.record_answer(parts, now_ms):
+            if parts and self._state.quarantine.record_answer(parts, now_ms):
                 self._notify_peers()
         elif (
             isinstance(outcome, AttemptFailure)
@@ -546,6 +544,8 @@
             self._crash_detector.on_connection_lost(record, parts)
 
     def _on_crash(self, record, requests):
+        if not any(requests):
+            return
         now_ms = self._state.now_ms()
         view = self._state.view.backends.get(record.name)
         if view is not None and view.record.start == record.start:
@@ -562,6 +562,7 @@
             reason=reason,
             had_events=request.first_event_ms is not None,
             prompt_parts=request.metadata.shared_parts(),
+            fingerprint=request.fingerprint,
         )
 
     def _record_outcome(self, request, view, outcome, now_ms):
--- a/cassiamount/relayed_request.py
+++ b/cassiamount/relayed_request.py
@@ -1,5 +1,7 @@
 """State of a caller's request while the relay handles it."""
 
+import hashlib
+
 from .fleet import DEFAULT_PRIORITY
 from .fleet_orders import target_name
 from .replica_selection import START_DEADLINE_FRACTION, first_byte_timeout_ms
@@ -43,6 +45,22 @@
         self.arrived_ms = arrived_ms
         self.caller = caller
 
+    def fingerprint(self, team_name):
+        """Return a hash that is the same when a team sends the same request again.
+
+        Parameters
+        ----------
+        team_name : str
+            Empty if callers need no key.
+        """
+        metadata = self.metadata
+        digest = hashlib.blake2b(digest_size=12)
+        for part in (team_name, metadata.method, metadata.host):
+            digest.update(part.encode() + b"\0")
+        digest.update(self.request_target + b"\0")
+        digest.update(self.body)
+        return digest.hexdigest()
+
 
 class Refused(Exception):
     """Ends a request with an error response from this system.
@@ -130,6 +148,11 @@
         # Start of a backend server with a limit, and time of this request's turn.
         self.reserved = None
 
+    @property
+    def fingerprint(self):
+        """Hash that is the same when the same team sends the same request again."""
+        return self.inbound.fingerprint("" if self.team is None else self.team.name)
+
     @property
     def target(self):
         """Model, model and adapter, or service that the request asks for."""
