--- a/tests/fleet_world/engines.py
+++ b/tests/fleet_world/engines.py
@@ -51,6 +51,7 @@
         self.loads = 0
         # Time until which orders get no answer, although they are accepted.
         self.mute_until_ms = 0.0
+        self.service = "llm"
         self.has_ended = False
         self.draining = False
         # Heartbeats that the engine has written to the store.
@@ -180,6 +181,8 @@
 
     def holds(self, metadata):
         """Return whether a request's model and adapter are loaded."""
+        if not metadata.model:
+            return True
         held = self.models.get(metadata.model)
         return held is not None and (not metadata.adapter or metadata.adapter in held)
 
@@ -288,7 +291,7 @@
             metadata.request_id,
             not_run=status != 200,
             signed=True,
-            event_stream=status == 200,
+            event_stream=status == 200 and bool(metadata.model),
             limit_per_s=self._engine.limit_per_s,
         )
         if self._engine.limit_per_s is not None:
@@ -334,7 +337,8 @@
     decode_request = None
 
     def encode_request(self, method, target, headers, body, attempt):
-        return body, attempt.backend
+        # The world puts the metadata in the place of the headers.
+        return headers, attempt.backend
 
     @staticmethod
     def response_headers(headers):
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -21,6 +21,9 @@
 
 HOST = "fleet.example"
 SERVICE = "llm"
+# A plain service; its route allows a second attempt.
+SHOP = "shop"
+SHOP_TIMEOUT_MS = 1_500
 START_MS = 5_000.0
 # A prompt part that ends each engine which begins an answer on it.
 CRASHING_PART = "c0ffee"
@@ -86,6 +89,13 @@
         self.large_link_mbps = 100.0
         # Requests a second with the prompt part that ends engines; no others have it.
         self.crashing_per_s = 0.0
+        # How often one and the same request comes that ends the server which runs it,
+        # and its route.
+        self.poison_per_s = 0.0
+        self.poison_route = "batch"
+        # Servers of the plain service, and its requests.
+        self.shops = 0
+        self.shop_requests_per_s = 0.0
         # Time until an engine that ended is back, under a new name.
         self.restart_s = 3.5
         self.seed = 1
@@ -304,6 +314,10 @@
             vm.totals.clear()
         if self.config.crashing_per_s:
             jobs.append(asyncio.create_task(self._call_crashing()))
+        if self.config.poison_per_s:
+            jobs.append(asyncio.create_task(self._call_poison()))
+        if self.config.shop_requests_per_s:
+            jobs.append(asyncio.create_task(self._call_shop()))
         if script is not None:
             jobs.append(asyncio.create_task(script(self)))
         for job in jobs:
@@ -396,8 +410,11 @@
         document = {
             "Version": 1,
             "Routes": routes,
-            "Services": [{"Name": SERVICE, "Engine": engine}],
+            "Services": [{"Name": SERVICE, "Engine": engine}, {"Name": SHOP}],
         }
+        shop = {**routes[0], "Name": SHOP, "PathPrefix": f"/{SHOP}/", "Service": SHOP}
+        times = {"TimeoutMs": SHOP_TIMEOUT_MS, "GoalMs": 200, "GapGoalMs": 0}
+        routes.append({**shop, **times, "Type": "idempotent", "Attempts": 2})
         self.configuration = orjson.dumps(document)
         self.store.put(CONFIGURATION, "config", self.configuration)
 
@@ -417,6 +434,11 @@
             on_disk = self.rng.sample(names, 3)
             zone = f"z{index % config.zones}"
             self._add_engine(Engine(self.loop, name, zone, rule, held, on_disk))
+        for index in range(config.shops):
+            zone = f"z{index % config.zones}"
+            shop = Engine(self.loop, f"shop-{index}", zone, rule, [], [])
+            shop.service = SHOP
+            self._add_engine(shop)
 
     def _add_engine(self, engine):
         self.engines[engine.name] = engine
@@ -432,11 +454,15 @@
 
     def _record_arrival(self, engine, metadata, vm):
         self.arrivals.append((self.loop.true_ms, engine.name, vm))
-        if CRASHING_PART in metadata.shared_parts():
+        if self._is_crashing(metadata):
             self.crashing_arrivals.append((self.loop.true_ms, vm))
 
+    def _is_crashing(self, metadata):
+        is_poison = metadata.request_id.startswith("poison")
+        return is_poison or CRASHING_PART in metadata.shared_parts()
+
     def _ends_engine(self, engine, metadata):
-        if CRASHING_PART not in metadata.shared_parts() or engine.has_ended:
+        if not self._is_crashing(metadata) or engine.has_ended:
             return False
         engine.has_ended = True
         self.crashes_ms.append(self.loop.true_ms)
@@ -449,12 +475,13 @@
         self.remove_engine(name)
         old.end()
         new = Engine(self.loop, f"{name}+", old.zone, old.config, [], old.on_disk)
+        new.service = old.service
         self.loop.call_later(self.config.restart_s, self._add_engine, new)
 
     def _put_engine(self, name):
         engine = self.engines[name]
         value = {
-            "Service": SERVICE,
+            "Service": engine.service,
             "Address": f"{name}:9",
             "Zone": engine.zone,
             "Slots": self.config.slots,
@@ -491,6 +518,43 @@
             metadata.prefix = tuple((name, 100) for name in parts)
             self._start_call(self._send(Caller(self.loop), metadata))
 
+    async def _call_poison(self):
+        """Send one and the same request, and again after each failure."""
+        route = self.config.poison_route
+        target = ("", "") if route == SHOP else self._choose_target(route, 0.0)
+        while True:
+            await asyncio.sleep(self.rng.expovariate(self.config.poison_per_s))
+            self._start_call(self._send_poison(route, *target))
+
+    async def _send_poison(self, route, model, adapter):
+        for _ in range(2):
+            metadata = self._metadata(route, model, adapter)
+            metadata.request_id = f"poison-{metadata.request_id}"
+            metadata.prefix = ()
+            caller = Caller(self.loop)
+            await self._send(caller, metadata, b"poison")
+            if caller.finished or caller.status != 502:
+                return
+            await asyncio.sleep(0.01)
+
+    async def _call_shop(self):
+        """Send requests to the plain service, each again after a failure."""
+        while True:
+            await asyncio.sleep(self.rng.expovariate(self.config.shop_requests_per_s))
+            self._start_call(self._request_shop())
+
+    async def _request_shop(self):
+        begin_ms = self.loop.true_ms
+        body = b"order %d" % self._next_id
+        for attempt in range(2):
+            caller = Caller(self.loop)
+            await self._send(caller, self._metadata(SHOP, "", ""), body)
+            if attempt == 0:
+                self.first_attempts.append((begin_ms, SHOP, caller.status == 200))
+            if caller.status != 502:
+                return
+            await asyncio.sleep(0.01)
+
     def most_arrivals(self, engine, from_ms, to_ms, window_ms):
         """Return the most requests that an engine got in a span of some length.
 
@@ -582,8 +646,18 @@
         self.outcomes[route][outcome] += 1
 
     def _metadata(self, route, model, adapter, left_ms=None):
-        _, limit_ms, prompt, output = ROUTES[route]
+        _, limit_ms, prompt, output = ROUTES.get(route, (0, SHOP_TIMEOUT_MS, 1_300, 8))
         self._next_id += 1
+        if route == SHOP:
+            return RequestMetadata(
+                f"r{self._next_id}",
+                "POST",
+                HOST,
+                f"/{route}/x",
+                timeout_ms=limit_ms,
+                prompt_tokens=prompt,
+                output_tokens=output,
+            )
         parts = (route, f"{route}-doc{self.rng.randrange(DOCUMENTS)}", self._next_id)
         return RequestMetadata(
             f"r{self._next_id}",
@@ -598,10 +672,12 @@
             prefix=tuple((str(name), prompt // len(parts)) for name in parts),
         )
 
-    async def _send(self, caller, metadata):
+    async def _send(self, caller, metadata, body=None):
         vm = self.rng.choice(list(self.vms.values()))
+        target = metadata.path.encode()
+        body = metadata.request_id.encode() if body is None else body
         inbound = InboundRequest(
-            metadata, b"/", [], metadata, self.loop.true_ms, caller
+            metadata, target, metadata, body, self.loop.true_ms, caller
         )
         await vm.serve(inbound)
 
