--- a/cassiamount/prompt_quarantine.py
+++ b/cassiamount/crash_quarantine.py
@@ -70,7 +70,7 @@
         self.version = version
 
 
-class PromptQuarantine:
+class CrashQuarantine:
     """Finds prompt parts on which engines crash; all VMs share what they saw.
 
     A request is rejected if it has all parts of a rule. A rule holds the parts that
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -2,9 +2,9 @@
 
 import orjson
 
+from .crash_quarantine import QuarantinePart
 from .engine_residency import ResidencyPart
 from .metadata_store import KeyedRecord
-from .prompt_quarantine import QuarantinePart
 from .request_limits import LimitsPart
 from .vm_state import VmState
 
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -5,6 +5,7 @@
 import structlog
 
 from .change_counter import ChangeCounter
+from .crash_quarantine import CrashQuarantine
 from .engine_residency import RESIDENCY_EXPIRY_MS, EngineResidency
 from .fleet_demand import FleetDemand
 from .fleet_reports import StreamPosition, StreamRecords, VmReport
@@ -20,7 +21,6 @@
 from .order_lease import OrderLease
 from .peer_table import REPORT_PERIOD_MS, PeerTable
 from .peer_topology import OTHERS, OWN, VmPlace
-from .prompt_quarantine import PromptQuarantine
 from .request_limits import RequestLimits
 from .request_rates import RequestRate
 from .shared_quota import SharedQuota
@@ -108,7 +108,7 @@
         self.listeners = []
         self.lease = OrderLease(settings.order_turn_ms, now_ms)
         self.residency = EngineResidency(self._counter)
-        self.quarantine = PromptQuarantine(self._counter)
+        self.quarantine = CrashQuarantine(self._counter)
         self.limits = RequestLimits(
             settings.vm_name, self._counter, self.peers.sending_vms
         )
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -5,19 +5,19 @@
 import pytest
 
 from cassiamount.change_counter import ChangeCounter
-from cassiamount.prompt_quarantine import (
+from cassiamount.crash_quarantine import (
     CRASH_INTERVAL_MS,
     MIN_CRASHES,
     MIN_CRASHES_AFTER_ANSWERS,
     QUARANTINE_MS,
-    PromptQuarantine,
+    CrashQuarantine,
 )
 
 STEP_MS = 1_000.0
 
 
 def make_quarantine():
-    return PromptQuarantine(ChangeCounter())
+    return CrashQuarantine(ChangeCounter())
 
 
 def crash(quarantine, number, *requests, at_ms=None):
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -6,7 +6,7 @@
 import pytest
 import structlog
 
-from cassiamount.prompt_quarantine import MIN_CRASHES
+from cassiamount.crash_quarantine import MIN_CRASHES
 from tests.fleet_fixtures import KEY, TIMEOUT_S, Fleet, configuration
 
 STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -3,6 +3,7 @@
 import pytest
 
 from cassiamount.change_counter import ChangeCounter
+from cassiamount.crash_quarantine import QuarantinePart
 from cassiamount.engine_residency import ResidencyPart
 from cassiamount.fleet_reports import (
     StreamPosition,
@@ -14,7 +15,6 @@
 from cassiamount.metadata_store import KeyedRecord
 from cassiamount.peer_table import PEER_EXPIRY_MS, PEER_TIMEOUT_MS, PeerTable
 from cassiamount.peer_topology import VmPlace
-from cassiamount.prompt_quarantine import QuarantinePart
 from cassiamount.request_limits import LimitsPart
 from cassiamount.vm_state import VmState
 
