Soak fleets whose store comes back from a copy, with requests that end plain servers

Runs of the soak now restore the store at any moment beside the other disturbances, send the request that ends servers, and check at the end that all VMs refuse it, accept a new key and refuse the one before. Requests have bodies of their own.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -23,7 +23,12 @@
 
 STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
 CRASHING_PART = "c0ffee"
+# Body of requests that end each server of the plain service which runs them.
+CRASHING_BODY = b"poison"
+NEW_KEY = "new-key"
 NOT_RUN = (408, 421, 429, 503)
+# Statuses of a request whose VM or key is not ready yet; 0 means none.
+WAITING = (0, 401, 503)
 GRACE_S = 6
 # Far longer than a step takes; only a hang exceeds it.
 STEP_TIMEOUT_S = 60
@@ -120,6 +125,9 @@
         self.engine_count = engines
         self.folder = folder
         self.version = 1
+        self.keys = [KEY]
+        # Servers whose entries were removed.
+        self.unlisted = set()
         self.failures = []
         self.refused = set()
         # Code of a refusal -> how often it was given.
@@ -130,6 +138,7 @@
         self.stopping = False
         self._next_id = 0
         self._next_replica = 0
+        self._restoring = False
         self._jobs = set()
 
     async def start(self):
@@ -137,8 +146,8 @@
         self.store.put("keyed.op", "config", configuration(1))
         for _ in range(self.engine_count):
             await self.add_engine()
-        for name in ("s1", "s2"):
-            await self.add_replica(name, "shop")
+        for _ in range(3):
+            await self.add_shop()
         for index in range(self.vm_count):
             name = f"v{index}"
             self.vms[name] = VmProcess(name, index % 3, self.store_port, self.folder)
@@ -150,21 +159,29 @@
         name = f"e{self._next_replica}"
         replica = await self.add_replica(name, "llm", {"m1": ["a1"], "m2": []})
         replica.crashing_part = CRASHING_PART
-        replica.on_crash = lambda: self.crash_engine(name)
-        return replica
+        replica.on_crash = lambda: self.crash(name, self.add_engine)
 
-    def crash_engine(self, name):
-        """End an engine's server at once; another engine starts later."""
+    async def add_shop(self):
+        """Start a server of the plain service that ends by the crashing body."""
+        self._next_replica += 1
+        name = f"s{self._next_replica}"
+        replica = await self.add_replica(name, "shop")
+        replica.crashing_body = CRASHING_BODY
+        replica.on_crash = lambda: self.crash(name, self.add_shop)
+
+    def crash(self, name, add_replacement):
+        """End a server at once; another one starts later."""
         if name in self.ended_replicas:
             return
         self.crashes += 1
         self.end_replica(name)
-        self.spawn(self._replace_engine(name))
+        self.spawn(self._replace(name, add_replacement))
 
-    async def _replace_engine(self, name):
+    async def _replace(self, name, add_replacement):
         await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+        self.unlisted.add(name)
         self.store.put("keyed.servers", name, None)
-        await self.add_engine()
+        await add_replacement()
 
     def spawn(self, coroutine):
         """Run a coroutine beside the others; its failure fails the soak."""
@@ -212,14 +229,14 @@
             f"Authorization: Bearer {KEY}",
             f"X-Cassiamount-Request-Id: {request_id}",
             "X-Cassiamount-Deadline-Ms: 6000",
-            "Content-Length: 2",
+            f"Content-Length: {len(request_id)}",
         ]
         if kind == "chat":
             document = self.rng.randrange(6)
             head.append("X-Cassiamount-Model: m1")
             head.append(f"X-Cassiamount-Prefix-Hash: aa:9,d{document}:9,{request_id}:9")
         try:
-            writer.write(("\r\n".join(head) + "\r\n\r\n{}").encode())
+            writer.write(("\r\n".join(head) + "\r\n\r\n" + request_id).encode())
             status, headers, body = await _read_response(reader)
         except (OSError, asyncio.IncompleteReadError):
             # A process that was killed owes nothing.
@@ -239,23 +256,36 @@
 
     async def send_crashing(self, vm):
         """Send a request with the part that ends engines; return the answer's body."""
+        parts = ["aa:9", f"d{self.rng.randrange(6)}:9"]
+        parts.insert(self.rng.randrange(3), f"{CRASHING_PART}:9")
+        request_id = self.next_request_id()
+        prompt = f"{','.join(parts)},{request_id}:9"
+        head = ["X-Cassiamount-Model: m1", f"X-Cassiamount-Prefix-Hash: {prompt}"]
+        return (await self._send(vm, "/chat/x", request_id.encode(), head))[1]
+
+    async def send_crashing_body(self, vm):
+        """Send the request that ends plain servers; return the answer's body."""
+        return (await self._send(vm, "/look/x", CRASHING_BODY))[1]
+
+    async def _send(self, vm, path, body, head=(), key=KEY):
+        """Send a request on a new connection; return status and body, 0 if it fails."""
+        head = [
+            f"POST {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"Authorization: Bearer {key}",
+            f"X-Cassiamount-Request-Id: {self.next_request_id()}",
+            "X-Cassiamount-Deadline-Ms: 3000",
+            f"Content-Length: {len(body)}",
+            *head,
+        ]
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", vm.ports[0])
-            parts = ["aa:9", f"d{self.rng.randrange(6)}:9"]
-            parts.insert(self.rng.randrange(3), f"{CRASHING_PART}:9")
-            request_id = self.next_request_id()
-            writer.write(
-                f"POST /chat/x HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}"
-                f"\r\nX-Cassiamount-Request-Id: {request_id}\r\nX-Cassiamount-Deadline"
-                "-Ms: 3000\r\nX-Cassiamount-Model: m1\r\nX-Cassiamount-Prefix-Hash: "
-                f"{','.join(parts)},{request_id}:9\r\nContent-Length: 2\r\n\r\n{{}}"
-                "".encode()
-            )
-            _, _, body = await _read_response(reader)
+            writer.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
+            status, _, body = await _read_response(reader)
             writer.close()
         except (OSError, asyncio.IncompleteReadError):
-            return b""
-        return body
+            return 0, b""
+        return status, body
 
     # Disturbances.
 
@@ -287,10 +317,34 @@
     async def publish(self):
         for _ in range(self.rng.randrange(1, 4)):
             self.version += self.rng.randrange(1, 4)
-            keys = [KEY, f"key-{self.version}"]
-            self.store.put("keyed.op", "config", configuration(self.version, keys))
+            self.keys = [KEY, f"key-{self.version}"]
+            self.write_configuration()
             await asyncio.sleep(self.rng.uniform(0.0, 0.4))
 
+    def write_configuration(self):
+        document = configuration(self.version, self.keys)
+        self.store.put("keyed.op", "config", document)
+
+    async def restore_store(self):
+        """Let the store come back from a copy; its writers write again."""
+        if self._restoring:
+            return
+        self._restoring = True
+        copy = {topic: len(records) for topic, records in self.store.topics.items()}
+        generation = self.store.generation
+        await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+        self.store.refusing.add("*")
+        await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        self.store.restore(copy, generation)
+        self.store.refusing.discard("*")
+        await asyncio.sleep(self.rng.uniform(0.0, 0.8))
+        self.write_configuration()
+        for name in self.live_replicas():
+            self.register_replica(name, "llm" if name.startswith("e") else "shop")
+        for name in self.unlisted:
+            self.store.put("keyed.servers", name, None)
+        self._restoring = False
+
     async def refuse_calls(self):
         self.store.refusing.add("*")
         await asyncio.sleep(self.rng.uniform(0.2, 1.5))
@@ -299,7 +353,7 @@
     async def crash_any_engine(self):
         live = self.live_replicas("e")
         if len(live) > 1:
-            self.crash_engine(self.rng.choice(live))
+            self.crash(self.rng.choice(live), self.add_engine)
 
     async def name_limit(self):
         replica = self.replicas[self.rng.choice(self.live_replicas())]
@@ -309,7 +363,8 @@
 
     async def send_crashing_requests(self):
         for _ in range(self.rng.randrange(1, 4)):
-            await self.send_crashing(self.rng.choice(list(self.vms.values())))
+            send = self.rng.choice([self.send_crashing, self.send_crashing_body])
+            await send(self.rng.choice(list(self.vms.values())))
             await asyncio.sleep(self.rng.uniform(0.0, 0.5))
 
     async def disturb(self, steps):
@@ -323,6 +378,7 @@
             self.crash_any_engine,
             self.name_limit,
             self.send_crashing_requests,
+            self.restore_store,
         ]
         tasks = []
         for _ in range(steps):
@@ -332,23 +388,41 @@
 
     # Checks.
 
-    async def check_quarantine(self):
-        """All VMs learn of the crashing part, after which it ends no engine."""
+    async def check_quarantine(self, send, code):
+        """All VMs learn of crashing requests, after which these end no server."""
         async with asyncio.timeout(STEP_TIMEOUT_S):
             known = 0
             while known < len(self.vms) and not self.failures:
-                # An engine that crashed a moment ago would count once with others.
+                # A server that crashed a moment ago may count once with others.
                 await asyncio.sleep(0.3)
-                answers = [await self.send_crashing(vm) for vm in self.vms.values()]
-                known = sum(b"prompt_quarantined" in answer for answer in answers)
+                answers = [await send(vm) for vm in self.vms.values()]
+                known = sum(code in answer for answer in answers)
         if self.failures:
             return
         crashes = self.crashes
         for vm in self.vms.values():
             for _ in range(3):
-                await self.send_crashing(vm)
+                await send(vm)
         if self.crashes > crashes:
-            raise SoakFailure("requests with the part end engines again")
+            raise SoakFailure(f"{code}: the requests end servers again")
+
+    async def check_changes(self):
+        """A new key is accepted by all VMs, and the one before it is not any more."""
+        old_key = self.keys[-1]
+        self.version += 1
+        self.keys = [KEY, NEW_KEY]
+        self.write_configuration()
+        async with asyncio.timeout(STEP_TIMEOUT_S):
+            for vm in self.vms.values():
+                while (await self._send(vm, "/buy/x", b"x", key=NEW_KEY))[0] in (
+                    0,
+                    401,
+                ):
+                    await asyncio.sleep(0.1)
+                while old_key != KEY and (
+                    (await self._send(vm, "/buy/x", b"x", key=old_key))[0] != 401
+                ):
+                    await asyncio.sleep(0.1)
 
     def check_runs(self):
         """Refused requests did not run, and others not more often than they may."""
@@ -386,7 +460,9 @@
         tasks = [self.spawn(self.run_client()) for _ in range(clients)]
         await self.disturb(steps)
         try:
-            await self.check_quarantine()
+            await self.check_quarantine(self.send_crashing, b"prompt_quarantined")
+            await self.check_quarantine(self.send_crashing_body, b"request_quarantined")
+            await self.check_changes()
         finally:
             self.stopping = True
             await asyncio.wait(tasks)
@@ -462,7 +538,7 @@
             print(
                 f"seed {seed}: {fleet.answered} answers, {len(fleet.refused)} refused "
                 f"({dict(fleet.codes.most_common(4))}), "
-                f"{fleet.crashes} engines ended",
+                f"{fleet.crashes} servers ended",
                 flush=True,
             )
     return 1 if failed else 0
