--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -27,13 +27,14 @@
     def __init__(self, world):
         self.world = world
         self.version = 1
-        # Version -> time of the last acknowledgement while the store was stable.
+        # Version -> time of its acknowledgement.
         self.acked_ms = {}
-        # Key -> time at which its withdrawal was first acknowledged.
+        # Key -> time at which its withdrawal was acknowledged.
         self.withdrawn_ms = {}
         # Engine -> time at which its leaving was last acknowledged.
         self.left_ms = {}
         self.gone = set()
+        # Spans during which the store was away or not written again yet.
         self.unstable = []
         # Fencing token -> VMs that sent orders under it.
         self.holders = {}
@@ -94,11 +95,11 @@
             store.put(BACKENDS, name, None)
         span[1] = begin_ms + away_s * 1000
 
-    def in_touch(self, vm, from_ms):
-        """Return whether store and VM were undisturbed since some time before."""
+    def in_touch(self, vm):
+        """Return whether store and VM have been undisturbed for some time."""
         now_ms = self.now_ms()
         return self.world.in_touch(vm, now_ms) and not any(
-            begin_ms <= now_ms and end_ms + STABILITY_MS >= from_ms
+            begin_ms <= now_ms <= end_ms + STABILITY_MS
             for begin_ms, end_ms in self.unstable
         )
 
@@ -130,17 +131,17 @@
                     self.faults.append(f"{name}: {key} runs after its withdrawal")
         for acked, at_ms in self.acked_ms.items():
             due_ms = at_ms + CONFIG_APPLY_MS
-            if now_ms > due_ms and self.in_touch(name, now_ms) and version < acked:
+            if now_ms > due_ms and self.in_touch(name) and version < acked:
                 self.faults.append(f"{name}: {version} although {acked} was published")
         usable = {n for n, v in state.view.backends.items() if not v.leaving}
         seen["left"] |= self.left_ms.keys() - usable
         if seen["left"] & usable:
             self.faults.append(f"{name}: {seen['left'] & usable} came back")
         for engine, at_ms in self.left_ms.items():
-            late = now_ms > at_ms + DRAIN_MS and self.in_touch(name, now_ms)
+            late = now_ms > at_ms + DRAIN_MS and self.in_touch(name)
             if late and engine in usable:
                 self.faults.append(f"{name}: {engine} is still used")
-        if self.in_touch(name, now_ms):
+        if self.in_touch(name):
             live = {n for n, e in self.world.engines.items() if not e.draining}
             if not live <= state.view.backends.keys():
                 self.faults.append(f"{name}: lacks {live - state.view.backends.keys()}")
