Send what a VM carries from an earlier era also with its first report to a peer

What callers could see: after the store came back from an older copy, a VM that starts then works with the copy (an older configuration, a server that leaves as one that does not) until the operator and the replicas have written again.

Cause: the first report to a peer had no records, as its positions are not known yet, but it had the version that the peer then confirms, so what was carried counted as known there. Found by switching the mechanism off (tests.mutations, "what a VM carries goes to its peers"): no test noticed, as in the test world another VM always told it.

test_vm_that_has_only_a_restored_copy_learns_what_its_peers_have failed before. Tests for three more mechanisms that no test noticed when they were switched off: lost entries are kept, VMs register again, the quarantine is written again.

--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -634,7 +634,7 @@
                 )
                 for stream, view in self.streams.items()
             },
-            records={} if link is None else self._records_for(link),
+            records=self._carried_parts() if link is None else self._records_for(link),
             running=self._running_for(name, link, sources, needs_demand, now_ms),
             waiting=self.demand.waiting_total(sources) if needs_demand else {},
             rates={
@@ -697,6 +697,14 @@
             else now_ms - freshness.current_as_of_ms
         )
 
+    def _carried_parts(self):
+        """Return the carried records for a peer whose positions are not known yet."""
+        return {
+            name: StreamRecords(view.next_offset, view.next_offset, [], carried)
+            for name, view in self.streams.items()
+            if (carried := view.carried_since(0))
+        }
+
     def _records_for(self, link):
         """Return the records that a peer lacks, by stream."""
         parts = {}
--- a/cassiamount/metadata_store.py
+++ b/cassiamount/metadata_store.py
@@ -118,6 +118,7 @@
         "_changed_offsets",
         "_deleted_ranks",
         "_carried",
+        "_early_carried",
         "_complete_from",
         "_gaps",
     )
@@ -141,6 +142,8 @@
         # Key whose record of an earlier era is newer than what the store has now ->
         # version of the counter. Peers cannot get these records from the store.
         self._carried = {}
+        # Carried records of peers that came before the first snapshot.
+        self._early_carried = []
         # `_changed_offsets` has all deletions from this offset on, except in the gaps.
         self._complete_from = 0
         # Pairs of offsets. A peer between them may know keys that this view has never
@@ -181,7 +184,8 @@
                 self._complete_from = max(self._complete_from, self._gaps[0][1])
             self._gaps.append((self.next_offset, next_offset))
         self.next_offset = next_offset
-        return changed
+        early, self._early_carried = self._early_carried, []
+        return self.apply_carried(early) or changed
 
     def apply(self, records, from_offset, next_offset, is_delta=False):
         """Apply the records between two offsets.
@@ -244,6 +248,7 @@
             Whether any value changed.
         """
         if self.next_offset is None:
+            self._early_carried.extend(records)
             return False
         changed = False
         for record in records:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -309,6 +309,18 @@
     assert fleet.store.topics["keyed.quarantine"][-1][33:] == b""
 
 
+async def test_vm_writes_again_what_the_store_has_lost(fleet):
+    """Guards against VMs that no later one finds, and a forgotten quarantine."""
+    node = await fleet.add_vm("v1")
+    quarantine_prompt_part(node)
+    topics = fleet.store.topics
+    await fleet.wait_until(lambda: bool(topics.get("keyed.quarantine")))
+    fleet.store.restore({"keyed.vms": 0, "keyed.quarantine": 0}, 1)
+    await fleet.wait_until(lambda: bool(topics["keyed.vms"]))
+    await fleet.wait_until(lambda: bool(topics["keyed.quarantine"]))
+    assert topics["keyed.vms"][0].startswith(b"\x02v1")
+
+
 async def test_graceful_stop_finishes_accepted_requests(fleet):
     """Guards against a stop that truncates a stream."""
     node = await fleet.add_vm("v1")
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import orjson
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
@@ -11,11 +12,18 @@
 from cassiamount.fleet import BackendRecord
 from cassiamount.fleet_demand import OWN_SOURCE
 from cassiamount.fleet_reports import decode_report, encode_report
-from cassiamount.fleet_state import FleetState
+from cassiamount.fleet_state import ERA_SETTLE_MS, LOST_ENTRY_GRACE_MS, FleetState
+from cassiamount.metadata_store import (
+    BACKENDS,
+    CONFIGURATION,
+    FROM_STORE,
+    KeyedRecord,
+)
 from cassiamount.peer_table import PEER_EXPIRY_MS
 from cassiamount.platform.settings import decode_settings
 from cassiamount.request_rates import FAST_WINDOW_MS, SLOW_WINDOW_MS
-from tests.fleet_fixtures import Decoder
+from cassiamount.store_position import position
+from tests.fleet_fixtures import Decoder, configuration
 
 SETTINGS = """
 NodeName: {name}
@@ -272,3 +280,79 @@
 def test_requests_that_members_report_to_each_other_count_once():
     """Guards against a member that passes on what the relay hears itself."""
     assert loads_of_zone(10) == [3, 3, 3]
+
+
+def make_configuration(version):
+    document = {**configuration(), "Version": version}
+    return orjson.dumps(document)
+
+
+def make_entry(heartbeats, state="ready"):
+    value = {"Service": "llm", "Address": "h:1", "Zone": "z1", "Slots": 8, "born": 1}
+    return orjson.dumps({**value, "State": state, "Seq": heartbeats})
+
+
+def load(state, stream, era, end, **values):
+    """Give a VM a snapshot of the store in some era."""
+    records = [
+        KeyedRecord(position(era, index), key, value)
+        for index, (key, value) in enumerate(values.items())
+    ]
+    state.on_records(stream, FROM_STORE, records, None, position(era, end))
+
+
+def test_vm_that_has_only_a_restored_copy_learns_what_its_peers_have():
+    """Guards against a restarted VM that works with what a restored store has."""
+    pair = VmPair()
+    load(pair.holder, CONFIGURATION, 1, 9, config=make_configuration(7))
+    load(pair.holder, BACKENDS, 1, 9, e1=make_entry(5, "draining"), e2=make_entry(5))
+    load(pair.holder, BACKENDS, 1, 10, e1=make_entry(5, "draining"))
+    for state in (pair.holder, pair.other):
+        load(state, CONFIGURATION, 2, 5, config=make_configuration(3))
+        load(state, BACKENDS, 2, 5, e1=make_entry(2), e2=make_entry(2))
+    assert pair.other.configuration.version == 3
+    pair.exchange()
+    for state in (pair.holder, pair.other):
+        assert state.configuration.version == 7
+        assert state.view.backends["e1"].leaving
+        assert "e2" not in state.view.backends
+
+
+def test_entry_that_a_restored_store_has_lost_is_kept_until_it_is_written_again():
+    """Guards against live servers that get no requests for a while."""
+    pair = VmPair()
+    state = pair.holder
+    load(state, BACKENDS, 1, 9, e1=make_entry(5), e2=make_entry(5))
+    load(state, BACKENDS, 2, 5)
+    assert state.view.backends.keys() == {"e1", "e2"}
+    written = KeyedRecord(position(2, 5), "e1", make_entry(5))
+    state.on_records(BACKENDS, FROM_STORE, [written], position(2, 5), position(2, 6))
+    pair.clock.advance(LOST_ENTRY_GRACE_MS + 1.0)
+    state.remove_missing_backends()
+    assert state.view.backends.keys() == {"e1"}
+
+
+@pytest.mark.parametrize(
+    ("first_start", "wait_ms", "relayed", "is_fresh"),
+    [
+        (True, 0.0, False, True),
+        (False, 0.0, False, False),
+        (False, ERA_SETTLE_MS, False, True),
+        (False, 0.0, True, True),
+    ],
+    ids=["first start", "at once", "later", "vouched for"],
+)
+def test_configuration_after_a_start_is_current_only_if_none_can_be_lost(
+    first_start, wait_ms, relayed, is_fresh
+):
+    """Guards against withdrawn keys that a restored store brings back."""
+    pair = VmPair()
+    state = pair.holder
+    state.settings.first_start = first_start
+    load(state, CONFIGURATION, 2, 5, config=make_configuration(3))
+    pair.clock.advance(wait_ms)
+    now_ms = state.now_ms()
+    source = "v2" if relayed else FROM_STORE
+    state.confirm(CONFIGURATION, source, position(2, 5), now_ms)
+    state.confirm(CONFIGURATION, source, position(1, 5), now_ms)
+    assert state.key_freshness.is_fresh(now_ms) == is_fresh
