--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -416,7 +416,16 @@
         "cassiamount/fleet_state.py",
         "carried = view.carried_since(link.acked_version)",
         "carried = []",
-        "tests/test_restored_store.py",
+        "tests/test_fleet_state.py::"
+        "test_vm_that_has_only_a_restored_copy_learns_what_its_peers_have",
+    ),
+    Mutation(
+        "restored: the first report to a peer has what a VM carries",
+        "cassiamount/fleet_state.py",
+        "if (carried := view.carried_since(0))",
+        "if (carried := [])",
+        "tests/test_fleet_state.py::"
+        "test_vm_that_has_only_a_restored_copy_learns_what_its_peers_have",
     ),
     Mutation(
         "restored: a new era is not current at once",
@@ -430,21 +439,22 @@
         "cassiamount/fleet_state.py",
         "self._lost_until_ms[name] = now_ms + LOST_ENTRY_GRACE_MS",
         "pass",
-        "tests/test_restored_store.py",
+        "tests/test_fleet_state.py::"
+        "test_entry_that_a_restored_store_has_lost_is_kept_until_it_is_written_again",
     ),
     Mutation(
         "restored: VMs register again",
         "cassiamount/fleet_node.py",
         "while self.state.store_era <= registered_era:",
         "while True:",
-        "tests/test_restored_store.py",
+        "tests/test_fleet_node.py::test_vm_writes_again_what_the_store_has_lost",
     ),
     Mutation(
         "restored: the quarantine is written again",
         "cassiamount/quarantine_store.py",
         "or self._state.store_era > self._era",
         "",
-        "tests/test_fleet_node.py",
+        "tests/test_fleet_node.py::test_vm_writes_again_what_the_store_has_lost",
     ),
     Mutation(
         "crash: requests without a prompt are checked",
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -301,7 +301,8 @@
     state.on_records(stream, FROM_STORE, records, None, position(era, end))
 
 
-def test_vm_that_has_only_a_restored_copy_learns_what_its_peers_have():
+@pytest.mark.parametrize("reports_first", [False, True])
+def test_vm_that_has_only_a_restored_copy_learns_what_its_peers_have(reports_first):
     """Guards against a restarted VM that works with what a restored store has."""
     pair = VmPair()
     load(pair.holder, CONFIGURATION, 1, 9, config=make_configuration(7))
@@ -311,6 +312,9 @@
         load(state, CONFIGURATION, 2, 5, config=make_configuration(3))
         load(state, BACKENDS, 2, 5, e1=make_entry(2), e2=make_entry(2))
     assert pair.other.configuration.version == 3
+    if reports_first:
+        report = pair.encode_next_report(pair.other, pair.holder)
+        pair.holder.on_report(decode_report(report))
     pair.exchange()
     for state in (pair.holder, pair.other):
         assert state.configuration.version == 7
