--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -4,9 +4,9 @@
 
 from tests.fleet_world import small_world
 
-# Requests with the part that may reach engines once the fleet must have learned of it.
+# Crashing requests that may reach engines once the fleet must have learned of them.
 MAX_ARRIVALS = 3
-# Time from the fifth end of an engine until then, and until others are served again.
+# Time from the crash that suffices until then, and until others are served again.
 LEARN_MS = 3_000.0
 RECOVER_MS = 2 * LEARN_MS
 # Share of the rate at which the others' first attempts began before.
@@ -62,19 +62,28 @@
 ]
 
 
-def check(world):
-    """Check the two bounds on requests with the part and on all others."""
+def check(world, learned_from, parts):
+    """Check the bounds on crashing requests and on all others.
+
+    Parameters
+    ----------
+    world : World
+    learned_from : int
+        Crash from which the fleet has to learn.
+    parts : sequence of str
+        First parts of the other requests.
+    """
     crashes = world.crashes_ms
-    if len(crashes) >= 5:
-        learned_ms = crashes[4] + LEARN_MS
+    if len(crashes) >= learned_from:
+        learned_ms = crashes[learned_from - 1] + LEARN_MS
         arrivals = [
             at_ms
             for at_ms, vm in world.crashing_arrivals
             if at_ms > learned_ms and world.in_touch(vm, at_ms)
         ]
         assert len(arrivals) <= MAX_ARRIVALS, f"{len(arrivals)} more, {len(crashes)}"
-    recovered_ms = crashes[min(4, len(crashes) - 1)] + RECOVER_MS
-    for part in ("live", "short"):
+    recovered_ms = crashes[min(learned_from, len(crashes)) - 1] + RECOVER_MS
+    for part in parts:
         before = world.begun(part, 0.0, crashes[0])
         after = world.begun(part, recovered_ms, float("inf"))
         if min(len(before), len(after)) >= MIN_REQUESTS:
@@ -94,4 +103,4 @@
         crashing_per_s=0.8,
     ).run(40.0, script)
     assert world.crashes_ms
-    check(world)
+    check(world, 5, ("live", "short"))
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -3,41 +3,11 @@
 import pytest
 
 from tests.fleet_world import small_world
-from tests.test_crashing_prompts import SCRIPTS
-
-# Arrivals of the request that may follow once the fleet must have learned of it.
-MAX_ARRIVALS = 3
-# Time from the third end of a server until then, and until others are served again.
-LEARN_MS = 3_000.0
-RECOVER_MS = 2 * LEARN_MS
-# Share of the rate at which the others' first attempts began before.
-MIN_SHARE = 0.5
-MIN_REQUESTS = 20
-
+from tests.test_crashing_prompts import SCRIPTS, check
 
 pytestmark = pytest.mark.usefixtures("quiet_logs")
 
 
-def check(world):
-    """Check the bounds on the request and on all others."""
-    crashes = world.crashes_ms
-    if len(crashes) < 3:
-        return
-    learned_ms = crashes[2] + LEARN_MS
-    arrivals = [
-        at_ms
-        for at_ms, vm in world.crashing_arrivals
-        if at_ms > learned_ms and world.in_touch(vm, at_ms)
-    ]
-    assert len(arrivals) <= MAX_ARRIVALS, f"{len(arrivals)} more, {len(crashes)} ended"
-    for part in ("live", "short", "shop"):
-        before = world.begun(part, 0.0, crashes[0])
-        after = world.begun(part, crashes[2] + RECOVER_MS, float("inf"))
-        if min(len(before), len(after)) >= MIN_REQUESTS:
-            share = sum(after) / len(after) / (sum(before) / len(before))
-            assert share >= MIN_SHARE, f"{part}: {share:.2f} of the share before"
-
-
 def play(route, seed, script):
     """Play a fleet before engines and three plain servers for some seconds."""
     return small_world(
@@ -58,4 +28,4 @@
     """Guards against one request, sent again, that ends server after server."""
     world = play(route, 1, script)
     assert world.crashes_ms
-    check(world)
+    check(world, 3, ("live", "short", "shop"))
