Accept no answer without an ID on a kept connection, and no error in a begun stream

An earlier refusal, written once more without its ID, told the caller of a running request "not run", and sent it to a second replica. - An error of the replica that should have continued a broken stream was forwarded like any error: its text, or a second head, in the middle of the stream, and the stream ended as complete. - Found beside them: a replica's own 408, 429 or 503 without its mark "not executed" was passed on, and callers read these statuses as "not run". Bytes that followed a response in the same read left the connection in use.

Ruled out: an earlier refusal with its ID (discarded before and after); the same request sent twice over one connection (the selector excludes replicas that were tried).

Change: an ID is required except for the first response on a connection; a request without an ID gets a new connection; bytes beyond a response close the connection; a begun stream is only continued by events, else it is tried elsewhere or broken off; a status that means "not run" needs the mark, else 502.

--- a/cassiamount/backend_connection.py
+++ b/cassiamount/backend_connection.py
@@ -24,8 +24,9 @@
 class BackendConnection(asyncio.Protocol):
     """A connection that carries one request at a time and queues its response.
 
-    Responses with the ID of another request are discarded, because a backend server
-    may send a second response to an earlier request.
+    A backend server may send a second response to an earlier request. Responses with
+    the ID of another request are discarded, and one without an ID is accepted only on
+    a connection that has carried no earlier request.
 
     Parameters
     ----------
@@ -49,6 +50,7 @@
         self._transport = None
         self._parser = None
         self._request_id = ""
+        self._sends = 0
         self._busy = False
         self._closed = False
         self._eof_received = False
@@ -77,6 +79,7 @@
     def send(self, data, request_id):
         """Send a request; its response is queued in `messages`."""
         self._busy = True
+        self._sends += 1
         self.body_sink = None
         self._request_id = request_id
         self.messages = asyncio.Queue()
@@ -123,6 +126,8 @@
             self._fail(f"no HTTP response: {type(error).__name__}")
         if self._busy and self.messages.qsize() > MAX_QUEUED_MESSAGES:
             self.pause_reading()
+        elif self._has_excess_bytes:
+            self.abort()
 
     def eof_received(self):
         """Record that the backend server closed its side without a reset."""
@@ -153,6 +158,7 @@
     def on_message_begin(self):
         """Reset the state of the previous response."""
         self._reset_response()
+        self._has_excess_bytes = not self._busy
 
     def on_header(self, name, value):
         """Store a header of the response.
@@ -181,13 +187,21 @@
         self._read_until_close = (
             length is None and not chunked and status not in (204, 304)
         )
-        self._matches_request = metadata.request_id in ("", self._request_id)
+        self._matches_request = self._answers_request(metadata.request_id)
+        if not self._matches_request and not metadata.request_id:
+            self._fail("response without an ID on a kept connection")
         if self._matches_request and self._busy:
             content_length = None if length is None or chunked else int(length)
             self.messages.put_nowait(
                 ResponseHead(metadata, self._headers, content_length)
             )
 
+    def _answers_request(self, response_id):
+        """Return whether a response with this ID belongs to the current request."""
+        if self._sends == 1 and not (response_id and self._request_id):
+            return True
+        return response_id == self._request_id != ""
+
     def on_body(self, data):
         """Queue a piece of the body if it belongs to the current request."""
         if not (self._matches_request and self._busy):
@@ -236,6 +250,8 @@
         self._matches_request = False
         self._in_body = False
         self._read_until_close = False
+        # Whether bytes of another message followed the response.
+        self._has_excess_bytes = False
 
 
 def _set_tcp_timeouts(sock):
@@ -274,9 +290,13 @@
         self._idle = {}
         self.opened = 0
 
-    def acquire_idle(self, address):
-        """Return a usable idle connection, or None if there is none."""
-        idle = self._idle.get(address)
+    def acquire_idle(self, address, request_id):
+        """Return a usable idle connection for a request, or None if there is none.
+
+        A request without an ID needs a new connection, where no answer to an earlier
+        request can be taken for one to it.
+        """
+        idle = self._idle.get(address) if request_id else None
         while idle:
             connection = idle.pop()
             connection.on_idle_closed = None
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -387,7 +387,9 @@
             self._state.demand.waiting.pop(target, None)
 
     async def _connect(self, request, view):
-        connection = self._pool.acquire_idle(view.record.address)
+        connection = self._pool.acquire_idle(
+            view.record.address, request.metadata.request_id
+        )
         if connection is None:
             try:
                 connection = await self._pool.open(view.record.address)
--- a/cassiamount/requests.py
+++ b/cassiamount/requests.py
@@ -18,6 +18,9 @@
     COMPLETE: set(),
 }
 
+# HTTP statuses that tell a caller that its request has not run and will not.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 INTERACTIVE = "interactive"
 NORMAL = "normal"
 BATCH = "batch"
--- a/cassiamount/response_forwarding.py
+++ b/cassiamount/response_forwarding.py
@@ -8,7 +8,7 @@
 )
 from .event_framing import EventFramer
 from .relayed_request import AttemptFailure, BrokenStream
-from .requests import FIRST_BYTE
+from .requests import FIRST_BYTE, NOT_RUN_STATUSES
 
 # Bodies up to this size are buffered, so that the request can still be retried if the
 # response breaks off.
@@ -128,6 +128,15 @@
             return AttemptFailure("answer without the marks of its backend server")
         if success and (request.route.streamed or metadata.event_stream):
             return await self._forward_event_stream(request, connection, message)
+        if request.response_started or metadata.status in NOT_RUN_STATUSES:
+            # The caller reads a stream, which only further events may continue, or it
+            # would understand the status as "not run".
+            await self._discard_body(connection)
+            return AttemptFailure(
+                f"status {metadata.status}",
+                status=metadata.status,
+                connection_reusable=True,
+            )
         return await self._forward_body(request, connection, message)
 
     async def _discard_body(self, connection):
--- a/tests/fleet_world/engines.py
+++ b/tests/fleet_world/engines.py
@@ -309,7 +309,7 @@
         self._vm = vm
         self._tasks = set()
 
-    def acquire_idle(self, address):
+    def acquire_idle(self, address, request_id=""):
         engine = self._engines.get(self._addresses[address])
         if engine is None:
             return None
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -76,7 +76,7 @@
 
 async def send_request(pool, address, request_id="r1"):
     """Send a request; return ``whole`` or ``broken``, and the body."""
-    connection = pool.acquire_idle(address) or await pool.open(address)
+    connection = pool.acquire_idle(address, request_id) or await pool.open(address)
     connection.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", request_id)
     body = b""
     async with asyncio.timeout(20):
@@ -174,6 +174,52 @@
     assert await send_request(pool, backend.address, "r2") == ("whole", b"2")
 
 
+NOT_RUN = b"X-Cassiamount-Not-Executed: 1\r\n"
+REFUSAL = response(b"r1", b"full", 503, NOT_RUN)
+REFUSAL_WITHOUT_ID = REFUSAL.replace(b"X-Cassiamount-Request-Id: r1\r\n", b"")
+
+
+@pytest.mark.parametrize("request_id", ["r2", ""], ids=["id", "no-id"])
+@pytest.mark.parametrize(
+    ("again", "answer"),
+    [
+        (REFUSAL, ("whole", b"2")),
+        (REFUSAL + REFUSAL, ("whole", b"2")),
+        (REFUSAL_WITHOUT_ID, ("broken", b"")),
+        (response(b"", b"old"), ("broken", b"")),
+    ],
+    ids=["refusal", "twice", "refusal-without-id", "answer-without-id"],
+)
+async def test_earlier_answer_once_more(backend, again, answer, request_id):
+    """Guards against an earlier refusal that is taken for one of the next request."""
+    own = response(request_id.encode(), b"2")
+    backend.scripts = [[REFUSAL], [again, own], [own]]
+    pool = ConnectionPool(decode_response, ManualClock())
+    assert await send_request(pool, backend.address, "r1") == ("whole", b"full")
+    result = await send_request(pool, backend.address, request_id)
+    if request_id:
+        assert result == answer
+    else:
+        # Answers to a request without an ID are told apart by their connection.
+        assert backend.connections == 2
+
+
+async def test_first_answer_on_a_connection_needs_no_id(backend):
+    """Guards against rejecting the answers of servers that get no ID."""
+    backend.scripts = [[REFUSAL_WITHOUT_ID]]
+    pool = ConnectionPool(decode_response, ManualClock())
+    assert await send_request(pool, backend.address, "r1") == ("whole", b"full")
+
+
+@pytest.mark.parametrize("cut", [1, 20, len(REFUSAL)])
+async def test_bytes_beyond_an_answer_close_the_connection(backend, cut):
+    """Guards against a next request that gets the rest of an earlier answer."""
+    backend.scripts = [[REFUSAL + REFUSAL[:cut]], [response(b"r2", b"2")]]
+    pool = ConnectionPool(decode_response, ManualClock())
+    assert await send_request(pool, backend.address, "r1") == ("whole", b"full")
+    assert pool.acquire_idle(backend.address, "r2") is None
+
+
 async def test_address_without_a_listener():
     """Guards against counting a request as sent although nothing listens."""
     with pytest.raises(OSError):
--- a/tests/test_response_forwarding.py
+++ b/tests/test_response_forwarding.py
@@ -238,3 +238,61 @@
     outcome = await task
     assert isinstance(outcome, int) is is_complete
     assert caller.body == (b"first second" if is_complete else b"")
+
+
+def failure_head(status, extra=b""):
+    return (
+        b"HTTP/1.1 %d X\r\nx-cassiamount-request-id: r1\r\n"
+        b"x-cassiamount-server-signature: s\r\n%bcontent-length: 6\r\n\r\nfailed"
+    ) % (status, extra)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        failure_head(500),
+        failure_head(400),
+        failure_head(404),
+        failure_head(503),
+        failure_head(504),
+        failure_head(503, b"x-cassiamount-not-executed: 1\r\n"),
+        failure_head(421),
+        UNFRAMED_HEAD.replace(b"x-cassiamount-server-signature: s\r\n", b"") + b"\r\nx",
+    ],
+    ids=["500", "400", "404", "503", "504", "not-run", "421", "no-signature"],
+)
+@pytest.mark.parametrize("last_event_id", ["1", ""])
+async def test_error_that_follows_a_begun_stream(answer, last_event_id):
+    """Guards against an error's head or text in a stream that has begun.
+
+    Also against a stream that ends as complete with the error of the next replica.
+    """
+    caller = Caller(random.Random(0), 0.0)
+    connection, _, request, task = open_stream(caller)
+    request.route = RouteConfig(
+        "chat", "h", "/", [("s", 1.0)], streamed=True, resumable=True, attempts=1
+    )
+    request.tried = ["a"]
+    request.response_started = True
+    request.last_event_id = last_event_id
+    connection.data_received(answer)
+    connection.eof_received()
+    connection.connection_lost(None)
+    assert isinstance(await task, AttemptFailure)
+    assert caller.body == b""
+    assert not caller.finished
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("idempotent", [False, True])
+async def test_status_that_promises_not_run_needs_the_mark(status, idempotent):
+    """Guards against the promise "not run" for a request that its server ran."""
+    caller = Caller(random.Random(0), 0.0)
+    connection, _, request, task = open_stream(caller)
+    request.route = RouteConfig("buy", "h", "/", [("s", 1.0)], idempotent=idempotent)
+    connection.data_received(failure_head(status))
+    outcome = await task
+    assert isinstance(outcome, AttemptFailure)
+    assert not outcome.not_run
+    assert request.may_have_run
+    assert caller.body == b""
