Make the cost of a report independent of the fleet's size on a VM that is no relay

Cause: each report, and each review of the peers, went through the whole table of VMs many times: the set of reachable VMs was determined again whenever any state came in, the quota's share was summed up for each reported state, each new state was compared with the address of every VM, and VMs without the lease summed up the peers to decide that they may send no orders. A VM paid in proportion to the fleet, the fleet with its square.

Ruled out: longer report periods (they delay what the reports carry).

Change: states are kept in the order of their last change, so a report looks only at what is new; the reachable VMs are determined again only if a state changes one of LIVE_FIELDS; the quota's share stays until the next peer can become silent; a VM without the lease does not plan; the check of the reader's rank uses the same interval as the set of reachable VMs. Seed addresses are dropped when their VM's record is read, so that a state whose place is known needs no search.

--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -87,7 +87,8 @@
 
     def wake(self):
         """Plan without delay, because requests wait for a model or an adapter."""
-        self._wake.set()
+        if self._lease.granted or self._active:
+            self._wake.set()
 
     async def renew_lease(self):
         """Request and renew the order lease until this VM stops."""
@@ -99,6 +100,7 @@
                     member, self._lease_ms(), self._lease.generation
                 )
                 if self._lease.on_answer(answer, sent_ms, self._state.now_ms()):
+                    self.wake()
                     log.info(
                         "order_lease_taken" if answer.is_holder else "order_lease_lost",
                         fence=answer.generation,
@@ -121,8 +123,11 @@
     async def run(self):
         """Plan periodically while this VM holds the order lease."""
         while True:
+            is_idle = not self._lease.granted and not self._active
             try:
-                async with asyncio.timeout(PLAN_INTERVAL_MS / 1000):
+                async with asyncio.timeout(
+                    None if is_idle else PLAN_INTERVAL_MS / 1000
+                ):
                     await self._wake.wait()
             except TimeoutError:
                 pass
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -751,7 +751,7 @@
     def may_order(self):
         """Return whether this VM may send orders to engines now."""
         now_ms = self.now_ms()
-        if self.stopping:
+        if self.stopping or not self.lease.granted:
             return False
         return self.lease.may_order(now_ms, self.peers.peer_summary(now_ms))
 
--- a/cassiamount/peer_table.py
+++ b/cassiamount/peer_table.py
@@ -22,6 +22,18 @@
 # changes; in a small and in a large fleet.
 LIVE_CACHE_MS = 50.0
 RELAYED_LIVE_CACHE_MS = 200.0
+# Parts of a VM's state on which the roles of the reachable VMs depend.
+LIVE_FIELDS = (
+    "started_ms",
+    "address",
+    "zone",
+    "capacity",
+    "stopping",
+    "store_reachable",
+    "fence",
+    "voucher",
+    "lost",
+)
 # Interval at which a VM tells the others which tokens it charged, in a large fleet.
 USE_INTERVAL_MS = 500.0
 
@@ -83,6 +95,7 @@
         # VMs to which this VM's exchanges fail.
         self.failing = set()
         self._counter = counter
+        # Name -> version of this VM's knowledge at the last change, in this order.
         self._versions = {own.vm: counter.next()}
         # Name -> the peer that reported its state.
         self._sources = {}
@@ -92,6 +105,8 @@
         self._use_told_ms = -float("inf")
         self._topology = None
         self._relay = None
+        # Names of the VMs that vouch for others; None after a change of them.
+        self._vouchers = None
         self._live = None
         self._live_ms = 0.0
         self._reader_rank = None
@@ -113,10 +128,20 @@
         return self._topology
 
     def add_place(self, place):
-        """Add a VM that may be running, unless more is known about it already."""
+        """Add a VM that may be running, unless more is known about it already.
+
+        Seed addresses are added without the names and zones of their VMs.
+        """
         known = self.places.get(place.name)
         if known is not None and (known.zone is not None or place.zone is None):
             return
+        for name, other in list(self.places.items()):
+            if other.address != place.address:
+                continue
+            if place.zone is None:
+                return
+            if other.zone is None:
+                del self.places[name]
         self.places[place.name] = place
         self._topology = None
 
@@ -160,7 +185,13 @@
 
     def linked_names(self, now_ms):
         """Return the names of all linked peers."""
-        return [name for name in self.links if self.is_linked(name, now_ms)]
+        # Most links of a VM that others once contacted are silent.
+        oldest_ms = now_ms - MEMBER_TIMEOUT_MS
+        return [
+            name
+            for name, link in self.links.items()
+            if link.heard_ms >= oldest_ms and self.is_linked(name, now_ms)
+        ]
 
     def next_hop(self, name):
         """Return the peer through which a VM is reached."""
@@ -211,7 +242,11 @@
 
     def _bump_own(self):
         self.own.sequence += 1
-        self._versions[self.own_name] = self._counter.next()
+        self._mark_changed(self.own_name)
+
+    def _mark_changed(self, name):
+        self._versions.pop(name, None)
+        self._versions[name] = self._counter.next()
 
     def on_contact(self, name, started_ms, now_ms):
         """Record that a peer's own report has arrived.
@@ -235,7 +270,7 @@
         state = self.states.get(name)
         if state is not None and state.lost and state.voucher == self.own_name:
             state.lost = False
-            self._versions[name] = self._counter.next()
+            self._mark_changed(name)
         return link
 
     def apply_states(self, states, source, now_ms):
@@ -259,13 +294,22 @@
                 continue
             self.states[state.vm] = state
             self._sources[state.vm] = source
-            self._versions[state.vm] = self._counter.next()
+            self._mark_changed(state.vm)
             self._heard_ms.setdefault(state.vm, now_ms)
-            self._live = None
+            self._replace_live(known, state)
             self._place(state)
             applied.append((known, state))
         return applied
 
+    def _replace_live(self, known, state):
+        """Keep the set of reachable VMs unless a state changes what depends on it."""
+        if known is None or known.voucher != state.voucher:
+            self._vouchers = None
+        if known is None or any(
+            getattr(known, name) != getattr(state, name) for name in LIVE_FIELDS
+        ):
+            self._live = None
+
     def _place(self, state):
         known = self.places.get(state.vm)
         if state.stopping:
@@ -273,53 +317,57 @@
                 del self.places[state.vm]
                 self._topology = None
             return
+        if (
+            known is not None
+            and known.zone == state.zone
+            and known.address == state.address
+            and known.capacity == state.capacity
+        ):
+            return
         for name, place in list(self.places.items()):
             if place.address == state.address and name != state.vm:
-                # Seed addresses are entered without the names of their VMs, and an
-                # address may be used again by a new VM.
+                # An address may be used again by a new VM.
                 del self.places[name]
-                self._topology = None
-        if (
-            known is None
-            or known.zone != state.zone
-            or known.address != state.address
-            or known.capacity != state.capacity
-        ):
-            self.places[state.vm] = VmPlace(
-                state.vm, state.address, state.zone, state.capacity
-            )
-            self._topology = None
+        self.places[state.vm] = VmPlace(
+            state.vm, state.address, state.zone, state.capacity
+        )
+        self._topology = None
 
     def states_for(self, peer, since_version):
         """Return the states that a peer lacks, this VM's own included."""
         place = self.places.get(peer)
         # The relay of another zone hears of the VMs of the other zones by their relays.
         own_zone_only = place is not None and place.zone != self.own.zone
+        is_mesh = self.topology.is_mesh
         states = []
-        for name, version in self._versions.items():
-            if version <= since_version or name == peer:
+        for name, version in reversed(self._versions.items()):
+            if version <= since_version:
+                break
+            if name == peer:
                 continue
             if name == self.own_name:
                 states.append(self.own)
                 continue
             state = self.states[name]
             if (
-                not self.topology.is_mesh
+                not is_mesh
                 and self._sources[name] != peer
                 and (not own_zone_only or state.zone == self.own.zone)
             ):
                 states.append(state)
+        states.reverse()
         return states
 
     def vouched_ages(self, peer, now_ms):
         """Return the age of what this VM knows through others, by voucher."""
         if self.topology.is_mesh:
             return {}
-        vouchers = {state.voucher for state in self.states.values()}
+        if self._vouchers is None:
+            self._vouchers = {state.voucher for state in self.states.values()}
         return {
-            name: round(now_ms - at_ms)
-            for name, at_ms in self._vouched_ms.items()
-            if name in vouchers and name != peer
+            name: round(now_ms - self._vouched_ms[name])
+            for name in self._vouchers
+            if name in self._vouched_ms and name != peer
         }
 
     def on_vouched(self, ages, now_ms):
@@ -329,16 +377,18 @@
             if at_ms > self._vouched_ms.get(name, -float("inf")):
                 self._vouched_ms[name] = at_ms
 
-    def heard_ms(self, state):
-        """Return when a VM was last known to go on."""
-        own_ms = self._heard_ms.get(state.vm, -float("inf"))
-        if state.lost or state.voucher == self.own_name:
-            return own_ms
-        return max(own_ms, self._vouched_ms.get(state.voucher, -float("inf")))
-
     def all_heard_ms(self):
         """Return when each VM was last known to go on, by name."""
-        return {name: self.heard_ms(state) for name, state in self.states.items()}
+        own_name, never_ms = self.own_name, -float("inf")
+        heard_ms, vouched_ms = self._heard_ms, self._vouched_ms
+        times_ms = {}
+        for name, state in self.states.items():
+            at_ms = heard_ms.get(name, never_ms)
+            voucher = state.voucher
+            if voucher != own_name and not state.lost:
+                at_ms = max(at_ms, vouched_ms.get(voucher, never_ms))
+            times_ms[name] = at_ms
+        return times_ms
 
     def mark_lost(self, now_ms):
         """Say of silent VMs for which this VM vouches that they are lost.
@@ -356,7 +406,7 @@
             ):
                 state.lost = True
                 self._live = None
-                self._versions[name] = self._counter.next()
+                self._mark_changed(name)
                 lost.append(name)
         return lost
 
@@ -364,10 +414,6 @@
         """Return the time without news after which a VM counts as unreachable."""
         return PEER_TIMEOUT_MS if self.topology.is_mesh else RELAYED_TIMEOUT_MS
 
-    def is_reachable(self, state, now_ms):
-        """Return whether a VM's reports arrive, on whichever way."""
-        return not state.lost and now_ms - self.heard_ms(state) <= self.timeout_ms()
-
     def remove_expired(self, now_ms):
         """Remove VMs that were not heard of for long; return their names."""
         heard_ms = self.all_heard_ms()
@@ -375,7 +421,7 @@
             name for name, at_ms in heard_ms.items() if now_ms - at_ms > PEER_EXPIRY_MS
         ]
         if expired:
-            self._live = None
+            self._live = self._vouchers = None
         for name in expired:
             for table in (self.states, self.links, self._versions, self._sources):
                 table.pop(name, None)
@@ -390,12 +436,15 @@
     def live_states(self, now_ms):
         """Return the states of all reachable VMs."""
         if self._live is None or not 0 <= now_ms - self._live_ms < self.cache_ms():
+            oldest_ms = now_ms - self.timeout_ms()
             self._live = [
-                s for s in self.states.values() if self.is_reachable(s, now_ms)
+                name
+                for name, heard_ms in self.all_heard_ms().items()
+                if heard_ms >= oldest_ms and not self.states[name].lost
             ]
             self._live_ms = now_ms
             self._reader_rank = None
-        return self._live
+        return [self.states[name] for name in self._live]
 
     def vm_count(self, now_ms):
         """Return how many VMs may be sending requests, including this one."""
--- a/cassiamount/shared_quota.py
+++ b/cassiamount/shared_quota.py
@@ -56,6 +56,8 @@
         self._used_by_team = {}
         self._peers = {}
         self._share = 1.0
+        # The share stays as it is until then, unless a silent peer is heard.
+        self._share_until_ms = -float("inf")
         # Raised by the caller in large fleets, where VMs report less often.
         self.peer_timeout_ms = PEER_TIMEOUT_MS
 
@@ -149,28 +151,41 @@
                     bucket.burst_tokens, bucket.level_tokens - used_since_report
                 )
         self._peers[peer] = (started, dict(used), now_ms)
-        self.update_share(now_ms)
+        if (
+            now_ms > self._share_until_ms
+            or previous_report is None
+            or now_ms - previous_report[2] > self.peer_timeout_ms
+        ):
+            self.update_share(now_ms)
 
     def on_peer_heard(self, peer, heard_ms):
         """Record when a peer was last known to go on, though it reported no use."""
         known = self._peers.get(peer)
         if known is not None:
             self._peers[peer] = (known[0], known[1], heard_ms)
+            if heard_ms - known[2] > self.peer_timeout_ms:
+                self._share_until_ms = -float("inf")
 
     def remove_peer(self, peer):
         """Remove a peer that reported that it is stopping."""
         self._peers.pop(peer, None)
+        self._share_until_ms = -float("inf")
 
     def update_share(self, now_ms):
         """Set the share of the rate to the fraction of VMs that still report."""
+        silent_ms = now_ms - self.peer_timeout_ms
+        until_ms = float("inf")
+        reachable_vms = 1
         for peer, (_, _, heard_ms) in list(self._peers.items()):
             if now_ms - heard_ms > PEER_EXPIRY_MS:
                 del self._peers[peer]
+            elif heard_ms >= silent_ms:
+                reachable_vms += 1
+                until_ms = min(until_ms, heard_ms + self.peer_timeout_ms)
+            else:
+                until_ms = min(until_ms, heard_ms + PEER_EXPIRY_MS)
+        self._share_until_ms = until_ms
         known_vms = 1 + len(self._peers)
-        reachable_vms = 1 + sum(
-            now_ms - heard_ms <= self.peer_timeout_ms
-            for _, _, heard_ms in self._peers.values()
-        )
         share = reachable_vms / known_vms
         if share == self._share:
             return
--- a/cassiamount/store_follower.py
+++ b/cassiamount/store_follower.py
@@ -20,7 +20,6 @@
 READ_DELAY_MS = 200.0
 # Delay after a failed read.
 RETRY_DELAY_MS = 250.0
-RANK_CHECK_INTERVAL_MS = 50.0
 
 log = structlog.get_logger()
 
@@ -48,7 +47,7 @@
         """Read the stream forever whenever this VM is responsible for it."""
         while True:
             if not self._should_read():
-                await asyncio.sleep(RANK_CHECK_INTERVAL_MS / 1000)
+                await asyncio.sleep(self._state.peers.cache_ms() / 1000)
                 continue
             try:
                 await self._read()
