Keep the link to a peer whose reply cannot be applied

Cause: a reply that decodes but has values of other types (a state without a sequence number, a list in place of running requests) raised from its application and ended the task of the link. The link stayed in the table, so this VM sent the peer no report again.

Ruled out: replies that do not decode (logged before and after); reports on the server's side, where the error ends only that call.

Change: the link logs the error, counts it as a failure and goes on.

Before: 3 of 7 cases of test_malformed_reply_does_not_end_the_link failed; all pass now.

--- a/cassiamount/peer_exchange.py
+++ b/cassiamount/peer_exchange.py
@@ -233,6 +233,10 @@
                 failures = 0
             except PeerUnreachable:
                 failures += 1
+            except Exception as error:
+                # A reply that cannot be applied must not end the link to its peer.
+                log.error("exchange_failed", peer=self.name, error=repr(error))
+                failures += 1
             exchange.on_outcome(self.name, failures)
             rest_ms = begun_ms + exchange.min_interval_ms() - exchange.now_ms()
             await asyncio.sleep(max(0.0, rest_ms) / 1000)
