Let few VMs of a large fleet call the store, and refresh states that do not change

Found on the way: a VM that changed its relay before traffic was still known by its former relay and counted as silent, because a state of the same sequence number is not replaced.

Ruled out: longer renewals (the lease's gap grows with them); skipping the list of VMs whenever a peer is heard (tried: VMs of a zone without a seed each took themselves for its relay; test_vms_of_zones_without_seeds_hear_of_each_other); keeping the word of a second voucher for each VM (tried: heals some of the states, not all).

Change: the four VMs with most cores that reach the store ask for the lease, beside the holder; one that ceases to leaves the group. A VM that starts waits up to a second for its peers before it reads; the quarantine comes with their reports. States are renewed every two seconds in a large fleet. The reader of the list waits 400 ms between reads (DrainMs is 2,000 at least). Checks that ran 20 times a second follow the interval of the set of reachable VMs. The log shows each change of the lease's group.

In the modelled world the first holder is given the lease, since it would no longer ask for it; what the tests check is the same.

--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -93,12 +93,27 @@
     async def renew_lease(self):
         """Request and renew the order lease until this VM stops."""
         member = self._state.settings.vm_name
+        is_member = False
         while not self._state.stopping:
+            if not self._state.seeks_lease(is_member):
+                if is_member:
+                    is_member = not await self._leave_lease()
+                await asyncio.sleep(RENEW_INTERVAL_MS / 1000)
+                continue
+            is_member = True
             sent_ms = self._state.now_ms()
             try:
                 answer = await self._store.join_lease(
                     member, self._lease_ms(), self._lease.generation
                 )
+                self._state.on_store_response(True)
+                if answer.generation != self._lease.generation:
+                    log.info(
+                        "lease_group_changed",
+                        fence=answer.generation,
+                        before=self._lease.generation,
+                        is_holder=answer.is_holder,
+                    )
                 if self._lease.on_answer(answer, sent_ms, self._state.now_ms()):
                     self.wake()
                     log.info(
@@ -106,6 +121,8 @@
                         fence=answer.generation,
                     )
             except StoreUnavailable as error:
+                # Another VM becomes a candidate if this one cannot reach the store.
+                self._state.on_store_response(False)
                 log.debug("lease_not_renewed", error=str(error))
             await asyncio.sleep(RENEW_INTERVAL_MS / 1000)
 
@@ -115,10 +132,16 @@
     async def release_lease(self):
         """Release the order lease at a planned stop."""
         self._lease.release(self._state.now_ms())
+        await self._leave_lease()
+
+    async def _leave_lease(self):
+        """Leave the lease's group; return whether the store has answered."""
         try:
             await self._store.leave_lease(self._state.settings.vm_name)
         except StoreUnavailable as error:
             log.info("lease_not_released", error=str(error))
+            return False
+        return True
 
     async def run(self):
         """Plan periodically while this VM holds the order lease."""
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -30,6 +30,8 @@
 LOAD_LOG_INTERVAL_MS = 2_000.0
 ANNOUNCE_RETRY_MS = 500.0
 ANNOUNCE_SPREAD_MS = 1_000.0
+# Interval of the checks for a first report of a peer after the start.
+PEER_CHECK_INTERVAL_MS = 50.0
 
 log = structlog.get_logger()
 
@@ -128,6 +130,11 @@
         self._stop_requested = asyncio.Event()
         self._stop_requested_ms = None
         self._servers = {}
+        self._add_seeds(settings)
+
+    def _add_seeds(self, settings):
+        for address in settings.seed_addresses:
+            self.state.add_address(f"seed {address}", address)
 
     def request_stop(self):
         """Begin a graceful stop."""
@@ -219,8 +226,7 @@
         self.state.retry_budget.ratio = settings.retry_ratio
         self.state.retry_budget.slack = settings.retry_slack
         self._settings.grace_s = settings.grace_s
-        for address in settings.seed_addresses:
-            self.state.add_address(f"seed {address}", address)
+        self._add_seeds(settings)
 
     def ready(self):
         """Return whether the load balancer should send requests to this VM."""
@@ -245,8 +251,8 @@
 
     async def _announce(self):
         """Register this VM in the store, again whenever the store has lost records."""
-        for address in self._settings.seed_addresses:
-            self.state.add_address(f"seed {address}", address)
+        while self.state.awaits_peers():
+            await asyncio.sleep(PEER_CHECK_INTERVAL_MS / 1000)
         while True:
             try:
                 registered_era = await self._register()
@@ -262,6 +268,8 @@
     async def _register(self):
         """Write where this VM is, and read where the others are.
 
+        A VM that has a relay hears of the others from it, without a read.
+
         Returns
         -------
         int
@@ -274,6 +282,8 @@
         store = self._platform.store
         place = encode_place(self.state.peers.own)
         era = await store.put(VMS, self._settings.vm_name, place)
+        if self.state.peers.topology.relay is not None:
+            return era
         for record in (await store.newest(VMS)).records:
             if record.value is not None:
                 self.state.add_address(record.key, *decode_place(record.value))
@@ -282,8 +292,9 @@
     async def _review_loop(self):
         logged_ms = self._clock.monotonic_ms()
         while True:
-            due_ms = self._clock.monotonic_ms() + REVIEW_INTERVAL_MS
-            await asyncio.sleep(REVIEW_INTERVAL_MS / 1000)
+            interval_ms = max(REVIEW_INTERVAL_MS, self.state.peers.cache_ms())
+            due_ms = self._clock.monotonic_ms() + interval_ms
+            await asyncio.sleep(interval_ms / 1000)
             now_ms = self._clock.monotonic_ms()
             self._stats.observe_ms("loop_lag", max(0.0, now_ms - due_ms))
             for name in self.state.review_peers():
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -18,7 +18,7 @@
     FROM_STORE,
     KeyedView,
 )
-from .order_lease import OrderLease
+from .order_lease import LEASE_CANDIDATES, OrderLease
 from .peer_table import REPORT_PERIOD_MS, PeerTable
 from .peer_topology import OTHERS, OWN, VmPlace
 from .request_limits import RequestLimits
@@ -47,6 +47,9 @@
 # Time after a new era of the store from which its configuration counts as current. The
 # operator writes the one that the store has lost again until then.
 ERA_SETTLE_MS = 1_500.0
+# After its start a VM waits this long for a peer to tell what the store has, instead of
+# reading it as well.
+PEER_GRACE_MS = 1_000.0
 
 log = structlog.get_logger()
 
@@ -101,7 +104,8 @@
             name: collections.deque(maxlen=MAX_RELAYED_POSITIONS)
             for name in self.streams
         }
-        self.store_reachable = False
+        # Until a call fails, so that VMs that start together agree on who reads.
+        self.store_reachable = True
         self.store_failed_ms = -float("inf")
         self.stopping = False
         self.demand = FleetDemand(self.view, self._counter)
@@ -116,6 +120,8 @@
         self._reviewed_ms = -float("inf")
         self._decoder = decoder
         self._started_ms = started_ms
+        # Monotonic time of the start.
+        self._begun_ms = now_ms
         # Backend server -> (offset of its entry, BackendRecord).
         self._records = {}
         # Backend server -> offset of its entry that could not be decoded.
@@ -150,6 +156,38 @@
         offsets = [view.next_offset for view in self.streams.values()]
         return max((era_of(n) for n in offsets if n is not None), default=0)
 
+    def staleness_ms(self, stream):
+        """Return the age of a stream's records; it begins with the grace time."""
+        now_ms = self.now_ms()
+        begun_ms = self._begun_ms + PEER_GRACE_MS
+        return min(self.freshness_of(stream).age_ms(now_ms), now_ms - begun_ms)
+
+    def awaits_peers(self):
+        """Return whether this VM has just started and will soon hear of its peers."""
+        return (
+            bool(self.peers.places)
+            and not self.peers.links
+            and self.now_ms() - self._begun_ms < PEER_GRACE_MS
+        )
+
+    def seeks_lease(self, is_member):
+        """Return whether this VM asks the store for the order lease, or keeps it.
+
+        A few VMs are enough to replace a holder, and each further one costs calls to
+        the store and changes of the group. A member of the group stays in it for
+        longer, because the store may have passed the lease on to it already.
+
+        Parameters
+        ----------
+        is_member : bool
+            Whether this VM has asked for the lease before.
+        """
+        if self.awaits_peers():
+            return False
+        candidates = LEASE_CANDIDATES * (2 if is_member else 1)
+        rank = self.peers.store_reader_rank(self.now_ms())
+        return self.lease.granted or rank < candidates
+
     def confirm(self, stream, source, next_offset, as_of_ms):
         """Record that a stream had no records after an offset at some time.
 
--- a/cassiamount/order_lease.py
+++ b/cassiamount/order_lease.py
@@ -5,6 +5,8 @@
 RENEW_INTERVAL_MS = 500.0
 # Minimum remaining time of the lease for an order to be sent.
 LEASE_MARGIN_MS = 350.0
+# VMs that ask the store for the lease at the same time; the others only follow.
+LEASE_CANDIDATES = 4
 # While the store is unreachable, an active holder needs reports from this fraction of
 # the other VMs.
 QUORUM_FRACTION = 0.5
--- a/cassiamount/peer_table.py
+++ b/cassiamount/peer_table.py
@@ -22,6 +22,10 @@
 # changes; in a small and in a large fleet.
 LIVE_CACHE_MS = 50.0
 RELAYED_LIVE_CACHE_MS = 200.0
+# In a large fleet a VM's state gets a new sequence number at least this often. The
+# relays that hear the VM may change without a change of its state, and a VM that was
+# told by a former relay takes the word of another one only for a newer state.
+STATE_REFRESH_MS = 2_000.0
 # Parts of a VM's state on which the roles of the reachable VMs depend.
 LIVE_FIELDS = (
     "started_ms",
@@ -103,6 +107,7 @@
         self._vouched_ms = {}
         self._heard_ms = {}
         self._use_told_ms = -float("inf")
+        self._bumped_ms = -float("inf")
         self._topology = None
         self._relay = None
         # Names of the VMs that vouch for others; None after a change of them.
@@ -236,7 +241,11 @@
         if use_due:
             self._use_told_ms = now_ms
             self.own.used_tokens = dict(used_tokens)
-        if changed or use_due:
+        refresh_due = (
+            not self.topology.is_mesh and now_ms - self._bumped_ms >= STATE_REFRESH_MS
+        )
+        if changed or use_due or refresh_due:
+            self._bumped_ms = now_ms
             self._bump_own()
         return bool(changed)
 
@@ -398,11 +407,12 @@
         list of str
         """
         lost = []
+        oldest_ms = now_ms - MEMBER_TIMEOUT_MS
         for name, state in self.states.items():
             if (
                 state.voucher == self.own_name
                 and not state.lost
-                and now_ms - self._heard_ms[name] > MEMBER_TIMEOUT_MS
+                and self._heard_ms[name] < oldest_ms
             ):
                 state.lost = True
                 self._live = None
--- a/cassiamount/quarantine_store.py
+++ b/cassiamount/quarantine_store.py
@@ -38,9 +38,10 @@
 
 
 class QuarantineStore:
-    """Task that reads the quarantine at the start and writes its changes.
+    """Task that keeps the quarantine in the store.
 
-    Only the VM that reads the store for all others writes.
+    Only the VM that reads the store for all others reads and writes it; the others
+    hear of it in the reports of their peers.
 
     Parameters
     ----------
@@ -59,12 +60,12 @@
         self._era = 0
 
     async def run(self):
-        """Load the quarantine, then write its changes forever."""
-        while not await self._succeeds(self._load()):
-            await asyncio.sleep(RETRY_DELAY_MS / 1000)
+        """Load the quarantine and write its changes, forever."""
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
-            if self._state.peers.store_reader_rank(self._state.now_ms()) != 0:
+            if (
+                self._state.awaits_peers()
+                or self._state.peers.store_reader_rank(self._state.now_ms()) != 0
+            ):
                 self._stored = None
             elif (
                 self._settled_rules() != self._stored
@@ -72,6 +73,7 @@
             ):
                 if not await self._succeeds(self._synchronize()):
                     await asyncio.sleep(RETRY_DELAY_MS / 1000)
+            await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
 
     async def _succeeds(self, call):
         try:
@@ -81,9 +83,6 @@
             return False
         return True
 
-    async def _load(self):
-        self._state.load_quarantine(await self._read())
-
     async def _read(self):
         """Return the stored rules, each with the key of its record."""
         rules = {}
--- a/cassiamount/store_follower.py
+++ b/cassiamount/store_follower.py
@@ -17,7 +17,7 @@
 # error, so this timeout also bounds how long a change can go unnoticed.
 LONG_POLL_TIMEOUT_MS = 700.0
 # Delay between reads of a stream that changes continually, such as BACKENDS.
-READ_DELAY_MS = 200.0
+READ_DELAY_MS = 400.0
 # Delay after a failed read.
 RETRY_DELAY_MS = 250.0
 
@@ -59,8 +59,10 @@
                 await asyncio.sleep(RETRY_DELAY_MS / 1000)
 
     def _should_read(self):
+        if self._state.awaits_peers():
+            return False
+        age_ms = self._state.staleness_ms(self._stream)
         now_ms = self._state.now_ms()
-        age_ms = self._state.freshness_of(self._stream).age_ms(now_ms)
         rank = min(MAX_RANK, self._state.peers.store_reader_rank(now_ms))
         if rank == 0:
             return True
--- a/tests/fleet_world/store.py
+++ b/tests/fleet_world/store.py
@@ -33,6 +33,8 @@
         # Member -> time until which it belongs to the group.
         self.members = {}
         self.holder = None
+        # Called with the VM and the name of each call, if set.
+        self.on_call = None
         # Times at which the records of each stream were written.
         self._written_ms = {}
         # (time, generation, holder) after each change of the group.
@@ -58,6 +60,11 @@
         _, self.generation, self.holder = self._group_history[-1]
         self.members = {}
 
+    def grant(self, member):
+        """Let a VM that is no candidate hold the lease; return its lease reply."""
+        self.holder = member
+        return LeaseReply(position(self.era, self.generation), True)
+
     def join(self, member, ttl_ms):
         """Renew a member's part in the group; return its lease reply."""
         now_ms = self.loop.true_ms
@@ -93,8 +100,10 @@
     async def close(self):
         return None
 
-    async def _call(self, size):
+    async def _call(self, name, size):
         self.calls += 1
+        if self._store.on_call is not None:
+            self._store.on_call(self._vm, name)
         if not self._store.up or self._vm in self._store.refused:
             await asyncio.sleep(LATENCY_MS / 1000)
             raise StoreUnavailable("down")
@@ -109,7 +118,7 @@
         records = self._store.streams.setdefault(stream, [])
         newest = {record.key: record for record in records}
         era, end = self._store.era, len(records)
-        await self._call(sum(self._size(r) for r in newest.values()))
+        await self._call("newest", sum(self._size(r) for r in newest.values()))
         return KeyedPage(
             [
                 KeyedRecord(position(era, r.offset), r.key, r.value)
@@ -132,22 +141,22 @@
             KeyedRecord(position(era, r.offset), r.key, r.value)
             for r in records[from_offset:]
         ]
-        await self._call(sum(self._size(r) for r in page))
+        await self._call("read", sum(self._size(r) for r in page))
         if reader_era != era or len(records) < from_offset:
             raise HistoryTrimmed(stream)
         return KeyedPage(page, position(era, from_offset + len(page)))
 
     async def put(self, stream, key, value):
-        await self._call(CALL_BYTES)
+        await self._call("put", CALL_BYTES)
         self._store.put(stream, key, value)
         return self._store.era
 
     async def join_lease(self, member, ttl_ms, generation):
-        await self._call(CALL_BYTES)
+        await self._call("join", CALL_BYTES)
         return self._store.join(member, ttl_ms)
 
     async def leave_lease(self, member):
-        await self._call(CALL_BYTES)
+        await self._call("leave", CALL_BYTES)
         self._store.leave(member)
 
     @staticmethod
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -341,6 +341,10 @@
         self.network.zones[name] = zone
         self.record_disturbance(name, self.loop.true_ms, self.loop.true_ms)
         self.vms[name] = WorldVm(self, name, zone, large)
+        if name == config.first_holder and self.store.holder is None:
+            self.vms[name].state.lease.on_answer(
+                self.store.grant(name), self.loop.true_ms, self.loop.true_ms
+            )
         self.vms[name].start()
         self.vms[name].task.add_done_callback(self.on_task_ended)
 
