--- a/tests/fleet_world/store.py
+++ b/tests/fleet_world/store.py
@@ -14,6 +14,8 @@
 LATENCY_MS = 4.0
 CALL_BYTES = 400
 RECORD_OVERHEAD_BYTES = 40
+# Time for which a granted lease lasts without a renewal.
+GRANT_MS = 3_000.0
 
 
 class WorldStore:
@@ -63,6 +65,7 @@
     def grant(self, member):
         """Let a VM that is no candidate hold the lease; return its lease reply."""
         self.holder = member
+        self.members[member] = self.loop.true_ms + GRANT_MS
         return LeaseReply(position(self.era, self.generation), True)
 
     def join(self, member, ttl_ms):
