--- a/tests/fleet_world/engines.py
+++ b/tests/fleet_world/engines.py
@@ -63,6 +63,8 @@
         self.ends_by = lambda metadata: False
         # Called with a request that arrived, and the VM that sent it.
         self.record_arrival = lambda metadata, vm: None
+        # Called with each model request that begins to run.
+        self.record_run = lambda metadata: None
         # Called with each order that arrived.
         self.record_order = lambda order: None
         # Request limit that answers name, and what is called when one arrives at a VM.
@@ -275,6 +277,8 @@
             async for _ in engine.run(metadata):
                 await network.transfer(expected, vm, size)
                 if not started:
+                    if metadata.model:
+                        engine.record_run(metadata)
                     self._put_head(metadata, 200)
                     started = True
                 self.messages.put_nowait(BodyChunk(b"id: 1\ndata: x\n\n"))
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -20,6 +20,8 @@
 from .store import WorldStore, WorldStoreClient
 
 HOST = "fleet.example"
+TEAM = "team"
+KEY = "key-of-the-team"
 SERVICE = "llm"
 # A plain service; its route allows a second attempt.
 SHOP = "shop"
@@ -96,6 +98,10 @@
         # Servers of the plain service, and its requests.
         self.shops = 0
         self.shop_requests_per_s = 0.0
+        # Rate and burst of the team that sends the model requests; without a rate
+        # callers need no key.
+        self.team_rate_tokens_per_s = 0.0
+        self.team_burst_tokens = 0.0
         # Time until an engine that ended is back, under a new name.
         self.restart_s = 3.5
         self.seed = 1
@@ -271,6 +277,8 @@
         self.arrivals = []
         # (engine, VM) -> when the VM first got an answer that names a limit.
         self.told_ms = {}
+        # (time, tokens) of each model request that an engine began to run.
+        self.runs = []
         # (time, first part, whether the first attempt began an answer) of the others.
         self.first_attempts = []
         # VM -> spans during which it was cut off or starting.
@@ -387,7 +395,7 @@
                 "Priority": 1,
                 "Attempts": 2 if name == "batch" else 1,
                 "Resumable": name == "batch",
-                "Public": True,
+                "Public": not config.team_rate_tokens_per_s,
             }
             for name, (objective_ms, limit_ms, _, _) in ROUTES.items()
         ]
@@ -416,7 +424,17 @@
             "Routes": routes,
             "Services": [{"Name": SERVICE, "Engine": engine}, {"Name": SHOP}],
         }
+        if config.team_rate_tokens_per_s:
+            team = {
+                "Name": TEAM,
+                "ApiKeys": [KEY],
+                "Unit": "token_count",
+                "RatePerS": config.team_rate_tokens_per_s,
+                "Burst": config.team_burst_tokens,
+            }
+            document["Tenants"] = [team]
         shop = {**routes[0], "Name": SHOP, "PathPrefix": f"/{SHOP}/", "Service": SHOP}
+        shop["Public"] = True
         times = {"TimeoutMs": SHOP_TIMEOUT_MS, "GoalMs": 200, "GapGoalMs": 0}
         routes.append({**shop, **times, "Type": "idempotent", "Attempts": 2})
         self.configuration = orjson.dumps(document)
@@ -450,6 +468,9 @@
         engine.record_arrival = lambda metadata, vm: self._record_arrival(
             engine, metadata, vm
         )
+        engine.record_run = lambda metadata: self.runs.append(
+            (self.loop.true_ms, metadata.tokens)
+        )
         engine.record_told = lambda vm: self.told_ms.setdefault(
             (engine.name, vm), self.loop.true_ms
         )
@@ -577,6 +598,21 @@
             (sum(at <= t < at + window_ms for t in times) for at in times), default=0
         )
 
+    def most_tokens(self, window_ms):
+        """Return the most tokens of requests that ran in a window of some length."""
+        most = total = first = 0
+        for at_ms, tokens in self.runs:
+            total += tokens
+            while self.runs[first][0] <= at_ms - window_ms:
+                total -= self.runs[first][1]
+                first += 1
+            most = max(most, total)
+        return most
+
+    def tokens_between(self, from_ms, to_ms):
+        """Return the tokens of requests that ran in a span."""
+        return sum(tokens for at_ms, tokens in self.runs if from_ms <= at_ms < to_ms)
+
     async def _heartbeats(self):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
@@ -668,6 +704,7 @@
             "POST",
             HOST,
             f"/{route}/x",
+            KEY,
             timeout_ms=limit_ms if left_ms is None else left_ms,
             model=model,
             adapter=adapter,
@@ -677,6 +714,8 @@
         )
 
     async def _send(self, caller, metadata, body=None):
+        if not self.vms:
+            return
         vm = self.rng.choice(list(self.vms.values()))
         target = metadata.path.encode()
         body = metadata.request_id.encode() if body is None else body
