Remember the rank of a lost entry for the deletion that follows it

What callers saw: nothing yet; requests could reach a server that had left.

A deletion that the store then got kept the empty rank, so the next older copy brought the deleted value back. VMs that hear of the deletion by a peer's delta know the rank; only a reader did not.

Change: the view keeps the rank of what was lost for the deletion that may follow. test_key_that_was_lost_and_then_deleted_stays_deleted_in_the_next_era fails without it.

--- a/cassiamount/metadata_store.py
+++ b/cassiamount/metadata_store.py
@@ -117,6 +117,7 @@
         "_counter",
         "_changed_offsets",
         "_deleted_ranks",
+        "_lost_ranks",
         "_carried",
         "_early_carried",
         "_complete_from",
@@ -139,6 +140,9 @@
         self._changed_offsets = {}
         # Deleted key -> rank of its last value.
         self._deleted_ranks = {}
+        # Key that the store has lost -> rank of its last value, for a tombstone that
+        # its writer writes afterwards.
+        self._lost_ranks = {}
         # Key whose record of an earlier era is newer than what the store has now ->
         # version of the counter. Peers cannot get these records from the store.
         self._carried = {}
@@ -171,6 +175,8 @@
                 continue
             # A key that the store has lost may be written again as it was.
             was_lost = era_of(offset) < era
+            if was_lost and self._rank is not None:
+                self._lost_ranks[key] = self._rank(key, self.values[key][1])
             self._delete(
                 key, max(next_offset - 1, position(era, 0)), () if was_lost else None
             )
@@ -308,8 +314,10 @@
             return False
         self._carried.pop(record.key, None)
         current = self.values.get(record.key)
+        lost_rank = self._lost_ranks.pop(record.key, None)
         if record.value is None:
-            self._delete(record.key, record.offset, record.rank)
+            rank = lost_rank if record.rank is None else record.rank
+            self._delete(record.key, record.offset, rank)
             return current is not None
         self._deleted_ranks.pop(record.key, None)
         self.values[record.key] = (record.offset, record.value)
@@ -365,6 +373,7 @@
         deleted = [key for key in self._changed_offsets if key not in self.values]
         for key in sorted(deleted, key=self._changed_offsets.get)[:excess]:
             self._deleted_ranks.pop(key, None)
+            self._lost_ranks.pop(key, None)
             self._carried.pop(key, None)
             self._complete_from = max(
                 self._complete_from, self._changed_offsets.pop(key) + 1
--- a/tests/test_metadata_store.py
+++ b/tests/test_metadata_store.py
@@ -245,3 +245,15 @@
     assert view.carried_since(2) == []
     # A third VM learns the same from the second.
     assert {r.key for r in restarted.carried_since(0)} == {"a", "gone"}
+
+
+def test_key_that_was_lost_and_then_deleted_stays_deleted_in_the_next_era():
+    """Guards against a server that left and comes back with a second restored store."""
+    view = make_ranked_view([old(21, "a", b"3")])
+    view.load_snapshot([], position(2, 9))
+    view.apply([new(9, "a", None)], position(2, 9), position(2, 10))
+    view.load_snapshot([record(position(3, 4), "a", b"3")], position(3, 9))
+    assert view.values == {}
+    later = record(position(3, 9), "a", b"4")
+    view.apply([later], position(3, 9), position(3, 10))
+    assert view.values["a"][1] == b"4"
