Let a VM use shared limits only once it knows all other VMs

Cause: the share of a limit was taken from the VMs that were heard of, and nothing said that these were all. Since a VM that heard a peer of its zone did not read the list of VMs, also in a small fleet, where nobody passes on who else there is: 30 of 42 pairs heard each other. Before it, a VM that started used the whole rate until it heard others, which one in a cut zone never does.

Change: a VM knows the fleet when it has read the list after it registered, or when a peer that knows the fleet has told it everything. Until then it is not ready, serves no team with a limit and repeats nothing. VMs tell each other the places that they learn. A VM that is known and was not heard counts as out of reach for 20 s: in the shares of rates, retries and named limits, and in the quorum of a holder without the store.

--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -16,7 +16,7 @@
 from .metadata_store import BACKENDS, CONFIGURATION, VMS, StoreUnavailable
 from .metrics import Metrics
 from .peer_exchange import PeerExchange
-from .peer_topology import decode_place, encode_place
+from .peer_topology import VmPlace, decode_place, encode_place
 from .peer_transport import PeerTransport
 from .quarantine_store import QuarantineStore
 from .replica_selection import ReplicaSelector, SentPrefixIndex
@@ -236,6 +236,7 @@
             and state.configuration is not None
             and state.key_freshness.is_fresh(state.now_ms())
             and bool(state.view.backends)
+            and state.knows_fleet
         )
 
     def _caller_limits(self):
@@ -253,6 +254,8 @@
         """Register this VM in the store, again whenever the store has lost records."""
         while self.state.awaits_peers():
             await asyncio.sleep(PEER_CHECK_INTERVAL_MS / 1000)
+        # VMs that start together register before they read, so that of any two at least
+        # one finds the other.
         while True:
             try:
                 registered_era = await self._register()
@@ -268,7 +271,7 @@
     async def _register(self):
         """Write where this VM is, and read where the others are.
 
-        A VM that has a relay hears of the others from it, without a read.
+        In a large fleet the relay tells of the others, without a read.
 
         Returns
         -------
@@ -282,11 +285,17 @@
         store = self._platform.store
         place = encode_place(self.state.peers.own)
         era = await store.put(VMS, self._settings.vm_name, place)
-        if self.state.peers.topology.relay is not None:
+        while self.state.awaits_fleet():
+            await asyncio.sleep(PEER_CHECK_INTERVAL_MS / 1000)
+        topology = self.state.peers.topology
+        if self.state.knows_fleet and not topology.is_mesh and topology.relay:
             return era
-        for record in (await store.newest(VMS)).records:
-            if record.value is not None:
-                self.state.add_address(record.key, *decode_place(record.value))
+        places = [
+            VmPlace(record.key, *decode_place(record.value))
+            for record in (await store.newest(VMS)).records
+            if record.value is not None
+        ]
+        self.state.learn_vms(places, names_all=True)
         return era
 
     async def _review_loop(self):
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -160,6 +160,13 @@
                 metadata.model, latency_sensitive, bool(metadata.adapter), now_ms
             )
         if team is not None:
+            if team.rate_tokens_per_s > 0 and not state.knows_fleet:
+                raise Refused(
+                    503,
+                    "starting",
+                    "the other VMs, which share the limit, are not known yet",
+                    STARTING_RETRY_AFTER_MS,
+                )
             tokens = team.cost_tokens(metadata.tokens)
             wait_ms = state.quota.charge(team.name, tokens, now_ms)
             if wait_ms > 0:
@@ -601,8 +608,7 @@
             failure.not_run and not request.may_have_run
         ) or request.route.retryable
         if allowed and request.may_retry(now_ms):
-            vms = self._state.peers.vm_count(now_ms)
-            if self._state.retry_budget.try_acquire(request.service, vms, now_ms):
+            if self._state.try_retry(request.service):
                 self._log.info(
                     "request_repeated",
                     request_id=request.metadata.request_id,
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -5,6 +5,7 @@
 from .crash_quarantine import QuarantinePart
 from .engine_residency import ResidencyPart
 from .metadata_store import KeyedRecord
+from .peer_topology import VmPlace
 from .request_limits import LimitsPart
 from .vm_state import VmState
 
@@ -81,6 +82,10 @@
     residency : ResidencyPart or None
     quarantine : QuarantinePart or None
     limits : LimitsPart or None
+    places : list of VmPlace
+        VMs that may be running and of which `states` tells nothing.
+    knows_fleet : bool
+        Whether this report, with those before it, names all VMs.
     """
 
     __slots__ = (
@@ -101,6 +106,8 @@
         "residency",
         "quarantine",
         "limits",
+        "places",
+        "knows_fleet",
     )
 
     def __init__(self, **values):
@@ -131,6 +138,7 @@
         value["quarantine"] = report.quarantine.to_value()
     if report.limits is not None:
         value["limits"] = report.limits.to_value()
+    value["places"] = [place.to_value() for place in report.places]
     return orjson.dumps([value[name] for name in VmReport.__slots__])
 
 
@@ -178,6 +186,7 @@
             value["quarantine"] = QuarantinePart(*value["quarantine"])
         if value["limits"] is not None:
             value["limits"] = LimitsPart(*value["limits"])
+        value["places"] = [VmPlace(*item) for item in value["places"]]
         return VmReport(**value)
     except (KeyError, TypeError, AttributeError, IndexError) as error:
         raise ValueError(f"invalid report: {error!r}") from error
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -50,6 +50,8 @@
 # After its start a VM waits this long for a peer to tell what the store has, instead of
 # reading it as well.
 PEER_GRACE_MS = 1_000.0
+# The same for a relay to tell of all VMs.
+FLEET_GRACE_MS = 2_000.0
 
 log = structlog.get_logger()
 
@@ -116,6 +118,9 @@
         self.limits = RequestLimits(
             settings.vm_name, self._counter, self.peers.sending_vms
         )
+        # Whether this VM has been told of all others since its start. Before that it
+        # cannot know which part of a shared limit it may use.
+        self.knows_fleet = False
         self._wants_demand = False
         self._reviewed_ms = -float("inf")
         self._decoder = decoder
@@ -170,6 +175,40 @@
             and self.now_ms() - self._begun_ms < PEER_GRACE_MS
         )
 
+    def awaits_fleet(self):
+        """Return whether a relay will soon tell this VM of all others."""
+        relay = self.peers.topology.relay
+        now_ms = self.now_ms()
+        return (
+            not self.knows_fleet
+            and relay is not None
+            and self.peers.is_linked(relay, now_ms)
+            and now_ms - self._begun_ms < FLEET_GRACE_MS
+        )
+
+    def learn_vms(self, places, names_all):
+        """Apply the places of VMs that the store or a peer names.
+
+        Parameters
+        ----------
+        places : list of VmPlace
+        names_all : bool
+            Whether there are no others.
+        """
+        now_ms = self.now_ms()
+        for place in places:
+            self.peers.learn_place(place, now_ms)
+        if names_all and not self.knows_fleet:
+            self._review_quota(now_ms)
+            self.knows_fleet = True
+            log.info(
+                "fleet_known",
+                vms=self.peers.vm_count(now_ms),
+                unheard=sorted(self.peers.unheard_vms()),
+                share=self.quota.share,
+            )
+            self.notify()
+
     def seeks_lease(self, is_member):
         """Return whether this VM asks the store for the order lease, or keeps it.
 
@@ -422,6 +461,8 @@
         if report.limits is not None:
             has_news |= self.limits.apply(report.limits, now_ms)
         self.peers.on_vouched(report.vouched_ages, now_ms)
+        is_complete = link.received_version >= report.version
+        self.learn_vms(report.places, report.knows_fleet and is_complete)
         self._apply_records(report, now_ms)
         waited_before = self.demand.waiting_of(report.vm)
         self._apply_demand(report, now_ms)
@@ -534,6 +575,7 @@
 
     def _review_quota(self, now_ms):
         self.quota.peer_timeout_ms = self.peers.timeout_ms()
+        self.quota.unheard_vms = len(self.peers.unheard_vms())
         for name, heard_ms in self.peers.all_heard_ms().items():
             self.quota.on_peer_heard(name, heard_ms)
         share = self.quota.share
@@ -687,6 +729,8 @@
             residency=self.residency.part_for(name, since, now_ms),
             quarantine=self.quarantine.part_since(since, now_ms),
             limits=self.limits.part_since(since, now_ms),
+            places=peers.places_for(name, since),
+            knows_fleet=self.knows_fleet and peers.names_all_to(name),
         )
 
     def _sources_for(self, name, scope, now_ms):
@@ -806,6 +850,13 @@
         now_ms = self.now_ms()
         return self.demand.rates_total(self._linked_peers(now_ms), now_ms)
 
+    def try_retry(self, service):
+        """Spend one retry of those that all VMs share; return whether it is allowed."""
+        now_ms = self.now_ms()
+        return self.knows_fleet and self.retry_budget.try_acquire(
+            service, self.peers.vm_count(now_ms), now_ms
+        )
+
     def add_address(self, name, address, zone=None, capacity=0.0):
         """Add another VM that may be running."""
         if name != self.peers.own_name and address != self.settings.peer_address:
--- a/cassiamount/peer_table.py
+++ b/cassiamount/peer_table.py
@@ -96,6 +96,10 @@
         self.links = {}
         # Name -> VmPlace of each other VM that may be running.
         self.places = {}
+        # Name -> when this VM learned of a VM that it has not heard of since.
+        self._unheard_ms = {}
+        # Name -> version of this VM's knowledge at which a place was new, in order.
+        self._place_versions = {}
         # VMs to which this VM's exchanges fail.
         self.failing = set()
         self._counter = counter
@@ -150,6 +154,45 @@
         self.places[place.name] = place
         self._topology = None
 
+    def learn_place(self, place, now_ms):
+        """Add a VM that the store or a peer names; it counts until it is silent."""
+        if (
+            place.name == self.own_name
+            or place.address == self.own.address
+            or place.name in self.places
+            or any(state.address == place.address for state in self.states.values())
+        ):
+            return
+        self.add_place(place)
+        if place.zone is not None:
+            self._unheard_ms[place.name] = now_ms
+            self._mark_place(place.name)
+
+    def _mark_place(self, name):
+        self._place_versions.pop(name, None)
+        self._place_versions[name] = self._counter.next()
+
+    def places_for(self, peer, since_version):
+        """Return the places that a peer lacks and that no state tells it."""
+        is_mesh = self.topology.is_mesh
+        places = []
+        for name, version in reversed(self._place_versions.items()):
+            if version <= since_version:
+                break
+            is_told = name in self._unheard_ms or (is_mesh and name in self.states)
+            if is_told and name in self.places and name != peer:
+                places.append(self.places[name])
+        return places
+
+    def unheard_vms(self):
+        """Return the names of the VMs that may be running but were not heard of."""
+        return self._unheard_ms.keys()
+
+    def names_all_to(self, peer):
+        """Return whether a peer hears of all VMs that this VM knows."""
+        place = self.places.get(peer)
+        return self.topology.is_mesh or place is None or place.zone == self.own.zone
+
     def set_failing(self, name, failing):
         """Record whether the exchanges with a VM fail; return whether that is new."""
         if (name in self.failing) == failing:
@@ -305,6 +348,9 @@
             self._sources[state.vm] = source
             self._mark_changed(state.vm)
             self._heard_ms.setdefault(state.vm, now_ms)
+            self._unheard_ms.pop(state.vm, None)
+            if known is None:
+                self._mark_place(state.vm)
             self._replace_live(known, state)
             self._place(state)
             applied.append((known, state))
@@ -324,6 +370,7 @@
         if state.stopping:
             if known is not None:
                 del self.places[state.vm]
+                self._place_versions.pop(state.vm, None)
                 self._topology = None
             return
         if (
@@ -337,6 +384,7 @@
             if place.address == state.address and name != state.vm:
                 # An address may be used again by a new VM.
                 del self.places[name]
+                self._unheard_ms.pop(name, None)
         self.places[state.vm] = VmPlace(
             state.vm, state.address, state.zone, state.capacity
         )
@@ -426,6 +474,9 @@
 
     def remove_expired(self, now_ms):
         """Remove VMs that were not heard of for long; return their names."""
+        for name, learned_ms in list(self._unheard_ms.items()):
+            if now_ms - learned_ms > PEER_EXPIRY_MS:
+                del self._unheard_ms[name]
         heard_ms = self.all_heard_ms()
         expired = [
             name for name, at_ms in heard_ms.items() if now_ms - at_ms > PEER_EXPIRY_MS
@@ -458,12 +509,12 @@
 
     def vm_count(self, now_ms):
         """Return how many VMs may be sending requests, including this one."""
-        return 1 + sum(not state.stopping for state in self.states.values())
+        return len(self.sending_vms())
 
     def sending_vms(self):
         """Return the names of the VMs that may be sending requests, with this one."""
         names = [s.vm for s in self.states.values() if not s.stopping]
-        return sorted([self.own_name, *names])
+        return sorted([self.own_name, *names, *self._unheard_ms])
 
     def store_reader_rank(self, now_ms):
         """Return this VM's rank among the VMs that can read the store."""
@@ -479,7 +530,7 @@
     def peer_summary(self, now_ms):
         """Return the state of the peers on which the order lease depends."""
         reachable = [s for s in self.live_states(now_ms) if not s.stopping]
-        known = sum(not state.stopping for state in self.states.values())
+        known = len(self.sending_vms()) - 1
         fence = max((state.fence for state in reachable), default=0)
         return PeerSummary(len(reachable), known, fence)
 
--- a/cassiamount/peer_topology.py
+++ b/cassiamount/peer_topology.py
@@ -44,6 +44,10 @@
         """Sorts VMs; the first one of a zone is its relay."""
         return -self.capacity, self.name
 
+    def to_value(self):
+        """Return the list that represents this place in a report."""
+        return [self.name, self.address, self.zone, self.capacity]
+
 
 class PeerTopology:
     """The links that one VM needs.
--- a/cassiamount/shared_quota.py
+++ b/cassiamount/shared_quota.py
@@ -3,7 +3,8 @@
 Each VM has the whole bucket of a team. It debits its own requests at once and those of
 other VMs when they report, a fraction of a second later. The fleet can exceed the limit
 by the requests that arrive within one report interval. In a network partition each side
-uses only its share of the rate.
+uses only its share of the rate, and so does a VM that knows of others without having
+heard of them.
 """
 
 from .timing import MAX_CLOCK_DRIFT
@@ -58,6 +59,8 @@
         self._share = 1.0
         # The share stays as it is until then, unless a silent peer is heard.
         self._share_until_ms = -float("inf")
+        # VMs that may be running and of which no report has been heard.
+        self.unheard_vms = 0
         # Raised by the caller in large fleets, where VMs report less often.
         self.peer_timeout_ms = PEER_TIMEOUT_MS
 
@@ -185,7 +188,7 @@
             else:
                 until_ms = min(until_ms, heard_ms + PEER_EXPIRY_MS)
         self._share_until_ms = until_ms
-        known_vms = 1 + len(self._peers)
+        known_vms = 1 + len(self._peers) + self.unheard_vms
         share = reachable_vms / known_vms
         if share == self._share:
             return
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -49,6 +49,8 @@
             [["e1", 1, 30, [[45, ["p1", "p2"]]]]], {"p1": 20}, [[["p2"], 5]]
         ),
         "limits": LimitsPart([["e1", 1, 1.4, 30], ["e2", 1, None, 5]]),
+        "places": [VmPlace("v8", "v8:1", "z2", 0.5)],
+        "knows_fleet": True,
     }
     values.update(changes)
     return VmReport(**values)
@@ -63,6 +65,8 @@
     assert decoded.records["backends"].records[1].value is None
     assert decoded.states[1].lost
     assert decoded.residency.engines["e1"][1][2] == {"n": 80}
+    assert [place.to_value() for place in decoded.places] == [["v8", "v8:1", "z2", 0.5]]
+    assert decoded.knows_fleet
     assert decoded.limits.limits[1] == ["e2", 1, None, 5]
     assert decoded.quarantine.crashes == [["e1", 1, 30, [[45, ["p1", "p2"]]]]]
 
--- a/tests/test_peer_table.py
+++ b/tests/test_peer_table.py
@@ -3,7 +3,12 @@
 import pytest
 
 from cassiamount.change_counter import ChangeCounter
-from cassiamount.peer_table import RELAYED_TIMEOUT_MS, STATE_REFRESH_MS, PeerTable
+from cassiamount.peer_table import (
+    PEER_EXPIRY_MS,
+    RELAYED_TIMEOUT_MS,
+    STATE_REFRESH_MS,
+    PeerTable,
+)
 from cassiamount.peer_topology import MAX_MESH_VMS, VmPlace
 from cassiamount.vm_state import VmState
 
@@ -50,3 +55,33 @@
         table.add_place(place)
     assert "x99" in table.places
     assert not table.topology.unplaced
+
+
+def test_vm_that_was_not_heard_of_counts_until_it_expires():
+    """Guards against limits and quorums that count only the VMs which were heard."""
+    table = PeerTable(VmState("a", "z1", "a:1", 1), ChangeCounter())
+    table.learn_place(VmPlace("b", "b:1", "z2"), 0.0)
+    table.learn_place(VmPlace("a", "a:1", "z1"), 0.0)
+    assert table.sending_vms() == ["a", "b"]
+    assert table.peer_summary(0.0).known == 1
+    table.on_contact("b", 5, 1.0)
+    table.apply_states([VmState("b", "z2", "b:1", 5)], "b", 1.0)
+    assert table.sending_vms() == ["a", "b"]
+    table.learn_place(VmPlace("c", "c:1", "z2"), 2.0)
+    assert table.vm_count(2.0) == 3
+    table.remove_expired(2.0 + PEER_EXPIRY_MS + 1)
+    assert table.sending_vms() == ["a"]
+
+
+def test_places_are_told_once_and_again_after_a_return():
+    """Guards against VMs that hear of a VM from the store only."""
+    table = PeerTable(VmState("a", "z1", "a:1", 1), ChangeCounter())
+    table.learn_place(VmPlace("b", "b:1", "z2"), 0.0)
+    assert [place.name for place in table.places_for("c", 0)] == ["b"]
+    assert table.places_for("b", 0) == []
+    version = table._counter.version
+    assert table.places_for("c", version) == []
+    table.remove_expired(PEER_EXPIRY_MS + 1)
+    assert table.places_for("c", 0) == []
+    table.apply_states([VmState("b", "z2", "b:1", 5)], "b", PEER_EXPIRY_MS + 2)
+    assert [place.name for place in table.places_for("c", version)] == ["b"]
