Load further copies of a model only where its engines lack room

Ruled out: refusals of rates (none for this class), orders that stand still (11 changes a second, none unanswered).

Change: a third or later copy gains only what lacks room at the engines that have the model. The second copy and copies for adapters are as before.

--- a/cassiamount/model_planner.py
+++ b/cassiamount/model_planner.py
@@ -12,6 +12,9 @@
 # A model with this many running and waiting requests gets a second copy, so that it
 # stays available when an engine fails.
 SECOND_COPY_CONCURRENCY = 6.0
+# Free slots that the engines of a model should have for each of its requests, so that
+# a burst finds room. With fewer, a further copy serves more requests.
+FREE_SLOTS_PER_REQUEST = 0.5
 # A model without requests for this long needs no copy.
 MODEL_IDLE_MS = 4_000.0
 # The gain of a requested model without a copy grows by its request rate for each such
@@ -154,9 +157,7 @@
         copies = math.ceil(
             demand.concurrency / (TARGET_SLOT_FRACTION * self._rule.slots)
         )
-        if self._rule.max_adapters:
-            adapter_copies = demand.adapter_slots / self._rule.max_adapters
-            copies = max(copies, math.ceil(adapter_copies))
+        copies = max(copies, self._adapter_copies(demand))
         if demand.concurrency >= SECOND_COPY_CONCURRENCY:
             copies = max(2, copies)
         return max(1, copies)
@@ -191,10 +192,33 @@
         wanted = self.wanted_copies(model)
         if wanted <= copies:
             return 0.0
-        return (
+        served_per_s = (
             max(demand.fast_rate_per_s, demand.concurrency * 1000 / REQUEST_DURATION_MS)
             / wanted
         )
+        return served_per_s * self._lacking_room(model)
+
+    def _lacking_room(self, model):
+        """Return which part of the free slots that a model should have is missing.
+
+        The second copy is wanted for its own sake, and copies for their adapter slots.
+        """
+        demand = self._demand[model]
+        copies = self.copies(model)
+        if len(copies) < 2 or self._adapter_copies(demand) > len(copies):
+            return 1.0
+        free_slots = sum(
+            max(0, self._rule.slots - self._placement.request_count(engine))
+            for engine in copies
+        )
+        wanted_slots = FREE_SLOTS_PER_REQUEST * demand.concurrency
+        return max(0.0, 1.0 - free_slots / wanted_slots)
+
+    def _adapter_copies(self, demand):
+        """Return the number of copies that the slots for adapters call for."""
+        if not self._rule.max_adapters:
+            return 0
+        return math.ceil(demand.adapter_slots / self._rule.max_adapters)
 
     def _is_fleet_idle(self):
         """Return whether no model has requests; a load would delay none."""
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -175,6 +175,33 @@
     assert len(small) <= 1
 
 
+@pytest.mark.parametrize(
+    ("running", "loaded"), [(26, "d"), (46, "a")], ids=["room", "full"]
+)
+def test_further_copies_are_for_models_whose_engines_lack_room(running, loaded):
+    """Guards against copies of a busy model that keep a missing one from its place.
+
+    Three engines of the busy model run its requests; a fourth copy would be its share
+    by the target use of slots. The model that would be evicted has no hurried callers.
+    """
+    engines = [make_record(f"e{n}", "a") for n in range(3)]
+    engines.append(make_record("e3", "b", "c", "e"))
+    placement = make_placement(*engines)
+    for name in "bce":
+        for engine in engines[:3]:
+            placement.engines[engine.name].ready[name] = set()
+    counts = {f"e{n}": {"a": running} for n in range(3)}
+    for step in range(1, 31):
+        requests = {"a": 6 * step, "b": step // 5, "c": step // 5, "e": step // 5}
+        if step > 20:
+            requests["d"] = (step - 20) // 4
+        update_demand(placement, 100.0 * step, {}, requests, counts)
+    for name in "bce":
+        placement.demand[name].latency_sensitive = False
+    changes = [c for c in placement.plan(3_000.0) if isinstance(c, ModelChange)]
+    assert changes[0].model == loaded
+
+
 def test_rare_model_does_not_evict_the_last_copy_in_use():
     """Guards against the eviction of a busy model for one with a single request."""
     placement = make_placement(make_record("e1", "a", "b", "c"))
