--- a/tests/fleet_fixtures.py
+++ b/tests/fleet_fixtures.py
@@ -102,6 +102,7 @@
     def __init__(self):
         self.store = PlatformStore()
         self.replicas = {}
+        self.software = {}
         self.addresses = {}
         self.nodes = {}
         self.settings = {}
@@ -136,9 +137,10 @@
         await asyncio.wait([task])
         del self.nodes[name]
 
-    async def add_replica(self, name, service, models=None):
+    async def add_replica(self, name, service, models=None, software="v1"):
         replica = PlatformReplica(name, models)
         self.replicas[name] = replica
+        self.software[name] = software
         self.addresses[name] = f"127.0.0.1:{await self._serve(replica)}"
         self._servers_of[name] = self._servers[-1][0]
         self.register_replica(name, service)
@@ -163,6 +165,7 @@
                 "Service": service,
                 "Address": self.addresses[name],
                 "Zone": "z1",
+                "Version": self.software[name],
                 "Slots": 8,
                 "State": state,
                 "Models": [{"Name": m, "Adapters": a} for m, a in models.items()],
@@ -171,7 +174,12 @@
             },
         )
 
-    async def add_vm(self, name):
+    def remove_replica(self, name):
+        """End a replica's server, and remove its entry from the list."""
+        self.end_replica(name)
+        self.store.put("keyed.servers", name, None)
+
+    async def add_vm(self, name, first_start=True):
         ports = [free_port() for _ in range(4)]
         text = f"""
 NodeName: {name}
@@ -183,7 +191,7 @@
 PortRange: [{ports[3]}, {ports[3]}]
 Platform:
   Address: "127.0.0.1:{self.store_port}"
-Bootstrap: true
+Bootstrap: {str(first_start).lower()}
 Bounds:
   RevokeMs: 5000
   GraceS: 4
