Let a stream go on only at the software version that began it

Cause: no code read a server's Version or a caller's Resumes; any replica of the service went on with a broken stream. After a loss of all VMs nobody knew where streams began.

Change: a request keeps the version of the replica that brought its first event, and later attempts choose only replicas of it. VMs remember for 60 s where streams began and tell each other once a service has several versions; one VM keeps the versions, and meanwhile the streams, in the store. A stream that is not known goes on only if there was just one version and the VM knows the past; otherwise it is refused. Placement loads a model at the version for which streams wait.

--- a/cassiamount/fleet.py
+++ b/cassiamount/fleet.py
@@ -313,6 +313,8 @@
         Models of which the server keeps a copy in host memory or on disk.
     heartbeats : int
         Increases with each entry that the server writes after a start.
+    software : str
+        Version of the server's software; empty if its entry names none.
     """
 
     __slots__ = (
@@ -328,6 +330,7 @@
         "in_memory",
         "on_disk",
         "heartbeats",
+        "software",
     )
 
     def __init__(
@@ -344,6 +347,7 @@
         in_memory=frozenset(),
         on_disk=frozenset(),
         heartbeats=0,
+        software="",
     ):
         self.name = name
         self.service = service
@@ -357,6 +361,7 @@
         self.in_memory = in_memory
         self.on_disk = on_disk
         self.heartbeats = heartbeats
+        self.software = software
 
     @property
     def rank(self):
@@ -403,6 +408,8 @@
         Hash and number of tokens of each part of the prompt.
     last_event_id : str
         Set if the caller resumes a stream.
+    resumes : str
+        Request ID of the attempt that brought the first event of that stream.
     """
 
     __slots__ = (
@@ -418,6 +425,7 @@
         "output_tokens",
         "prefix",
         "last_event_id",
+        "resumes",
     )
 
     def __init__(
@@ -434,6 +442,7 @@
         output_tokens=None,
         prefix=(),
         last_event_id="",
+        resumes="",
     ):
         self.request_id = request_id
         self.method = method
@@ -447,6 +456,7 @@
         self.output_tokens = output_tokens
         self.prefix = prefix
         self.last_event_id = last_event_id
+        self.resumes = resumes
 
     @property
     def tokens(self):
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -21,6 +21,7 @@
 from .quarantine_store import QuarantineStore
 from .replica_selection import ReplicaSelector, SentPrefixIndex
 from .serving import EdgeServer, open_listener
+from .software_store import SoftwareStore
 from .store_follower import StoreFollower
 from .supervisor import Supervisor
 
@@ -179,6 +180,8 @@
         supervisor.add("announce", self._announce)
         quarantine = QuarantineStore(self._platform.store, self.state)
         supervisor.add("quarantine", quarantine.run)
+        software = SoftwareStore(self._platform.store, self.state)
+        supervisor.add("software", software.run)
         supervisor.add("exchange", self._exchange.run)
         supervisor.add("lease", self._controller.renew_lease)
         supervisor.add("orders", self._controller.run)
--- a/cassiamount/fleet_orders.py
+++ b/cassiamount/fleet_orders.py
@@ -12,6 +12,10 @@
 NO_ANSWER = "no-answer"
 
 
+# Separates the software version from the target, in the counts of waiting requests.
+SOFTWARE_MARK = "@"
+
+
 def target_name(model, adapter):
     """Return ``MODEL`` or ``MODEL/ADAPTER`` as the name of an order's target."""
     return f"{model}/{adapter}" if adapter else model
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -3,7 +3,7 @@
 import math
 
 from .engine_state import AdapterChange, EngineState
-from .fleet_orders import target_name
+from .fleet_orders import SOFTWARE_MARK, target_name
 from .invariants import MEMORY_NOT_OVERCOMMITTED, require
 from .model_demand import ADAPTER_IDLE_MS, ModelDemand
 from .model_planner import (
@@ -43,6 +43,9 @@
         self.demand = {}
         # Model without a copy -> time at which some engine should have loaded it.
         self.queued = {}
+        # (model, software version) -> [requests that wait for a copy at an engine of
+        # that version, time since which they do].
+        self.pinned = {}
         # Engines that name a request limit; their copies serve too few requests.
         self.limited = frozenset()
         self._adapter_waiting = {}
@@ -110,8 +113,13 @@
             self._request_counts[engine_name] = sum(targets.values())
         waiting_by_model = {}
         self._adapter_waiting = {}
-        for target, count in waiting.items():
+        pinned, self.pinned = self.pinned, {}
+        for name, count in waiting.items():
+            target, _, software = name.partition(SOFTWARE_MARK)
             model, _, adapter = target.partition("/")
+            if software and model in self.rule.models:
+                _, since_ms = pinned.get((model, software), (0, now_ms))
+                self.pinned[model, software] = (count, since_ms)
             waiting_by_model[model] = waiting_by_model.get(model, 0) + count
             if adapter:
                 self._adapter_waiting[(model, adapter)] = count
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -5,6 +5,7 @@
 from .backend_messages import Attempt
 from .crash_detector import CrashDetector
 from .fleet import choose_target
+from .fleet_orders import SOFTWARE_MARK
 from .model_demand import LATENCY_SENSITIVE_OBJECTIVE_MS
 from .relayed_request import (
     DEADLINE_GRACE_MS,
@@ -15,6 +16,7 @@
 )
 from .replica_selection import (
     PLACEMENT_DECISION_MS,
+    NoReplicaReady,
     SelectedReplica,
     clamp_retry_after_ms,
 )
@@ -153,6 +155,8 @@
             inbound, route, service, is_model_request, team, parts, now_ms
         )
         request.configuration_version = configuration.version
+        if route.streamed and metadata.last_event_id:
+            request.software = self._origin_of(request, now_ms)
         state.retry_budget.record_request(service, now_ms)
         if is_model_request:
             latency_sensitive = route.objective_ms <= LATENCY_SENSITIVE_OBJECTIVE_MS
@@ -177,6 +181,25 @@
         request.state.transition_to(ADMITTED)
         return request
 
+    def _origin_of(self, request, now_ms):
+        """Return the software version at which a stream began that is taken up."""
+        resumes = request.metadata.resumes
+        software = self._state.software.version_of(resumes, request.service, now_ms)
+        if software is None:
+            self._log.info(
+                "stream_unknown",
+                request_id=request.metadata.request_id,
+                resumes=resumes,
+                service=request.service,
+            )
+            raise Refused(
+                503,
+                "stream_unknown",
+                "it is not known where this stream began",
+                STARTING_RETRY_AFTER_MS if self._state.is_starting() else None,
+            )
+        return software
+
     def _check_quarantine(self, parts, now_ms):
         """Refuse a request on which backend servers crash."""
         blocked_for_ms = self._state.quarantine.blocked_for_ms(parts, now_ms)
@@ -284,12 +307,29 @@
         if len(request.tried) < request.route.attempts:
             exclude.update(request.tried)
         if request.is_model_request:
-            return self._selector.select_for_model(
-                request.service, request.metadata, now_ms, exclude, request.reserved
+            found = self._selector.select_for_model(
+                request.service,
+                request.metadata,
+                now_ms,
+                exclude,
+                request.reserved,
+                request.software,
             )
-        return self._selector.select_for_service(
-            request.service, now_ms, exclude, request.reserved
-        )
+        else:
+            found = self._selector.select_for_service(
+                request.service, now_ms, exclude, request.reserved, request.software
+            )
+        if (
+            isinstance(found, NoReplicaReady)
+            and found.reason == "no-backend"
+            and self._is_mixed(request)
+        ):
+            raise Refused(
+                503,
+                "version_gone",
+                "no replica of the version that began this stream can go on with it",
+            )
+        return found
 
     def _check_wait(self, request, found, unknown_since_ms, now_ms):
         """Refuse a request that will not be ready in time or that has waited too long.
@@ -346,7 +386,7 @@
         ):
             return
         waiting = self._state.demand.waiting
-        target = request.target
+        target = self._waiting_target(request)
         waiting[target] = waiting.get(target, 0) + 1
         asyncio.get_running_loop().call_later(
             (refused.retry_after_ms + EXPECTED_RETRY_GRACE_MS) / 1000,
@@ -355,8 +395,24 @@
         )
         self._notify_waiting()
 
+    def _waiting_target(self, request):
+        """Return what a request waits for, with its software version if that matters.
+
+        A model that is loaded at another version is not missing to the placement.
+        """
+        if not request.is_model_request or not self._is_mixed(request):
+            return request.target
+        return f"{request.metadata.model}{SOFTWARE_MARK}{request.software}"
+
+    def _is_mixed(self, request):
+        """Return whether some replicas may not go on with a begun stream."""
+        return request.software is not None and any(
+            view.record.software != request.software
+            for view in self._state.view.of_service(request.service)
+        )
+
     async def _wait_for_change(self, request, found):
-        target = request.target
+        target = self._waiting_target(request)
         if target not in request.waiting_targets:
             request.waiting_targets[target] = True
             self._log.info(
@@ -489,6 +545,7 @@
             load=view.load,
             left_ms=round(attempt.time_left_ms),
             last_event=request.last_event_id,
+            software=view.record.software,
             placement_age_ms=self._state.placement_age_ms(),
         )
         outcome = None
@@ -496,7 +553,10 @@
         try:
             connection.send(data, request.metadata.request_id)
             outcome = await self._forwarder.forward(
-                request, connection, lambda metadata: self._on_head(view, metadata)
+                request,
+                connection,
+                lambda metadata: self._on_head(view, metadata),
+                lambda: self._on_stream(request, view.record),
             )
             if isinstance(outcome, AttemptFailure) and not outcome.not_run:
                 self._log_broken_attempt(request, name, outcome.reason)
@@ -531,6 +591,15 @@
             self._state.notify()
             self._notify_peers()
 
+    def _on_stream(self, request, record):
+        """Record where a stream begins, before its caller gets anything of it."""
+        if request.software is None:
+            request.software = record.software
+            if request.route.retryable:
+                self._state.software.record_stream(
+                    request.metadata.request_id, record.software, self._state.now_ms()
+                )
+
     def _record_evidence(self, request, record, outcome, sent_ms, now_ms):
         """Record whether the server answered a request, or may have crashed by it."""
         begun_ms = request.first_event_ms
@@ -660,6 +729,8 @@
             target=None if request is None else request.target,
             tried=[] if request is None else request.tried,
             sends=0 if request is None else request.sends,
+            resumes=inbound.metadata.resumes or None,
+            software=None if request is None else request.software,
             version=0 if configuration is None else configuration.version,
             took_ms=round(took_ms, 1),
         )
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -7,6 +7,7 @@
 from .metadata_store import KeyedRecord
 from .peer_topology import VmPlace
 from .request_limits import LimitsPart
+from .software_versions import SoftwarePart
 from .vm_state import VmState
 
 
@@ -86,6 +87,7 @@
         VMs that may be running and of which `states` tells nothing.
     knows_fleet : bool
         Whether this report, with those before it, names all VMs.
+    software : SoftwarePart or None
     """
 
     __slots__ = (
@@ -108,6 +110,7 @@
         "limits",
         "places",
         "knows_fleet",
+        "software",
     )
 
     def __init__(self, **values):
@@ -138,6 +141,8 @@
         value["quarantine"] = report.quarantine.to_value()
     if report.limits is not None:
         value["limits"] = report.limits.to_value()
+    if report.software is not None:
+        value["software"] = report.software.to_value()
     value["places"] = [place.to_value() for place in report.places]
     return orjson.dumps([value[name] for name in VmReport.__slots__])
 
@@ -186,6 +191,8 @@
             value["quarantine"] = QuarantinePart(*value["quarantine"])
         if value["limits"] is not None:
             value["limits"] = LimitsPart(*value["limits"])
+        if value["software"] is not None:
+            value["software"] = SoftwarePart(*value["software"])
         value["places"] = [VmPlace(*item) for item in value["places"]]
         return VmReport(**value)
     except (KeyError, TypeError, AttributeError, IndexError) as error:
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -25,6 +25,7 @@
 from .request_rates import RequestRate
 from .shared_quota import SharedQuota
 from .shared_retries import SharedRetryBudget
+from .software_versions import SoftwareVersions
 from .store_position import era_of
 from .vm_state import VmState
 
@@ -52,6 +53,8 @@
 PEER_GRACE_MS = 1_000.0
 # The same for a relay to tell of all VMs.
 FLEET_GRACE_MS = 2_000.0
+# Time after the start in which a VM may hear of streams that began before it.
+HEARSAY_MS = 3_000.0
 
 log = structlog.get_logger()
 
@@ -121,6 +124,9 @@
         # Whether this VM has been told of all others since its start. Before that it
         # cannot know which part of a shared limit it may use.
         self.knows_fleet = False
+        self.software = SoftwareVersions(
+            self._counter, -float("inf") if settings.first_start else now_ms
+        )
         self._wants_demand = False
         self._reviewed_ms = -float("inf")
         self._decoder = decoder
@@ -209,6 +215,13 @@
             )
             self.notify()
 
+    def is_starting(self):
+        """Return whether this VM may still hear of what was before its start."""
+        return (
+            not self.software.is_complete
+            and self.now_ms() - self._begun_ms < HEARSAY_MS
+        )
+
     def seeks_lease(self, is_member):
         """Return whether this VM asks the store for the order lease, or keeps it.
 
@@ -384,6 +397,9 @@
                 state="gone" if view is None else "leaving" if view.leaving else "live",
                 service="" if view is None else view.record.service,
             )
+        self.software.observe(
+            [view.record for view in self.view.backends.values()], now_ms
+        )
         self.limits.remove_others(
             {view.record.start for view in self.view.backends.values()}
         )
@@ -460,6 +476,8 @@
             has_news |= self.quarantine.apply(report.quarantine, now_ms)
         if report.limits is not None:
             has_news |= self.limits.apply(report.limits, now_ms)
+        if report.software is not None:
+            has_news |= self.software.apply(report.software, now_ms)
         self.peers.on_vouched(report.vouched_ages, now_ms)
         is_complete = link.received_version >= report.version
         self.learn_vms(report.places, report.knows_fleet and is_complete)
@@ -731,6 +749,7 @@
             limits=self.limits.part_since(since, now_ms),
             places=peers.places_for(name, since),
             knows_fleet=self.knows_fleet and peers.names_all_to(name),
+            software=self.software.part_since(since, now_ms, peers.topology.is_mesh),
         )
 
     def _sources_for(self, name, scope, now_ms):
--- a/cassiamount/fleet_view.py
+++ b/cassiamount/fleet_view.py
@@ -144,15 +144,25 @@
         """Return the views of a service's backend servers."""
         return self._by_service.get(service, ())
 
-    def usable(self, service, now_ms, exclude=()):
+    def usable(self, service, now_ms, exclude=(), software=None):
         """Return the views of the backend servers that may get a request.
 
         Avoided backend servers are left out, unless all are avoided.
+
+        Parameters
+        ----------
+        service : str
+        now_ms : float
+        exclude : collection of str
+        software : str, optional
+            The only software version that may get it.
         """
         views = [
             view
             for view in self.of_service(service)
-            if not view.leaving and view.record.name not in exclude
+            if not view.leaving
+            and view.record.name not in exclude
+            and software in (None, view.record.software)
         ]
         healthy = [view for view in views if view.avoided_until_ms <= now_ms]
         return healthy or views
--- a/cassiamount/metadata_store.py
+++ b/cassiamount/metadata_store.py
@@ -10,6 +10,7 @@
 BACKENDS = "backends"
 VMS = "vms"
 QUARANTINE = "quarantine"
+SOFTWARE = "software"
 # Key of the configuration record in the stream CONFIGURATION.
 CONFIGURATION_KEY = "config"
 # Source of records that this VM read from the store. For records relayed by a peer,
--- a/cassiamount/platform/documents.py
+++ b/cassiamount/platform/documents.py
@@ -152,6 +152,7 @@
             frozenset(available.get("InMemory") or ()),
             frozenset(available.get("OnDisk") or ()),
             value["Seq"] if isinstance(value.get("Seq"), int) else 0,
+            _optional_string(value, "Version"),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise UnreadableDocument(f"server {name!r}: {error!r}") from error
@@ -174,6 +175,13 @@
     return text
 
 
+def _optional_string(value, field):
+    text = value.get(field, "")
+    if not isinstance(text, str):
+        raise TypeError(field)
+    return text
+
+
 def _positive_integer(value, field):
     number = value[field]
     if not isinstance(number, int) or isinstance(number, bool) or number < 1:
--- a/cassiamount/platform/headers.py
+++ b/cassiamount/platform/headers.py
@@ -18,6 +18,7 @@
 LOAD = b"x-cassiamount-server-load"
 SIGNATURE = b"x-cassiamount-server-signature"
 LAST_EVENT = b"last-event-id"
+RESUMES = b"resumes"
 SERVER_LIMIT = b"server-limit"
 
 # Headers that only the system may set; those of a caller are dropped.
@@ -93,6 +94,7 @@
         output_tokens,
         _prefix_parts(values.get(PREFIX, b"")),
         values.get(LAST_EVENT, b"").decode("latin-1"),
+        values.get(RESUMES, b"").decode("latin-1"),
     )
 
 
--- a/cassiamount/platform/store.py
+++ b/cassiamount/platform/store.py
@@ -10,6 +10,7 @@
     BACKENDS,
     CONFIGURATION,
     QUARANTINE,
+    SOFTWARE,
     VMS,
     HistoryTrimmed,
     KeyedPage,
@@ -24,6 +25,7 @@
     BACKENDS: "keyed.servers",
     VMS: "keyed.vms",
     QUARANTINE: "keyed.quarantine",
+    SOFTWARE: "keyed.software",
 }
 # The member of this group that owns the first partition of the topic holds the order
 # lease.
--- a/cassiamount/relayed_request.py
+++ b/cassiamount/relayed_request.py
@@ -128,6 +128,7 @@
         "sends",
         "first_event_ms",
         "reserved",
+        "software",
     )
 
     def __init__(self, inbound, route, service, is_model_request, team, parts, now_ms):
@@ -166,6 +167,8 @@
         self.first_event_ms = None
         # Start of a backend server with a limit, and time of this request's turn.
         self.reserved = None
+        # Software version at which the stream began; only it may go on with it.
+        self.software = None
 
     @property
     def target(self):
--- a/cassiamount/replica_selection.py
+++ b/cassiamount/replica_selection.py
@@ -108,7 +108,9 @@
         self._prefixes = prefixes
         self._limits = limits
 
-    def select_for_service(self, service, now_ms, exclude=(), reserved=None):
+    def select_for_service(
+        self, service, now_ms, exclude=(), reserved=None, software=None
+    ):
         """Select a replica for a request that names no model.
 
         Parameters
@@ -119,12 +121,14 @@
         reserved : ((str, int), float), optional
             `BackendRecord.start` of a replica with a limit, and the time of the turn
             that was reserved there.
+        software : str, optional
+            The only software version that may get the request.
 
         Returns
         -------
         SelectedReplica or NoReplicaReady
         """
-        views = self._view.usable(service, now_ms, exclude)
+        views = self._view.usable(service, now_ms, exclude, software)
         if not views:
             return NoReplicaReady("no-backend", None)
         candidates = [self._estimate_for_service(view) for view in views]
@@ -168,7 +172,9 @@
         )
         return SelectedReplica(view, wait_ms + self._zone_penalty_ms(view))
 
-    def select_for_model(self, service, metadata, now_ms, exclude=(), reserved=None):
+    def select_for_model(
+        self, service, metadata, now_ms, exclude=(), reserved=None, software=None
+    ):
         """Select a replica for a request that names a model.
 
         Parameters
@@ -176,7 +182,7 @@
         service : str
         metadata : RequestMetadata
         now_ms : float
-        exclude, reserved
+        exclude, reserved, software
             As in `select_for_service`.
 
         Returns
@@ -185,7 +191,7 @@
         """
         target = target_name(metadata.model, metadata.adapter)
         candidates = []
-        usable = self._view.usable(service, now_ms, exclude)
+        usable = self._view.usable(service, now_ms, exclude, software)
         for view in usable:
             if (
                 view.missing_until_ms.get(target, 0.0) > now_ms
--- a/cassiamount/response_forwarding.py
+++ b/cassiamount/response_forwarding.py
@@ -84,7 +84,7 @@
         self._codec = codec
         self._clock = clock
 
-    async def forward(self, request, connection, on_head):
+    async def forward(self, request, connection, on_head, on_stream):
         """Forward the response to one attempt.
 
         Parameters
@@ -93,6 +93,8 @@
         connection : BackendConnection
         on_head : callable
             Called with the `ResponseMetadata`, before the body is received.
+        on_stream : callable
+            Called before the caller gets the head of a stream.
 
         Returns
         -------
@@ -127,7 +129,9 @@
         ):
             return AttemptFailure("answer without the marks of its backend server")
         if success and (request.route.streamed or metadata.event_stream):
-            return await self._forward_event_stream(request, connection, message)
+            return await self._forward_event_stream(
+                request, connection, message, on_stream
+            )
         if request.response_started or metadata.status in NOT_RUN_STATUSES:
             # The caller reads a stream, which only further events may continue, or it
             # would understand the status as "not run".
@@ -196,7 +200,7 @@
             else:
                 raise BrokenStream(message.reason)
 
-    async def _forward_event_stream(self, request, connection, head):
+    async def _forward_event_stream(self, request, connection, head, on_stream):
         """Forward events as they arrive, but only complete ones."""
         framer = EventFramer()
         sink = EventSink(request, connection, framer)
@@ -212,13 +216,13 @@
                 except ValueError as error:
                     return self._stream_failure(request, str(error))
                 if events:
-                    await self._forward_events(request, head, events)
+                    await self._forward_events(request, head, events, on_stream)
                     request.last_event_id = framer.last_event_id
             elif isinstance(message, ResponseComplete):
                 if framer.has_partial_event:
                     return self._stream_failure(request, "ends within an event", True)
                 if not request.response_started:
-                    await self._start_stream(request, head)
+                    await self._start_stream(request, head, on_stream)
                 if framer.rest:
                     # Blank lines belong to the body, which is forwarded unchanged.
                     await request.inbound.caller.send_chunk(framer.rest)
@@ -229,15 +233,16 @@
                     request, message.reason, message.connection_lost
                 )
 
-    async def _forward_events(self, request, head, events):
+    async def _forward_events(self, request, head, events, on_stream):
         if request.first_event_ms is None:
             request.first_event_ms = self._clock.monotonic_ms()
         if not request.response_started:
             request.state.transition_to(FIRST_BYTE)
-            await self._start_stream(request, head)
+            await self._start_stream(request, head, on_stream)
         await request.inbound.caller.send_chunk(events)
 
-    async def _start_stream(self, request, head):
+    async def _start_stream(self, request, head, on_stream):
+        on_stream()
         request.response_started = True
         headers = self._codec.response_headers(head.headers)
         await request.inbound.caller.start(head.metadata.status, headers)
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -343,3 +343,18 @@
     assert change.engine == "e2"
     placement.set_limited({"e1", "e2"})
     assert not placement.limited
+
+
+def test_model_is_loaded_at_the_software_version_that_streams_wait_for():
+    """Guards against streams that end although servers of their version serve."""
+    engines = [
+        make_record("e1", "a", "b", software="v2"),
+        make_record("e2", "b", "c", software="v1"),
+        make_record("e3", "b", "c", software="v2"),
+    ]
+    placement = make_placement(*engines)
+    update_demand(placement, 100.0, {"a@v1": 2}, {"a": 2})
+    changes = {(change.engine, change.model) for change in placement.plan(100.0)}
+    assert ("e2", "a") in changes
+    update_demand(placement, 200.0, {"a@v1": 2}, {"a": 2})
+    assert all(change.model != "a" for change in placement.plan(200.0))
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -16,6 +16,7 @@
 from cassiamount.peer_table import PEER_EXPIRY_MS, PEER_TIMEOUT_MS, PeerTable
 from cassiamount.peer_topology import VmPlace
 from cassiamount.request_limits import LimitsPart
+from cassiamount.software_versions import SoftwarePart
 from cassiamount.vm_state import VmState
 
 
@@ -51,6 +52,7 @@
         "limits": LimitsPart([["e1", 1, 1.4, 30], ["e2", 1, None, 5]]),
         "places": [VmPlace("v8", "v8:1", "z2", 0.5)],
         "knows_fleet": True,
+        "software": SoftwarePart([["s", "v1", 0.0]], [["r1", "v1", 40]], None),
     }
     values.update(changes)
     return VmReport(**values)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -144,6 +144,28 @@
     assert statuses <= {200, 503}
 
 
+async def test_stream_of_a_lost_fleet_goes_on_at_its_version(fleet):
+    """Guards against streams that are given up although the store has their version."""
+    await fleet.add_replica("e1", "llm", {"m1": []}, "v1")
+    await fleet.add_replica("e2", "llm", {"m1": []}, "v2")
+    await fleet.add_vm("vm1")
+    await list_replicas(fleet, 2)
+    for replica in (fleet.replicas["e1"], fleet.replicas["e2"]):
+        replica.break_streams = 1
+    backends = fleet.nodes["vm1"].state.view.backends
+    backends["e2"].avoided_until_ms = float("inf")
+    body = await begin_and_break(fleet, "vm1")
+    fleet.replicas["e2"].break_streams = 0
+    await asyncio.sleep(1.0)
+    await fleet.kill_vm("vm1")
+    await fleet.add_vm("vm2", first_start=False)
+    async with asyncio.timeout(10):
+        while (taken := await take_up(fleet, "vm2", body))[0] != 200:
+            await asyncio.sleep(0.1)
+    assert body + taken[1] == STREAM
+    assert fleet.replicas["e2"].ran == []
+
+
 async def test_stream_of_a_lost_fleet_goes_on_where_there_is_one_version(fleet):
     """Guards against streams that are given up because all VMs started again."""
     await fleet.add_replica("e1", "llm", {"m1": []}, "v1")
