Read no replica from an entry of which a field cannot be right

A request sent to one with port 70000 ended with OverflowError instead of an answer, because opening the connection raises no OSError. The same class elsewhere: numbers of hundreds of digits in headers of callers (deadline, tokens, prompt parts) and of replicas (load, keep-alive) raised OverflowError or lost a good answer.

The modelled engines get names that an address may have.

--- a/cassiamount/platform/documents.py
+++ b/cassiamount/platform/documents.py
@@ -1,5 +1,7 @@
 """Decodes the platform's configuration and its entries of backend servers."""
 
+import re
+
 import orjson
 
 from ..fleet import (
@@ -119,6 +121,14 @@
     )
 
 
+# One part of a host's name or IPv4 address, and a port above 0.
+LABEL = re.compile(r"[A-Za-z0-9_-]{1,63}", re.ASCII)
+PORT = re.compile(r"[1-9][0-9]{0,4}", re.ASCII)
+MAX_PORT = 65_535
+# Largest number of slots, and largest time and count of heartbeats.
+MAX_COUNT = 1_000_000
+MAX_MS = 1 << 53
+
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -135,24 +145,22 @@
         value = orjson.loads(data)
         if not isinstance(value, dict):
             raise TypeError("entry is not a JSON object")
-        host, _, port = _non_empty_string(value, "Address").rpartition(":")
-        if not host or not port.isdigit():
-            raise ValueError("Address is not host:port")
-        available = value.get("Available") or {}
+        available = _optional(value, "Available", dict, {})
+        remaining_ms = _optional(value, "RemainingMs", (int, float))
         return BackendRecord(
             name,
             _non_empty_string(value, "Service"),
-            value["Address"],
+            _address(value),
             _non_empty_string(value, "Zone"),
-            _positive_integer(value, "Slots"),
+            _integer(value, "Slots", 1),
             LEAVING_BY_STATE[value["State"]],
-            value.get("RemainingMs"),
-            value["born"] if isinstance(value.get("born"), int) else 0,
-            residents(value.get("Models")),
-            frozenset(available.get("InMemory") or ()),
-            frozenset(available.get("OnDisk") or ()),
-            value["Seq"] if isinstance(value.get("Seq"), int) else 0,
-            _optional_string(value, "Version"),
+            remaining_ms,
+            _integer(value, "born", 0, MAX_MS) if "born" in value else 0,
+            _checked_residents(value.get("Models")),
+            _strings(available, "InMemory"),
+            _strings(available, "OnDisk"),
+            _integer(value, "Seq", 0, MAX_MS) if "Seq" in value else 0,
+            _optional(value, "Version", str, ""),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise UnreadableDocument(f"server {name!r}: {error!r}") from error
@@ -175,15 +183,49 @@
     return text
 
 
-def _optional_string(value, field):
-    text = value.get(field, "")
-    if not isinstance(text, str):
-        raise TypeError(field)
+def _address(value):
+    """Return the address; a connection to another one would raise no `OSError`."""
+    text = _non_empty_string(value, "Address")
+    host, _, port = text.rpartition(":")
+    labels = host.split(".")
+    if not all(map(LABEL.fullmatch, labels)) or not PORT.fullmatch(port):
+        raise ValueError("Address is not host:port")
+    if int(port) > MAX_PORT:
+        raise ValueError("port is out of range")
     return text
 
 
-def _positive_integer(value, field):
+def _optional(value, field, kind, default=None):
+    found = value.get(field)
+    if found is None:
+        return default
+    if not isinstance(found, kind) or isinstance(found, bool):
+        raise TypeError(field)
+    return found
+
+
+def _strings(value, field):
+    """Return the set of the strings in a list."""
+    found = _optional(value, field, list, [])
+    if not all(isinstance(text, str) for text in found):
+        raise TypeError(field)
+    return frozenset(found)
+
+
+def _checked_residents(models):
+    """Return `residents` of a list that another program may have written."""
+    if not isinstance(models or [], list):
+        raise TypeError("Models")
+    for model in models or ():
+        _non_empty_string(model, "Name")
+        _strings(model, "Adapters")
+    return residents(models)
+
+
+def _integer(value, field, least, most=MAX_COUNT):
     number = value[field]
-    if not isinstance(number, int) or isinstance(number, bool) or number < 1:
+    if not isinstance(number, int) or isinstance(number, bool):
         raise TypeError(field)
+    if not least <= number <= most:
+        raise ValueError(f"{field} is out of range")
     return number
--- a/cassiamount/platform/headers.py
+++ b/cassiamount/platform/headers.py
@@ -17,6 +17,8 @@
 INSTANCE = b"x-cassiamount-instance-id"
 LOAD = b"x-cassiamount-server-load"
 SIGNATURE = b"x-cassiamount-server-signature"
+# Larger numbers in headers are taken for mistakes.
+MAX_DIGITS = 15
 LAST_EVENT = b"last-event-id"
 RESUMES = b"resumes"
 SERVER_LIMIT = b"server-limit"
@@ -76,9 +78,7 @@
     model, _, adapter = values.get(MODEL, b"").decode("latin-1").partition("/")
     prompt_tokens = output_tokens = None
     if TOKENS in values:
-        prompt_tokens, output_tokens = map(int, values[TOKENS].split(b","))
-        if prompt_tokens < 0 or output_tokens < 0:
-            raise ValueError("negative count of tokens")
+        prompt_tokens, output_tokens = map(_count, values[TOKENS].split(b","))
     timeout = values.get(DEADLINE)
     host = values.get(b"host", b"").decode("latin-1").lower()
     return RequestMetadata(
@@ -87,7 +87,7 @@
         host.partition(":")[0] if host.count(":") == 1 else host,
         target.partition(b"?")[0].decode("latin-1"),
         _bearer_token(values.get(b"authorization", b"")),
-        None if timeout is None else float(int(timeout)),
+        None if timeout is None else float(_count(timeout)),
         model,
         adapter,
         prompt_tokens,
@@ -98,6 +98,24 @@
     )
 
 
+def _count(text):
+    """Return the number in a header.
+
+    Raises
+    ------
+    ValueError
+        Also if it is negative or has more than `MAX_DIGITS` digits.
+    """
+    text = text.strip()
+    if not text.isdigit() or len(text) > MAX_DIGITS:
+        raise ValueError(f"{text[:20]!r} is no number of up to {MAX_DIGITS} digits")
+    return int(text)
+
+
+def _count_or_none(text):
+    return int(text) if text.isdigit() and len(text) <= MAX_DIGITS else None
+
+
 def _bearer_token(value):
     scheme, _, key = value.decode("latin-1").partition(" ")
     return key.strip() if scheme.lower() == "bearer" else ""
@@ -108,7 +126,7 @@
     for part in value.split(b","):
         name, _, tokens = part.strip().partition(b":")
         if name and tokens.isdigit():
-            parts.append((name.decode("latin-1"), int(tokens)))
+            parts.append((name.decode("latin-1"), _count(tokens)))
     return tuple(parts)
 
 
@@ -153,8 +171,8 @@
     values = dict(headers)
     running = waiting = None
     counts = values.get(LOAD, b"").split(b",")
-    if len(counts) == 3 and counts[0].isdigit() and counts[1].isdigit():
-        running, waiting = int(counts[0]), int(counts[1])
+    if len(counts) == 3:
+        running, waiting = _count_or_none(counts[0]), _count_or_none(counts[1])
     return ResponseMetadata(
         status,
         values.get(REQUEST_ID, b"").decode("latin-1"),
@@ -182,8 +200,9 @@
 def _keep_alive_ms(value):
     for item in value.split(b","):
         name, _, seconds = item.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.isdigit():
-            return 1000.0 * int(seconds)
+        count = _count_or_none(seconds)
+        if name.lower() == b"timeout" and count is not None:
+            return 1000.0 * count
     return None
 
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -68,8 +68,11 @@
 
     def put(self, topic, key, value):
         """Append a record; None drops the key."""
+        self.put_bytes(topic, key, b"" if value is None else orjson.dumps(value))
+
+    def put_bytes(self, topic, key, data):
+        """Append a record as it is, as another writer may."""
         name = key.encode()
-        data = b"" if value is None else orjson.dumps(value)
         self.topics.setdefault(topic, []).append(bytes([len(name)]) + name + data)
 
     def forget(self, topic):
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -499,7 +499,7 @@
         old = self.engines[name]
         self.remove_engine(name)
         old.end()
-        new = Engine(self.loop, f"{name}+", old.zone, old.config, [], old.on_disk)
+        new = Engine(self.loop, f"{name}-new", old.zone, old.config, [], old.on_disk)
         new.service = old.service
         self.loop.call_later(self.config.restart_s, self._add_engine, new)
 
