Show that an answer which ends within its head is no whole answer

What another operator saw: a replica stopped in the middle of its answer's head and closed; callers got a 200 with an empty body, framed as whole. It does not happen here: cut at each position, by close and by reset, also after an interim answer, both clients (fleet and own stack) report a broken attempt. No change of the code.

--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cassiamount.backend_client import AttemptBroken, BackendClient
 from cassiamount.backend_connection import ConnectionPool
 from cassiamount.backend_messages import (
     BodyChunk,
@@ -14,6 +15,7 @@
     ResponseHead,
 )
 from cassiamount.clock import ManualClock
+from cassiamount.metrics import Metrics
 from cassiamount.platform.headers import decode_response
 
 
@@ -233,3 +235,31 @@
     """Guards against counting a request as sent although nothing listens."""
     with pytest.raises(OSError):
         await ConnectionPool(decode_response, ManualClock()).open("127.0.0.1:1")
+
+
+@pytest.mark.parametrize("end", ["close", "reset"])
+@pytest.mark.parametrize("before", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
+async def test_answer_that_ends_within_its_head_is_broken(backend, end, before):
+    """Guards against a head that was cut anywhere and counts as a whole answer."""
+    pool = ConnectionPool(decode_response, ManualClock())
+    heads = [response(b"r1", b""), READ_UNTIL_CLOSE[:-3], CHUNKED + b"\r\n\r\n"]
+    for head in heads:
+        for length in range(len(head) - 1):
+            backend.scripts.append([before + head[:length], end])
+            assert await send_request(pool, backend.address) == ("broken", b"")
+    pool.close()
+
+
+async def test_call_of_the_own_stack_whose_head_ends_early_is_broken(backend):
+    """Guards against the same in the client of the product's own interface."""
+    client = BackendClient(Metrics(), idle_timeout_s=5.0)
+    await client.start()
+    head = b"HTTP/1.1 200 X\r\nX-Request-Id: r1\r\nContent-Length: 3\r\n\r\n"
+    for length in range(len(head)):
+        backend.scripts.append([head[:length], "close"])
+        with pytest.raises(AttemptBroken):
+            await client.send(backend.address, "GET", "/", [], b"", "r1", 5.0, True)
+    backend.scripts.append([head + b"abc", "close"])
+    answer = await client.send(backend.address, "GET", "/", [], b"", "r1", 5.0, True)
+    assert await answer.chunk() == b"abc"
+    await client.close()
