Let models that nobody asked for give way to one that is waited for

Cause: the last copy of a model without any request yet counted as 3 requests a second, like one of hurried callers. A missing model had to age until it gained 1.5 times that.

Ruled out: a holder that does not order (it held the lease and sent adapter orders), the limit of the weight store (no wait).

Change: such a copy counts as half a request a second; once somebody asks, the kind of the callers decides as before.

test_models_that_nobody_asked_for_give_way_to_one_that_is_waited_for[never asked] failed before.

--- a/cassiamount/model_planner.py
+++ b/cassiamount/model_planner.py
@@ -28,6 +28,8 @@
 # Minimum loss of evicting the last copy of a model whose callers expect a response
 # sooner than it can be loaded again. It applies also while the model has no requests.
 LAST_COPY_LOSS_PER_S = 3.0
+# The same for a model that nobody has asked for yet.
+UNKNOWN_LAST_COPY_LOSS_PER_S = 0.5
 # Estimated fraction of adapter requests whose adapter is not loaded at the engine.
 ADAPTER_MISS_FRACTION = 0.5
 # Gain of the first copy of an idle model whose callers do not wait for a load, and of a
@@ -242,7 +244,9 @@
             return 0.0
         demand = self._demand.get(model)
         rate_per_s = 0.0 if demand is None else demand.rate_per_s
-        if copies <= 1 and (demand is None or demand.latency_sensitive is not False):
+        if copies <= 1 and (demand is None or demand.latency_sensitive is None):
+            return max(UNKNOWN_LAST_COPY_LOSS_PER_S, rate_per_s)
+        if copies <= 1 and demand.latency_sensitive:
             return max(LAST_COPY_LOSS_PER_S, rate_per_s)
         return rate_per_s / max(1, copies)
 
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -358,3 +358,24 @@
     assert ("e2", "a") in changes
     update_demand(placement, 200.0, {"a@v1": 2}, {"a": 2})
     assert all(change.model != "a" for change in placement.plan(200.0))
+
+
+@pytest.mark.parametrize(
+    ("hurried", "loaded"), [(None, ["d"]), (True, [])], ids=["never asked", "hurried"]
+)
+def test_models_that_nobody_asked_for_give_way_to_one_that_is_waited_for(
+    hurried, loaded
+):
+    """Guards against seconds without a change while engines are full of idle models."""
+    placement = make_placement(make_record("e1", "a", "b", "c", on_disk=["d"]))
+    requests = {}
+    for step in range(1, 21):
+        requests = {"d": 1 + step // 5}
+        if hurried:
+            requests |= dict.fromkeys("abc", 1)
+        update_demand(placement, 100.0 * step, {"d": 3}, requests)
+        if hurried:
+            for name in "abc":
+                placement.demand[name].latency_sensitive = True
+    changes = [c for c in placement.plan(2_000.0) if isinstance(c, ModelChange)]
+    assert [change.model for change in changes] == loaded
