Send nothing to servers that say they leave, or that want nothing for a while

Both were kept only by chance: nothing read either header.

Change: one pure object, ServerNotices, decides whether this VM may send to a replica now. It is asked by the choice of a replica, for first attempts, repeats, streams that go on and plain services, and again before the first byte leaves. Leaving is learned from the head of any answer, is bound to the replica's start, and is told to peers; a ready entry does not take it back. Paused replicas count as no copy for the placement at its holder. While all that could serve a request pause, the caller is refused at once with a Retry-After of the earliest end, spread over a quarter of it.

--- a/cassiamount/backend_messages.py
+++ b/cassiamount/backend_messages.py
@@ -60,6 +60,10 @@
     limit_per_s : float or None
         Requests a second that the backend server takes from all VMs together, if it
         names a limit.
+    leaving : bool
+        Whether the backend server says that it leaves.
+    retry_after_ms : float or None
+        Time for which a backend server that refuses wants nothing from this VM.
     """
 
     __slots__ = (
@@ -74,6 +78,8 @@
         "content_encoded",
         "event_stream",
         "limit_per_s",
+        "leaving",
+        "retry_after_ms",
     )
 
     def __init__(
@@ -89,6 +95,8 @@
         content_encoded=False,
         event_stream=False,
         limit_per_s=None,
+        leaving=False,
+        retry_after_ms=None,
     ):
         self.status = status
         self.request_id = request_id
@@ -101,6 +109,8 @@
         self.content_encoded = content_encoded
         self.event_stream = event_stream
         self.limit_per_s = limit_per_s
+        self.leaving = leaving
+        self.retry_after_ms = retry_after_ms
 
 
 class ResponseHead:
--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -206,6 +206,7 @@
                     view.record.name
                     for view in self._state.view.of_service(service.name)
                     if self._state.limits.is_limited(view.record.start)
+                    or self._state.notices.pause_ms(view.record.start, now_ms) > 0
                 }
             )
             placement.set_demand(running, waiting, rates, now_ms)
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -15,6 +15,7 @@
     RelayedRequest,
 )
 from .replica_selection import (
+    PAUSED,
     PLACEMENT_DECISION_MS,
     NoReplicaReady,
     SelectedReplica,
@@ -35,6 +36,8 @@
 # A caller that got a Retry-After time is counted as waiting until this long after it.
 EXPECTED_RETRY_GRACE_MS = 400.0
 OVERLOADED_RETRY_AFTER_MS = 150.0
+# Callers come back within this part of a pause after its end.
+PAUSE_SPREAD = 0.25
 STALE_KEYS_RETRY_AFTER_MS = 1_000.0
 STARTING_RETRY_AFTER_MS = 500.0
 # A server that runs on this long after the first event did not crash by the request.
@@ -348,6 +351,15 @@
             raise Refused(
                 503, "no_backend", "no backend server", clamp_retry_after_ms(None)
             )
+        if found.reason == PAUSED:
+            # Callers that were refused together should not come back together.
+            spread = 1 + PAUSE_SPREAD * self._rng.random()
+            raise Refused(
+                503,
+                "backend_paused",
+                "backend servers want no requests now",
+                found.wait_ms * spread,
+            )
         if found.limited is not None:
             if now_ms + found.wait_ms > request.start_deadline_ms:
                 raise Refused(
@@ -475,8 +487,12 @@
                     ) from error
                 return None
         known = self._state.view.backends.get(view.record.name)
-        if known is not view or view.leaving:
-            # The backend server began to leave while the connection was opened.
+        if (
+            known is not view
+            or view.leaving
+            or not self._state.notices.may_send(view.record.start, self._state.now_ms())
+        ):
+            # The backend server wants no more requests since the choice.
             self._pool.release(connection)
             return None
         try:
@@ -582,6 +598,7 @@
 
     def _on_head(self, view, metadata):
         """Record what the head of a response says about its backend server."""
+        self._record_notices(view.record, metadata)
         # Only an answer that ran shows that a limit has ended.
         if metadata.limit_per_s is None and not 200 <= metadata.status < 300:
             return
@@ -591,6 +608,25 @@
             self._state.notify()
             self._notify_peers()
 
+    def _record_notices(self, record, metadata):
+        notices, now_ms = self._state.notices, self._state.now_ms()
+        if metadata.leaving and notices.record_leaving(record.start):
+            self._metrics.count("backends_leaving_total")
+            self._log.info(
+                "backend_leaves", backend=record.name, status=metadata.status
+            )
+            self._state.on_notice()
+            self._notify_peers()
+        pause_ms = metadata.retry_after_ms
+        if pause_ms is not None and notices.record_pause(
+            record.start, pause_ms, now_ms
+        ):
+            self._metrics.count("backend_pauses_total")
+            self._log.info(
+                "backend_paused", backend=record.name, pause_ms=round(pause_ms)
+            )
+            self._state.notify()
+
     def _on_stream(self, request, record):
         """Record where a stream begins, before its caller gets anything of it."""
         if request.software is None:
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -87,6 +87,8 @@
         VMs that may be running and of which `states` tells nothing.
     knows_fleet : bool
         Whether this report, with those before it, names all VMs.
+    leaving : list
+        ``[backend, started_wall_ms]`` of each server that has said that it leaves.
     software : SoftwarePart or None
     """
 
@@ -110,6 +112,7 @@
         "limits",
         "places",
         "knows_fleet",
+        "leaving",
         "software",
     )
 
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -23,6 +23,7 @@
 from .peer_topology import OTHERS, OWN, VmPlace
 from .request_limits import RequestLimits
 from .request_rates import RequestRate
+from .server_notices import ServerNotices
 from .shared_quota import SharedQuota
 from .shared_retries import SharedRetryBudget
 from .software_versions import SoftwareVersions
@@ -77,8 +78,9 @@
         self.clock = clock
         now_ms = clock.monotonic_ms()
         self.configuration = None
-        self.view = FleetView()
         self._counter = ChangeCounter()
+        self.notices = ServerNotices(self._counter)
+        self.view = FleetView(self.notices)
         self.peers = PeerTable(
             VmState(
                 settings.vm_name,
@@ -406,6 +408,11 @@
         self._merge_residency()
         self.notify()
 
+    def on_notice(self):
+        """Apply that a backend server has said that it leaves."""
+        self.view.apply_notices()
+        self.notify()
+
     def remove_missing_backends(self):
         """Remove backend servers whose missing entries did not reappear in time."""
         if self._missing_since_ms:
@@ -476,6 +483,9 @@
             has_news |= self.quarantine.apply(report.quarantine, now_ms)
         if report.limits is not None:
             has_news |= self.limits.apply(report.limits, now_ms)
+        if self.notices.apply(report.leaving):
+            has_news = True
+            self.on_notice()
         if report.software is not None:
             has_news |= self.software.apply(report.software, now_ms)
         self.peers.on_vouched(report.vouched_ages, now_ms)
@@ -749,6 +759,7 @@
             limits=self.limits.part_since(since, now_ms),
             places=peers.places_for(name, since),
             knows_fleet=self.knows_fleet and peers.names_all_to(name),
+            leaving=self.notices.part_since(since),
             software=self.software.part_since(since, now_ms, peers.topology.is_mesh),
         )
 
--- a/cassiamount/fleet_view.py
+++ b/cassiamount/fleet_view.py
@@ -98,9 +98,15 @@
 
 
 class FleetView:
-    """All backend servers in the platform's list."""
+    """All backend servers in the platform's list.
 
-    def __init__(self):
+    Parameters
+    ----------
+    notices : ServerNotices
+    """
+
+    def __init__(self, notices):
+        self.notices = notices
         self.backends = {}
         # Model whose load is queued -> time at which some engine should have it ready.
         self.queued = {}
@@ -130,7 +136,7 @@
                 self.backends[name] = BackendView(record)
                 changed.append(name)
                 continue
-            if known.leaving != record.leaving:
+            if record.leaving and not known.leaving:
                 changed.append(name)
             known.record = record
             # A server that began to drain does not become available before a restart.
@@ -138,8 +144,15 @@
         self._by_service = {}
         for view in self.backends.values():
             self._by_service.setdefault(view.record.service, []).append(view)
+        self.apply_notices()
         return changed
 
+    def apply_notices(self):
+        """Let no server become available again that has said that it leaves."""
+        for view in self.backends.values():
+            if self.notices.leaves(view.record.start):
+                view.leaving = view.record.leaving = True
+
     def of_service(self, service):
         """Return the views of a service's backend servers."""
         return self._by_service.get(service, ())
@@ -158,14 +171,22 @@
             The only software version that may get it.
         """
         views = [
+            view
+            for view in self.willing(service, exclude, software)
+            if self.notices.may_send(view.record.start, now_ms)
+        ]
+        healthy = [view for view in views if view.avoided_until_ms <= now_ms]
+        return healthy or views
+
+    def willing(self, service, exclude=(), software=None):
+        """Return `usable` with the servers that want nothing from this VM for now."""
+        return [
             view
             for view in self.of_service(service)
             if not view.leaving
             and view.record.name not in exclude
             and software in (None, view.record.software)
         ]
-        healthy = [view for view in views if view.avoided_until_ms <= now_ms]
-        return healthy or views
 
     def record_sent(self, name, model):
         """Count a request that is about to be sent, and return the server's view."""
--- a/cassiamount/platform/headers.py
+++ b/cassiamount/platform/headers.py
@@ -2,9 +2,13 @@
 
 import math
 
+import structlog
+
 from ..backend_messages import ResponseMetadata
 from ..fleet import RequestMetadata
 
+log = structlog.get_logger()
+
 REQUEST_ID = b"x-cassiamount-request-id"
 DEADLINE = b"x-cassiamount-deadline-ms"
 EXPECT_INSTANCE = b"x-cassiamount-expect-instance"
@@ -22,6 +26,8 @@
 LAST_EVENT = b"last-event-id"
 RESUMES = b"resumes"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 
 # Headers that only the system may set; those of a caller are dropped.
 SYSTEM_HEADERS = frozenset(
@@ -185,9 +191,28 @@
         b"content-encoding" in values,
         b"text/event-stream" in values.get(b"content-type", b""),
         _limit_per_s(values.get(SERVER_LIMIT)),
+        values.get(SERVER_LEAVING, b"").strip() == b"1",
+        _retry_after_ms(headers) if status == 503 else None,
     )
 
 
+def _retry_after_ms(headers):
+    """Return the longest time that the headers name; None if none is a number."""
+    longest_ms = None
+    for name, value in headers:
+        if name != RETRY_AFTER:
+            continue
+        try:
+            seconds = float(value)
+        except ValueError:
+            seconds = -1.0
+        if 0 <= seconds < math.inf:
+            longest_ms = max(longest_ms or 0.0, 1000 * seconds)
+        else:
+            log.warning("retry_after_unreadable", value=value[:40].decode("latin-1"))
+    return longest_ms
+
+
 def _limit_per_s(value):
     """Return the named limit, or None if there is none or it is no such number."""
     try:
--- a/cassiamount/replica_selection.py
+++ b/cassiamount/replica_selection.py
@@ -26,6 +26,8 @@
 # Limits of the Retry-After time of refused requests.
 MIN_RETRY_AFTER_MS = 50.0
 MAX_RETRY_AFTER_MS = 5_000.0
+# All replicas that could take a request want nothing from this VM for now.
+PAUSED = "paused"
 # Retry-After time if the wait cannot be estimated.
 DEFAULT_RETRY_AFTER_MS = 700.0
 
@@ -46,7 +48,7 @@
     Parameters
     ----------
     reason : str
-        What is missing: ``no-backend``, ``model``, ``adapter`` or ``limit``.
+        What is missing: ``no-backend``, ``model``, ``adapter``, ``limit``, or `PAUSED`.
     wait_ms : float or None
         Estimated time until a replica is ready; None if unknown.
     limited : BackendView, optional
@@ -130,7 +132,9 @@
         """
         views = self._view.usable(service, now_ms, exclude, software)
         if not views:
-            return NoReplicaReady("no-backend", None)
+            return self._when_paused_ends(
+                service, now_ms, exclude, software
+            ) or NoReplicaReady("no-backend", None)
         candidates = [self._estimate_for_service(view) for view in views]
         return self._best_within_limits(candidates, now_ms, reserved)
 
@@ -203,15 +207,39 @@
         best = self._best_within_limits(candidates, now_ms, reserved)
         if isinstance(best, SelectedReplica):
             return best
+        pause = self._when_paused_ends(service, now_ms, exclude, software, metadata)
         if not usable:
-            return NoReplicaReady("no-backend", None)
+            return pause or NoReplicaReady("no-backend", None)
         missing = self._when_loaded(usable, target, metadata, now_ms)
         if best is not None and (
             missing.wait_ms is None or best.wait_ms <= missing.wait_ms
         ):
             return best
+        if pause is not None and (
+            missing.wait_ms is None or pause.wait_ms <= missing.wait_ms
+        ):
+            return pause
         return missing
 
+    def _when_paused_ends(self, service, now_ms, exclude, software, metadata=None):
+        """Return when the first replica wants requests again that could take one.
+
+        Returns
+        -------
+        NoReplicaReady or None
+            None if no such replica has asked for a pause.
+        """
+        notices = self._view.notices
+        if not notices.has_pauses:
+            return None
+        pauses_ms = [
+            notices.pause_ms(view.record.start, now_ms)
+            for view in self._view.willing(service, exclude, software)
+            if metadata is None or self._has_loaded(view, metadata)
+        ]
+        first_ms = min(filter(None, pauses_ms), default=None)
+        return None if first_ms is None else NoReplicaReady(PAUSED, first_ms)
+
     def _when_loaded(self, usable, target, metadata, now_ms):
         """Return when some replica will have loaded a model or adapter."""
         ready_in_ms = None
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -45,6 +45,10 @@
         Ends the replica's server.
     limit_per_s : str or None
         Request limit that answers name.
+    leaving : bool
+        Whether answers say that the replica leaves.
+    pause : str or None
+        If set, requests are refused with 503 and this ``Retry-After``.
     """
 
     def __init__(self, name, models=None, load_s=0.05):
@@ -65,6 +69,8 @@
         self.crashing_body = None
         self.on_crash = None
         self.limit_per_s = None
+        self.leaving = False
+        self.pause = None
 
     async def __call__(self, scope, receive, send):
         """Answer one request."""
@@ -126,6 +132,12 @@
         self.seen.append({"target": target, "body": body, **headers})
         model, _, adapter = headers.get("x-cassiamount-model", "").partition("/")
         answer = [(b"x-cassiamount-request-id", request_id.encode())]
+        if self.leaving:
+            answer.append((b"server-leaving", b"1"))
+        if self.pause is not None:
+            answer.append((b"retry-after", self.pause.encode()))
+            await _send(send, 503, [*answer, (b"x-cassiamount-not-executed", b"1")])
+            return
         if model and (
             model not in self.models or (adapter and adapter not in self.models[model])
         ):
--- a/tests/test_replica_selection.py
+++ b/tests/test_replica_selection.py
@@ -18,6 +18,7 @@
     first_byte_timeout_ms,
 )
 from cassiamount.request_limits import RequestLimits
+from cassiamount.server_notices import ServerNotices
 
 
 def record(name, service="s", zone="z1", leaving=False, started=1, models=()):
@@ -35,7 +36,7 @@
 
 
 def view_of(*records):
-    view = FleetView()
+    view = FleetView(ServerNotices(ChangeCounter()))
     view.replace({item.name: item for item in records})
     return view
 
