--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -38,6 +38,69 @@
 
 
 MUTATIONS = (
+    Mutation(
+        "no team with a limit before all VMs are known",
+        "cassiamount/fleet_relay.py",
+        "if team.rate_tokens_per_s > 0 and not state.knows_fleet:",
+        "if False:",
+        "tests/test_fleet_quota.py",
+    ),
+    Mutation(
+        "VMs that were not heard of share the rate",
+        "cassiamount/fleet_state.py",
+        "self.quota.unheard_vms = len(self.peers.unheard_vms())",
+        "self.quota.unheard_vms = 0",
+        "tests/test_fleet_quota.py",
+    ),
+    Mutation(
+        "places are told to peers",
+        "cassiamount/fleet_state.py",
+        "places=peers.places_for(name, since),",
+        "places=[],",
+        "tests/test_fleet_quota.py",
+    ),
+    Mutation(
+        "further copies only where room lacks",
+        "cassiamount/model_planner.py",
+        "return served_per_s * self._lacking_room(model)",
+        "return served_per_s",
+        "tests/test_fleet_placement.py",
+    ),
+    Mutation(
+        "streams go on at their software version",
+        "cassiamount/fleet_view.py",
+        "and software in (None, view.record.software)",
+        "and True",
+        "tests/test_stream_versions.py",
+    ),
+    Mutation(
+        "one version is the only one if the past is known",
+        "cassiamount/software_versions.py",
+        "if self._known_since_ms > now_ms - STREAM_LIFE_MS:",
+        "if False:",
+        "tests/test_software_versions.py",
+    ),
+    Mutation(
+        "streams in the store",
+        "cassiamount/software_store.py",
+        "                await self._write_streams()",
+        "                pass",
+        "tests/test_stream_versions.py",
+    ),
+    Mutation(
+        "servers that leave get nothing",
+        "cassiamount/server_notices.py",
+        "return server in self._leaving",
+        "return False",
+        "tests/test_server_notices.py",
+    ),
+    Mutation(
+        "a pause is only extended",
+        "cassiamount/server_notices.py",
+        "if until_ms <= max(now_ms, self._pauses_ms.get(server, 0.0)):",
+        "if until_ms <= now_ms:",
+        "tests/test_server_notices.py",
+    ),
     Mutation(
         "outstanding blocks count against the burst",
         "cassiamount/token_bucket.py",
--- a/tests/test_fleet_quota.py
+++ b/tests/test_fleet_quota.py
@@ -126,3 +126,23 @@
     assert world.most_tokens(WINDOW_MS) <= ALLOWED_TOKENS
     got = world.tokens_between(START_MS, world.loop.true_ms)
     assert got >= MIN_RATE_FRACTION * RATE_TOKENS_PER_S * 16.0
+
+
+def test_team_with_a_limit_waits_until_all_vms_are_known():
+    """Guards against a VM that uses a limit without knowing who shares it."""
+    world = make_world()
+    arrived = []
+
+    async def forget(world):
+        await world.sleep(1.0)
+        for vm in world.vms.values():
+            vm.state.knows_fleet = False
+        # What was admitted before is on its way.
+        from_ms = world.loop.true_ms + 1_000.0
+        await world.sleep(2.0)
+        arrived.extend(at_ms for at_ms, _, _ in world.arrivals if at_ms >= from_ms)
+        assert not any(vm.ready() for vm in world.vms.values())
+
+    world.run(4.0, forget)
+    assert world.runs
+    assert arrived == []
