--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,8 +20,6 @@
 # All bytes of one replica together, well below the 1,000 Mbit/s of a link.
 SPEED_BYTES_S = 60e6
 PART = b"a" * 65_536
-# Requests a second: the sheet's of ncl-sewfloor for three machines of seven.
-RATES = {"guide": 28, "plan": 2, "order": 8, "look": 3}
 # The rule: so many ends of a process on so many machines.
 ENDS = 3
 MACHINES = 2
@@ -52,42 +50,6 @@
         return False
 
 
-class Callers:
-    """Sound callers of all routes."""
-
-    def __init__(self, deployment):
-        self.deployment = deployment
-        self.rng = random.Random(1)
-        self.tasks = set()
-        self.counts = {}
-
-    async def send(self, route):
-        """Send one request to a VM in rotation."""
-        d = self.deployment
-        vm = self.rng.choice([vm for vm in d.vms if vm.ready] or d.vms)
-        model = [
-            ("X-Cassiamount-Model", self.rng.choice(d.models)),
-            ("X-Cassiamount-Token-Usage", "700,280"),
-            ("X-Cassiamount-Prefix-Hash", f"{self.rng.randrange(1 << 32):x}:700"),
-        ]
-        if route == "guide":
-            reply = await d.request(vm, route, limit_s=12, gap_s=2, headers=model)
-        elif route == "plan":
-            reply = await d.request(vm, route, limit_s=20, gap_s=12, headers=model)
-        else:
-            reply = await d.request(vm, route, limit_s=1.5)
-        key = (vm.name, reply.status, reply.error)
-        self.counts[key] = self.counts.get(key, 0) + 1
-
-    async def flow(self, route, per_s, until_s):
-        """Send requests of one route until a time of the record."""
-        while self.deployment.record.now() < until_s:
-            await asyncio.sleep(self.rng.expovariate(per_s))
-            task = asyncio.create_task(self.send(route))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
-
 async def play(folder):
     """Play the case; return whether the rule was broken."""
     d = harness.Deployment(folder)
@@ -95,14 +57,10 @@
         EndlessHead(old.name, old.service, old.zone, old.port, d.record, old.models)
         for old in d.engines
     ]
-    callers = Callers(d)
+    callers = harness.Callers(d)
     try:
         await d.start()
-        until_s = d.record.now() + 3 + TIMES * (TROUBLE_S + PAUSE_S)
-        flows = [
-            asyncio.create_task(callers.flow(route, per_s, until_s))
-            for route, per_s in RATES.items()
-        ]
+        flows = callers.start(3 + TIMES * (TROUBLE_S + PAUSE_S))
         await asyncio.sleep(3)
         for _ in range(TIMES):
             for replica in d.engines[:IN_TROUBLE]:
@@ -114,8 +72,7 @@
             d.record.say("trouble ends")
             await asyncio.sleep(PAUSE_S)
         await asyncio.gather(*flows)
-        for key, count in sorted(callers.counts.items(), key=str):
-            d.record.say(f"callers: {key} {count}")
+        callers.say()
         for vm in d.vms:
             d.record.say(
                 f"{vm.name}: {len(vm.own_ends)} ends, at most {vm.peak_mb} MB"
@@ -124,8 +81,7 @@
         ended = sum(len(vm.own_ends) >= ENDS for vm in d.vms)
         return ended >= MACHINES
     finally:
-        for task in list(callers.tasks):
-            task.cancel()
+        callers.stop()
         await d.close()
 
 
--- a/review/harness.py
+++ b/review/harness.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -834,6 +835,71 @@
         reply.whole = True
 
 
+# Requests a second: the sheet's of ncl-sewfloor for three machines of seven.
+RATES = {"guide": 28, "plan": 2, "order": 8, "look": 3}
+
+
+class Callers:
+    """Sound callers of all routes.
+
+    Attributes
+    ----------
+    replies : list of (str, Vm, Reply)
+        Route, VM and what the caller got, of each request that has ended.
+    """
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.rng = random.Random(1)
+        self.tasks = set()
+        self.replies = []
+
+    def start(self, length_s):
+        """Send requests for some time; return the tasks."""
+        until_s = self.deployment.record.now() + length_s
+        return [
+            asyncio.create_task(self._flow(route, per_s, until_s))
+            for route, per_s in RATES.items()
+        ]
+
+    async def _flow(self, route, per_s, until_s):
+        while self.deployment.record.now() < until_s:
+            await asyncio.sleep(self.rng.expovariate(per_s))
+            task = asyncio.create_task(self._send(route))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _send(self, route):
+        d = self.deployment
+        vm = self.rng.choice([vm for vm in d.vms if vm.ready] or d.vms)
+        model = [
+            ("X-Cassiamount-Model", self.rng.choice(d.models)),
+            ("X-Cassiamount-Token-Usage", "700,280"),
+            ("X-Cassiamount-Prefix-Hash", f"{self.rng.randrange(1 << 32):x}:700"),
+        ]
+        if route == "guide":
+            reply = await d.request(vm, route, limit_s=12, gap_s=2, headers=model)
+        elif route == "plan":
+            reply = await d.request(vm, route, limit_s=20, gap_s=12, headers=model)
+        else:
+            reply = await d.request(vm, route, limit_s=1.5)
+        self.replies.append((route, vm, reply))
+
+    def say(self):
+        """Write how many requests ended how, by VM."""
+        counts = {}
+        for route, vm, reply in self.replies:
+            key = (vm.name, route, reply.status, reply.error)
+            counts[key] = counts.get(key, 0) + 1
+        for key, count in sorted(counts.items(), key=str):
+            self.deployment.record.say(f"callers: {key} {count}")
+
+    def stop(self):
+        """Give up what still runs."""
+        for task in list(self.tasks):
+            task.cancel()
+
+
 class CannotRun(Exception):
     """The case could not be run."""
 
