--- a/review/harness.py
+++ b/review/harness.py
@@ -778,12 +778,13 @@
         request_id=None,
         channel=None,
         on_event=None,
+        path=None,
     ):
         """Send one client attempt over a new channel and return its `Reply`."""
         request_id = request_id or self.next_id()
         reply = Reply()
         lines = [
-            f"{method} /{route}/x HTTP/1.1",
+            f"{method} {path or f'/{route}/x'} HTTP/1.1",
             "Host: site.example",
             f"X-Cassiamount-Request-Id: {request_id}",
             f"X-Cassiamount-Deadline-Ms: {int(limit_s * 1000)}",
