--- a/review/harness.py
+++ b/review/harness.py
@@ -10,11 +10,13 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -764,6 +766,7 @@
             await vm.stop()
         for server in (self.store, *self.replicas):
             await server.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def next_id(self):
         """Return a new request ID."""
@@ -928,12 +931,17 @@
     """
 
     async def bounded():
+        # Whoever ends the script also ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         async with asyncio.timeout(115):
             return await play(folder)
 
     try:
         broken = asyncio.run(bounded())
-    except (CannotRun, TimeoutError, OSError) as error:
-        print(f"could not run: {error!r}")
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        print("could not run")
         sys.exit(2)
     sys.exit(1 if broken else 0)
