--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Replicas that name a request limit name a lower one while requests wait for turns."""
+"""The 33rd part of prompts crashes replicas."""
 
 import asyncio
 import random
@@ -9,152 +9,113 @@
 sys.path.insert(0, str(FOLDER.parent))
 import harness  # noqa: E402
 
-# What each replica takes in a second at first, and what it takes later.
-LIMIT_PER_S = 2.5
-LOWER_PER_S = 0.25
-# Requests a second: of the kind that may wait (objective 3 s), 2.5 times the sheet's.
-PLAN_PER_S = 10
-GUIDE_PER_S = 3
-# The rule: more than 1.5 times what the limit allows in 4 s, and 5 requests.
-WINDOW_S = 4.0
-FACTOR = 1.5
-SLACK = 5
-# A VM is bound from half a second after it has passed on an answer with the limit.
-KNOWN_S = 0.5
+# The parts that sound requests and crashing ones share, and the one that crashes.
+SHARED = ",".join(f"aa{number:06x}:10" for number in range(32))
+DEADLY = "deadbeef"
+# A replica is back after this time.
+BACK_S = 3.0
+DEADLY_PER_S = 1.0
+SOUND_PER_S = 15.0
+LENGTH_S = 45.0
+# The rule counts from the fifth crash and `StabilityMs` later.
+CRASHES = 5
 STABILITY_S = 3.0
+MOST = 3
 
 
-class LimitedReplica(harness.Replica):
-    """A replica that names `Server-Limit` in all its answers.
+class CrashingReplica(harness.Replica):
+    """A model replica that ends when it begins an answer on one part."""
 
-    Attributes
-    ----------
-    limits : list of (float, float)
-        When it began to name a limit, and which.
-    arrivals : list of float
-    """
-
-    def __init__(self, *values):
-        super().__init__(*values)
-        self.limits = []
-        self.arrivals = []
-
-    def marks(self, head):
-        """Return the headers of an answer to a request that ran."""
-        found = super().marks(head)
-        if self.limits:
-            found.append(("Server-Limit", str(self.limits[-1][1])))
-        return found
+    crashes_s = []
+    reached_s = []
+    is_down = False
 
     async def run(self, head, reader, writer):
         """Answer a request of a caller."""
-        self.arrivals.append(self.record.now())
-        return await super().run(head, reader, writer)
-
-
-def allowed(limits, begin_s):
-    """Return how many requests may arrive in the window that begins at a time."""
-    requests = 0.0
-    ends = [at_s for at_s, _ in limits[1:]] + [float("inf")]
-    for (at_s, per_s), end_s in zip(limits, ends, strict=True):
-        overlap_s = min(end_s, begin_s + WINDOW_S) - max(at_s, begin_s)
-        requests += per_s * max(0.0, overlap_s)
-    return FACTOR * requests + SLACK
+        parts = head.headers.get("x-cassiamount-prefix-hash", "").split(",")
+        if DEADLY not in {part.partition(":")[0] for part in parts[:-1]}:
+            return await super().run(head, reader, writer)
+        self.reached_s.append(self.record.now())
+        await asyncio.sleep(0.02)
+        model = head.headers["x-cassiamount-model"]
+        if not harness.TROUBLE or model not in self.models:
+            return await super().run(head, reader, writer)
+        if not self.is_down:
+            self.is_down = True
+            self.crashes_s.append(self.record.now())
+            self.record.say(f"{self.name} crashes")
+            asyncio.create_task(self.crash())
+        await asyncio.sleep(1)
+        return False
+
+    async def crash(self):
+        """End, and come back empty."""
+        self.deployment.silent.add(self.name)
+        await self.stop()
+        await asyncio.sleep(BACK_S)
+        self.restart()
+        self.is_down = False
+        await self.start()
+        self.deployment.store.put("keyed.servers", self.name, self.entry())
+        self.deployment.silent.discard(self.name)
 
 
 async def play(folder):
     """Play the case; return whether the rule was broken."""
-    d = harness.Deployment(folder, engines=3, models=("m1",))
+    d = harness.Deployment(folder, plain=1)
     d.engines = [
-        LimitedReplica(old.name, old.service, old.zone, old.port, d.record, old.models)
+        CrashingReplica(old.name, old.service, old.zone, old.port, d.record, old.models)
         for old in d.engines
     ]
+    for replica in d.engines:
+        replica.deployment = d
     rng = random.Random(1)
     tasks = set()
-    # VM -> replica -> when it first passed on an answer with the lower limit.
-    told_s = {vm.name: {} for vm in d.vms}
     counts = {}
 
-    async def send(route):
+    async def send(is_deadly):
         vm = rng.choice([vm for vm in d.vms if vm.ready] or d.vms)
+        own = f"{rng.randrange(1 << 32):x}:300"
+        parts = f"{SHARED},{DEADLY}:10,{own}" if is_deadly else f"{SHARED},{own}"
         headers = [
-            ("X-Cassiamount-Model", "m1"),
-            ("X-Cassiamount-Token-Usage", "700,280"),
-            ("X-Cassiamount-Prefix-Hash", f"{rng.randrange(1 << 32):x}:700"),
+            ("X-Cassiamount-Model", rng.choice(d.models)),
+            ("X-Cassiamount-Token-Usage", "640,100"),
+            ("X-Cassiamount-Prefix-Hash", parts),
         ]
+        reply = await d.request(vm, "guide", limit_s=12, gap_s=2, headers=headers)
+        key = ("crashing" if is_deadly else "sound", reply.status, reply.error)
+        counts[key] = counts.get(key, 0) + 1
 
-        def on_event(reply):
-            if reply.headers.get("server-limit") == str(LOWER_PER_S):
-                name = reply.headers["x-cassiamount-server-signature"].split(".")[0]
-                told_s[vm.name].setdefault(name, d.record.now())
-
-        gap_s = 12 if route == "plan" else 2
-        reply = await d.request(
-            vm, route, limit_s=20, gap_s=gap_s, headers=headers, on_event=on_event
-        )
-        counts[reply.status] = counts.get(reply.status, 0) + 1
-
-    async def flow(route, per_s, until_s):
+    async def flow(per_s, is_deadly):
+        until_s = d.record.now() + LENGTH_S
         while d.record.now() < until_s:
-            await asyncio.sleep(rng.expovariate(per_s))
-            task = asyncio.create_task(send(route))
+            await asyncio.sleep(1 / per_s)
+            task = asyncio.create_task(send(is_deadly))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
 
     try:
         await d.start()
-        until_s = d.record.now() + 38
-        flows = [
-            asyncio.create_task(flow("plan", PLAN_PER_S, until_s)),
-            asyncio.create_task(flow("guide", GUIDE_PER_S, until_s)),
-        ]
-        await asyncio.sleep(3)
-        for replica in d.engines:
-            replica.limits.append((d.record.now(), LIMIT_PER_S))
-        d.record.say(f"replicas name Server-Limit {LIMIT_PER_S}")
-        await asyncio.sleep(20)
-        if harness.TROUBLE:
-            for replica in d.engines:
-                replica.limits.append((d.record.now(), LOWER_PER_S))
-            d.record.say(f"replicas name Server-Limit {LOWER_PER_S}")
-        await asyncio.sleep(14)
-        await asyncio.gather(*flows)
-        return judge(d, told_s, counts)
+        await asyncio.sleep(1)
+        await asyncio.gather(flow(DEADLY_PER_S, True), flow(SOUND_PER_S, False))
+        await asyncio.sleep(2)
+        for key, count in sorted(counts.items(), key=str):
+            d.record.say(f"callers: {key} {count}")
+        crashes_s = CrashingReplica.crashes_s
+        if len(crashes_s) < CRASHES:
+            d.record.say(f"{len(crashes_s)} crashes")
+            return False
+        from_s = crashes_s[CRASHES - 1] + STABILITY_S
+        late = [at_s for at_s in CrashingReplica.reached_s if at_s > from_s]
+        d.record.say(
+            f"{len(crashes_s)} crashes; {len(late)} requests with the part reached a"
+            f" replica later than StabilityMs after the fifth"
+        )
+        return len(late) > MOST
     finally:
         for task in list(tasks):
             task.cancel()
         await d.close()
 
 
-def judge(d, told_s, counts):
-    """Return whether some replica got too many requests in some window."""
-    d.record.say(f"answers of all kinds: {counts}")
-    broken = False
-    for replica in d.engines:
-        bound_s = replica.limits[0][0] + STABILITY_S
-        if len(replica.limits) > 1:
-            # Be lenient: count from when all VMs have passed on the lower limit.
-            told = [by_replica.get(replica.name) for by_replica in told_s.values()]
-            if None in told:
-                d.record.say(f"{replica.name}: not all VMs passed on the lower limit")
-                continue
-            known_s = max(told) + KNOWN_S
-        else:
-            known_s = bound_s
-        worst = (0.0, 0, 0.0, 0.0)
-        for begin_s in replica.arrivals:
-            in_old = begin_s + WINDOW_S <= replica.limits[-1][0]
-            if begin_s < bound_s or (begin_s < known_s and not in_old):
-                continue
-            got = sum(begin_s <= at < begin_s + WINDOW_S for at in replica.arrivals)
-            most = allowed(replica.limits, begin_s)
-            worst = max(worst, (got / most, got, most, begin_s))
-        d.record.say(
-            f"{replica.name}: worst window of 4 s begins at {worst[3]:.2f}, with"
-            f" {worst[1]} requests, allowed are {worst[2]:.1f}"
-        )
-        broken |= worst[0] > 1
-    return broken
-
-
 harness.main(FOLDER, play)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A request that crashes replicas comes again with another query."""
+"""Models are taken out of the configuration while replicas still hold them."""
 
 import asyncio
 import random
@@ -9,48 +9,42 @@
 sys.path.insert(0, str(FOLDER.parent))
 import harness  # noqa: E402
 
-BODY = b'{"panel": "seam 7"}'
-# A replica is back after this time.
+MODELS = tuple(f"m{number}" for number in range(1, 13))
+# Held at first by the three replicas; the other models are loaded on demand.
+HELD = (("m1", "m2", "m3"), ("m4", "m5", "m6"), ("m7", "m8", "m9"))
+WITHDRAWN = ("m1", "m4", "m7")
+# As the configuration of the harness says.
+MODEL_MB = 65_100
+REPLICA_MB = 230_000
+# Time that a load takes, and that a replica is away after a crash.
+LOAD_S = 0.45
 BACK_S = 3.0
-DEADLY_PER_S = 1.0
-SOUND_PER_S = 10.0
-LENGTH_S = 45.0
-# The rule counts from the third crash and `StabilityMs` later.
-CRASHES = 3
-STABILITY_S = 3.0
-MOST = 3
 
 
-class CrashingReplica(harness.Replica):
-    """A replica that ends when it begins to run one request."""
+class SmallReplica(harness.Replica):
+    """A model replica that crashes when it is ordered to load more than it holds."""
 
-    crashes_s = []
-    reached_s = []
-    is_down = False
+    crashes = 0
 
-    async def run(self, head, reader, writer):
-        """Answer a request of a caller."""
-        if head.body != BODY:
-            return await super().run(head, reader, writer)
-        self.reached_s.append(self.record.now())
-        await asyncio.sleep(0.02)
-        if not harness.TROUBLE:
-            return await super().run(head, reader, writer)
-        if not self.is_down:
-            self.is_down = True
-            self.crashes_s.append(self.record.now())
-            self.record.say(f"{self.name} crashes by {head.first}")
-            asyncio.create_task(self.crash())
-        await asyncio.sleep(1)
-        return False
+    def _order(self, value):
+        if value["Op"] == "load" and not value.get("Adapter"):
+            held = self.models.keys() | {value["Model"]}
+            held_mb = MODEL_MB * len(held)
+            self.record.say(
+                f"{self.name} is ordered to load {value['Model']} beside"
+                f" {sorted(self.models)}: {held_mb} of {REPLICA_MB} MB"
+            )
+            if held_mb > REPLICA_MB:
+                self.crashes += 1
+                asyncio.create_task(self.crash())
+        return super()._order(value)
 
     async def crash(self):
-        """End, and come back."""
+        """End, and come back empty."""
         self.deployment.silent.add(self.name)
         await self.stop()
         await asyncio.sleep(BACK_S)
         self.restart()
-        self.is_down = False
         await self.start()
         self.deployment.store.put("keyed.servers", self.name, self.entry())
         self.deployment.silent.discard(self.name)
@@ -58,53 +52,51 @@
 
 async def play(folder):
     """Play the case; return whether the rule was broken."""
-    d = harness.Deployment(folder, engines=1)
-    d.plain = [
-        CrashingReplica(old.name, old.service, old.zone, old.port, d.record)
-        for old in d.plain
+    d = harness.Deployment(folder, engines=3, models=MODELS)
+    d.engines = [
+        SmallReplica(
+            old.name,
+            old.service,
+            old.zone,
+            old.port,
+            d.record,
+            {name: set() for name in held},
+        )
+        for old, held in zip(d.engines, HELD, strict=True)
     ]
-    for replica in d.plain:
+    for replica in d.engines:
         replica.deployment = d
     rng = random.Random(1)
-    tasks = set()
-    counts = {}
-
-    async def send(body, path):
-        vm = rng.choice([vm for vm in d.vms if vm.ready] or d.vms)
-        reply = await d.request(vm, "order", limit_s=1.5, body=body, path=path)
-        key = ("deadly" if body == BODY else "sound", reply.status, reply.error)
-        counts[key] = counts.get(key, 0) + 1
+    tasks = []
 
-    async def flow(per_s, is_deadly):
-        number = 0
-        until_s = d.record.now() + LENGTH_S
-        while d.record.now() < until_s:
-            await asyncio.sleep(1 / per_s)
-            number += 1
-            body = BODY if is_deadly else b"order %d" % number
-            task = asyncio.create_task(send(body, f"/order/x?try={number}"))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
+    async def send(model):
+        headers = [
+            ("X-Cassiamount-Model", model),
+            ("X-Cassiamount-Token-Usage", "700,280"),
+            ("X-Cassiamount-Prefix-Hash", f"{rng.randrange(1 << 32):x}:700"),
+        ]
+        await d.request(
+            rng.choice(d.vms), "plan", limit_s=20, gap_s=12, headers=headers
+        )
 
     try:
         await d.start()
-        await asyncio.sleep(1)
-        await asyncio.gather(flow(DEADLY_PER_S, True), flow(SOUND_PER_S, False))
-        await asyncio.sleep(2)
-        for key, count in sorted(counts.items(), key=str):
-            d.record.say(f"callers: {key} {count}")
-        crashes_s = CrashingReplica.crashes_s
-        if len(crashes_s) < CRASHES:
-            return False
-        from_s = crashes_s[CRASHES - 1] + STABILITY_S
-        late = [at_s for at_s in CrashingReplica.reached_s if at_s > from_s]
-        d.record.say(
-            f"{len(crashes_s)} crashes; {len(late)} times the request reached a replica"
-            f" later than StabilityMs after the third"
-        )
-        return len(late) > MOST
+        await asyncio.sleep(4)
+        if harness.TROUBLE:
+            d.models = tuple(name for name in MODELS if name not in WITHDRAWN)
+            d.publish()
+            d.record.say(f"configuration {d.version} no longer lists {WITHDRAWN}")
+            await asyncio.sleep(4)
+        for _ in range(100):
+            listed = [name for name in MODELS if name not in WITHDRAWN]
+            tasks.append(asyncio.create_task(send(rng.choice(listed))))
+            await asyncio.sleep(0.2)
+        await asyncio.gather(*tasks)
+        crashes = sum(replica.crashes for replica in d.engines)
+        d.record.say(f"{crashes} replicas were ordered to load more than they hold")
+        return crashes > 0
     finally:
-        for task in list(tasks):
+        for task in tasks:
             task.cancel()
         await d.close()
 
