--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, str(FOLDER.parent))
 import harness  # noqa: E402
 
-# One of six model replicas is in trouble, for 0.45 of its answers: `srv_grey`.
+# One of six model replicas is in trouble, for 0.45 of its answers (`srv_grey`).
 SPOILED = 0.45
 TROUBLE_S = 6.5
 PAUSE_S = 8.0
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -16,8 +16,7 @@
 # As the configuration of the harness says.
 MODEL_MB = 65_100
 REPLICA_MB = 230_000
-# Time that a load takes, and that a replica is away after a crash.
-LOAD_S = 0.45
+# A replica is back after this time.
 BACK_S = 3.0
 
 
@@ -27,17 +26,19 @@
     crashes = 0
 
     def _order(self, value):
-        if value["Op"] == "load" and not value.get("Adapter"):
-            held = self.models.keys() | {value["Model"]}
+        held = self.models.keys() | {value["Model"]}
+        before = sorted(self.models)
+        status = super()._order(value)
+        if status == 202 and value["Op"] == "load" and not value.get("Adapter"):
             held_mb = MODEL_MB * len(held)
             self.record.say(
                 f"{self.name} is ordered to load {value['Model']} beside"
-                f" {sorted(self.models)}: {held_mb} of {REPLICA_MB} MB"
+                f" {before}: {held_mb} of {REPLICA_MB} MB"
             )
             if held_mb > REPLICA_MB:
                 self.crashes += 1
                 asyncio.create_task(self.crash())
-        return super()._order(value)
+        return status
 
     async def crash(self):
         """End, and come back empty."""
--- a/review/harness.py
+++ b/review/harness.py
@@ -26,6 +26,9 @@
 RESTART_S = 0.5
 HEARTBEAT_S = 1.2
 MEMORY_MB = 300
+# Times of a load from the weight store, and from the replica's own disk.
+LOAD_S = 3.8
+DISK_LOAD_S = 0.76
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -271,6 +274,11 @@
     )
 
 
+def _request_id(head):
+    name = "X-Cassiamount-Request-Id"
+    return name, head.headers.get(name.lower(), "")
+
+
 class Replica(Server):
     """A replica of a service; with `models` it is a model replica."""
 
@@ -289,6 +297,13 @@
         self.slots = 6 if models is None else 48
         self.ran = []
         self.running = 0
+        self.is_busy = False
+        # The model that an order concerns, until the order is complete.
+        self.ordered = None
+        # Models with a copy on the replica's own disk, which a restart preserves.
+        self.on_disk = set(models or ())
+        self.running_by_model = {}
+        self.tasks = set()
         self.events = 20
         self.event_s = 0.02
         self.work_s = 0.03
@@ -296,7 +311,10 @@
     def restart(self):
         """Forget everything, as a replica that starts again under its name."""
         self.orders = self.fence = self.beats = self.running = 0
-        self.born = int(time.time() * 1000)
+        self.is_busy, self.ordered = False, None
+        self.running_by_model = {}
+        # Never at or before the start before.
+        self.born = max(self.born + 1, int(time.time() * 1000))
         if self.models is not None:
             self.models = {}
 
@@ -317,8 +335,12 @@
         if self.models is not None:
             value["Phase"] = "mixed"
             value["Models"] = self._held()
+            value["Available"] = self._available()
         return value
 
+    def _available(self):
+        return {"InMemory": [], "OnDisk": sorted(self.on_disk)}
+
     def _held(self):
         return [
             {"Name": name, "Version": 1, "Adapters": sorted(held)}
@@ -331,7 +353,7 @@
         expected = head.headers.get("x-cassiamount-expect-instance")
         instance = ("X-Cassiamount-Instance-Id", self.name)
         if expected not in (None, self.name):
-            writer.write(answer(421, b"", [instance]))
+            writer.write(answer(421, b"", [instance, _request_id(head)]))
         elif target == "/report":
             writer.write(_json(self._report()))
         elif target == "/order":
@@ -346,7 +368,8 @@
         return {
             "Phase": "mixed",
             "Models": self._held() if self.models is not None else [],
-            "Busy": False,
+            "Busy": self.is_busy,
+            "Available": self._available(),
             "Seq": self.orders,
             "Queued": 0,
             "Active": self.running,
@@ -357,22 +380,46 @@
         }
 
     def _order(self, value):
+        """Take an order; return the status of the answer."""
+        if "Holder" not in value or "FencingToken" not in value:
+            return 400
         if value["FencingToken"] < self.fence:
             return 412
         self.fence = value["FencingToken"]
-        if value.get("Expect", self.orders) != self.orders:
+        if self.is_busy or value.get("Expect", self.orders) != self.orders:
             return 409
-        self.orders += 1
         model, adapter = value["Model"], value.get("Adapter")
+        is_load = value["Op"] == "load"
         if adapter:
-            held = self.models.get(model, set())
-            held.add(adapter) if value["Op"] == "load" else held.discard(adapter)
-        elif value["Op"] == "unload":
-            self.models.pop(model, None)
-        else:
-            self.models[model] = set()
+            held = self.models.get(model)
+            if held is None:
+                return 400
+            if (adapter in held) == is_load:
+                return 200
+            self.orders += 1
+            held.add(adapter) if is_load else held.discard(adapter)
+            return 202 if is_load else 200
+        if (model in self.models) == is_load:
+            return 200
+        self.orders += 1
+        self.is_busy, self.ordered = True, model
+        self.tasks.add(asyncio.create_task(self._carry_out(is_load, model, self.born)))
         return 202
 
+    async def _carry_out(self, is_load, model, born):
+        if is_load:
+            await asyncio.sleep(DISK_LOAD_S if model in self.on_disk else LOAD_S)
+        while not is_load and self.running_by_model.get(model):
+            await asyncio.sleep(0.01)
+        if self.born != born:
+            return
+        if is_load:
+            self.models[model] = set()
+            self.on_disk.add(model)
+        else:
+            self.models.pop(model, None)
+        self.is_busy, self.ordered = False, None
+
     def marks(self, head):
         """Return the headers of an answer to a request that ran."""
         request_id = head.headers.get("x-cassiamount-request-id", "")
@@ -391,14 +438,22 @@
             writer.write(answer(200, b"done " + request_id.encode(), self.marks(head)))
             return True
         model = head.headers["x-cassiamount-model"].partition("/")[0]
+        not_run = [("X-Cassiamount-Not-Executed", "1"), _request_id(head)]
+        if self.ordered == model:
+            writer.write(answer(503, b"", not_run))
+            return True
         if model not in self.models:
-            writer.write(answer(421, b"", [("X-Cassiamount-Not-Executed", "1")]))
+            writer.write(answer(421, b"", not_run))
             return True
         self._begin(request_id)
+        running, born = self.running_by_model, self.born
+        running[model] = running.get(model, 0) + 1
         try:
             await self._stream(head, writer)
         finally:
-            self.running -= 1
+            running[model] -= 1
+            if self.born == born:
+                self.running -= 1
         return True
 
     def _begin(self, request_id):
@@ -627,8 +682,8 @@
     def configuration(self):
         """Return the newest configuration with a higher version."""
         self.version += 3
-        model = {"LoadTimeS": 3.8, "WeightsMb": 65100, "Adapters": 4}
-        model |= {"AdapterSizeMb": 12, "MemoryLoadS": 0.45, "DiskLoadS": 0.76}
+        model = {"LoadTimeS": LOAD_S, "WeightsMb": 65100, "Adapters": 4}
+        model |= {"AdapterSizeMb": 12, "MemoryLoadS": 0.45, "DiskLoadS": DISK_LOAD_S}
 
         def route(name, kind, service, **more):
             return {
