Log how a VM's process starts and ends, its memory, descriptors and restarted tasks

Change: process_starting and process_ending around everything; settings faults are log lines too; vm_load has memory, its peak, descriptors and the number of restarted tasks.

--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -18,6 +18,7 @@
 from .peer_exchange import PeerExchange
 from .peer_topology import VmPlace, decode_place, encode_place
 from .peer_transport import PeerTransport
+from .process_usage import process_usage
 from .quarantine_store import QuarantineStore
 from .replica_selection import ReplicaSelector, SentPrefixIndex
 from .serving import EdgeServer, open_listener
@@ -128,6 +129,7 @@
             self._exchange.exchange_soon,
         )
         self._edge = FleetEdge(self.state, self._relay, platform.codec.decode_request)
+        self._supervisor = Supervisor("vm", clock)
         self._stop_requested = asyncio.Event()
         self._stop_requested_ms = None
         self._servers = {}
@@ -171,7 +173,7 @@
         log.info(
             "started", zone=self._settings.zone, first_start=self._settings.first_start
         )
-        supervisor = Supervisor("vm", self._clock)
+        supervisor = self._supervisor
         for stream in (CONFIGURATION, BACKENDS):
             follower = StoreFollower(
                 stream, self._platform.store, self.state, self._on_store_change
@@ -313,7 +315,13 @@
                 self._exchange.exchange_soon(name)
             if now_ms - logged_ms >= LOAD_LOG_INTERVAL_MS:
                 logged_ms = now_ms
-                log.info("vm_load", **self._stats.take(), **self._controller.status())
+                log.info(
+                    "vm_load",
+                    **self._stats.take(),
+                    **self._controller.status(),
+                    **process_usage(),
+                    task_restarts=self._supervisor.restarts,
+                )
 
     async def _drain(self):
         """Finish accepted requests, and stop accepting new ones."""
--- a/cassiamount/platform/__main__.py
+++ b/cassiamount/platform/__main__.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from pathlib import Path
+from platform import machine, python_version
 
 import structlog
 
@@ -13,6 +14,7 @@
 from ..errors import InvariantViolation
 from ..fleet_node import FleetNode, PlatformAdapter
 from ..logs import configure_logs
+from ..process_usage import process_usage
 from ..supervisor import RestartLimitReached
 from . import documents, headers
 from .engines import EngineClient
@@ -34,21 +36,42 @@
 
 def main():
     """Run until SIGTERM; return the exit status."""
+    configure_logs("info", BoundedStream(sys.stdout.fileno()), cached=True)
+    log = structlog.get_logger()
+    log.info(
+        "process_starting",
+        pid=os.getpid(),
+        python=python_version(),
+        machine=machine(),
+    )
+    status = run()
+    log.info("process_ending", status=status, **process_usage())
+    return status
+
+
+def run():
+    """Read the settings and run the VM; return the exit status."""
+    log = structlog.get_logger()
     file_name = os.environ.get(FILE_VARIABLE, "")
     try:
         text = Path(file_name).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
+        log.error("settings_unreadable", error=str(error))
         print(f"cannot read {FILE_VARIABLE}={file_name}: {error}", file=sys.stderr)
         return EXIT_FAILURE
     decoded = decode_settings(text, file_name)
     if decoded.is_err():
-        for finding in decoded.unwrap_err():
-            print(finding, file=sys.stderr)
+        findings = [str(finding) for finding in decoded.unwrap_err()]
+        log.error("settings_not_taken", findings=findings)
+        print(*findings, sep="\n", file=sys.stderr)
         return EXIT_FINDINGS
     settings = decoded.unwrap()
-    configure_logs("info", BoundedStream(sys.stdout.fileno()), cached=True)
     structlog.contextvars.bind_contextvars(vm=settings.vm_name)
-    return asyncio.run(serve(settings, file_name))
+    try:
+        return asyncio.run(serve(settings, file_name))
+    except Exception as error:
+        log.exception("stopped_with_failure", error=repr(error))
+        return EXIT_FAILURE
 
 
 async def serve(settings, file_name):
--- a/cassiamount/supervisor.py
+++ b/cassiamount/supervisor.py
@@ -69,6 +69,11 @@
         """The registered children with their state and restart counts."""
         return tuple(self._children)
 
+    @property
+    def restarts(self):
+        """How often children were started again."""
+        return sum(child.restarts for child in self._children)
+
     async def run(self):
         """Run all children until one that is essential fails for good.
 
