--- a/tests/soak.py
+++ b/tests/soak.py
@@ -75,8 +75,8 @@
         self.ending = None
         self.busy = asyncio.Lock()
 
-    async def start(self):
-        """Start the process and wait until the VM is ready."""
+    async def spawn(self, **environment):
+        """Start the process."""
         with self.log_file.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -84,9 +84,21 @@
                 "cassiamount.platform",
                 stdout=log,
                 stderr=log,
-                env={**os.environ, FILE_VARIABLE: str(self.settings_file)},
+                env={
+                    **os.environ,
+                    FILE_VARIABLE: str(self.settings_file),
+                    **environment,
+                },
             )
         self.ending = None
+
+    async def start(self, **environment):
+        """Start the process and wait until the VM is ready."""
+        await self.spawn(**environment)
+        await self.wait_ready()
+
+    async def wait_ready(self):
+        """Wait until the VM is ready."""
         async with asyncio.timeout(STEP_TIMEOUT_S):
             while not await self.is_ready():
                 if self.process.returncode is not None:
--- /dev/null
+++ b/tests/test_vm_start.py
@@ -0,0 +1,112 @@
+"""Tests of the start of VM processes: signals, settings, ports and libraries."""
+
+import asyncio
+import contextlib
+import os
+import signal
+
+import orjson
+import pytest
+import pytest_asyncio
+
+from cassiamount.platform.settings import decode_settings
+from tests.fleet_fixtures import TIMEOUT_S, Fleet, configuration
+from tests.soak import VmProcess
+
+# Stands in for a library: tells that it is being imported, and waits to be let go on.
+HELD_LIBRARY = """
+import os, pathlib, sys, time
+folder = pathlib.Path(__file__).parent.parent
+(folder / "importing").touch()
+while not (folder / "go").exists():
+    time.sleep(0.01)
+sys.path.remove(str(folder))
+del sys.modules["grpc"]
+import grpc
+"""
+
+
+class Vm(VmProcess):
+    """A VM's process, its log and the deployment around it."""
+
+    def __init__(self, fleet, folder, name="vm-1"):
+        super().__init__(name, 1, fleet.store_port, folder)
+        self.fleet = fleet
+        self.text = self.settings_file.read_text()
+        fleet.settings[name] = decode_settings(self.text, "boot.yaml").unwrap()
+
+    def logged(self, event):
+        """Return the log lines of an event."""
+        lines = self.log_file.read_text().splitlines() if self.log_file.exists() else ()
+        entries = [orjson.loads(line) for line in lines if line.startswith("{")]
+        return [entry for entry in entries if entry["event"] == event]
+
+    async def until(self, condition):
+        """Wait until a condition is true; fail if the process ends before."""
+        async with asyncio.timeout(TIMEOUT_S):
+            while not condition():
+                assert self.process.returncode is None, self.log_file.read_text()
+                await asyncio.sleep(0.01)
+
+    async def until_logged(self, event, count=1):
+        await self.until(lambda: len(self.logged(event)) >= count)
+
+    async def serves(self):
+        """Wait until the VM is ready, and return the status of a request."""
+        await self.wait_ready()
+        status, _, _ = await self.fleet.send_request(self.name, "/look/1", "GET")
+        return status
+
+    async def ended(self):
+        async with asyncio.timeout(TIMEOUT_S):
+            return await self.process.wait()
+
+
+@pytest_asyncio.fixture
+async def vm(tmp_path):
+    fleet = Fleet()
+    await fleet.start()
+    fleet.store.put("keyed.op", "config", configuration())
+    await fleet.add_replica("shop-1", "shop")
+    await fleet.add_replica("llm-1", "llm", models={"m1": []})
+    vm = Vm(fleet, tmp_path)
+    yield vm
+    if vm.process is not None and vm.process.returncode is None:
+        vm.process.kill()
+        await vm.process.wait()
+    await fleet.stop()
+
+
+async def start_held(vm, folder):
+    """Start a process and hold it in the import of its libraries."""
+    library = folder / "held" / "grpc"
+    library.mkdir(parents=True)
+    (library / "__init__.py").write_text(HELD_LIBRARY)
+    paths = [str(library.parent), *filter(None, [os.environ.get("PYTHONPATH")])]
+    await vm.spawn(PYTHONPATH=os.pathsep.join(paths))
+    await vm.until((library.parent / "importing").exists)
+    return library.parent / "go"
+
+
+async def test_hangup_while_starting_does_not_end_the_process(vm, tmp_path):
+    """Guards against a changed settings file that ends a VM at its start."""
+    go = await start_held(vm, tmp_path)
+    for _ in range(20):
+        with contextlib.suppress(ProcessLookupError):
+            vm.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.005)
+    go.touch()
+    assert await vm.serves() == 200
+    vm.process.send_signal(signal.SIGTERM)
+    assert await vm.ended() == 0
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+async def test_stop_while_starting_is_a_clean_end(vm, tmp_path, number):
+    """Guards against a stopped VM that counts as failed or starts all the same."""
+    go = await start_held(vm, tmp_path)
+    vm.process.send_signal(number)
+    go.touch()
+    assert await vm.ended() == 0, vm.log_file.read_text()
+    assert [entry["status"] for entry in vm.logged("process_ending")] == [0]
+    assert not vm.logged("started")
