Wait for settings that are whole, at the start and at reloads

What callers saw: a VM that started while its settings file was empty, cut off or missing ended at once with status 2 or 1, though the file was whole a moment later.

Cause: the file was read once, at one moment, at the start, and at a reload it was taken as it was found; a cut file can be valid with limits missing. The watcher read it a second time when it began, so that a change between the two readings was lost, and an error in that reading ended the watcher without a line. Values for which the YAML parser raises other errors than its own (dates, deep nesting) ended the start with a traceback, and seeds, ports and numbers of a wrong form were taken.

Change: `SettingsFile` reads the file before the imports and after them, and takes what is valid and has not changed for 0.2 s; a start waits up to 10 s, with one `settings_awaited` line for each new set of findings, and ends as before after that. A reload follows the same rule, compares with what was taken, and is a supervised task.

A file that is valid, cut off and left so for longer than 0.2 s is still taken.

--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -139,6 +139,10 @@
         for address in settings.seed_addresses:
             self.state.add_address(f"seed {address}", address)
 
+    def supervise(self, name, start):
+        """Run a task beside those of the VM, which can do without it."""
+        self._supervisor.add(name, start, essential=False)
+
     def request_stop(self):
         """Begin a graceful stop."""
         if self._stop_requested_ms is None:
--- a/cassiamount/platform/__main__.py
+++ b/cassiamount/platform/__main__.py
@@ -1,5 +1,6 @@
 """Starts one VM of the system on the users' platform."""
 
+import os
 import sys
 
 from ..process_signals import ProcessSignals
@@ -8,10 +9,19 @@
 def main():
     """Run until SIGTERM; return the exit status."""
     signals = ProcessSignals()
-    # Most of the start is the import of libraries, and signals come meanwhile too.
+    # Most of the start is the import of libraries. Signals come meanwhile too, and the
+    # settings file is read before and after, so that it is not taken while it changes.
+    from ..clock import SystemClock
+    from ..settings_file import SettingsFile
+    from .settings import FILE_VARIABLE, decode_settings
+
+    file = SettingsFile(
+        os.environ.get(FILE_VARIABLE, ""), decode_settings, SystemClock()
+    )
+    file.read()
     from .process import run_process
 
-    return run_process(signals)
+    return run_process(signals, file)
 
 
 if __name__ == "__main__":
--- a/cassiamount/platform/settings.py
+++ b/cassiamount/platform/settings.py
@@ -1,5 +1,7 @@
 """Decodes the platform's settings file."""
 
+import math
+
 import yaml
 from result import Err, Ok
 
@@ -51,7 +53,8 @@
     """
     try:
         document = yaml.safe_load(text)
-    except yaml.YAMLError as error:
+    except Exception as error:
+        # Besides its own errors the parser lets through those of values, such as dates.
         mark = getattr(error, "problem_mark", None)
         line = 1 if mark is None else mark.line + 1
         return Err([Finding(f"{file_name}:{line}:1", "invalid YAML")])
@@ -72,11 +75,7 @@
             findings.append(Finding(place, f"is {value!r}, which has the wrong type"))
         else:
             values[name] = value
-    for name in ("caller_address", "ready_address", "peer_address", "store_address"):
-        if isinstance(values.get(name), str) and not _is_address(values[name]):
-            findings.append(
-                Finding(file_name, f"{values[name]!r} is not an IP:port address")
-            )
+    findings += _value_findings(values, file_name)
     if findings:
         return Err(findings)
     # The share is one of a core that is this many times as fast.
@@ -84,6 +83,26 @@
     return Ok(VmSettings(**values))
 
 
+def _value_findings(values, file_name):
+    """Return the faults of values that have the right type."""
+    findings = []
+    for name in ("caller_address", "ready_address", "peer_address", "store_address"):
+        if isinstance(values.get(name), str) and not _is_address(values[name]):
+            findings.append(
+                Finding(file_name, f"{values[name]!r} is not an IP:port address")
+            )
+    for seed in values.get("seed_addresses", ()):
+        if not (isinstance(seed, str) and _is_address(seed)):
+            findings.append(Finding(file_name, f"seed {seed!r} is no IP:port address"))
+    for port in values.get("free_ports", ()):
+        if not (type(port) is int and 0 < port < 65536):
+            findings.append(Finding(file_name, f"{port!r} is not a port"))
+    for name, value in values.items():
+        if isinstance(value, float) and not math.isfinite(value):
+            findings.append(Finding(file_name, f"{name} is {value!r}"))
+    return findings
+
+
 def _find(document, path):
     for step in path:
         if not isinstance(document, dict):
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -65,6 +65,11 @@
         (("RevokeMs: 5000", "RevokeMs: soon"), ["RevokeMs"]),
         (("NodeName: v1\nZone: z1", ""), ["NodeName", "Zone"]),
         (("NodeName: v1", "NodeName: ["), ["YAML"]),
+        (("NodeName: v1", "NodeName: 2001-13-45"), ["YAML"]),
+        (("Unknown: [1]", "Unknown: " + "[" * 5_000), ["YAML"]),
+        (("Unknown: [1]", 'Seeds: ["10.0.0.9:90", 7]'), ["seed 7"]),
+        (("Unknown: [1]", "PortRange: [70000, a]"), ["70000", "'a'"]),
+        (("Unknown: [1]", "HeartbeatMs: .inf"), ["heartbeat_ms", "inf"]),
     ],
 )
 def test_wrong_settings_are_reported_together(change, found):
--- a/tests/test_vm_start.py
+++ b/tests/test_vm_start.py
@@ -57,6 +57,9 @@
         status, _, _ = await self.fleet.send_request(self.name, "/look/1", "GET")
         return status
 
+    def output(self):
+        return self.log_file.read_text()
+
     async def ended(self):
         async with asyncio.timeout(TIMEOUT_S):
             return await self.process.wait()
@@ -110,3 +113,45 @@
     assert await vm.ended() == 0, vm.log_file.read_text()
     assert [entry["status"] for entry in vm.logged("process_ending")] == [0]
     assert not vm.logged("started")
+
+
+@pytest.mark.parametrize("part", [0.0, 0.1, 0.3, 0.5, None])
+async def test_settings_file_that_is_being_written(vm, part):
+    """Guards against a VM that ends because its settings file is not whole yet."""
+    if part is None:
+        vm.settings_file.unlink()
+    else:
+        vm.settings_file.write_text(vm.text[: int(len(vm.text) * part)])
+    await vm.spawn()
+    await vm.until_logged("settings_awaited")
+    vm.settings_file.write_text(vm.text)
+    assert await vm.serves() == 200
+    assert len(vm.logged("settings_awaited")) == 1
+
+
+@pytest.mark.parametrize(("text", "status"), [("Zone: z1\n", 2), (None, 1)])
+async def test_settings_that_stay_wrong(vm, text, status):
+    """Guards against a VM that waits for ever, or ends without its reasons."""
+    vm.settings_file.unlink()
+    if text is not None:
+        vm.settings_file.write_text(text)
+    await vm.spawn()
+    assert await vm.ended() == status
+    assert "NodeName" in vm.output() if text else "No such file" in vm.output()
+
+
+async def test_settings_are_followed_from_the_start(vm, tmp_path):
+    """Guards against a change that is lost between two readings of the file."""
+    go = await start_held(vm, tmp_path)
+    vm.settings_file.write_text(vm.text.replace("RevokeMs: 5000", "RevokeMs: 4000"))
+    go.touch()
+    assert await vm.serves() == 200
+    vm.settings_file.unlink()
+    await vm.until_logged("settings_unreadable")
+    for limit_ms in (3000, 2000):
+        taken = len(vm.logged("settings_taken"))
+        text = vm.text.replace("RevokeMs: 5000", f"RevokeMs: {limit_ms}")
+        vm.settings_file.write_text(text)
+        vm.process.send_signal(signal.SIGHUP)
+        await vm.until_logged("settings_taken", taken + 1)
+    assert vm.logged("settings_taken")[-1]["changed"] == ["key_limit_ms"]
