Let no failing task end a VM

Callers saw: a task that failed six times in 30 s ended the process (RestartLimitReached), and requests in flight were cut, because the failure was raised before the drain. One odd answer of a dependency did so on every VM.

Cause: every child of the supervisor was essential, and a restart limit ended the others.

Half-changed state of a restarted task: - orders: an engine stayed marked as changing for ever; the task now begins as after a lost lease, with new placements that ask the engines for their state. A change that fails otherwise than an order does asks for the engine's state, and waits. - software: what was marked as written begins anew. - follow-*: records that failed to be applied to the rest are applied with the next read. - lease: whether the VM is a member of the group outlives the restart. - load-poller (own stack): the polls ended with the task until the next configuration, and one odd answer ended the polls of its server. announce, quarantine, exchange and review recompute what they need; followers, appenders, coordinator and dispatcher of the own stack were made for restarts.

--- a/cassiamount/daemon.py
+++ b/cassiamount/daemon.py
@@ -12,7 +12,6 @@
 from .logs import configure_logs
 from .node import Node
 from .settings import parse_settings
-from .supervisor import RestartLimitReached
 
 EXIT_FAILURE = 1
 EXIT_FINDINGS = 2
@@ -56,7 +55,7 @@
         loop.add_signal_handler(number, node.request_stop)
     try:
         await node.run()
-    except (InvariantViolation, RestartLimitReached) as error:
+    except InvariantViolation as error:
         structlog.get_logger().error("stopped_with_failure", error=str(error))
         return EXIT_FAILURE
     return 0
--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -83,6 +83,8 @@
         self._tasks = BackgroundTasks()
         self._wake = asyncio.Event()
         self._active = False
+        # Whether this VM has joined the lease's group and not left it.
+        self._is_member = False
         self._report_slots = asyncio.Semaphore(MAX_CONCURRENT_REPORTS)
 
     def wake(self):
@@ -93,14 +95,13 @@
     async def renew_lease(self):
         """Request and renew the order lease until this VM stops."""
         member = self._state.settings.vm_name
-        is_member = False
         while not self._state.stopping:
-            if not self._state.seeks_lease(is_member):
-                if is_member:
-                    is_member = not await self._leave_lease()
+            if not self._state.seeks_lease(self._is_member):
+                if self._is_member:
+                    self._is_member = not await self._leave_lease()
                 await asyncio.sleep(RENEW_INTERVAL_MS / 1000)
                 continue
-            is_member = True
+            self._is_member = True
             sent_ms = self._state.now_ms()
             try:
                 answer = await self._store.join_lease(
@@ -145,6 +146,8 @@
 
     async def run(self):
         """Plan periodically while this VM holds the order lease."""
+        # An earlier run may have failed after marking engines as changing.
+        self._deactivate()
         while True:
             is_idle = not self._lease.granted and not self._active
             try:
@@ -284,13 +287,14 @@
             for victim in change.victims:
                 await self._unload(placement, engine, victim)
             await self._load(placement, engine, change)
-        except OrderFailed as error:
+        except Exception as error:
             engine.retry_at_ms = self._state.now_ms() + CHANGE_RETRY_MS
+            self._check_failure(engine, error)
             log.info(
                 "placement_change_failed",
                 engine=change.engine,
                 model=change.model,
-                reason=str(error),
+                reason=str(error) or repr(error),
             )
         finally:
             engine.last_order_ms = self._state.now_ms()
@@ -300,6 +304,12 @@
             self._publish(placement, engine)
             self.wake()
 
+    def _check_failure(self, engine, error):
+        """Log a failure that is no outcome of an order, and ask for the engine anew."""
+        if not isinstance(error, OrderFailed):
+            engine.accepted_orders = None
+            log.error("engine_change_broken", engine=engine.record.name, exc_info=error)
+
     async def _unload(self, placement, engine, victim):
         if victim not in engine.ready:
             return
@@ -372,12 +382,13 @@
             if change.model in engine.ready:
                 engine.ready[change.model].add(change.adapter)
                 engine.adapter_used_ms[key] = self._state.now_ms()
-        except OrderFailed as error:
+        except Exception as error:
+            self._check_failure(engine, error)
             log.info(
                 "adapter_load_failed",
                 engine=change.engine,
                 adapter=target_name(*key),
-                reason=str(error),
+                reason=str(error) or repr(error),
             )
             await asyncio.sleep(ORDER_RETRY_MS / 1000)
         finally:
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -141,7 +141,7 @@
 
     def supervise(self, name, start):
         """Run a task beside those of the VM, which can do without it."""
-        self._supervisor.add(name, start, essential=False)
+        self._supervisor.add(name, start)
 
     def request_stop(self):
         """Begin a graceful stop."""
@@ -169,7 +169,7 @@
             self._exchange.exchange_soon()
 
     async def run(self):
-        """Run until a stop is requested or an essential task fails permanently."""
+        """Run until a stop is requested; tasks that fail are started again."""
         await self._platform.store.start()
         await self._platform.engines.start()
         await self._exchange.start()
@@ -196,10 +196,10 @@
         stopping = asyncio.create_task(self._stop_requested.wait())
         try:
             await asyncio.wait([running, stopping], return_when=asyncio.FIRST_COMPLETED)
+            self.request_stop()
+            await self._drain()
             if running.done():
                 running.result()
-                self.request_stop()
-            await self._drain()
         finally:
             running.cancel()
             stopping.cancel()
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -111,6 +111,8 @@
             name: collections.deque(maxlen=MAX_RELAYED_POSITIONS)
             for name in self.streams
         }
+        # Streams with records in the view that failed to be applied to the rest.
+        self._half_applied = set()
         # Until a call fails, so that VMs that start together agree on who reads.
         self.store_reachable = True
         self.store_failed_ms = -float("inf")
@@ -288,6 +290,8 @@
         """
         view = self.streams[stream]
         before_offset, before_keys = view.next_offset, set(view.values)
+        was_half_applied = stream in self._half_applied
+        self._half_applied.add(stream)
         if from_offset is None:
             if view.next_offset is not None and next_offset < view.next_offset:
                 log.info(
@@ -306,7 +310,8 @@
             before_offset is None or era_of(before_offset) < era_of(view.next_offset)
         ):
             self._begin_era(stream, before_offset, before_keys - view.values.keys())
-        if not changed:
+        if not changed and not was_half_applied:
+            self._half_applied.discard(stream)
             return
         if source == FROM_STORE:
             self._peer_positions[stream].clear()
@@ -316,6 +321,7 @@
             self._apply_configuration(source)
         else:
             self._apply_backends()
+        self._half_applied.discard(stream)
 
     def _begin_era(self, stream, before_offset, lost):
         """Enter another era of the store, or the first one that this VM knows of."""
@@ -350,8 +356,8 @@
         before = self.configuration
         if before is not None and configuration.version <= before.version:
             return
-        self.configuration = configuration
         self.quota.set_teams(configuration.teams, self.now_ms())
+        self.configuration = configuration
         log.info(
             "configuration_taken",
             version=configuration.version,
--- a/cassiamount/load_poller.py
+++ b/cassiamount/load_poller.py
@@ -46,12 +46,19 @@
         self._rng = rng
         self._metrics = metrics
         self._tasks = {}
+        # Last configuration received.
+        self._configuration = None
 
     async def run(self):
         """Poll until cancelled."""
         try:
+            if self._configuration is not None:
+                # An earlier run failed, and ended its polls.
+                self._update_polls(self._configuration)
             while True:
-                self._update_polls(await self.mailbox.receive())
+                configuration = await self.mailbox.receive()
+                self._update_polls(configuration)
+                self._configuration = configuration
         finally:
             for task in self._tasks.values():
                 task.cancel()
@@ -75,17 +82,19 @@
             while True:
                 try:
                     report = await client.load()
-                except PlatformUnavailable as error:
-                    if not missed:
-                        log.warning("load_unknown", backend=name, error=str(error))
-                    missed = True
-                    self._metrics.count("load_reports_missed_total", backend=name)
-                else:
-                    missed = False
                     for listener in self._listeners:
                         listener.send(LoadReported(report))
                     if kind == "engine":
                         await self._poll_cache(client, name, report, cursor)
+                    missed = False
+                except Exception as error:
+                    if not isinstance(error, PlatformUnavailable) and not missed:
+                        # One odd answer must not end the polls of a server.
+                        log.error("load_poll_failed", backend=name, exc_info=error)
+                    elif not missed:
+                        log.warning("load_unknown", backend=name, error=str(error))
+                    missed = True
+                    self._metrics.count("load_reports_missed_total", backend=name)
                 await asyncio.sleep(self._interval_ms() / 1000)
         finally:
             await client.close()
--- a/cassiamount/node.py
+++ b/cassiamount/node.py
@@ -294,7 +294,6 @@
         ------
         InvariantViolation
             If requests were cut off because the drain limit passed.
-        RestartLimitReached
         """
         self.streams.config.follower.add_listener(self._on_config_followed)
         for stream in self.streams.claims:
--- a/cassiamount/platform/process.py
+++ b/cassiamount/platform/process.py
@@ -13,7 +13,6 @@
 from ..fleet_node import FleetNode, PlatformAdapter
 from ..logs import configure_logs
 from ..process_usage import process_usage
-from ..supervisor import RestartLimitReached
 from . import documents, headers
 from .engines import EngineClient
 from .settings import FILE_VARIABLE
@@ -96,7 +95,7 @@
         if signals.stop_requested:
             return 0
         await node.run()
-    except (InvariantViolation, RestartLimitReached) as error:
+    except InvariantViolation as error:
         structlog.get_logger().error("stopped_with_failure", error=str(error))
         return EXIT_FAILURE
     finally:
--- a/cassiamount/software_store.py
+++ b/cassiamount/software_store.py
@@ -118,6 +118,8 @@
     async def run(self):
         """Load what the store has, and write changes, forever."""
         state = self._state
+        # An earlier run may have failed before it wrote what it had marked as written.
+        self._reset()
         while True:
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
             if (
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -6,7 +6,9 @@
 import pytest
 import structlog
 
+from cassiamount import supervisor
 from cassiamount.crash_quarantine import MIN_CRASHES, WaitingRequest
+from cassiamount.fleet_controller import FleetController
 from tests.fleet_fixtures import KEY, TIMEOUT_S, Fleet, configuration
 
 STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
@@ -394,3 +396,59 @@
     writer.write(data)
     assert (await reader.readline()).split()[1] == status
     writer.close()
+
+
+@pytest.mark.parametrize(
+    ("part", "name"),
+    [
+        (lambda node: node._platform.store, "read"),
+        (lambda node: node._platform.store, "join_lease"),
+        (lambda node: node._controller, "_plan_all"),
+        (lambda node: node.state, "review_peers"),
+        (lambda node: node._exchange, "_update_links"),
+    ],
+    ids=["follow", "lease", "orders", "review", "exchange"],
+)
+async def test_vm_with_a_task_that_always_fails_serves_on(
+    fleet, monkeypatch, part, name
+):
+    """Guards against a VM that ends, and cuts its callers, because a task fails."""
+    monkeypatch.setattr(supervisor, "MAX_RESTART_DELAY_MS", 10, raising=False)
+    node = await fleet.add_vm("v1")
+    await fleet.wait_until(lambda: node.state.may_order())
+
+    def fail(*arguments):
+        raise TypeError("of another type")
+
+    setattr(part(node), name, fail)
+    vm = fleet._tasks["v1"]
+    await fleet.wait_until(lambda: node._supervisor.restarts > 10 or vm.done())
+    assert not vm.done()
+    assert (await fleet.send_request("v1", "/buy/x"))[0] == 200
+    delattr(part(node), name)
+    fleet.store.put("keyed.op", "config", configuration(7))
+    await fleet.wait_until(lambda: node.state.configuration.version == 7)
+    for model in ("m1", "m2"):
+        status = await fleet.send_request("v1", "/chat/x", X_Cassiamount_Model=model)
+        assert status[0] == 200
+
+
+async def test_model_loads_after_a_plan_that_failed_half_way(fleet, monkeypatch):
+    """Guards against an engine that counts as changing for ever.
+
+    The task that sends orders fails once, between marking an engine and its order.
+    """
+    failed = []
+    start_change = FleetController._start_change
+
+    def fail_once(controller, placement, change):
+        if not failed:
+            failed.append(change)
+            raise TypeError("of another type")
+        start_change(controller, placement, change)
+
+    monkeypatch.setattr(FleetController, "_start_change", fail_once)
+    await fleet.add_vm("v1")
+    await fleet.wait_until(lambda: bool(failed))
+    response = await fleet.send_request("v1", "/chat/x", X_Cassiamount_Model="m2")
+    assert response[0] == 200
