Parse a caller's next request only when the answer before it is complete

Cause: uvicorn parses all that one read returns and queues a request for each head. It pauses reading, but the next receive() of the running request resumes it, so the queue has no bound. Of the same class: chunk extensions and trailers of a body, which no limit counted.

Now a connection's bytes are parsed in pieces that end with a head. What follows a request waits as bytes until its answer is complete; reading stops at 16 KB of them and one read takes 64 KB. The limit on heads now also counts a head that begins behind a request in the same read. A stop answers what waits.

Ruled out: parsing to the end of each message, as the parser can't be paused; never reading while an answer is due, as a caller that leaves would go unnoticed.

--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -7,10 +7,12 @@
 import socket
 
 import uvicorn
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .answers import error_body
 from .caller import WRITE_PART
+from .request_pieces import RequestPieces
 from .requests import Refusal
 
 # Longest time from a connection's first byte of a request to the end of its head.
@@ -18,13 +20,29 @@
 # Idle connections are kept this long; longer than common balancers keep theirs idle.
 KEEPALIVE_S = 75
 BACKLOG = 2_048
+# A connection is read no further while so many bytes wait for the answer before them.
+MAX_WAITING_BYTES = 16 << 10
+# Most bytes that one read of a connection takes in.
+MAX_READ_BYTES = 64 << 10
+
+
+class _HeldFlow(FlowControl):
+    """Flow control whose reading the application can't resume while it is held."""
+
+    held = False
+
+    def resume_reading(self):
+        if not self.held:
+            super().resume_reading()
 
 
 class CallerProtocol(HttpToolsProtocol):
     """HTTP/1.1 with limits that uvicorn does not have.
 
-    uvicorn's parser collects heads of any size and waits for them without end, so a
-    slow or endless head would hold memory without bound.
+    uvicorn's parser collects heads of any size and waits for them without end, and
+    parses all that it gets while an answer is still due, so a slow or endless head or
+    many pipelined requests would hold memory without bound. Here what follows a request
+    waits as bytes until its answer is complete.
     """
 
     head_bytes = 16 << 10
@@ -36,6 +54,14 @@
     def connection_made(self, transport):
         """Accept a connection, or close it if there are too many."""
         super().connection_made(transport)
+        self.flow = _HeldFlow(transport)
+        transport.max_size = MAX_READ_BYTES
+        self._pieces = RequestPieces()
+        # Received bytes that are not parsed yet; None while all are.
+        self._waiting = None
+        self._body_left_bytes = 0
+        # Bytes of a body of unknown length since the last ones with content.
+        self._framing_bytes = 0
         self._in_head = True
         self._wire_bytes = 0
         self._stopping = False
@@ -53,35 +79,108 @@
         super().connection_lost(exc)
 
     def data_received(self, data):
-        """Count the bytes of a head that is not complete yet."""
+        """Parse received bytes, or keep them while the answer before them is due."""
+        if self._waiting is None:
+            self._parse(data)
+            return
+        self._waiting += data
+        self._hold_if_much_waits()
+
+    def _parse(self, data):
+        size = len(data)
+        start = 0
+        while start < size and not self.transport.is_closing():
+            if self._answer_is_due():
+                self._waiting = data if isinstance(data, bytearray) else bytearray(data)
+                del self._waiting[:start]
+                self._hold_if_much_waits()
+                return
+            end = self._pieces.next_end(
+                data, start, not self._in_head, self._body_left_bytes
+            )
+            self._parse_piece(data[start:end])
+            start = end
+        if self._stopping and self.cycle is not None and not self._head_has_begun:
+            self.cycle.keep_alive = False
+
+    @property
+    def _head_has_begun(self):
+        return self._in_head and self._wire_bytes > 0
+
+    def _answer_is_due(self):
+        """Return whether a request came whole and has no whole answer yet."""
+        if self.pipeline:
+            return True
+        cycle = self.cycle
+        return self._in_head and cycle is not None and not cycle.response_complete
+
+    def _hold_if_much_waits(self):
+        if len(self._waiting) >= MAX_WAITING_BYTES:
+            self.flow.held = True
+            self.flow.pause_reading()
+
+    def on_response_complete(self):
+        """Parse the request that waited for the answer, if any."""
+        super().on_response_complete()
+        if self._waiting is not None and not self.transport.is_closing():
+            data, self._waiting = self._waiting, None
+            self._parse(data)
+        if self.transport.is_closing():
+            self._waiting = None
+            return
+        if self._waiting is None or len(self._waiting) < MAX_WAITING_BYTES:
+            self.flow.held = False
+            self.flow.resume_reading()
+        if self.cycle.response_complete:
+            self._limit_head_time()
+        if self._stopping and self.cycle.response_complete:
+            self.shutdown()
+
+    def _parse_piece(self, data):
+        """Parse bytes; count those of a head that is not complete yet."""
         if self._in_head:
             self._wire_bytes += len(data)
+        else:
+            self._framing_bytes += len(data)
         super().data_received(data)
-        if not self._in_head or self.transport.is_closing():
+        if self.transport.is_closing():
             return
-        if self._wire_bytes > self.head_bytes:
+        if not self._in_head:
+            if self._framing_bytes > self.head_bytes and not self._body_left_bytes:
+                self._refuse_framing()
+        elif self._wire_bytes > self.head_bytes:
             self._refuse_head()
-        elif self._wire_bytes and not self._timed:
-            # Most heads arrive in one piece and need no timer.
+        elif not self._answer_is_due():
+            self._limit_head_time()
+
+    def _limit_head_time(self):
+        # Most heads arrive in one piece and need no timer.
+        if self._head_has_begun and not self._timed:
             self._timed = True
             self._stop_timer()
             self._start_timer(self.head_timeout_s)
 
+    def on_message_begin(self):
+        """Note that a head has begun, also behind the end of a body."""
+        self._wire_bytes = max(1, self._wire_bytes)
+        super().on_message_begin()
+
     def on_headers_complete(self):
         """Check the size of a head that came in one piece."""
         self._in_head = self._timed = False
         self._stop_timer()
         size = len(self.url)
+        self._body_left_bytes = self._framing_bytes = 0
         for name, value in self.headers:
             size += len(name) + len(value) + 4
+            if name == b"content-length":
+                self._body_left_bytes = int(value)
         if size > self.head_bytes:
             self._refuse_head()
             return
         super().on_headers_complete()
         # The application's task has not begun yet.
         self.scope[WRITE_PART] = functools.partial(self._write_part, self.cycle)
-        if self._stopping:
-            self.cycle.keep_alive = False
 
     def _write_part(self, cycle, data):
         """Write a part of a chunked answer if that needs no waiting.
@@ -107,13 +206,15 @@
 
     def on_body(self, body):
         """Take in a part of a body; none follows a refused head."""
+        self._framing_bytes = 0
+        self._body_left_bytes = max(0, self._body_left_bytes - len(body))
         if self.cycle is not None and not self.transport.is_closing():
             super().on_body(body)
 
     def on_message_complete(self):
         """Expect the next head."""
         self._in_head = True
-        self._wire_bytes = 0
+        self._wire_bytes = self._body_left_bytes = 0
         if self.cycle is not None and not self.transport.is_closing():
             super().on_message_complete()
 
@@ -123,9 +224,9 @@
         self._answer(Refusal(400, "invalid_http", msg))
 
     def shutdown(self):
-        """Stop after the request whose head is arriving, if any."""
+        """Stop after the requests that have come, at least in part."""
         self._stopping = True
-        if self._in_head and self._wire_bytes:
+        if self._waiting is not None or self._head_has_begun:
             return
         super().shutdown()
 
@@ -134,6 +235,14 @@
         message = f"the head exceeds {self.head_bytes} bytes"
         self._answer(Refusal(431, "header_too_large", message))
 
+    def _refuse_framing(self):
+        self._count("framing_too_large")
+        if self.cycle.response_started:
+            self.transport.abort()
+            return
+        message = f"chunk extensions or trailers exceed {self.head_bytes} bytes"
+        self._answer(Refusal(431, "header_too_large", message))
+
     def _answer(self, refusal):
         body = error_body(refusal)
         phrase = {
