Split an event that arrives in many pieces at linear cost

Only the new bytes and the last three before them are searched now, and the kept ones are appended to in place. The reason of a broken stream says how many bytes of the event had come.

--- a/cassiamount/event_framing.py
+++ b/cassiamount/event_framing.py
@@ -2,6 +2,8 @@
 
 # A stream is aborted if one event exceeds this size, to limit memory.
 MAX_EVENT_BYTES = 1 << 20
+DELIMITERS = (b"\n\n", b"\r\n\r\n")
+MAX_DELIMITER_BYTES = max(map(len, DELIMITERS))
 
 
 class EventFramer:
@@ -14,7 +16,7 @@
     __slots__ = ("_buffer", "last_event_id")
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
         self.last_event_id = ""
 
     @property
@@ -25,7 +27,7 @@
     @property
     def rest(self):
         """The bytes after the last complete event."""
-        return self._buffer
+        return bytes(self._buffer)
 
     def feed(self, data):
         """Add received bytes; return the bytes of all events that are now complete.
@@ -35,15 +37,20 @@
         ValueError
             If an incomplete event exceeds `MAX_EVENT_BYTES`.
         """
-        data = self._buffer + data
+        # What was searched before holds no end of an event.
+        searched = max(0, len(self._buffer) - MAX_DELIMITER_BYTES + 1)
+        self._buffer += data
         end = 0
-        for delimiter in (b"\n\n", b"\r\n\r\n"):
-            position = data.rfind(delimiter)
+        for delimiter in DELIMITERS:
+            position = self._buffer.rfind(delimiter, searched)
             if position >= 0:
                 end = max(end, position + len(delimiter))
-        complete_events, self._buffer = data[:end], data[end:]
+        complete_events = bytes(self._buffer[:end])
+        del self._buffer[:end]
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError("event too large")
+            raise ValueError(
+                f"event too large: {len(self._buffer)} of {MAX_EVENT_BYTES} bytes"
+            )
         if complete_events:
             self._record_last_id(complete_events)
         return complete_events
--- a/tests/test_event_framing.py
+++ b/tests/test_event_framing.py
@@ -38,3 +38,27 @@
     """Guards against unbounded memory use for an event that never ends."""
     with pytest.raises(ValueError, match="too large"):
         EventFramer().feed(b"x" * (MAX_EVENT_BYTES + 1))
+
+
+class CountingBuffer(bytearray):
+    """Counts the bytes that searches cover."""
+
+    searched_bytes = 0
+
+    def rfind(self, sought, start=0):
+        CountingBuffer.searched_bytes += len(self) - start
+        return super().rfind(sought, start)
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 64, 1_000])
+def test_cost_of_an_event_does_not_grow_with_its_pieces(piece_bytes, monkeypatch):
+    """Guards against one long event that holds up everything else on its VM."""
+    monkeypatch.setattr(CountingBuffer, "searched_bytes", 0)
+    framer = EventFramer()
+    framer._buffer = CountingBuffer()
+    event = b"id: 1\ndata: " + b"x" * 100_000 + b"\n\n"
+    out = b""
+    for start in range(0, len(event), piece_bytes):
+        out += framer.feed(event[start : start + piece_bytes])
+    assert out == event
+    assert 0 < CountingBuffer.searched_bytes <= 8 * len(event)
