Bound all bytes of a replica's answer that are no content

Cause: the limit on heads counted complete header lines. httptools keeps an unfinished line without bound, and reads on through an endless status line, interim answers, chunk extensions and trailers, which no limit counted. Queued pieces of a body were limited by their number (256 of up to 256 KB each).

Now whatever arrives before a head is complete, or between two parts of a body, is counted in bytes; above 64 KB the connection is closed and the attempt fails like another broken answer, with the place and the bytes in its log line (attempt_broken). Reading pauses at 256 KB of queued body; one read takes 64 KB. Trailers are no longer appended to the headers that a caller gets, and a switch of protocols (101) is a broken answer instead of an exception of the protocol.

--- a/cassiamount/backend_connection.py
+++ b/cassiamount/backend_connection.py
@@ -11,14 +11,21 @@
 TCP_USER_TIMEOUT_MS = 1_500
 # Reading pauses while more messages than this wait for the relay.
 MAX_QUEUED_MESSAGES = 256
+# The same for the bytes of these messages.
+MAX_QUEUED_BYTES = 256 << 10
+# Most bytes that one read takes in.
+MAX_READ_BYTES = 64 << 10
 # Idle connections are reused only for this fraction of the keep-alive time; after that
 # the backend server may close the connection while the request is on its way.
 KEEP_ALIVE_FRACTION = 0.7
 # Used if the backend server sends no Keep-Alive header.
 DEFAULT_KEEP_ALIVE_MS = 2_000.0
 MAX_KEEP_ALIVE_MS = 20_000.0
-# Total size of the header names and values of a response.
+# Bytes without content that a response may hold in one place: its head with the interim
+# responses before it, a chunk's size with extensions, or trailers.
 MAX_HEAD_BYTES = 65_536
+# An upgrade that nobody asked for is no answer either.
+PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
 
 class BackendConnection(asyncio.Protocol):
@@ -55,6 +62,9 @@
         self._closed = False
         self._eof_received = False
         self._reading_paused = False
+        self._queued_bytes = 0
+        # Received since the request or since the last bytes of a body.
+        self._bytes_without_content = 0
         self._reset_response()
 
     @property
@@ -71,6 +81,7 @@
     def connection_made(self, transport):
         """Set the socket options of the new connection."""
         self._transport = transport
+        transport.max_size = MAX_READ_BYTES
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -83,6 +94,8 @@
         self.body_sink = None
         self._request_id = request_id
         self.messages = asyncio.Queue()
+        self._queued_bytes = 0
+        self._bytes_without_content = 0
         self._parser = httptools.HttpResponseParser(self)
         self._reset_response()
         self._transport.write(data)
@@ -96,7 +109,13 @@
     async def receive(self):
         """Wait for the next message of the current response."""
         message = await self.messages.get()
-        if self.body_sink is None and self.messages.qsize() < MAX_QUEUED_MESSAGES // 2:
+        if isinstance(message, BodyChunk):
+            self._queued_bytes -= len(message.data)
+        if (
+            self.body_sink is None
+            and self.messages.qsize() < MAX_QUEUED_MESSAGES // 2
+            and self._queued_bytes < MAX_QUEUED_BYTES // 2
+        ):
             self.resume_reading()
         return message
 
@@ -120,11 +139,22 @@
             self.abort()
             self._idle_closed()
             return
+        self._bytes_without_content += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, ValueError) as error:
-            self._fail(f"no HTTP response: {type(error).__name__}")
-        if self._busy and self.messages.qsize() > MAX_QUEUED_MESSAGES:
+        except (*PARSER_ERRORS, ValueError) as error:
+            cause = error.__context__
+            reason = (
+                str(cause) if isinstance(cause, ValueError) else type(error).__name__
+            )
+            self._fail(f"no HTTP response: {reason}")
+        if self._busy and self._bytes_without_content > MAX_HEAD_BYTES:
+            place = "chunk size or trailers" if self._in_body else "head"
+            self._fail(_too_large(place, self._bytes_without_content))
+        if self._busy and (
+            self.messages.qsize() > MAX_QUEUED_MESSAGES
+            or self._queued_bytes > MAX_QUEUED_BYTES
+        ):
             self.pause_reading()
         elif self._has_excess_bytes:
             self.abort()
@@ -161,16 +191,18 @@
         self._has_excess_bytes = not self._busy
 
     def on_header(self, name, value):
-        """Store a header of the response.
+        """Store a header of the response; trailers are dropped.
 
         Raises
         ------
         ValueError
             If the headers are larger than `MAX_HEAD_BYTES`.
         """
+        if self._in_body:
+            return
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES:
-            raise ValueError("head too large")
+            raise ValueError(_too_large("head", self._head_bytes))
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self):
@@ -178,6 +210,7 @@
         status = self._parser.get_status_code()
         if 100 <= status < 200:
             return
+        self._bytes_without_content = 0
         metadata = self._decode_response(status, self._headers)
         self._metadata = metadata
         self._in_body = True
@@ -204,11 +237,13 @@
 
     def on_body(self, data):
         """Queue a piece of the body if it belongs to the current request."""
+        self._bytes_without_content = 0
         if not (self._matches_request and self._busy):
             return
         if self.body_sink is not None:
             self.body_sink(data)
         else:
+            self._queued_bytes += len(data)
             self.messages.put_nowait(BodyChunk(data))
 
     def on_message_complete(self):
@@ -217,6 +252,7 @@
         self._in_body = False
         if metadata is None:
             return
+        self._bytes_without_content = 0
         if self._busy and matches_request:
             if metadata.closes_connection or self._read_until_close:
                 self._closed = True
@@ -254,6 +290,10 @@
         self._has_excess_bytes = False
 
 
+def _too_large(place, size_bytes):
+    return f"{place} too large: {size_bytes} of {MAX_HEAD_BYTES} bytes"
+
+
 def _set_tcp_timeouts(sock):
     for name, value in (
         ("TCP_USER_TIMEOUT", TCP_USER_TIMEOUT_MS),
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -7,7 +7,11 @@
 import pytest
 
 from cassiamount.backend_client import AttemptBroken, BackendClient
-from cassiamount.backend_connection import ConnectionPool
+from cassiamount.backend_connection import (
+    MAX_QUEUED_BYTES,
+    MAX_READ_BYTES,
+    ConnectionPool,
+)
 from cassiamount.backend_messages import (
     BodyChunk,
     ResponseComplete,
@@ -147,6 +151,98 @@
     assert outcome[1] is None or body == outcome[1]
 
 
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "again"),
+    [
+        (b"HTTP/1.1 200 ", b"X" * 1_000),
+        (b"HTTP/1.1 200 X\r\nA: ", b"x" * 1_000),
+        (b"HTTP/1.1 200 X\r\n", b"x" * 1_000),
+        (b"HTTP/1.1 200 X\r\n", b"A: b\r\n" * 200),
+        (b"", INTERIM * 25),
+        (INTERIM * 25 + b"HTTP/1.1 200 X\r\nA: ", b"x" * 1_000),
+        (response(b"old", b"z" * 70_000) + b"HTTP/1.1 200 X\r\nA: ", b"x" * 1_000),
+        (CHUNKED + b"\r\n\r\n1;a=", b"x" * 1_000),
+        (CHUNKED + b"\r\n\r\n", b"0" * 1_000),
+        (CHUNKED + b"\r\n\r\n1\r\na\r\n0\r\nT: ", b"x" * 1_000),
+        (CHUNKED + b"\r\n\r\n1\r\na\r\n0\r\n", b"T: u\r\n" * 200),
+    ],
+    ids=[
+        "status-line",
+        "header-value",
+        "header-name",
+        "headers",
+        "interim",
+        "interim-before",
+        "foreign-before",
+        "chunk-extension",
+        "chunk-size",
+        "trailer",
+        "trailers",
+    ],
+)
+@pytest.mark.parametrize("pieces", [1, 40], ids=["at-once", "pieces"])
+async def test_answer_without_end_is_broken(backend, start, again, pieces):
+    """Guards against a VM that is killed for the memory of what a replica sends."""
+    backend.scripts = [[start] + [again * (400 // pieces)] * pieces * 2]
+    pool = ConnectionPool(decode_response, ManualClock())
+    kind, _ = await send_request(pool, backend.address)
+    assert kind == "broken"
+    assert pool.acquire_idle(backend.address, "r1") is None
+
+
+@pytest.mark.parametrize("size", [1_000, 4_000_000])
+async def test_long_answers_are_no_answers_without_end(backend, size):
+    """Guards against a bound on heads that counts bytes of bodies or many answers."""
+    body = b"x" * size
+    chunks = b"".join(b"1;a=b\r\nx\r\n" for _ in range(20_000))
+    scripts = [
+        [INTERIM, response(b"r1", body)],
+        [response(b"r1", body)],
+        [CHUNKED + b"\r\n\r\n", chunks, b"0\r\nT: u\r\n\r\n"],
+    ]
+    pool = ConnectionPool(decode_response, ManualClock())
+    for number, expected in enumerate((body, body, b"x" * 20_000)):
+        backend.scripts = [scripts[number]]
+        assert await send_request(pool, backend.address) == ("whole", expected)
+        pool.close()
+
+
+async def test_trailers_are_no_headers(backend):
+    """Guards against headers that a caller gets from behind the body they describe."""
+    trailer = b"\r\n\r\n1\r\na\r\n0\r\nRetry-After: 9\r\n\r\n"
+    backend.scripts = [[CHUNKED + trailer]]
+    pool = ConnectionPool(decode_response, ManualClock())
+    connection = await pool.open(backend.address)
+    connection.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "r1")
+    head = await connection.receive()
+    while not isinstance(await connection.receive(), ResponseComplete):
+        pass
+    assert b"retry-after" not in dict(head.headers)
+    pool.close()
+
+
+async def test_reading_pauses_while_many_bytes_wait(backend):
+    """Guards against bodies that are kept whole for callers that read slowly."""
+    backend.scripts = [[response(b"r1", b"x" * 8_000_000)]]
+    pool = ConnectionPool(decode_response, ManualClock())
+    connection = await pool.open(backend.address)
+    connection.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "r1")
+    head = await connection.receive()
+    assert isinstance(head, ResponseHead)
+    size = most = 0
+    while not isinstance(message := await connection.receive(), ResponseComplete):
+        size += len(message.data)
+        await asyncio.sleep(0.005)
+        waiting = [getattr(item, "data", b"") for item in connection.messages._queue]
+        most = max(most, sum(map(len, waiting)))
+    assert size == 8_000_000
+    assert most <= MAX_QUEUED_BYTES + MAX_READ_BYTES
+    pool.close()
+
+
 async def test_connection_is_reused(backend):
     """Guards against the cost of a new connection for each request."""
     backend.scripts = [[response(b"r1", b"1")], [response(b"r2", b"2")]]
