Answer every request that a planned stop has read

Callers saw: in a stop with GraceS 4 requests that came late (slow heads and bodies, taken at 3.05 s) were passed on and cut off at 3.3 s with no answer, non-repeatable ones among them; pipelined requests behind another one were dropped; with silent replicas 31 of 31 requests got nothing. With a short GraceS the stop took 2.6 s whatever it had.

Cause: work was taken without asking whether it can be ended, and the end cancelled tasks and aborted connections without a word.

Ruled out: late requests on connections whose answer began before the SIGTERM; they are closed with their answer, so the next request is not read.

Change: StopSchedule.may_begin decides before each send, by the time left, the request's own limits and how long answers on its route took. A body that still arrives is read on after its refusal, so that no reset overtakes it. Connection: close goes with the last of pipelined requests. A shorter GraceS applies to a stop that has begun.

--- a/cassiamount/fleet_edge.py
+++ b/cassiamount/fleet_edge.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import structlog
+
 from .answers import CallerGone, error_body
 from .caller import WRITE_PART
+from .graceful_stop import stop_refusal
 from .relayed_request import InboundRequest
 from .requests import Refusal
 from .serving import CallerProtocol
@@ -12,11 +15,15 @@
 TARGET = "cassiamount.target"
 # ASGI scope key of the connection's transport.
 TRANSPORT = "cassiamount.transport"
+# ASGI scope key of a function that tells whether a pipelined request follows.
+IS_FOLLOWED = "cassiamount.is_followed"
 # A refused body is still read up to these limits: closing a connection with unread
 # data resets it, and the caller might not get the refusal.
 MAX_DISCARD_MS = 2_000.0
 MAX_DISCARD_BYTES = 64 << 20
 
+log = structlog.get_logger()
+
 
 class FleetProtocol(CallerProtocol):
     """HTTP protocol that applies the configured limits and extends the ASGI scope."""
@@ -34,6 +41,7 @@
         if self.scope is not None:
             self.scope[TARGET] = bytes(self.url)
             self.scope[TRANSPORT] = self.transport
+            self.scope[IS_FOLLOWED] = lambda: self.is_followed
 
     def _head_timeout(self):
         """Respond with 408 to a slow request head; close an idle connection."""
@@ -57,7 +65,15 @@
         Returns whether this VM is stopping.
     """
 
-    __slots__ = ("_scope", "_send", "_is_closing", "started", "finished", "_write_part")
+    __slots__ = (
+        "_scope",
+        "_send",
+        "_is_closing",
+        "started",
+        "finished",
+        "is_unread",
+        "_write_part",
+    )
 
     def __init__(self, scope, send, is_closing):
         self._scope = scope
@@ -66,6 +82,8 @@
         self._write_part = scope.get(WRITE_PART)
         self.started = False
         self.finished = False
+        # Whether a whole answer was sent before the whole request had arrived.
+        self.is_unread = False
 
     async def send_response(self, status, headers, body):
         """Send a complete response."""
@@ -78,7 +96,8 @@
     async def start(self, status, headers):
         """Send the response head."""
         self.started = True
-        if self._is_closing():
+        is_followed = self._scope.get(IS_FOLLOWED)
+        if self._is_closing() and not (is_followed and is_followed()):
             headers = [*headers, (b"connection", b"close")]
         await self._send(
             {"type": "http.response.start", "status": status, "headers": headers}
@@ -116,13 +135,34 @@
 
     async def refuse(self, refusal, close=False):
         """Send an error response for a refused request."""
-        headers = [(b"content-type", b"application/json")]
-        if refusal.retry_after_s is not None:
-            headers.append((b"retry-after", b"%.3f" % refusal.retry_after_s))
+        headers = _refusal_headers(refusal)
         if close:
             headers.append((b"connection", b"close"))
         await self.send_response(refusal.status, headers, error_body(refusal))
 
+    async def refuse_unread(self, refusal):
+        """Refuse a request whose body is still arriving.
+
+        The connection must then be read until the caller closes it.
+        """
+        body = error_body(refusal)
+        headers = _refusal_headers(refusal)
+        headers.append((b"content-length", b"%d" % len(body)))
+        headers.append((b"connection", b"close"))
+        await self.start(refusal.status, headers)
+        await self.send_chunk(body)
+        transport = self._scope.get(TRANSPORT)
+        if transport is not None and transport.can_write_eof():
+            transport.write_eof()
+        self.is_unread = True
+
+
+def _refusal_headers(refusal):
+    headers = [(b"content-type", b"application/json")]
+    if refusal.retry_after_s is not None:
+        headers.append((b"retry-after", b"%.3f" % refusal.retry_after_s))
+    return headers
+
 
 class FleetEdge:
     """ASGI application that reads requests and passes them to the relay.
@@ -133,12 +173,14 @@
     relay : FleetRelay
     decode_request : callable
         ``(method, target, headers) -> RequestMetadata``; raises ValueError.
+    timeouts : RequestTimeouts
     """
 
-    def __init__(self, state, relay, decode_request):
+    def __init__(self, state, relay, decode_request, timeouts):
         self._state = state
         self._relay = relay
         self._decode_request = decode_request
+        self._timeouts = timeouts
         self.running = 0
 
     async def __call__(self, scope, receive, send):
@@ -154,6 +196,8 @@
             return
         finally:
             self.running -= 1
+        if caller.is_unread:
+            await _discard(receive)
 
     async def _read_request(self, scope, receive, caller, arrived_ms):
         target = scope.get(TARGET) or scope["raw_path"]
@@ -168,19 +212,36 @@
             await self._refuse_large_body(caller, receive, limit)
             return None
         body = bytearray()
-        more = True
-        while more:
+        try:
+            async with self._timeouts.limit():
+                is_whole = await self._read_body(receive, body, limit)
+        except TimeoutError:
+            log.info(
+                "request_unread",
+                request_id=metadata.request_id,
+                body_bytes=len(body),
+                took_ms=round(self._state.now_ms() - arrived_ms),
+            )
+            await caller.refuse_unread(stop_refusal())
+            return None
+        if not is_whole:
+            await self._refuse_large_body(caller, receive, limit)
+            return None
+        return InboundRequest(
+            metadata, target, scope["headers"], bytes(body), arrived_ms, caller
+        )
+
+    async def _read_body(self, receive, body, limit):
+        """Add the parts of a body; return False if it is too large."""
+        while True:
             message = await receive()
             if message["type"] == "http.disconnect":
                 raise CallerGone
             body += message.get("body", b"")
-            more = message.get("more_body", False)
             if len(body) > limit:
-                await self._refuse_large_body(caller, receive, limit)
-                return None
-        return InboundRequest(
-            metadata, target, scope["headers"], bytes(body), arrived_ms, caller
-        )
+                return False
+            if not message.get("more_body", False):
+                return True
 
     def _body_limit(self):
         configuration = self._state.configuration
@@ -218,7 +279,15 @@
             watcher.cancel()
 
     async def _cancel_on_disconnect(self, receive, task, caller):
-        while (await receive())["type"] != "http.disconnect":
-            pass
+        await _discard(receive)
         if not caller.finished:
             task.cancel()
+
+
+async def _discard(receive):
+    """Discard what arrives until the caller closes the connection.
+
+    Closing it with unread data resets it, and the caller might not get its answer.
+    """
+    while (await receive())["type"] != "http.disconnect":
+        pass
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -21,6 +21,7 @@
 from .process_usage import process_usage
 from .quarantine_store import QuarantineStore
 from .replica_selection import ReplicaSelector, SentPrefixIndex
+from .request_timeouts import RequestTimeouts
 from .serving import EdgeServer, open_listener
 from .software_store import SoftwareStore
 from .store_follower import StoreFollower
@@ -32,6 +33,8 @@
 LOAD_LOG_INTERVAL_MS = 2_000.0
 ANNOUNCE_RETRY_MS = 500.0
 ANNOUNCE_SPREAD_MS = 1_000.0
+# Interval of the checks whether a stop has to end sooner.
+STOP_CHECK_INTERVAL_MS = 100.0
 # Interval of the checks for a first report of a peer after the start.
 PEER_CHECK_INTERVAL_MS = 50.0
 
@@ -112,6 +115,7 @@
             self._stats,
         )
         self._pool = pool or ConnectionPool(platform.codec.decode_response, clock)
+        timeouts = RequestTimeouts(clock)
         prefixes = SentPrefixIndex()
         selector = ReplicaSelector(
             self.state.view, settings.zone, prefixes, self.state.limits
@@ -125,13 +129,18 @@
             self._metrics,
             log,
             self._rng,
+            timeouts,
             self._notify_lease_holder,
             self._exchange.exchange_soon,
         )
-        self._edge = FleetEdge(self.state, self._relay, platform.codec.decode_request)
+        self._timeouts = timeouts
+        self._edge = FleetEdge(
+            self.state, self._relay, platform.codec.decode_request, timeouts
+        )
         self._supervisor = Supervisor("vm", clock)
         self._stop_requested = asyncio.Event()
         self._stop_requested_ms = None
+        self._schedule = None
         self._servers = {}
         self._add_seeds(settings)
 
@@ -235,6 +244,9 @@
         self.state.retry_budget.ratio = settings.retry_ratio
         self.state.retry_budget.slack = settings.retry_slack
         self._settings.grace_s = settings.grace_s
+        if self._schedule is not None:
+            self._schedule.limit_grace(settings.grace_s * 1000)
+            self._timeouts.shorten(self._schedule.requests_end_ms)
         self._add_seeds(settings)
 
     def ready(self):
@@ -331,20 +343,34 @@
         """Finish accepted requests, and stop accepting new ones."""
         schedule = StopSchedule(self._stop_requested_ms, self._settings.grace_s * 1000)
         log.info("stopping", running=self._edge.running)
+        self._schedule = self._relay.stop_schedule = schedule
+        self._timeouts.shorten(schedule.requests_end_ms)
         self.state.stopping = True
         self.state.notify()
         self._exchange.exchange_soon()
         # Runs concurrently: the store may be unreachable, and requests don't need it.
         lease_release = asyncio.create_task(self._controller.release_lease())
-        balancer_delay_ms = schedule.balancer_delay_ms(self._clock.monotonic_ms())
-        await asyncio.sleep(balancer_delay_ms / 1000)
-        requests_timeout_ms = schedule.requests_timeout_ms(self._clock.monotonic_ms())
-        requests_cut_off = await self._servers["callers"].stop(requests_timeout_ms)
+        clock = self._clock
+        while (left_ms := schedule.balancer_delay_ms(clock.monotonic_ms())) > 0:
+            await asyncio.sleep(min(left_ms, STOP_CHECK_INTERVAL_MS) / 1000)
+        server = self._servers["callers"]
+        server.begin_stop()
+        # At least once, so that the last answers are sent even if the stop began late.
+        while not await server.wait_stopped(STOP_CHECK_INTERVAL_MS):
+            if clock.monotonic_ms() >= schedule.connections_end_ms:
+                break
+        requests_cut_off = self._edge.running
+        await server.cut_off()
         if not lease_release.done():
             log.warning("lease_release_unanswered")
             lease_release.cancel()
         took_ms = self._clock.monotonic_ms() - self._stop_requested_ms
-        log.info("stopped", requests_cut_off=requests_cut_off, took_ms=round(took_ms))
+        log.info(
+            "stopped",
+            requests_cut_off=requests_cut_off,
+            requests_unfinished=self._relay.unfinished,
+            took_ms=round(took_ms),
+        )
 
     async def _close(self):
         self._relay.close()
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -6,6 +6,7 @@
 from .crash_detector import CrashDetector
 from .fleet import choose_target
 from .fleet_orders import SOFTWARE_MARK
+from .graceful_stop import AnswerTimes, stop_refusal
 from .model_demand import LATENCY_SENSITIVE_OBJECTIVE_MS
 from .relayed_request import (
     DEADLINE_GRACE_MS,
@@ -42,8 +43,6 @@
 STARTING_RETRY_AFTER_MS = 500.0
 # A server that runs on this long after the first event did not crash by the request.
 SURVIVED_MS = 500.0
-# Short, because another VM can take the request at once.
-STOPPING_RETRY_AFTER_MS = 50.0
 
 
 class FleetRelay:
@@ -61,6 +60,7 @@
     log : object
         structlog logger.
     rng : random.Random
+    timeouts : RequestTimeouts
     notify_waiting : callable
         Called when a request begins to wait for a model or adapter, or its caller was
         told to retry, so that the VM that holds the order lease learns of it.
@@ -79,6 +79,7 @@
         metrics,
         log,
         rng,
+        timeouts,
         notify_waiting,
         notify_peers,
     ):
@@ -90,11 +91,18 @@
         self._metrics = metrics
         self._log = log
         self._rng = rng
+        self._timeouts = timeouts
         self._notify_waiting = notify_waiting
         self._notify_peers = notify_peers
         self._crash_detector = CrashDetector(pool, self._on_crash)
         self._forwarder = ResponseForwarder(codec, state.clock)
         self._changed = asyncio.Event()
+        # Route -> durations of its last whole answers.
+        self._answer_times = {}
+        # Schedule of the graceful stop, once it has begun.
+        self.stop_schedule = None
+        # Requests that the end of the grace period left without their whole answer.
+        self.unfinished = 0
         state.listeners.append(self._on_change)
 
     def _on_change(self):
@@ -232,32 +240,64 @@
     # Attempts at backend servers.
 
     async def _run_with_deadline(self, request):
-        loop = asyncio.get_running_loop()
-        remaining_ms = request.deadline_ms + DEADLINE_GRACE_MS - self._state.now_ms()
+        deadline_ms = request.deadline_ms + DEADLINE_GRACE_MS
         try:
-            async with asyncio.timeout_at(loop.time() + remaining_ms / 1000):
+            async with self._timeouts.limit(deadline_ms):
                 return await self._run(request)
         except TimeoutError:
+            stopped = deadline_ms > self._state.now_ms() and self._timeouts.have_ended()
+            self.unfinished += stopped
             if request.response_started:
-                raise BrokenStream("time limit") from None
+                raise BrokenStream("stopped" if stopped else "time limit") from None
+            if request.may_have_run and stopped:
+                raise Refused(504, "stopped", "no answer before the stop") from None
             if request.may_have_run:
                 raise Refused(504, "time_limit", "no answer in time") from None
+            if stopped:
+                raise _stopping() from None
             raise Refused(
                 503, "time_limit", "not begun in time", OVERLOADED_RETRY_AFTER_MS
             ) from None
 
     async def _run(self, request):
         while True:
+            self._check_stop(request)
             selected = await self._wait_for_replica(request)
             connection = await self._connect(request, selected.view)
             if connection is None:
                 continue
+            try:
+                self._check_stop(request)
+            except Refused:
+                self._pool.release(connection)
+                raise
             request.reserved = None
             outcome = await self._attempt(request, selected, connection)
             if isinstance(outcome, int):
                 return outcome
             self._prepare_retry(request, outcome)
 
+    def _check_stop(self, request):
+        """Refuse what may not be answered before the end of a graceful stop."""
+        if not self._may_begin(request, self._state.now_ms()):
+            raise _stopping()
+
+    def _may_begin(self, request, now_ms):
+        """Return whether a request may be sent; a begun stream may always go on."""
+        schedule = self.stop_schedule
+        if schedule is None or request.response_started:
+            return True
+        return schedule.may_begin(
+            now_ms,
+            request.deadline_ms + DEADLINE_GRACE_MS,
+            self._answer_times_of(request),
+            request.route.streamed,
+            request.route.retryable,
+        )
+
+    def _answer_times_of(self, request):
+        return self._answer_times.setdefault(request.route.name, AnswerTimes())
+
     async def _wait_for_replica(self, request):
         wait_started_ms = None
         unknown_since_ms = None
@@ -346,7 +386,7 @@
         now_ms : float
         """
         if self._state.stopping:
-            raise Refused(503, "stopping", "this VM stops", STOPPING_RETRY_AFTER_MS)
+            raise _stopping()
         if found.reason == "no-backend":
             raise Refused(
                 503, "no_backend", "no backend server", clamp_retry_after_ms(None)
@@ -586,6 +626,7 @@
             if isinstance(outcome, int):
                 self._pool.release(connection)
                 if outcome < 500:
+                    self._answer_times_of(request).record(now_ms - sent_ms, now_ms)
                     view.record_times(
                         (request.first_event_ms or now_ms) - sent_ms, now_ms - sent_ms
                     )
@@ -712,7 +753,7 @@
         allowed = (
             failure.not_run and not request.may_have_run
         ) or request.route.retryable
-        if allowed and request.may_retry(now_ms):
+        if allowed and request.may_retry(now_ms) and self._may_begin(request, now_ms):
             if self._state.try_retry(request.service):
                 self._log.info(
                     "request_repeated",
@@ -772,6 +813,13 @@
         )
 
 
+def _stopping():
+    refusal = stop_refusal()
+    return Refused(
+        refusal.status, refusal.code, refusal.message, 1000 * refusal.retry_after_s
+    )
+
+
 def _refused_after_attempt(refused):
     """Return the error for a request that may have run and can't be sent again."""
     if refused.status in (502, 504):
--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -103,6 +103,11 @@
         if self._stopping and self.cycle is not None and not self._head_has_begun:
             self.cycle.keep_alive = False
 
+    @property
+    def is_followed(self):
+        """Whether at least a part of a further request has arrived."""
+        return bool(self.pipeline) or self._waiting is not None or self._head_has_begun
+
     @property
     def _head_has_begun(self):
         return self._in_head and self._wire_bytes > 0
@@ -361,11 +366,24 @@
         int
             Requests that were cut off because the limit passed; 0 normally.
         """
+        self.begin_stop()
+        await self.wait_stopped(drain_limit_ms)
+        return await self.cut_off()
+
+    def begin_stop(self):
+        """Accept no more connections, and close each one after its requests."""
         self._server.should_exit = True
+
+    async def wait_stopped(self, timeout_ms):
+        """Wait until all connections are closed; return whether they are."""
+        done, _ = await asyncio.wait([self._task], timeout=timeout_ms / 1000)
+        return bool(done)
+
+    async def cut_off(self):
+        """Close what is still open; return the number of requests cut off by this."""
         state = self._server.server_state
-        done, _ = await asyncio.wait([self._task], timeout=drain_limit_ms / 1000)
         left = len(state.tasks)
-        if not done:
+        if not self._task.done():
             self._server.force_exit = True
             for task in list(state.tasks):
                 task.cancel()
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -47,6 +47,8 @@
         Request limit that answers name.
     leaving : bool
         Whether answers say that the replica leaves.
+    work_s, event_s : float
+        Time from a request to its answer, and between the events of a stream.
     pause : str or None
         If set, requests are refused with 503 and this ``Retry-After``.
     """
@@ -71,6 +73,8 @@
         self.limit_per_s = None
         self.leaving = False
         self.pause = None
+        self.work_s = 0.0
+        self.event_s = EVENT_S
 
     async def __call__(self, scope, receive, send):
         """Answer one request."""
@@ -152,6 +156,8 @@
         if self.crashing_part in parts or body == self.crashing_body:
             self.on_crash()
             return
+        if self.work_s:
+            await asyncio.sleep(self.work_s)
         if self.hold:
             while (await receive())["type"] != "http.disconnect":
                 pass
@@ -181,7 +187,7 @@
                 await _part(send, data[:5])
                 raise ConnectionResetError("the stream breaks off as it should")
             await _part(send, data)
-            await asyncio.sleep(EVENT_S)
+            await asyncio.sleep(self.event_s)
         await send({"type": "http.response.body", "body": b""})
 
 
--- a/tests/fleet_fixtures.py
+++ b/tests/fleet_fixtures.py
@@ -52,6 +52,14 @@
                 "Resumable": True,
                 **route,
             },
+            {
+                **common,
+                "Name": "talk",
+                "PathPrefix": "/talk/",
+                "Type": "streaming",
+                "Service": "llm",
+                "Attempts": 1,
+            },
             {
                 **common,
                 "Name": "buy",
@@ -179,7 +187,7 @@
         self.end_replica(name)
         self.store.put("keyed.servers", name, None)
 
-    async def add_vm(self, name, first_start=True):
+    async def add_vm(self, name, first_start=True, grace_s=4):
         ports = [free_port() for _ in range(4)]
         text = f"""
 NodeName: {name}
@@ -194,7 +202,7 @@
 Bootstrap: {str(first_start).lower()}
 Bounds:
   RevokeMs: 5000
-  GraceS: 4
+  GraceS: {grace_s}
 """
         settings = decode_settings(text, "boot.yaml").unwrap()
         platform = PlatformAdapter(
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -249,7 +249,7 @@
             head.append(f"X-Cassiamount-Prefix-Hash: aa:9,d{document}:9,{request_id}:9")
         try:
             writer.write(("\r\n".join(head) + "\r\n\r\n" + request_id).encode())
-            status, headers, body = await _read_response(reader)
+            status, headers, body = await read_response(reader)
         except (OSError, asyncio.IncompleteReadError):
             # A process that was killed owes nothing.
             if vm.ending != "kill" and process.returncode in (None, 0):
@@ -293,7 +293,7 @@
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", vm.ports[0])
             writer.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
-            status, _, body = await _read_response(reader)
+            status, _, body = await read_response(reader)
             writer.close()
         except (OSError, asyncio.IncompleteReadError):
             return 0, b""
@@ -488,7 +488,7 @@
         self.check_runs()
 
 
-async def _read_response(reader):
+async def read_response(reader):
     """Return status, headers and body of one response."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     headers = {}
