Send what libraries log through the bounded structured log

Callers saw nothing; an operator found 30 MB of text on the standard error of a VM that had run out of descriptors, and a process whose standard error nobody reads would have stopped at it: records of `logging` went to the handler of last resort, which blocks and has no limit.

Now they become `library_record` lines of the one log stream, five in 10 s from each place in a library's code, with the number left out. The own daemon's log no longer blocks either. uvicorn's errors were switched off altogether and are kept, as they tell of exceptions in the application.

Not covered: what gRPC's core writes to standard error by itself, and the findings that a start with wrong settings prints.

--- a/cassiamount/bounded_stream.py
+++ b/cassiamount/bounded_stream.py
@@ -2,6 +2,7 @@
 
 import collections
 import os
+import threading
 import time
 
 # Rate limit (token bucket): sustained rate of lines, and lines in a burst.
@@ -16,7 +17,7 @@
 
     If the reader stalls or the rate limit is exceeded, lines are dropped instead of
     blocking the writer. The number of dropped lines is logged before the next line
-    that is written.
+    that is written. Several threads may write.
 
     Parameters
     ----------
@@ -30,6 +31,7 @@
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._clock_s = clock_s
+        self._lock = threading.Lock()
         self._backlog = collections.deque()
         self._backlog_bytes = 0
         self._available_lines = BURST_LINES
@@ -40,6 +42,10 @@
     def write(self, text):
         """Write a line, or count it as dropped."""
         data = text.encode("utf-8", "replace")
+        with self._lock:
+            self._write(data)
+
+    def _write(self, data):
         now_s = self._clock_s()
         refilled = (now_s - self._refilled_s) * LINES_PER_S
         self._available_lines = min(BURST_LINES, self._available_lines + refilled)
@@ -62,7 +68,8 @@
 
     def flush(self):
         """Write as much of the backlog as the reader accepts."""
-        self._write_backlog()
+        with self._lock:
+            self._write_backlog()
 
     def _enqueue(self, data):
         self._backlog.append(data)
--- a/cassiamount/daemon.py
+++ b/cassiamount/daemon.py
@@ -8,6 +8,7 @@
 import cyclopts
 import structlog
 
+from .bounded_stream import BoundedStream
 from .errors import InvariantViolation
 from .logs import configure_logs
 from .node import Node
@@ -43,7 +44,8 @@
             print(finding, file=sys.stderr)
         return EXIT_FINDINGS
     checked = parsed.unwrap()
-    configure_logs(log_level, vm=checked.vm_name)
+    stream = BoundedStream(sys.stderr.fileno())
+    configure_logs(log_level, stream, vm=checked.vm_name)
     return asyncio.run(serve(checked))
 
 
--- a/cassiamount/logs.py
+++ b/cassiamount/logs.py
@@ -8,6 +8,7 @@
 import structlog
 
 from .keys import KEY_PREFIX
+from .library_logs import take_library_logs
 from .redaction import REDACTED
 
 # Fields that could hold a credential are never written, whatever their value.
@@ -45,7 +46,7 @@
 
 
 def configure_logs(level="info", stream=None, cached=False, **common):
-    """Write logs as JSON lines and return a logger.
+    """Write logs, also those of libraries, as JSON lines and return a logger.
 
     Parameters
     ----------
@@ -73,4 +74,5 @@
         logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=cached,
     )
+    take_library_logs()
     return structlog.get_logger(**common)
--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -330,7 +330,7 @@
             interface="asgi3",
             access_log=False,
             log_config=None,
-            log_level="critical",
+            log_level="error",
             server_header=False,
             date_header=False,
             proxy_headers=False,
