Leave descriptors for a VM's own work beside its callers

Callers of a VM with 260 descriptors and 400 idle connections got no answer for as long as these lasted; the VM was not ready, and asyncio wrote tens of thousands of tracebacks.

Cause: up to 10,000 connections were accepted whatever the process could open, so none was left for the store, replicas and probes. On EMFILE the event loop goes on to accept as often as its backlog is long, 2,048 times.

Now a VM holds half of the descriptors that are left after 500 for its own use (half of them, if there are fewer than 1,000): a request needs a second one for its replica. The limit is the smaller of Limits.MaxFds and RLIMIT_NOFILE. Above it the connection that is idle longest is closed: it carries no request, and its caller must be ready for that; a new one most likely carries one. Without idle ones the new one is closed at once. The ports for probes and metrics hold 32. At most 16 connections are accepted at once, so that they are counted before further ones are. If descriptors run out all the same, a spare one is used to close what comes.

Ruled out: only refusing new connections, which lets idle ones keep callers out.

--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -6,6 +6,11 @@
 import structlog
 
 from .backend_connection import ConnectionPool
+from .descriptors import (
+    MAX_OPERATOR_CONNECTIONS,
+    descriptor_limit,
+    most_caller_connections,
+)
 from .fleet import CallerLimits
 from .fleet_controller import FleetController
 from .fleet_edge import FleetEdge, FleetProtocol
@@ -215,16 +220,20 @@
             await self._close()
 
     async def _start_servers(self):
-        for name, address, application, protocol in (
-            ("ready", self._settings.ready_address, self._ready_app, FleetProtocol),
-            ("callers", self._settings.caller_address, self._edge, FleetProtocol),
+        most = most_caller_connections(descriptor_limit(self._settings.max_descriptors))
+        log.info("caller_connections", most=most)
+        few = MAX_OPERATOR_CONNECTIONS
+        for name, address, application, limit in (
+            ("ready", self._settings.ready_address, self._ready_app, few),
+            ("callers", self._settings.caller_address, self._edge, most),
         ):
             host, _, port = address.rpartition(":")
             server = EdgeServer(
                 application,
                 open_listener(host, int(port)),
                 self._metrics,
-                base_protocol=protocol,
+                max_connections=limit,
+                base_protocol=FleetProtocol,
                 caller_limits=self._caller_limits,
             )
             await server.start()
@@ -234,6 +243,7 @@
                 self._metrics_app,
                 open_listener(self._settings.ip, self._settings.free_ports[0]),
                 self._metrics,
+                max_connections=few,
             )
             await server.start()
             self._servers["metrics"] = server
--- a/cassiamount/node.py
+++ b/cassiamount/node.py
@@ -17,6 +17,7 @@
 from .clock import SystemClock
 from .coordinator import Coordinator
 from .demand_counter import DemandCounter
+from .descriptors import descriptor_limit, most_caller_connections
 from .dispatch_messages import (
     ConfigurationChanged,
     DrainingModels,
@@ -348,6 +349,7 @@
             listener,
             self.metrics,
             head_bytes=self.settings.max_header_bytes,
+            max_connections=most_caller_connections(descriptor_limit()),
         )
 
     async def _drain(self, edge):
--- a/cassiamount/platform/settings.py
+++ b/cassiamount/platform/settings.py
@@ -34,6 +34,7 @@
     (("Platform", "MinTtlMs"), (int, float), "min_lease_ms", 1_000),
     (("Limits", "CpuShare"), (int, float), "cpu_share", 1.0),
     (("Limits", "Cores"), (int, float), "cores", 1),
+    (("Limits", "MaxFds"), int, "max_descriptors", None),
 )
 
 
--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -1,6 +1,7 @@
 """Runs the caller-facing application under uvicorn with limits on heads."""
 
 import asyncio
+import collections
 import contextlib
 import functools
 import gc
@@ -12,6 +13,7 @@
 
 from .answers import error_body
 from .caller import WRITE_PART
+from .caller_listener import ACCEPTS_AT_ONCE, CallerListener
 from .request_pieces import RequestPieces
 from .requests import Refusal
 
@@ -19,7 +21,6 @@
 HEAD_TIMEOUT_S = 10.0
 # Idle connections are kept this long; longer than common balancers keep theirs idle.
 KEEPALIVE_S = 75
-BACKLOG = 2_048
 # A connection is read no further while so many bytes wait for the answer before them.
 MAX_WAITING_BYTES = 16 << 10
 # Most bytes that one read of a connection takes in.
@@ -50,9 +51,15 @@
     metrics = None
     head_timeout_s = HEAD_TIMEOUT_S
     caller_limits = None
+    # Connections of the same server without a request, the longest idle one first.
+    idle = collections.OrderedDict()
 
     def connection_made(self, transport):
-        """Accept a connection, or close it if there are too many."""
+        """Accept a connection; if there are too many, close an idle one or this one.
+
+        A connection without a request costs its caller least: a new one most likely
+        carries a request, and a caller must be ready for the end of an idle one.
+        """
         super().connection_made(transport)
         self.flow = _HeldFlow(transport)
         transport.max_size = MAX_READ_BYTES
@@ -68,20 +75,28 @@
         self._timed = False
         self._timer = None
         if len(self.connections) > self.max_connections:
-            self._count("connection_limit")
-            transport.abort()
-            return
+            if not self.idle:
+                self._count("connection_limit")
+                transport.abort()
+                return
+            self._count("idle_connection")
+            longest_idle, _ = self.idle.popitem(last=False)
+            longest_idle.transport.close()
+        self.idle[self] = True
         self._start_timer(KEEPALIVE_S)
 
     def connection_lost(self, exc):
         """Forget the connection."""
         self._stop_timer()
+        self.idle.pop(self, None)
         super().connection_lost(exc)
 
     def data_received(self, data):
         """Parse received bytes, or keep them while the answer before them is due."""
+        self.idle.pop(self, None)
         if self._waiting is None:
             self._parse(data)
+            self._note_if_idle()
             return
         self._waiting += data
         self._hold_if_much_waits()
@@ -119,6 +134,15 @@
         cycle = self.cycle
         return self._in_head and cycle is not None and not cycle.response_complete
 
+    def _note_if_idle(self):
+        if (
+            self._in_head
+            and not self._head_has_begun
+            and not self._answer_is_due()
+            and not self.transport.is_closing()
+        ):
+            self.idle[self] = True
+
     def _hold_if_much_waits(self):
         if len(self._waiting) >= MAX_WAITING_BYTES:
             self.flow.held = True
@@ -138,6 +162,7 @@
             self.flow.resume_reading()
         if self.cycle.response_complete:
             self._limit_head_time()
+            self._note_if_idle()
         if self._stopping and self.cycle.response_complete:
             self.shutdown()
 
@@ -318,6 +343,7 @@
                 "head_bytes": head_bytes,
                 "max_connections": max_connections,
                 "metrics": metrics,
+                "idle": collections.OrderedDict(),
                 "caller_limits": staticmethod(caller_limits),
             },
         )
@@ -335,7 +361,7 @@
             date_header=False,
             proxy_headers=False,
             timeout_keep_alive=KEEPALIVE_S,
-            backlog=BACKLOG,
+            backlog=ACCEPTS_AT_ONCE,
         )
         self._server = _Server(config)
         self._listener = listener
@@ -406,7 +432,7 @@
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     # asyncio sets TCP_NODELAY only on sockets that name their protocol; without it
     # the end of each streamed answer waited 40 ms for a delayed acknowledgement.
-    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener = CallerListener(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, port))
     listener.setblocking(False)
--- a/cassiamount/vm_settings.py
+++ b/cassiamount/vm_settings.py
@@ -34,6 +34,8 @@
         Shortest lease that the store grants.
     processor_cores : float
         Processor capacity of this VM.
+    max_descriptors : int or None
+        Most descriptors that the VM's process may open.
     """
 
     __slots__ = (
@@ -56,6 +58,7 @@
         "order_turn_ms",
         "min_lease_ms",
         "processor_cores",
+        "max_descriptors",
     )
 
     def __init__(self, **values):
