Take the only known software version for a stream only with a recent list

Cause: a VM that knew one version of a service took it for the only one there is, however old its list of backend servers was. Ruled out in the virtual world: cut from its peers only (it reads the list itself) and from the store only (its peers tell the list).

New streams that may be taken up now begin at a version only 3.25 s after it was first listed (at once where it is the only one), and a VM takes the only known version for a stream of unknown origin only with a list that was proven current within 3 s. So any version at which a stream can have begun is in a list that counts. Otherwise list_stale, 503 with a Retry-After. The time is told to peers and kept in the store, so that a restart in a release need not wait again. Versions of entries that were replaced within one read are noted; after a return of the store from an older copy the list counts once its servers have had time to write again.

Tests changed: version_of is origin_of, which also needs the age of the list and says why a version is not known; the expected versions are the same.

--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -1,6 +1,7 @@
 """Relays requests of callers to backend servers, and the responses back."""
 
 import asyncio
+import math
 
 from .backend_messages import Attempt
 from .crash_detector import CrashDetector
@@ -24,6 +25,7 @@
 )
 from .requests import ADMITTED, COMPLETE, DISPATCHED, Refusal
 from .response_forwarding import ResponseForwarder
+from .software_versions import LIST_STALE
 
 # A backend server that could not be connected to is avoided for this long.
 UNREACHABLE_AVOID_MS = 700.0
@@ -41,6 +43,8 @@
 PAUSE_SPREAD = 0.25
 STALE_KEYS_RETRY_AFTER_MS = 1_000.0
 STARTING_RETRY_AFTER_MS = 500.0
+# Once a VM reaches the store or its peers, it has a proven list after about this time.
+STALE_LIST_RETRY_AFTER_MS = 500.0
 # A server that runs on this long after the first event did not crash by the request.
 SURVIVED_MS = 500.0
 
@@ -194,20 +198,24 @@
 
     def _origin_of(self, request, now_ms):
         """Return the software version at which a stream began that is taken up."""
-        resumes = request.metadata.resumes
-        software = self._state.software.version_of(resumes, request.service, now_ms)
+        state, resumes = self._state, request.metadata.resumes
+        list_age_ms = state.list_age_ms(now_ms)
+        software, reason = state.software.origin_of(
+            resumes, request.service, now_ms, list_age_ms
+        )
         if software is None:
             self._log.info(
-                "stream_unknown",
+                reason,
                 request_id=request.metadata.request_id,
                 resumes=resumes,
                 service=request.service,
+                list_age_ms=None if math.isinf(list_age_ms) else round(list_age_ms),
             )
+            retry_after_ms = STARTING_RETRY_AFTER_MS if state.is_starting() else None
+            if reason == LIST_STALE:
+                retry_after_ms = STALE_LIST_RETRY_AFTER_MS
             raise Refused(
-                503,
-                "stream_unknown",
-                "it is not known where this stream began",
-                STARTING_RETRY_AFTER_MS if self._state.is_starting() else None,
+                503, reason, "it is not known where this stream began", retry_after_ms
             )
         return software
 
@@ -349,6 +357,8 @@
         exclude = set(request.unreachable_backends)
         if len(request.tried) < request.route.attempts:
             exclude.update(request.tried)
+        unsettled = self._unsettled(request, now_ms)
+        exclude.update(view.record.name for view in unsettled)
         if request.is_model_request:
             found = self._selector.select_for_model(
                 request.service,
@@ -372,8 +382,39 @@
                 "version_gone",
                 "no replica of the version that began this stream can go on with it",
             )
+        if isinstance(found, NoReplicaReady) and found.wait_ms is None:
+            self._check_unsettled(request, found, unsettled)
         return found
 
+    def _unsettled(self, request, now_ms):
+        """Return view -> time in ms for replicas where a stream may not begin yet."""
+        route = request.route
+        if request.software is not None or not (route.streamed and route.retryable):
+            return {}
+        waits_ms = self._state.software.unsettled(request.service, now_ms)
+        if not waits_ms:
+            return {}
+        return {
+            view: waits_ms[view.record.software]
+            for view in self._state.view.of_service(request.service)
+            if view.record.software in waits_ms
+        }
+
+    def _check_unsettled(self, request, found, unsettled):
+        """Refuse a request that only replicas of a new version could take."""
+        waits_ms = [
+            wait_ms
+            for view, wait_ms in unsettled.items()
+            if not request.is_model_request or request.metadata.model in view.ready
+        ]
+        if waits_ms or (unsettled and found.reason == "no-backend"):
+            raise Refused(
+                503,
+                "version_new",
+                "not all VMs know the replicas' software version yet",
+                clamp_retry_after_ms(min(waits_ms or unsettled.values())),
+            )
+
     def _check_wait(self, request, found, unknown_since_ms, now_ms):
         """Refuse a request that will not be ready in time or that has waited too long.
 
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -145,8 +145,10 @@
         self._missing_since_ms = {}
         # Backend server -> time until which its entry, which the store lost, is kept.
         self._lost_until_ms = {}
-        # Time from which the configuration of the store's era counts as current.
+        # Time from which the configuration of the store's era counts as current, and
+        # time from which its list of backend servers lacks none.
         self._settled_ms = now_ms
+        self._relisted_ms = now_ms
 
     def now_ms(self):
         """Return the monotonic time to which all times here refer."""
@@ -177,6 +179,13 @@
         begun_ms = self._begun_ms + PEER_GRACE_MS
         return min(self.freshness_of(stream).age_ms(now_ms), now_ms - begun_ms)
 
+    def list_age_ms(self, now_ms):
+        """Return the time since no live backend server was missing from the list."""
+        if now_ms < self._relisted_ms:
+            # Servers may not have written the entries that the store lost again yet.
+            return float("inf")
+        return self.backends_freshness.age_ms(now_ms)
+
     def awaits_peers(self):
         """Return whether this VM has just started and will soon hear of its peers."""
         return (
@@ -321,6 +330,7 @@
             self._apply_configuration(source)
         else:
             self._apply_backends()
+            self._observe_replaced(records)
         self._half_applied.discard(stream)
 
     def _begin_era(self, stream, before_offset, lost):
@@ -332,6 +342,8 @@
             if not is_start or not self.settings.first_start:
                 self._settled_ms = now_ms + ERA_SETTLE_MS
         else:
+            if not is_start or not self.settings.first_start:
+                self._relisted_ms = now_ms + LOST_ENTRY_GRACE_MS
             for name in lost:
                 self._lost_until_ms[name] = now_ms + LOST_ENTRY_GRACE_MS
         if not is_start:
@@ -414,6 +426,19 @@
         self._merge_residency()
         self.notify()
 
+    def _observe_replaced(self, records):
+        """Record the software of entries that later ones of the same read replaced."""
+        now_ms = self.now_ms()
+        for record in records:
+            known = self.streams[BACKENDS].values.get(record.key)
+            if record.value is None or (known and known[0] <= record.offset):
+                continue
+            try:
+                backend = self._decoder.backend(record.key, record.value)
+            except ValueError:
+                continue
+            self.software.observe_past(backend.service, backend.software, now_ms)
+
     def on_notice(self):
         """Apply that a backend server has said that it leaves."""
         self.view.apply_notices()
--- a/cassiamount/software_store.py
+++ b/cassiamount/software_store.py
@@ -10,8 +10,9 @@
 
 CHECK_INTERVAL_MS = 400.0
 RETRY_DELAY_MS = 500.0
-# The keys of the two kinds of records begin so.
+# The keys of the kinds of records begin so.
 VERSIONS = "versions/"
+SETTLED = "settled/"
 STREAMS = "streams/"
 # The streams that began within one such span are one record. Keys are used again when
 # the streams of the record before have ended.
@@ -108,6 +109,8 @@
         """Forget what the store has, because another VM may have written."""
         # Service -> versions in service that the store has.
         self._stored = {}
+        # Service -> versions at which new streams may begin, as the store has them.
+        self._stored_settled = {}
         # Span -> list of its streams, as a record has them.
         self._spans = {}
         # Spans with streams that the store lacks.
@@ -135,6 +138,7 @@
                 if not state.software.is_complete:
                     await self._load()
                 await self._write_versions()
+                await self._write_settled()
                 await self._write_streams()
             except StoreUnavailable as error:
                 log.info("software_not_synchronized", error=str(error))
@@ -143,7 +147,7 @@
     async def _load(self):
         """Take over what the store has from before the start."""
         wall_ms = self._state.clock.wall_ms()
-        versions, streams = {}, []
+        versions, streams, settled = {}, [], set()
         for record in (await self._store.newest(SOFTWARE)).records:
             try:
                 if record.key.startswith(VERSIONS):
@@ -151,6 +155,9 @@
                     ages_ms = decode_versions(record.value, wall_ms)
                     for software, age_ms in ages_ms.items():
                         versions[service, software] = age_ms
+                elif record.key.startswith(SETTLED):
+                    service = record.key.removeprefix(SETTLED)
+                    settled |= {(service, name) for name in orjson.loads(record.value)}
                 elif record.key.startswith(STREAMS):
                     streams += decode_streams(record.value, wall_ms)
             except (ValueError, TypeError) as error:
@@ -158,7 +165,8 @@
                 if record.key.startswith(VERSIONS):
                     return
         if versions:
-            self._state.software.load(versions, streams, self._state.now_ms())
+            now_ms = self._state.now_ms()
+            self._state.software.load(versions, streams, now_ms, settled)
             log.info("software_loaded", versions=len(versions), streams=len(streams))
 
     async def _write_versions(self):
@@ -174,6 +182,17 @@
                 await self._store.put(SOFTWARE, VERSIONS + service, data)
                 self._stored[service] = listed
 
+    async def _write_settled(self):
+        settled = {}
+        for service, software in sorted(
+            self._state.software.settled(self._state.now_ms())
+        ):
+            settled.setdefault(service, []).append(software)
+        for service, names in settled.items():
+            if names != self._stored_settled.get(service):
+                await self._store.put(SOFTWARE, SETTLED + service, orjson.dumps(names))
+                self._stored_settled[service] = names
+
     async def _write_streams(self):
         self._take_streams()
         for span in sorted(self._unwritten, reverse=True)[:MAX_SPANS_AT_ONCE]:
--- a/cassiamount/software_versions.py
+++ b/cassiamount/software_versions.py
@@ -5,12 +5,25 @@
 up again at another VM, or after the VM that began it has restarted.
 """
 
+import math
+
 import structlog
 
 # For this long after a stream began its caller may take it up again.
 STREAM_LIFE_MS = 60_000.0
 # A version that was not in service for this long is forgotten.
 FORGET_MS = 10 * STREAM_LIFE_MS
+# A VM may lack versions that were first listed within this time; with an older list it
+# does not take the only version that it knows for the only one.
+MAX_LIST_AGE_MS = 3_000.0
+# Time after a version was first listed from which new streams begin there. It is longer
+# than the age of any list by which streams are taken up.
+SETTLE_MS = MAX_LIST_AGE_MS + 250.0
+# A version that comes back after this time is as a new one to a VM that missed it.
+MAX_ABSENCE_MS = STREAM_LIFE_MS / 2
+# Why it is not known where a stream began.
+LIST_STALE = "list_stale"
+STREAM_UNKNOWN = "stream_unknown"
 # Streams that are remembered at most; the oldest are forgotten first.
 MAX_STREAMS = 20_000
 
@@ -23,7 +36,8 @@
     Parameters
     ----------
     versions : list
-        ``[service, software, age_ms]`` each: when a version was last in service.
+        ``[service, software, age_ms, settles_in_ms]`` each: when a version was last in
+        service, and the time until new streams may begin there.
     streams : list
         ``[request_id, software, age_ms]`` each: where a stream began, and when.
     known_ms : float or None
@@ -45,11 +59,13 @@
 class _Seen:
     """When a version of a service was in service, as far as this VM knows."""
 
-    __slots__ = ("is_listed", "last_ms", "version")
+    __slots__ = ("is_listed", "last_ms", "settled_ms", "version")
 
-    def __init__(self, last_ms):
+    def __init__(self, last_ms, settled_ms):
         self.is_listed = False
         self.last_ms = last_ms
+        # Time from which new streams may begin at the version.
+        self.settled_ms = settled_ms
         self.version = 0
 
 
@@ -69,7 +85,9 @@
     """What one VM knows of software versions and of the streams that began at them.
 
     Which version a stream began at is told to other VMs only while a service has had
-    several of them within the life of a stream. Without that it is the only one.
+    several of them within the life of a stream. Without that it is the only one, which
+    a VM may conclude only if its list of backend servers is recent: no stream begins at
+    a further version before that has been listed for longer than such a list is old.
 
     Parameters
     ----------
@@ -118,11 +136,18 @@
                 seen.last_ms = now_ms
                 seen.version = self._counter.next()
                 log.info("software_gone", service=key[0], software=key[1])
+        if not self._seen and self.is_complete:
+            # The first list of the first VMs: no other list is older.
+            settled_ms = now_ms
+        else:
+            settled_ms = now_ms + SETTLE_MS
         for key in listed:
             seen = self._seen.get(key)
             if seen is None:
-                seen = self._seen[key] = _Seen(now_ms)
+                seen = self._seen[key] = _Seen(now_ms, settled_ms)
             if not seen.is_listed:
+                if now_ms - seen.last_ms > MAX_ABSENCE_MS:
+                    seen.settled_ms = settled_ms
                 seen.is_listed = True
                 seen.version = self._counter.next()
                 log.info("software_seen", service=key[0], software=key[1])
@@ -131,12 +156,17 @@
                 del self._seen[key]
         self._on_versions_changed(now_ms)
 
+    def observe_past(self, service, software, now_ms):
+        """Record a version of an entry that was replaced before it came into use."""
+        if self._see((service, software), now_ms, now_ms + SETTLE_MS):
+            self._on_versions_changed(now_ms)
+
     @property
     def is_complete(self):
         """Whether no version of the past can have gone unnoticed."""
         return self._known_since_ms == -float("inf")
 
-    def load(self, versions, streams, now_ms):
+    def load(self, versions, streams, now_ms, settled=()):
         """Take over what the store has from before the start; it lacks no version.
 
         Parameters
@@ -146,9 +176,12 @@
         streams : iterable of (str, str, float)
             Request ID, software, and time since the stream began.
         now_ms : float
+        settled : collection of (str, str)
+            Versions at which new streams could begin.
         """
         for key, age_ms in versions.items():
-            self._see(key, now_ms - age_ms)
+            settles_in_ms = 0.0 if key in settled else SETTLE_MS
+            self._see(key, now_ms - age_ms, now_ms + settles_in_ms)
         for request_id, software, age_ms in streams:
             if age_ms <= STREAM_LIFE_MS:
                 # Told to all peers, as nobody else may have read it.
@@ -163,13 +196,21 @@
             for key, seen in self._seen.items()
         }
 
-    def _see(self, key, last_ms):
+    def settled(self, now_ms):
+        """Return service and software of the versions at which streams may begin."""
+        return {key for key, seen in self._seen.items() if seen.settled_ms <= now_ms}
+
+    def _see(self, key, last_ms, settled_ms):
         """Record when a version was in service; return whether that is new."""
         seen = self._seen.get(key)
         if seen is None:
-            seen = self._seen[key] = _Seen(last_ms)
-        elif seen.is_listed or last_ms <= seen.last_ms:
-            return False
+            seen = self._seen[key] = _Seen(last_ms, settled_ms)
+        elif not seen.is_listed and last_ms - seen.last_ms > MAX_ABSENCE_MS:
+            seen.settled_ms = settled_ms
+        else:
+            seen.settled_ms = min(seen.settled_ms, settled_ms)
+            if seen.is_listed or last_ms <= seen.last_ms:
+                return False
         seen.last_ms = last_ms
         seen.version = self._counter.next()
         return True
@@ -207,7 +248,7 @@
         """Record that a request of this VM got its first event."""
         self._add_stream(request_id, software, now_ms, now_ms, True)
 
-    def version_of(self, request_id, service, now_ms):
+    def origin_of(self, request_id, service, now_ms, list_age_ms):
         """Return the software version at which a stream began.
 
         Parameters
@@ -216,15 +257,42 @@
             Of the attempt that brought the stream's first event.
         service : str
         now_ms : float
+        list_age_ms : float
+            Time since the list of backend servers was proven current.
 
         Returns
         -------
-        str or None
-            None if it is not known and may be one of several.
+        (str or None, str or None)
+            The version, or why it is not known: `LIST_STALE` or `STREAM_UNKNOWN`.
         """
         origin = self._streams.get(request_id)
         if origin is not None:
-            return origin.software
+            return origin.software, None
+        software = self._only_version(service, now_ms)
+        if software is None:
+            return None, STREAM_UNKNOWN
+        if list_age_ms > MAX_LIST_AGE_MS:
+            return None, LIST_STALE
+        return software, None
+
+    def unsettled(self, service, now_ms):
+        """Return version -> time until new streams may begin there, if they may not.
+
+        They may begin at the only version of a service at once, as no other VM can take
+        it for that of another.
+        """
+        waits_ms = {}
+        for key, seen in self._seen.items():
+            if key[0] != service or seen.settled_ms <= now_ms:
+                continue
+            if self._only_version(service, now_ms) == key[1]:
+                seen.settled_ms = now_ms
+            else:
+                waits_ms[key[1]] = seen.settled_ms - now_ms
+        return waits_ms
+
+    def _only_version(self, service, now_ms):
+        """Return the only version in service in the life of a stream, or None."""
         if self._known_since_ms > now_ms - STREAM_LIFE_MS:
             return None
         versions = self._recent(now_ms).get(service, ())
@@ -258,7 +326,11 @@
             Whether the receiver hears of the other VMs' streams from them.
         """
         versions = [
-            [*key, 0.0 if seen.is_listed else round(now_ms - seen.last_ms)]
+            [
+                *key,
+                0.0 if seen.is_listed else round(now_ms - seen.last_ms),
+                max(0, math.ceil(seen.settled_ms - now_ms)),
+            ]
             for key, seen in self._seen.items()
             if seen.version > since_version
         ]
@@ -280,9 +352,9 @@
     def apply(self, part, now_ms):
         """Apply what a peer reported; return whether other VMs need it soon."""
         news = False
-        for service, software, age_ms in part.versions:
+        for service, software, age_ms, settles_in_ms in part.versions:
             is_known = (service, software) in self._seen
-            self._see((service, software), now_ms - age_ms)
+            self._see((service, software), now_ms - age_ms, now_ms + settles_in_ms)
             news |= not is_known
         for request_id, software, age_ms in reversed(part.streams):
             self._add_stream(request_id, software, now_ms - age_ms, now_ms, False)
--- a/tests/fleet_world/engines.py
+++ b/tests/fleet_world/engines.py
@@ -52,6 +52,7 @@
         # Time until which orders get no answer, although they are accepted.
         self.mute_until_ms = 0.0
         self.service = "llm"
+        self.software = "v1"
         self.has_ended = False
         self.draining = False
         # Heartbeats that the engine has written to the store.
--- a/tests/fleet_world/network.py
+++ b/tests/fleet_world/network.py
@@ -41,11 +41,20 @@
         # Pairs of zones without a path.
         self.zones = {}
         self.cut_zones = set()
+        # VMs that no message reaches or leaves from "peers" or from the "store".
+        self.cut_from = {"peers": set(), "store": set()}
+        # VM that stands still -> future that is done when it goes on.
+        self.frozen = {}
 
     def reaches(self, source, target):
         """Return whether messages pass between two machines."""
         if source in self.cut or target in self.cut:
             return False
+        kind = "store" if "store" in (source, target) else "peers"
+        if (kind == "store" or {source, target} <= self.links.keys()) and (
+            not self.cut_from[kind].isdisjoint((source, target))
+        ):
+            return False
         zones = {self.zones.get(source), self.zones.get(target)}
         return len(zones) < 2 or None in zones or not zones & self.cut_zones
 
@@ -53,6 +62,9 @@
         """Wait until a message has passed both links; for ever if it cannot."""
         if not self.reaches(source, target):
             await self._loop.create_future()
+        for name in (source, target):
+            if name in self.frozen:
+                await asyncio.shield(self.frozen[name])
         for name, direction in ((source, "out"), (target, "in")):
             link = self.links.get(name)
             if link is not None:
@@ -93,19 +105,29 @@
         self._servers = servers
         self._vm = vm
         self._address = address
+        # Delivery of the last report to a VM that stands still.
+        self._late = None
 
     async def call(self, data, timeout_ms):
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                target, handle = self._servers.get(self._address, (None, None))
-                if handle is None:
+                target, _ = self._servers.get(self._address, (None, None))
+                if target is None:
                     raise PeerUnreachable("refused")
-                await self._network.transfer(self._vm, target, wire_size(data))
-                reply = await handle(data)
-                await self._network.transfer(target, self._vm, wire_size(reply))
-                return reply
+                if target in self._network.frozen:
+                    # Its machine keeps what arrives, although the sender gives up.
+                    self._late = asyncio.create_task(self._deliver(data))
+                    return await asyncio.shield(self._late)
+                return await self._deliver(data)
         except TimeoutError as error:
             raise PeerUnreachable("timeout") from error
 
+    async def _deliver(self, data):
+        target, handle = self._servers[self._address]
+        await self._network.transfer(self._vm, target, wire_size(data))
+        reply = await handle(data)
+        await self._network.transfer(target, self._vm, wire_size(reply))
+        return reply
+
     async def close(self):
         return None
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -279,6 +279,8 @@
         self.told_ms = {}
         # (time, tokens) of each model request that an engine began to run.
         self.runs = []
+        # Request that began a stream -> software of the engines that ran it.
+        self.stream_software = collections.defaultdict(set)
         # (time, first part, whether the first attempt began an answer) of the others.
         self.first_attempts = []
         # VM -> spans during which it was cut off or starting.
@@ -368,6 +370,24 @@
         await asyncio.sleep(seconds)
         self.network.cut.discard(name)
 
+    async def freeze_vm(self, name, seconds):
+        """Let a VM stand still: what is sent to it and by it waits."""
+        begin_ms = self.loop.true_ms
+        self.record_disturbance(name, begin_ms, begin_ms + seconds * 1000)
+        self.network.frozen[name] = self.loop.create_future()
+        await asyncio.sleep(seconds)
+        self.network.frozen.pop(name).set_result(None)
+
+    async def cut_paths(self, name, kinds, seconds):
+        """Cut a VM from its "peers" or from the "store" for some time."""
+        begin_ms = self.loop.true_ms
+        self.record_disturbance(name, begin_ms, begin_ms + seconds * 1000)
+        for kind in kinds:
+            self.network.cut_from[kind].add(name)
+        await asyncio.sleep(seconds)
+        for kind in kinds:
+            self.network.cut_from[kind].discard(name)
+
     async def kill_vm(self, name):
         """End a VM at once."""
         await self.vms.pop(name).kill()
@@ -468,9 +488,7 @@
         engine.record_arrival = lambda metadata, vm: self._record_arrival(
             engine, metadata, vm
         )
-        engine.record_run = lambda metadata: self.runs.append(
-            (self.loop.true_ms, metadata.tokens)
-        )
+        engine.record_run = lambda metadata: self._record_run(engine, metadata)
         engine.record_told = lambda vm: self.told_ms.setdefault(
             (engine.name, vm), self.loop.true_ms
         )
@@ -482,6 +500,21 @@
         if self._is_crashing(metadata):
             self.crashing_arrivals.append((self.loop.true_ms, vm))
 
+    def _record_run(self, engine, metadata):
+        self.runs.append((self.loop.true_ms, metadata.tokens))
+        stream = metadata.resumes or metadata.request_id
+        self.stream_software[stream].add(engine.software)
+
+    def add_release(self, software, count):
+        """Let engines of another software version join, with copies of all models."""
+        for index, old in enumerate(list(self.engines.values())[:count]):
+            name = f"{software}-{index}"
+            engine = Engine(
+                self.loop, name, old.zone, old.config, old.models, old.on_disk
+            )
+            engine.software = software
+            self._add_engine(engine)
+
     def _is_crashing(self, metadata):
         is_poison = metadata.request_id.startswith("poison")
         return is_poison or CRASHING_PART in metadata.shared_parts()
@@ -509,6 +542,7 @@
             "Service": engine.service,
             "Address": f"{name}:9",
             "Zone": engine.zone,
+            "Version": engine.software,
             "Slots": self.config.slots,
             "State": "draining" if engine.draining else "ready",
             "Models": [
@@ -713,10 +747,37 @@
             prefix=tuple((str(name), prompt // len(parts)) for name in parts),
         )
 
-    async def _send(self, caller, metadata, body=None):
+    def stream_metadata(self, resumes=""):
+        """Return the metadata of a stream that may be resumed, or of its resumption."""
+        index = self.rng.randrange(self.config.busy_models)
+        metadata = self._metadata("batch", self.model_name(index), "")
+        if resumes:
+            metadata.resumes, metadata.last_event_id = resumes, "1"
+        return metadata
+
+    async def send_to(self, vm, metadata, stay_s=0.0):
+        """Send a request to a VM; return its caller, who leaves after the first event.
+
+        Parameters
+        ----------
+        vm : WorldVm
+        metadata : RequestMetadata
+        stay_s : float
+            How long the caller stays after the first event.
+        """
+        caller = Caller(self.loop)
+        sending = asyncio.create_task(self._send(caller, metadata, vm=vm))
+        while caller.first_event_ms is None and not sending.done():
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(stay_s)
+        sending.cancel()
+        await asyncio.wait([sending])
+        return caller
+
+    async def _send(self, caller, metadata, body=None, vm=None):
         if not self.vms:
             return
-        vm = self.rng.choice(list(self.vms.values()))
+        vm = vm or self.rng.choice(list(self.vms.values()))
         target = metadata.path.encode()
         body = metadata.request_id.encode() if body is None else body
         inbound = InboundRequest(
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -53,7 +53,7 @@
         "places": [VmPlace("v8", "v8:1", "z2", 0.5)],
         "knows_fleet": True,
         "leaving": [["e1", 1]],
-        "software": SoftwarePart([["s", "v1", 0.0]], [["r1", "v1", 40]], None),
+        "software": SoftwarePart([["s", "v1", 0.0, 0]], [["r1", "v1", 40]], None),
     }
     values.update(changes)
     return VmReport(**values)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -13,8 +13,13 @@
 )
 from cassiamount.software_versions import (
     FORGET_MS,
+    LIST_STALE,
+    MAX_ABSENCE_MS,
+    MAX_LIST_AGE_MS,
     MAX_STREAMS,
+    SETTLE_MS,
     STREAM_LIFE_MS,
+    STREAM_UNKNOWN,
     SoftwareVersions,
 )
 
@@ -50,7 +55,7 @@
     for at_ms, names in seen:
         others = listed("w1", "w2", service="other")
         versions.observe(listed(*names) + others, at_ms)
-    assert versions.version_of("r", "s", now_ms) == expected
+    assert versions.origin_of("r", "s", now_ms, 0.0)[0] == expected
 
 
 @pytest.mark.parametrize(
@@ -66,7 +71,99 @@
     versions.observe(listed("v1"), 0.0)
     peer = make_versions(known_since_ms)
     versions.apply(peer.part_since(0, 0.0), 0.0)
-    assert versions.version_of("r", "s", 0.0) == expected
+    assert versions.origin_of("r", "s", 0.0, 0.0)[0] == expected
+
+
+@pytest.mark.parametrize(
+    ("names", "list_age_ms", "expected"),
+    [
+        (["v1"], MAX_LIST_AGE_MS, ("v1", None)),
+        (["v1"], MAX_LIST_AGE_MS + 1, (None, LIST_STALE)),
+        (["v1"], math.inf, (None, LIST_STALE)),
+        (["v1", "v2"], math.inf, (None, STREAM_UNKNOWN)),
+    ],
+)
+def test_old_list_does_not_tell_the_only_version(names, list_age_ms, expected):
+    """Guards against a stream that goes on at a VM which missed a release."""
+    versions = make_versions()
+    versions.observe(listed(*names), 0.0)
+    versions.record_stream("known", "v1", 0.0)
+    assert versions.origin_of("r", "s", 1.0, list_age_ms) == expected
+    assert versions.origin_of("known", "s", 1.0, list_age_ms) == ("v1", None)
+
+
+LATER_MS = 10_000.0
+BACK_MS = LATER_MS + MAX_ABSENCE_MS
+
+
+@pytest.mark.parametrize(
+    ("known_since_ms", "seen", "now_ms", "expected"),
+    [
+        (-math.inf, [(0, ["v1"])], 0, {}),
+        (-math.inf, [(0, ["v1", "v2"])], 0, {}),
+        (-math.inf, [(0, []), (5, ["v1"])], 5, {}),
+        (0.0, [(0, ["v1"])], 0, {"v1": SETTLE_MS}),
+        (0.0, [(0, ["v1", "v2"])], 5, {"v1": SETTLE_MS - 5, "v2": SETTLE_MS - 5}),
+        (-math.inf, [(0, ["v1"]), (9, ["v1", "v2"])], 10, {"v2": SETTLE_MS - 1}),
+        (-math.inf, [(0, ["v1"]), (9, ["v1", "v2"])], 9 + SETTLE_MS, {}),
+        (-math.inf, [(0, ["v1"]), (9, ["v2"])], 9, {"v2": SETTLE_MS}),
+        (
+            -math.inf,
+            [(0, ["v1", "v2"]), (LATER_MS, ["v1"]), (BACK_MS, ["v1", "v2"])],
+            BACK_MS,
+            {},
+        ),
+        (
+            -math.inf,
+            [(0, ["v1", "v2"]), (LATER_MS, ["v1"]), (BACK_MS + 1, ["v1", "v2"])],
+            BACK_MS + 1,
+            {"v2": SETTLE_MS},
+        ),
+    ],
+    ids=[
+        "only",
+        "first list",
+        "first one",
+        "restart",
+        "restart in a release",
+        "release",
+        "after it",
+        "replaced",
+        "back soon",
+        "back late",
+    ],
+)
+def test_streams_begin_at_a_new_version_once_all_lists_have_it(
+    known_since_ms, seen, now_ms, expected
+):
+    """Guards against streams at a version that a list which counts may lack."""
+    versions = make_versions(known_since_ms)
+    for at_ms, names in seen:
+        versions.observe(listed(*names), at_ms)
+    assert versions.unsettled("s", now_ms) == expected
+    assert versions.unsettled("other", now_ms) == {}
+
+
+@pytest.mark.parametrize("reported_ms", [0.0, 1_000.0, SETTLE_MS])
+def test_restarted_vm_hears_when_a_version_settles(reported_ms):
+    """Guards against streams that a restarted VM begins too early, or not for long."""
+    peer, own = make_versions(), make_versions(0.0)
+    peer.observe(listed("v1"), -1.0)
+    peer.observe(listed("v1", "v2"), 0.0)
+    own.observe(listed("v1", "v2"), reported_ms)
+    own.apply(peer.part_since(0, reported_ms), reported_ms)
+    left_ms = SETTLE_MS - reported_ms
+    assert own.unsettled("s", reported_ms) == ({"v2": left_ms} if left_ms else {})
+
+
+def test_start_after_a_loss_of_all_vms_goes_on_with_what_had_settled():
+    """Guards against streams that begin nowhere for some seconds after a loss."""
+    versions = make_versions(0.0)
+    versions.observe(listed("v1", "v2", "v3"), 0.0)
+    stored = {("s", "v1"): 0.0, ("s", "v2"): 0.0, ("s", "v3"): 0.0}
+    versions.load(stored, [], 1.0, {("s", "v1"), ("s", "v2")})
+    assert versions.unsettled("s", 1.0) == {"v3": SETTLE_MS - 1.0}
+    assert versions.settled(1.0) == {("s", "v1"), ("s", "v2")}
 
 
 def test_streams_are_told_to_peers_once_versions_are_mixed():
@@ -82,8 +179,8 @@
     part = own.part_since(since, 2.0, own_streams_only=True)
     assert part.streams == [["r", "v1", 1]]
     peer.apply(part, 2.0)
-    assert peer.version_of("r", "s", 2.0) == "v1"
-    assert peer.version_of("other", "s", 2.0) is None
+    assert peer.origin_of("r", "s", 2.0, 0.0)[0] == "v1"
+    assert peer.origin_of("other", "s", 2.0, 0.0)[0] is None
     assert peer.part_since(1, 2.0, own_streams_only=True).streams == []
     assert peer.part_since(0, 2.0, own_streams_only=True).streams == [["r", "v1", 1]]
     assert own.part_since(own._counter.version, 2.0) is None
@@ -153,7 +250,7 @@
     old = ("old", "v1", STREAM_LIFE_MS + 1)
     own.load(versions, [("r", "v1", 500.0), old], 1.0)
     assert own.is_complete
-    assert own.version_of("old", "s", 1.0) is None
+    assert own.origin_of("old", "s", 1.0, 0.0)[0] is None
     assert peer.apply(own.part_since(0, 2.0, own_streams_only=True), 2.0)
-    assert peer.version_of("r", "s", 2.0) == "v1"
+    assert peer.origin_of("r", "s", 2.0, 0.0)[0] == "v1"
     assert peer.is_complete
