Wait for ports that another process still holds

What callers saw: a VM ended with status 1 at its start while one of its ports (for callers, readiness, other VMs or metrics) was held for a moment by another process's listener, connection or bound socket. The daemon of the own stack ended likewise.

Cause: each port was opened once, one after the other, before anything else began; binding succeeded for two sockets at times and only listening failed, later, in uvicorn's task.

Change: `open_when_free` tries to bind and listen until that succeeds, with one `port_awaited` line and one `port_opened` line. In a VM each port is a task of its own, so that what does not need it goes on; readiness also needs the callers' port, and the metrics port is not essential. The server for other VMs no longer shares its port with another process (`SO_REUSEPORT`), as in the own stack already. The daemon waits for its ports in the order in which it opened them, and can be stopped meanwhile.

Ruled out: uvicorn's `sys.exit` at a failed startup; it is only reached without given sockets or with a lifespan.

--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -1,6 +1,7 @@
 """One VM in front of a fleet: its components, start and graceful stop."""
 
 import asyncio
+import functools
 import random
 
 import structlog
@@ -27,7 +28,7 @@
 from .quarantine_store import QuarantineStore
 from .replica_selection import ReplicaSelector, SentPrefixIndex
 from .request_timeouts import RequestTimeouts
-from .serving import EdgeServer, open_listener
+from .serving import CallerProtocol, open_server
 from .software_store import SoftwareStore
 from .store_follower import StoreFollower
 from .supervisor import Supervisor
@@ -186,12 +187,12 @@
         """Run until a stop is requested; tasks that fail are started again."""
         await self._platform.store.start()
         await self._platform.engines.start()
-        await self._exchange.start()
         await self._start_servers()
         log.info(
             "started", zone=self._settings.zone, first_start=self._settings.first_start
         )
         supervisor = self._supervisor
+        supervisor.add("serve-peers", self._exchange.start)
         for stream in (CONFIGURATION, BACKENDS):
             follower = StoreFollower(
                 stream, self._platform.store, self.state, self._on_store_change
@@ -220,33 +221,33 @@
             await self._close()
 
     async def _start_servers(self):
-        most = most_caller_connections(descriptor_limit(self._settings.max_descriptors))
+        """Open the ports for HTTP, each as soon as it is free."""
+        settings = self._settings
+        most = most_caller_connections(descriptor_limit(settings.max_descriptors))
         log.info("caller_connections", most=most)
         few = MAX_OPERATOR_CONNECTIONS
-        for name, address, application, limit in (
-            ("ready", self._settings.ready_address, self._ready_app, few),
-            ("callers", self._settings.caller_address, self._edge, most),
-        ):
-            host, _, port = address.rpartition(":")
-            server = EdgeServer(
-                application,
-                open_listener(host, int(port)),
-                self._metrics,
-                max_connections=limit,
-                base_protocol=FleetProtocol,
-                caller_limits=self._caller_limits,
-            )
-            await server.start()
-            self._servers[name] = server
-        if self._settings.free_ports:
-            server = EdgeServer(
-                self._metrics_app,
-                open_listener(self._settings.ip, self._settings.free_ports[0]),
-                self._metrics,
-                max_connections=few,
-            )
-            await server.start()
-            self._servers["metrics"] = server
+        ports = [
+            ("ready", settings.ready_address, self._ready_app, few, FleetProtocol),
+            ("callers", settings.caller_address, self._edge, most, FleetProtocol),
+        ]
+        if settings.free_ports:
+            address = f"{settings.ip}:{settings.free_ports[0]}"
+            ports.append(("metrics", address, self._metrics_app, few, CallerProtocol))
+        for name, *port in ports:
+            start = functools.partial(self._serve, name, *port)
+            self._supervisor.add(f"serve-{name}", start)
+
+    async def _serve(self, name, address, application, max_connections, protocol):
+        server = self._servers[name] = await open_server(
+            name,
+            address,
+            application,
+            self._metrics,
+            max_connections=max_connections,
+            base_protocol=protocol,
+            caller_limits=self._caller_limits,
+        )
+        await server.start()
 
     def apply_settings(self, settings):
         """Apply changed settings; addresses and the zone need a restart."""
@@ -264,6 +265,7 @@
         state = self.state
         return (
             not state.stopping
+            and "callers" in self._servers
             and state.configuration is not None
             and state.key_freshness.is_fresh(state.now_ms())
             and bool(state.view.backends)
@@ -363,14 +365,17 @@
         clock = self._clock
         while (left_ms := schedule.balancer_delay_ms(clock.monotonic_ms())) > 0:
             await asyncio.sleep(min(left_ms, STOP_CHECK_INTERVAL_MS) / 1000)
-        server = self._servers["callers"]
-        server.begin_stop()
-        # At least once, so that the last answers are sent even if the stop began late.
-        while not await server.wait_stopped(STOP_CHECK_INTERVAL_MS):
-            if clock.monotonic_ms() >= schedule.connections_end_ms:
-                break
-        requests_cut_off = self._edge.running
-        await server.cut_off()
+        self._supervisor.cancel("serve-callers")
+        server = self._servers.get("callers")
+        requests_cut_off = 0
+        if server is not None:
+            server.begin_stop()
+            # At least once, so that the last answers are sent if the stop began late.
+            while not await server.wait_stopped(STOP_CHECK_INTERVAL_MS):
+                if clock.monotonic_ms() >= schedule.connections_end_ms:
+                    break
+            requests_cut_off = self._edge.running
+            await server.cut_off()
         if not lease_release.done():
             log.warning("lease_release_unanswered")
             lease_release.cancel()
--- a/cassiamount/node.py
+++ b/cassiamount/node.py
@@ -37,13 +37,14 @@
 from .node_peers import NodePeerHandlers
 from .node_status import NodeStatus, ReportBoard
 from .node_view import NodeView
+from .own_ports import open_when_free
 from .peer_client import PeerClient
 from .peer_log_relay import PeerLogRelay
 from .peer_service import make_server
 from .placement_runner import EngineClientPool, PlacementRunner
 from .relay import Relay
 from .routing import Router
-from .serving import EdgeServer, open_listener
+from .serving import open_server
 from .supervisor import Supervisor
 from .tracing import build_tracing
 from .vm_list_client import HttpVmListClient
@@ -301,15 +302,20 @@
             stream.follower.add_listener(self._on_claims_followed)
         supervisor = self._supervisor()
         await self._backends.start()
-        peers, _ = make_server(self._handlers, self.settings.peer_address)
+        stop = asyncio.create_task(self._stop.wait())
+        opening = asyncio.create_task(self._open_ports())
+        await asyncio.wait([opening, stop], return_when=asyncio.FIRST_COMPLETED)
+        if not opening.done():
+            opening.cancel()
+            await self._close()
+            log.info("stopped", cut_off=0)
+            return
+        peers, admin, edge = opening.result()
         await peers.start()
-        admin = self._server(self._admin.application(), self.settings.admin_address)
-        edge = self._server(self._application, self.settings.listen_address)
         await admin.start()
         tasks = asyncio.create_task(supervisor.run())
         await edge.start()
         log.info("started", vm=self.identity, zone=self.settings.zone)
-        stop = asyncio.create_task(self._stop.wait())
         await asyncio.wait([tasks, stop], return_when=asyncio.FIRST_COMPLETED)
         stop.cancel()
         cut_off = await self._drain(edge)
@@ -341,12 +347,25 @@
             root.add(part.name, part.run)
         return root
 
-    def _server(self, application, address):
-        host, _, port = address.rpartition(":")
-        listener = open_listener(host.strip("[]"), int(port))
-        return EdgeServer(
+    async def _open_ports(self):
+        """Return the servers, not started yet, once all ports are free."""
+        settings = self.settings
+        peers, _ = await open_when_free(
+            "peers",
+            settings.peer_address,
+            lambda: make_server(self._handlers, settings.peer_address),
+        )
+        admin = await self._server(
+            "admin", settings.admin_address, self._admin.application()
+        )
+        edge = await self._server("callers", settings.listen_address, self._application)
+        return peers, admin, edge
+
+    async def _server(self, name, address, application):
+        return await open_server(
+            name,
+            address,
             application,
-            listener,
             self.metrics,
             head_bytes=self.settings.max_header_bytes,
             max_connections=most_caller_connections(descriptor_limit()),
--- a/cassiamount/peer_service.py
+++ b/cassiamount/peer_service.py
@@ -7,6 +7,7 @@
 from . import peer_pb2 as pb
 from . import peer_wire as wire
 from .errors import AppendOutcomeUnknown, PlatformUnavailable
+from .own_ports import add_grpc_port
 from .peer_client import FORWARDED_METADATA
 from .peer_pb2_grpc import PeerServicer, add_PeerServicer_to_server
 
@@ -214,6 +215,11 @@
     Returns
     -------
     tuple of (grpc.aio.Server, int)
+
+    Raises
+    ------
+    OSError
+        If the port cannot be opened.
     """
     # Leases rely on one process for each address: without this option a second one
     # could listen there as well.
@@ -222,4 +228,4 @@
         options=options, maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS
     )
     add_PeerServicer_to_server(PeerService(handlers), server)
-    return server, server.add_insecure_port(address)
+    return server, add_grpc_port(server, address)
--- a/cassiamount/peer_transport.py
+++ b/cassiamount/peer_transport.py
@@ -2,6 +2,8 @@
 
 import grpc
 
+from .own_ports import add_grpc_port, open_when_free
+
 METHOD = "/cassiamount.Fleet/Exchange"
 OPTIONS = (
     ("grpc.initial_reconnect_backoff_ms", 100),
@@ -59,7 +61,7 @@
         self._server = None
 
     async def start(self, address, handle):
-        """Serve calls.
+        """Serve calls, once the port is free.
 
         Parameters
         ----------
@@ -74,14 +76,18 @@
             except ValueError as error:
                 await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
 
-        self._server = grpc.aio.server(compression=grpc.Compression.Deflate)
+        # Two processes must not share the port: each would get a part of the reports.
+        server = grpc.aio.server(
+            options=(("grpc.so_reuseport", 0),), compression=grpc.Compression.Deflate
+        )
         handler = grpc.method_handlers_generic_handler(
             "cassiamount.Fleet",
             {"Exchange": grpc.unary_unary_rpc_method_handler(respond)},
         )
-        self._server.add_generic_rpc_handlers((handler,))
-        self._server.add_insecure_port(address)
-        await self._server.start()
+        server.add_generic_rpc_handlers((handler,))
+        await open_when_free("peers", address, lambda: add_grpc_port(server, address))
+        self._server = server
+        await server.start()
 
     def connect(self, address):
         """Return a `PeerChannel`."""
@@ -89,4 +95,5 @@
 
     async def close(self, grace_s):
         """Stop the server."""
-        await self._server.stop(grace_s)
+        if self._server is not None:
+            await self._server.stop(grace_s)
--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -14,6 +14,7 @@
 from .answers import error_body
 from .caller import WRITE_PART
 from .caller_listener import ACCEPTS_AT_ONCE, CallerListener
+from .own_ports import open_when_free
 from .request_pieces import RequestPieces
 from .requests import Refusal
 
@@ -316,7 +317,7 @@
     application : object
         ASGI application.
     listener : socket.socket
-        Bound socket; owned by the server from `start` on.
+        Listening socket; owned by the server from `start` on.
     metrics : Metrics
     head_bytes : int
     max_connections : int
@@ -372,6 +373,7 @@
         self._task = asyncio.create_task(self._server.serve([self._listener]))
         while not self._server.started:
             if self._task.done():
+                self._listener.close()
                 await self._task
                 raise RuntimeError("the listener could not be started")
             await asyncio.sleep(0.005)
@@ -428,12 +430,43 @@
 
 
 def open_listener(host, port):
-    """Return a bound TCP socket; port 0 takes a free one."""
+    """Return a TCP socket that listens; port 0 takes a free one.
+
+    Raises
+    ------
+    OSError
+    """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     # asyncio sets TCP_NODELAY only on sockets that name their protocol; without it
     # the end of each streamed answer waited 40 ms for a delayed acknowledgement.
     listener = CallerListener(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, port))
+        # Two sockets can be bound to a port, and only one of them can listen.
+        listener.listen()
+    except OSError:
+        listener.close()
+        raise
     listener.setblocking(False)
     return listener
+
+
+async def open_server(name, address, application, metrics, **options):
+    """Return an `EdgeServer`, not started yet, that has its port, once that is free.
+
+    Parameters
+    ----------
+    name : str
+        What the port is for, in logs.
+    address : str
+        ``IP:port``.
+    application, metrics : object
+    **options
+        Of `EdgeServer`.
+    """
+    host, _, port = address.rpartition(":")
+    listener = await open_when_free(
+        name, address, lambda: open_listener(host.strip("[]"), int(port))
+    )
+    return EdgeServer(application, listener, metrics, **options)
--- a/tests/process_deployment.py
+++ b/tests/process_deployment.py
@@ -281,13 +281,17 @@
     def caller(self, team=TEAMS[0]):
         return Caller(self.http, self.keys[team])
 
-    async def start_daemon(self, name, zone="zone-a", served=True, **settings):
+    async def start_daemon(
+        self, name, zone="zone-a", served=True, wait_for="/readyz", **settings
+    ):
         """Start a daemon and enter it in the VM list.
 
         Parameters
         ----------
         served : bool
             Whether to wait until it answers requests of all teams.
+        wait_for : str or None
+            See `Daemon.wait_for`.
         """
         daemon = await self.harness.start_daemon(
             {
@@ -298,7 +302,8 @@
                 "weight_store_address": self.weights.address,
                 "balancer_wait_ms": 200,
                 **settings,
-            }
+            },
+            wait_for,
         )
         await self.list_vm(name, zone, daemon.settings["peer_address"], "entry")
         if served:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import aiohttp
 import pytest
@@ -10,7 +11,7 @@
 from cassiamount.log_client import HttpLogClient
 from cassiamount.operator_api import OperatorApi
 from tests.process_deployment import Caller, Deployment, Load, identity_of, leases_of
-from tests.process_harness import ProcessHarness, wait_until
+from tests.process_harness import ProcessHarness, free_address, wait_until
 
 pytestmark = pytest.mark.xdist_group("processes")
 
@@ -321,3 +322,25 @@
     assert await deployment.executions(leaving) == last[-1]
     for _, _, answer in await load.finish():
         assert answer.status == 200 and answer.whole, answer
+
+
+@pytest.mark.parametrize("field", ["listen_address", "peer_address", "admin_address"])
+async def test_a_port_that_is_still_held_delays_a_start(deployment, field):
+    """Guards against a daemon that ends because one of its ports is not free yet."""
+    await deployment.start()
+    address = free_address()
+    host, _, port = address.rpartition(":")
+    with socket.create_server((host, int(port))):
+        options = {"served": False, "wait_for": None, field: address}
+        daemon = await deployment.start_daemon("vm-1", **options)
+        stopped = await deployment.start_daemon("vm-2", **options)
+
+        async def waits():
+            return all("port_awaited" in vm.log_tail() for vm in (daemon, stopped))
+
+        assert await wait_until(waits), daemon.log_tail()
+        assert await stopped.stop() == 0
+    await daemon.wait_for("/readyz")
+    await deployment.wait_served(daemon)
+    answer = await deployment.caller().stream(daemon, "words")
+    assert (answer.status, answer.whole) == (200, True)
--- a/tests/test_vm_start.py
+++ b/tests/test_vm_start.py
@@ -4,6 +4,8 @@
 import contextlib
 import os
 import signal
+import socket
+import struct
 
 import orjson
 import pytest
@@ -13,6 +15,8 @@
 from tests.fleet_fixtures import TIMEOUT_S, Fleet, configuration
 from tests.soak import VmProcess
 
+# Names of `VmProcess.ports`.
+PORTS = ("callers", "ready", "peers", "metrics")
 # Stands in for a library: tells that it is being imported, and waits to be let go on.
 HELD_LIBRARY = """
 import os, pathlib, sys, time
@@ -155,3 +159,50 @@
         vm.process.send_signal(signal.SIGHUP)
         await vm.until_logged("settings_taken", taken + 1)
     assert vm.logged("settings_taken")[-1]["changed"] == ["key_limit_ms"]
+
+
+def hold(port, kind, store_port):
+    """Return a socket that holds a port as a server or as a client's connection."""
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", port))
+    if kind == "listener":
+        sock.listen()
+    elif kind == "client":
+        sock.connect(("127.0.0.1", store_port))
+        # Without a reset the port would stay taken for a minute after the close.
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    return sock
+
+
+@pytest.mark.parametrize("kind", ["listener", "client", "bound"])
+@pytest.mark.parametrize("name", ["callers", "ready", "peers", "metrics"])
+async def test_port_that_is_still_held(vm, name, kind):
+    """Guards against a VM that ends because one of its ports is not free yet."""
+    port = vm.ports[PORTS.index(name)]
+    with hold(port, kind, vm.fleet.store_port):
+        await vm.spawn()
+        await vm.until_logged("port_awaited")
+        if name == "callers":
+            # It knows all that it needs, and nobody can connect.
+            await vm.until_logged("fleet_known")
+            assert not await vm.is_ready()
+        elif name != "ready":
+            assert await vm.serves() == 200
+    await vm.until_logged("port_opened")
+    assert await vm.serves() == 200
+    for event in ("port_awaited", "port_opened"):
+        assert [entry["port"] for entry in vm.logged(event)] == [name]
+    vm.process.send_signal(signal.SIGTERM)
+    assert await vm.ended() == 0
+
+
+@pytest.mark.parametrize("name", ["callers", "ready", "peers", "metrics"])
+async def test_stop_while_a_port_is_held(vm, name):
+    """Guards against a VM that cannot be stopped while it waits for a port."""
+    with hold(vm.ports[PORTS.index(name)], "listener", vm.fleet.store_port):
+        await vm.spawn()
+        await vm.until_logged("port_awaited")
+        vm.process.send_signal(signal.SIGTERM)
+        assert await vm.ended() == 0
+        assert not vm.logged("child_failed")
