Take nothing from answers of the store that have another form

Callers saw: every VM ended 1.2 s after the store had begun to answer 200 with {}, [], null or fields of other types.

Cause: the client took fields from the JSON without a check of their types, read bodies without a bound, followed pages without an end, and skipped truncated records as if they had been read. A later Store-Era, or a higher generation of the lease's group, counted at once; nothing leads back from them, so one wrong answer ended the use of the store.

The checks of an entry's fields in documents.py moved to json_values.py; bodies are read by platform_http.read_body.

--- a/cassiamount/metadata_store.py
+++ b/cassiamount/metadata_store.py
@@ -22,6 +22,10 @@
     """The store did not respond or rejected the call; a write may still succeed."""
 
 
+class StoreAnswerInvalid(StoreUnavailable):
+    """The store's answer has another form than it should; nothing of it counts."""
+
+
 class HistoryTrimmed(Exception):
     """The store does not have, or no longer has, the records after a reader's offset.
 
--- a/cassiamount/platform/documents.py
+++ b/cassiamount/platform/documents.py
@@ -14,6 +14,13 @@
     ServiceConfig,
     TeamConfig,
 )
+from ..json_values import (
+    count_field,
+    optional_field,
+    parse_object,
+    strings_field,
+    text_field,
+)
 from ..keys import hash_key
 
 
@@ -125,9 +132,8 @@
 LABEL = re.compile(r"[A-Za-z0-9_-]{1,63}", re.ASCII)
 PORT = re.compile(r"[1-9][0-9]{0,4}", re.ASCII)
 MAX_PORT = 65_535
-# Largest number of slots, and largest time and count of heartbeats.
+# Largest number of slots.
 MAX_COUNT = 1_000_000
-MAX_MS = 1 << 53
 
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -142,25 +148,23 @@
         program wrote.
     """
     try:
-        value = orjson.loads(data)
-        if not isinstance(value, dict):
-            raise TypeError("entry is not a JSON object")
-        available = _optional(value, "Available", dict, {})
-        remaining_ms = _optional(value, "RemainingMs", (int, float))
+        value = parse_object(data)
+        available = optional_field(value, "Available", dict, {})
+        remaining_ms = optional_field(value, "RemainingMs", (int, float))
         return BackendRecord(
             name,
-            _non_empty_string(value, "Service"),
+            text_field(value, "Service"),
             _address(value),
-            _non_empty_string(value, "Zone"),
-            _integer(value, "Slots", 1),
+            text_field(value, "Zone"),
+            count_field(value, "Slots", 1, MAX_COUNT),
             LEAVING_BY_STATE[value["State"]],
             remaining_ms,
-            _integer(value, "born", 0, MAX_MS) if "born" in value else 0,
+            count_field(value, "born") if "born" in value else 0,
             _checked_residents(value.get("Models")),
-            _strings(available, "InMemory"),
-            _strings(available, "OnDisk"),
-            _integer(value, "Seq", 0, MAX_MS) if "Seq" in value else 0,
-            _optional(value, "Version", str, ""),
+            strings_field(available, "InMemory"),
+            strings_field(available, "OnDisk"),
+            count_field(value, "Seq") if "Seq" in value else 0,
+            optional_field(value, "Version", str, ""),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise UnreadableDocument(f"server {name!r}: {error!r}") from error
@@ -176,16 +180,9 @@
     }
 
 
-def _non_empty_string(value, field):
-    text = value[field]
-    if not isinstance(text, str) or not text:
-        raise TypeError(field)
-    return text
-
-
 def _address(value):
     """Return the address; a connection to another one would raise no `OSError`."""
-    text = _non_empty_string(value, "Address")
+    text = text_field(value, "Address")
     host, _, port = text.rpartition(":")
     labels = host.split(".")
     if not all(map(LABEL.fullmatch, labels)) or not PORT.fullmatch(port):
@@ -195,37 +192,11 @@
     return text
 
 
-def _optional(value, field, kind, default=None):
-    found = value.get(field)
-    if found is None:
-        return default
-    if not isinstance(found, kind) or isinstance(found, bool):
-        raise TypeError(field)
-    return found
-
-
-def _strings(value, field):
-    """Return the set of the strings in a list."""
-    found = _optional(value, field, list, [])
-    if not all(isinstance(text, str) for text in found):
-        raise TypeError(field)
-    return frozenset(found)
-
-
 def _checked_residents(models):
     """Return `residents` of a list that another program may have written."""
     if not isinstance(models or [], list):
         raise TypeError("Models")
     for model in models or ():
-        _non_empty_string(model, "Name")
-        _strings(model, "Adapters")
+        text_field(model, "Name")
+        strings_field(model, "Adapters")
     return residents(models)
-
-
-def _integer(value, field, least, most=MAX_COUNT):
-    number = value[field]
-    if not isinstance(number, int) or isinstance(number, bool):
-        raise TypeError(field)
-    if not least <= number <= most:
-        raise ValueError(f"{field} is out of range")
-    return number
--- a/cassiamount/platform_http.py
+++ b/cassiamount/platform_http.py
@@ -34,6 +34,43 @@
         self.beginning = beginning
 
 
+class UnreadableBody(Exception):
+    """The body exceeds the size limit or is encoded.
+
+    Parameters
+    ----------
+    message : str
+    beginning : bytes
+        The first bytes of the body.
+    """
+
+    def __init__(self, message, beginning):
+        super().__init__(message)
+        self.beginning = beginning
+
+
+async def read_body(response, max_bytes):
+    """Return the whole body of an aiohttp response.
+
+    Raises
+    ------
+    UnreadableBody
+    """
+    if response.headers.get("Content-Encoding", "identity") != "identity":
+        raise UnreadableBody("the body is encoded", b"")
+    chunks = []
+    size_bytes = 0
+    async for chunk in response.content.iter_chunked(READ_CHUNK_BYTES):
+        size_bytes += len(chunk)
+        if size_bytes > max_bytes:
+            raise UnreadableBody(
+                f"the response is longer than {max_bytes} bytes",
+                chunks[0] if chunks else chunk,
+            )
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 class PlatformResponse:
     """Status and body of a response.
 
@@ -135,18 +172,12 @@
             raise ResponseLost(f"{method} {path}: {error!r}") from error
 
     async def _read(self, response):
-        chunks = []
-        size_bytes = 0
-        async for chunk in response.content.iter_chunked(READ_CHUNK_BYTES):
-            size_bytes += len(chunk)
-            if size_bytes > self._max_response_bytes:
-                raise ResponseTooLarge(
-                    f"the response is longer than {self._max_response_bytes} bytes",
-                    response.status,
-                    chunks[0] if chunks else chunk,
-                )
-            chunks.append(chunk)
-        return b"".join(chunks)
+        try:
+            return await read_body(response, self._max_response_bytes)
+        except UnreadableBody as error:
+            raise ResponseTooLarge(
+                str(error), response.status, error.beginning
+            ) from error
 
     def _open_session(self):
         if self._session is None:
--- a/cassiamount/store_follower.py
+++ b/cassiamount/store_follower.py
@@ -90,6 +90,9 @@
     async def _load_snapshot(self):
         sent_ms = self._state.now_ms()
         page = await self._store.newest(self._stream)
+        # The snapshot counts only if the stream goes on where it ends: behind a wrong
+        # end, no later record would be taken.
+        await self._store.read(self._stream, page.next_offset, 0)
         self._state.on_store_response(True)
         self._state.on_records(
             self._stream, FROM_STORE, page.records, None, page.next_offset
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -33,6 +33,9 @@
         self.named_generations = []
         self.refusing = set()
         self.calls = 0
+        # If set, gets the path of each call and returns what is answered instead, or
+        # None to answer as usual.
+        self.odd_answer = None
         # Rises each time the store comes back from an older copy.
         self.era = 1
         self.app = Starlette(
@@ -42,13 +45,15 @@
                 Route("/log-append", self.append, methods=["POST"]),
                 Route("/log-join", self.join, methods=["POST"]),
                 Route("/log-leave", self.leave, methods=["POST"]),
+                Route("/log-owners", self.owners),
             ],
             middleware=[Middleware(BaseHTTPMiddleware, dispatch=self._add_era)],
         )
 
     async def _add_era(self, request, call_next):
-        response = await call_next(request)
-        response.headers["Store-Era"] = str(self.era)
+        odd = None if self.odd_answer is None else self.odd_answer(request.url.path)
+        response = await call_next(request) if odd is None else odd
+        response.headers.setdefault("Store-Era", str(self.era))
         return response
 
     def restore(self, kept, generation):
@@ -152,6 +157,15 @@
             self.generation += 1
         return json_response({})
 
+    async def owners(self, request):
+        """Answer with the owner of the only partition."""
+        if self._refuses():
+            return Response(status_code=503)
+        owner = min(self.members, default=None)
+        return json_response(
+            [] if owner is None else [[self.members[owner], 0, owner, 0]]
+        )
+
     def _refuses(self):
         self.calls += 1
         return "*" in self.refusing
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -1,10 +1,12 @@
 """Tests of whole VMs against stand-ins of the users' platform."""
 
 import asyncio
+import collections
 
 import aiohttp
 import pytest
 import structlog
+from starlette.responses import Response
 
 from cassiamount import supervisor
 from cassiamount.crash_quarantine import MIN_CRASHES, WaitingRequest
@@ -452,3 +454,68 @@
     await fleet.wait_until(lambda: bool(failed))
     response = await fleet.send_request("v1", "/chat/x", X_Cassiamount_Model="m2")
     assert response[0] == 200
+
+
+ODD_ANSWERS = {
+    "objects": (b"{}", {}),
+    "lists": (b"[]", {}),
+    "null": (b"null", {}),
+    "other types": (
+        b'{"items":7,"EndOffset":"x","HasMore":1,"parts":7,"Generation":[],"Offset":""}',
+        {},
+    ),
+    "zero bytes": (b"\x00" * 20, {}),
+    "without an end": (
+        b'{"items":[{"Key":"k","Value":"Nw==","Offset":0}],"HasMore":true,"EndOffset":9}',
+        {},
+    ),
+    "long": (b" " * 9_000_000, {}),
+    "odd era": (b"{}", {"Store-Era": "9" * 5_000}),
+    "encoded": (b"{}", {"Content-Encoding": "gzip"}),
+}
+
+
+@pytest.mark.parametrize("kind", ODD_ANSWERS)
+async def test_vm_outlives_a_store_that_answers_oddly(fleet, kind):
+    """Guards against VMs that end, or stay without a task, after odd answers."""
+    for name in ("v1", "v2"):
+        await fleet.add_vm(name)
+    await fleet.wait_until(
+        lambda: any(n.state.may_order() for n in fleet.nodes.values())
+    )
+    body, head = ODD_ANSWERS[kind]
+    odd_calls = collections.Counter()
+
+    def answer(path):
+        odd_calls[path] += 1
+        return Response(body, headers=head)
+
+    async def statuses():
+        return {
+            (await fleet.send_request(vm, "/buy/x"))[0]
+            for vm in fleet.nodes
+            for _ in range(5)
+        }
+
+    fleet.store.odd_answer = answer
+    await fleet.wait_until(
+        lambda: (
+            sum(odd_calls.values()) > 20 or any(t.done() for t in fleet._tasks.values())
+        )
+    )
+    # The keys are not older than the limit yet.
+    if all(n.ready() for n in fleet.nodes.values()):
+        assert await statuses() == {200}
+    assert not any(task.done() for task in fleet._tasks.values())
+    fleet.store.odd_answer = None
+    fleet.store.put("keyed.op", "config", configuration(7))
+    for node in fleet.nodes.values():
+        await fleet.wait_until(lambda n=node: n.state.configuration.version == 7)
+        await fleet.wait_until(node.ready)
+    assert await statuses() == {200}
+    await fleet.wait_until(
+        lambda: any(n.state.may_order() for n in fleet.nodes.values())
+    )
+    response = await fleet.send_request("v1", "/chat/x", X_Cassiamount_Model="m1/a7")
+    assert response[0] == 200
+    assert not any(node._supervisor.restarts for node in fleet.nodes.values())
