Keep the memory of models that a configuration leaves out

Cause: the placement kept demand, and adapters that are waited for, longer than the configuration that they came from, and looked them up in the newer one; and what an engine held beyond the configuration counted as no memory.

Now the placement drops demand and queued or pinned models with the rule that had them, and remembers the sizes of those that engines still hold. A model that no known version has (after a change of the holder) counts as all of an engine's memory. Both may be evicted, at no loss, when room is needed. A load that the configuration left out in the meantime is abandoned before its order, and the placement of a service that is gone is dropped, so that no order of it is sent. The two sums of an engine's memory are one.

Same class, looked at: shared_quota, shared_retries, fleet.team_of_key, fleet_relay, placement.py of the own stack use .get or what comes with the same version.

--- a/cassiamount/engine_state.py
+++ b/cassiamount/engine_state.py
@@ -98,19 +98,6 @@
         self.drained &= set(ready)
         return changed
 
-    def held_mb(self, models):
-        """Return the memory of all that is loaded, loading or still unloading."""
-        total = 0.0
-        for name in self.ready.keys() | self.loading.keys():
-            rule = models.get(name)
-            if rule is None:
-                continue
-            total += rule.memory_mb
-        for name, _ in self.adapters():
-            if name in models:
-                total += models[name].adapter_mb
-        return total
-
     def copies(self):
         """Return the models that are loaded or will be, and are not drained."""
         models = self.ready.keys() | self.loading.keys()
--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -194,9 +194,11 @@
         running = self._state.running_requests()
         waiting = self._state.waiting_requests()
         rates = self._state.request_rates()
-        for service in configuration.services.values():
-            if service.engine is None:
-                continue
+        services = [s for s in configuration.services.values() if s.engine is not None]
+        for name in self._placements.keys() - {s.name for s in services}:
+            # No order of a change under way finds its engine.
+            self._placements.pop(name).engines.clear()
+        for service in services:
             placement = self._placement_for(service, now_ms)
             placement.set_engines(
                 {
@@ -327,7 +329,9 @@
 
     async def _load(self, placement, engine, change):
         model = change.model
-        rule = placement.rule.models[model]
+        rule = placement.rule.models.get(model)
+        if rule is None:
+            raise OrderFailed("the configuration has left out the model")
         load_ms, _ = engine.load_ms(rule)
         engine.loading[model] = self._state.now_ms() + load_ms
         await self._order_until_accepted(placement, engine, LOAD, model, "")
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -35,10 +35,8 @@
 
     def __init__(self, service, engine_rule, burst_available, now_ms):
         self.service = service
-        self.rule = engine_rule
         self.engines = {}
         self.store_limiter = StoreLoadLimiter(burst_available, now_ms)
-        self.store_limiter.rate_per_s = engine_rule.loads_per_s
         # Model -> ModelDemand.
         self.demand = {}
         # Model without a copy -> time at which some engine should have loaded it.
@@ -53,11 +51,23 @@
         # Engine -> its requests, in total and by model.
         self._request_counts = {}
         self._running_by_model = {}
+        # Model -> ModelConfig of the last configuration that has it. Engines hold
+        # models that a configuration leaves out until these are unloaded.
+        self._models = {}
+        self.set_rule(engine_rule)
 
     def set_rule(self, rule):
-        """Replace the engine limits after a configuration change."""
+        """Replace the engine limits and the models after a configuration change."""
+        held = set()
+        for engine in self.engines.values():
+            held |= engine.ready.keys() | engine.loading.keys()
+        left_out = {n: m for n, m in self._models.items() if n in held}
+        self._models = left_out | rule.models
         self.rule = rule
         self.store_limiter.rate_per_s = rule.loads_per_s
+        self.demand = {n: d for n, d in self.demand.items() if n in rule.models}
+        self.queued = {n: at for n, at in self.queued.items() if n in rule.models}
+        self.pinned = {k: v for k, v in self.pinned.items() if k[0] in rule.models}
 
     def set_engines(self, records):
         """Update the engines from the platform's list of backend servers.
@@ -121,7 +131,7 @@
                 _, since_ms = pinned.get((model, software), (0, now_ms))
                 self.pinned[model, software] = (count, since_ms)
             waiting_by_model[model] = waiting_by_model.get(model, 0) + count
-            if adapter:
+            if adapter and model in self.rule.models:
                 self._adapter_waiting[(model, adapter)] = count
                 adapters_in_use[model] = adapters_in_use.get(model, 0) + 1
         no_requests = RequestRate(as_of_ms=now_ms)
@@ -263,7 +273,7 @@
         """Return the adapter to unload, () if there is room, None if none can go."""
         rule = self.rule
         held_count = len(engine.adapters() - engine.adapters_unloading)
-        free_mb = rule.memory_mb - engine.held_mb(rule.models)
+        free_mb = self.free_mb(engine)
         needed_mb = rule.models[model].adapter_mb
         if held_count < rule.max_adapters and free_mb >= needed_mb:
             return ()
@@ -279,7 +289,7 @@
         for used_ms, name, adapter in sorted(candidates):
             if used_ms > now_ms - ADAPTER_IDLE_MS:
                 return None
-            if free_mb + rule.models[name].adapter_mb >= needed_mb:
+            if free_mb + self._memory_mb((), [(name, adapter)]) >= needed_mb:
                 return (name, adapter)
         return None
 
@@ -302,7 +312,6 @@
         )
 
     def _usage_with_load(self, engine, model, adapter):
-        rules = self.rule.models
         models = engine.ready.keys() | engine.loading.keys()
         adapters = {
             pair
@@ -313,6 +322,25 @@
             adapters.add((model, adapter))
         else:
             models |= {model}
-        held_mb = sum(rules[name].memory_mb for name in models if name in rules)
-        held_mb += sum(rules[name].adapter_mb for name, _ in adapters if name in rules)
-        return held_mb, len(adapters)
+        return self._memory_mb(models, adapters), len(adapters)
+
+    def free_mb(self, engine):
+        """Return the memory beside all that is loaded, loading or still unloading."""
+        models = engine.ready.keys() | engine.loading.keys()
+        return self.rule.memory_mb - self._memory_mb(models, engine.adapters())
+
+    def model_mb(self, engine, model):
+        """Return the memory that a model and its adapters use at an engine."""
+        adapters = [(model, adapter) for adapter in engine.ready[model]]
+        return self._memory_mb([model], adapters)
+
+    def _memory_mb(self, models, adapters):
+        """Return the memory of models and of (model, adapter) pairs.
+
+        A model that no known configuration has may use all that an engine has.
+        """
+        known = self._models
+        return sum(
+            known[name].memory_mb if name in known else self.rule.memory_mb
+            for name in models
+        ) + sum(known[name].adapter_mb for name, _ in adapters if name in known)
--- a/cassiamount/model_planner.py
+++ b/cassiamount/model_planner.py
@@ -234,6 +234,9 @@
         return loss
 
     def _compute_loss(self, model):
+        if model not in self._rule.models:
+            # The configuration left it out.
+            return 0.0
         # A load under way may still fail, and an engine that has not reported to this
         # VM yet may hold other models than the platform's list shows.
         copies = sum(
@@ -348,7 +351,7 @@
 
         None if the new one cannot fit or the evictions would lose too much.
         """
-        free_mb = self._rule.memory_mb - engine.held_mb(self._rule.models)
+        free_mb = self._placement.free_mb(engine)
         if free_mb >= rule.memory_mb:
             return []
         victims = []
@@ -384,20 +387,17 @@
     def _may_evict(self, engine, model):
         loaded_ms = engine.loaded_ms.get(model, -math.inf)
         return (
-            model not in engine.drained
-            and model in self._rule.models
-            and self._now_ms - loaded_ms >= MIN_RESIDENCE_MS
+            model not in engine.drained and self._now_ms - loaded_ms >= MIN_RESIDENCE_MS
         )
 
     def _victim(self, engine, model):
-        rule = self._rule.models[model]
         demand = self._demand.get(model)
         return _Victim(
             model,
             self.loss_per_s(model),
             self._placement.running_count(engine, model),
             -math.inf if demand is None else demand.last_request_ms,
-            rule.memory_mb + rule.adapter_mb * len(engine.ready[model]),
+            self._placement.model_mb(engine, model),
         )
 
     def _blocked_per_s(self, engine, victims):
@@ -427,7 +427,8 @@
         return not self._is_rare(model) or model not in self._cached
 
     def _is_rare(self, model):
-        return self._demand[model].rate_per_s < RARE_RATE_PER_S
+        demand = self._demand.get(model)
+        return demand is None or demand.rate_per_s < RARE_RATE_PER_S
 
     def _rare_change_allowed(self):
         rare = sum(
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -519,3 +519,23 @@
     response = await fleet.send_request("v1", "/chat/x", X_Cassiamount_Model="m1/a7")
     assert response[0] == 200
     assert not any(node._supervisor.restarts for node in fleet.nodes.values())
+
+
+async def test_models_that_a_configuration_leaves_out_make_room(fleet):
+    """Guards against a holder that ends, or engines with more than their memory."""
+    node = await fleet.add_vm("v1")
+    engine = fleet.replicas["e1"]
+    await fleet.wait_until(lambda: set(engine.models) == {"m1", "m2"})
+    changed = configuration(2)
+    models = changed["Services"][0]["Engine"]["Models"]
+    models[0]["Name"] = "m3"
+    waiting = asyncio.create_task(
+        fleet.send_request("v1", "/chat/x", X_Cassiamount_Model="m1/a9")
+    )
+    fleet.store.put("keyed.op", "config", changed)
+    await fleet.wait_until(lambda: node.state.configuration.version == 2)
+    response = await fleet.send_request("v1", "/chat/x", X_Cassiamount_Model="m3")
+    assert response[0] == 200
+    assert set(engine.models) == {"m2", "m3"}
+    assert (await waiting)[0] in (200, 503)
+    assert node._supervisor.restarts == 0
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -5,7 +5,7 @@
 from cassiamount.engine_state import AdapterChange, ModelChange
 from cassiamount.errors import InvariantViolation
 from cassiamount.fleet import BackendRecord, EngineConfig, ModelConfig
-from cassiamount.fleet_orders import EngineReport
+from cassiamount.fleet_orders import SOFTWARE_MARK, EngineReport
 from cassiamount.fleet_placement import FleetPlacement
 from cassiamount.model_planner import (
     MAX_CANDIDATE_ENGINES,
@@ -379,3 +379,49 @@
                 placement.demand[name].latency_sensitive = True
     changes = [c for c in placement.plan(2_000.0) if isinstance(c, ModelChange)]
     assert [change.model for change in changes] == loaded
+
+
+def without(*names):
+    models = {name: model for name, model in MODELS.items() if name not in names}
+    return EngineConfig(48, 100_000, 230_000.0, 2, 2.0, models)
+
+
+@pytest.mark.parametrize("pinned", [False, True])
+@pytest.mark.parametrize("target", ["d", "a/x", "d/x"])
+@pytest.mark.parametrize("changing", [False, True])
+def test_plans_go_on_when_models_in_demand_are_left_out(target, pinned, changing):
+    """Guards against a holder that fails on models which a configuration leaves out.
+
+    Requests for them still wait, run, or wait for a software version, and an engine
+    may be loading one.
+    """
+    placement = make_placement(make_record("e1", "a", "b"), make_record("e2", "b"))
+    waiting = {target: 3}
+    if pinned:
+        waiting[target.partition("/")[0] + SOFTWARE_MARK + "v2"] = 2
+    running = {"e1": {"a": 2, "a/y": 1}}
+    update_demand(placement, 100.0, waiting, {"a": 9, "d": 9, "e": 9}, running)
+    if changing:
+        assert placement.plan(100.0)
+    placement.set_rule(without("a", "d"))
+    update_demand(placement, 200.0, {**waiting, "e": 3}, {"e": 12}, running)
+    changes = placement.plan(200.0)
+    assert {"a", "d"}.isdisjoint(change.model for change in changes)
+    assert {"a", "d"}.isdisjoint(placement.queued)
+    if not changing:
+        assert "e" in {change.model for change in changes}
+
+
+@pytest.mark.parametrize("held", ["a", "z"], ids=["left-out", "never-known"])
+def test_left_out_model_keeps_its_memory_until_it_is_unloaded(held):
+    """Guards against engines that are ordered to load more than they hold."""
+    placement = make_placement(make_record("e1", held, "b", "c"))
+    engine = placement.engines["e1"]
+    placement.set_rule(without("a"))
+    placement.set_rule(without("a", "h"))
+    assert not placement.fits(engine, "d", "")
+    update_demand(placement, 100.0, {"d": 3}, {"d": 9})
+    (change,) = placement.plan(100.0)
+    assert (change.model, change.victims) == ("d", (held,))
+    del engine.ready[held]
+    assert placement.fits(engine, "d", "")
