Refuse reports of peers whose values have another form

Callers saw nothing yet; one report with a value of another type (a VM of another version, or another program at the port) could be taken in part, and failed later at each use: a place without a capacity stops the choice of relays, and with it all reports.

Cause: decode_report checked the number of fields and left the values alone, and on_report counted a report as received before it had been applied, so that the peer did not send again what an error had left out.

Now a report is checked whole by its shape (json_shapes.py) before anything of it is used, and counts as received once it has been applied. An empty rule of the quarantine, which would refuse every request, is no rule.

--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -4,6 +4,19 @@
 
 from .crash_quarantine import QuarantinePart
 from .engine_residency import ResidencyPart
+from .json_shapes import (
+    address,
+    count,
+    filled_text,
+    flag,
+    list_of,
+    map_of,
+    number,
+    optional,
+    rank_part,
+    row,
+    text,
+)
 from .metadata_store import KeyedRecord
 from .peer_topology import VmPlace
 from .request_limits import LimitsPart
@@ -121,6 +134,71 @@
             setattr(self, name, values[name])
 
 
+# A rank orders the values of one key; the parts of all ranks of a key compare.
+_RANK = optional(list_of(rank_part))
+_RECORDS = list_of(row(count, text, optional(text), _RANK))
+_PLACE = row(filled_text, address, optional(text), number)
+_STATE = row(
+    filled_text,
+    text,
+    address,
+    number,
+    count,
+    number,
+    flag,
+    flag,
+    count,
+    map_of(number),
+    text,
+    flag,
+)
+_RESIDENCY = row(number, map_of(list_of(text)), map_of(number), list_of(text))
+_CRASH = row(text, number, number, list_of(row(number, list_of(text))))
+# What a report holds, in the order of its slots.
+REPORT_SHAPE = row(
+    filled_text,
+    number,
+    count,
+    count,
+    number,
+    count,
+    list_of(_STATE),
+    map_of(number),
+    map_of(row(optional(count), optional(number))),
+    map_of(row(optional(count), count, _RECORDS, _RECORDS)),
+    optional(map_of(map_of(count))),
+    map_of(count),
+    map_of(row(number, number, number, number, count)),
+    flag,
+    optional(
+        row(
+            count,
+            number,
+            map_of(row(count, optional(_RESIDENCY))),
+            map_of(row(count, optional(number))),
+        )
+    ),
+    optional(
+        row(
+            list_of(_CRASH),
+            map_of(number),
+            list_of(row(list_of(text, least=1), number)),
+        )
+    ),
+    optional(row(list_of(row(text, number, optional(number), number)))),
+    list_of(_PLACE),
+    flag,
+    list_of(row(text, number)),
+    optional(
+        row(
+            list_of(row(text, text, number)),
+            list_of(row(text, text, number)),
+            optional(number),
+        )
+    ),
+)
+
+
 def encode_report(report):
     """Encode a `VmReport` as a JSON array in the order of its slots."""
     value = {name: getattr(report, name) for name in VmReport.__slots__}
@@ -174,7 +252,10 @@
         If the data is not a report.
     """
     try:
-        value = dict(zip(VmReport.__slots__, orjson.loads(data), strict=True))
+        parsed = orjson.loads(data)
+        # One value of another form would fail later, and each time it is used.
+        REPORT_SHAPE([parsed])
+        value = dict(zip(VmReport.__slots__, parsed, strict=True))
         value["states"] = [VmState(*item) for item in value["states"]]
         value["positions"] = {
             name: StreamPosition(*item) for name, item in value["positions"].items()
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -504,8 +504,9 @@
             self._recount_peer_requests()
         if report.seen_started_ms == self._started_ms:
             link.acked_version = report.seen
-        if report.since <= link.received_version:
-            link.received_version = max(link.received_version, report.version)
+        received_version = link.received_version
+        if report.since <= received_version:
+            received_version = max(received_version, report.version)
         link.wants_demand = report.wants_demand
         link.positions = report.positions
         version_before = self._configuration_version()
@@ -520,7 +521,7 @@
         if report.software is not None:
             has_news |= self.software.apply(report.software, now_ms)
         self.peers.on_vouched(report.vouched_ages, now_ms)
-        is_complete = link.received_version >= report.version
+        is_complete = received_version >= report.version
         self.learn_vms(report.places, report.knows_fleet and is_complete)
         self._apply_records(report, now_ms)
         waited_before = self.demand.waiting_of(report.vm)
@@ -530,6 +531,8 @@
             changes = self.residency.apply(report.residency, report.vm, now_ms)
             if changes:
                 self._merge_residency(changes.engines)
+        # Only now: the peer sends again what failed to be applied.
+        link.received_version = received_version
         self.notify()
         if self.peers.topology.is_mesh:
             return set()
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -1,8 +1,12 @@
 """Tests of the reports between the VMs of a fleet, and of the peer table."""
 
+import json
+import random
+
 import pytest
 
 from cassiamount.change_counter import ChangeCounter
+from cassiamount.clock import ManualClock
 from cassiamount.crash_quarantine import QuarantinePart
 from cassiamount.engine_residency import ResidencyPart
 from cassiamount.fleet_reports import (
@@ -12,12 +16,16 @@
     decode_report,
     encode_report,
 )
+from cassiamount.fleet_state import FleetState
 from cassiamount.metadata_store import KeyedRecord
 from cassiamount.peer_table import PEER_EXPIRY_MS, PEER_TIMEOUT_MS, PeerTable
 from cassiamount.peer_topology import VmPlace
+from cassiamount.platform.settings import decode_settings
 from cassiamount.request_limits import LimitsPart
 from cassiamount.software_versions import SoftwarePart
 from cassiamount.vm_state import VmState
+from tests.fleet_fixtures import Decoder
+from tests.test_fleet_state import SETTINGS
 
 
 def report(vm="v2", **changes):
@@ -148,3 +156,57 @@
     assert table.store_reader_rank(1.0) == 1
     hear(table, "v9", 0.0, store_reachable=True, capacity=2.0)
     assert table.store_reader_rank(1.0) == 2
+
+
+ODD = [None, True, -1, 0.5, 1e300, 2**60, "", "\n", "\u20ac", [], {}, [None], {"": 1}]
+
+
+def mutate(value, rng):
+    """Return a JSON value in which one part is another one, missing or repeated."""
+    if isinstance(value, (list, dict)) and value and rng.random() < 0.9:
+        keys = list(value) if isinstance(value, dict) else range(len(value))
+        key = rng.choice(keys)
+        changed = value.copy()
+        how = rng.random()
+        if how < 0.05:
+            del changed[key]
+        elif how < 0.1 and isinstance(value, list):
+            changed.append(value[key])
+        else:
+            changed[key] = mutate(value[key], rng)
+        return changed
+    return rng.choice(ODD)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.usefixtures("quiet_logs")
+def test_odd_report_is_refused_or_does_no_harm(seed):
+    """Guards against one odd report after which a VM can tell its peers nothing.
+
+    Each mutated report is either refused as a whole or taken; after all of them the
+    VM goes on with sound ones.
+    """
+    rng = random.Random(seed)
+    settings = decode_settings(SETTINGS.format(name="v1"), "f").unwrap()
+    clock = ManualClock()
+    state = FleetState(settings, Decoder, clock, 1)
+    sound = json.loads(encode_report(report()))
+    taken = 0
+    for _ in range(2_000):
+        clock.advance(50)
+        data = json.dumps(mutate(sound, rng)).encode()
+        try:
+            decoded = decode_report(data)
+        except ValueError:
+            continue
+        taken += 1
+        state.on_report(decoded)
+        state.review_peers()
+        decode_report(encode_report(state.build_report("v2")))
+        state.peers.store_reader_rank(clock.monotonic_ms())
+        state.running_requests()
+        state.waiting_requests()
+        state.request_rates()
+    assert taken > 20
+    state.on_report(report(started_ms=2**52, since=0, version=2**52))
+    assert decode_report(encode_report(state.build_report("v2"))).vm == "v1"
