Run with closed or unread standard streams

What callers saw: a VM whose standard output was closed ended with status 1 at its start. One with a full standard error that nobody reads never ended when its settings were wrong, and libraries write there too.

Cause: the log took the descriptor from `sys.stdout`, which is None then. With it taken from the number alone, the next socket would have got the number, and the log lines with it. Writes to standard error waited.

Change: before anything else is opened, closed streams are opened on the null device, and both outputs are set not to wait.

--- a/cassiamount/platform/__main__.py
+++ b/cassiamount/platform/__main__.py
@@ -4,11 +4,13 @@
 import sys
 
 from ..process_signals import ProcessSignals
+from ..standard_streams import prepare_standard_streams
 
 
 def main():
     """Run until SIGTERM; return the exit status."""
     signals = ProcessSignals()
+    prepare_standard_streams()
     # Most of the start is the import of libraries. Signals come meanwhile too, and the
     # settings file is read before and after, so that it is not taken while it changes.
     from ..clock import SystemClock
--- a/cassiamount/platform/process.py
+++ b/cassiamount/platform/process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import sys
 from platform import machine, python_version
 
 import structlog
@@ -13,6 +12,7 @@
 from ..fleet_node import FleetNode, PlatformAdapter
 from ..logs import configure_logs
 from ..process_usage import process_usage
+from ..standard_streams import STANDARD_OUTPUT, write_error
 from . import documents, headers
 from .engines import EngineClient
 from .settings import FILE_VARIABLE
@@ -37,7 +37,7 @@
     signals : ProcessSignals
     file : SettingsFile
     """
-    configure_logs("info", BoundedStream(sys.stdout.fileno()), cached=True)
+    configure_logs("info", BoundedStream(STANDARD_OUTPUT), cached=True)
     log = structlog.get_logger()
     log.info(
         "process_starting",
@@ -61,9 +61,9 @@
         findings = decoded.unwrap_err()
         file.report(log.error, findings)
         if file.is_readable:
-            print(*findings, sep="\n", file=sys.stderr)
+            write_error("\n".join(findings))
             return EXIT_FINDINGS
-        print(f"cannot read {FILE_VARIABLE}: {findings[0]}", file=sys.stderr)
+        write_error(f"cannot read {FILE_VARIABLE}={file.name}: {findings[0]}")
         return EXIT_FAILURE
     settings = decoded.unwrap()
     structlog.contextvars.bind_contextvars(vm=settings.vm_name)
--- a/tests/test_vm_start.py
+++ b/tests/test_vm_start.py
@@ -6,12 +6,13 @@
 import signal
 import socket
 import struct
+import sys
 
 import orjson
 import pytest
 import pytest_asyncio
 
-from cassiamount.platform.settings import decode_settings
+from cassiamount.platform.settings import FILE_VARIABLE, decode_settings
 from tests.fleet_fixtures import TIMEOUT_S, Fleet, configuration
 from tests.soak import VmProcess
 
@@ -206,3 +207,42 @@
         vm.process.send_signal(signal.SIGTERM)
         assert await vm.ended() == 0
         assert not vm.logged("child_failed")
+
+
+async def spawn_with_streams(vm, prepare, error=None):
+    """Start a process whose standard streams `prepare` changes before."""
+    vm.process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "cassiamount.platform"),
+        stdout=asyncio.subprocess.DEVNULL,
+        stderr=error or asyncio.subprocess.DEVNULL,
+        env={**os.environ, FILE_VARIABLE: str(vm.settings_file)},
+        preexec_fn=prepare,
+    )
+
+
+@pytest.mark.parametrize("closed", [(1,), (2,), (1, 2), (0, 1, 2)])
+async def test_closed_standard_streams(vm, closed):
+    """Guards against a VM that ends, or logs to a caller, without an output."""
+    vm.log_file.write_text("")
+    await spawn_with_streams(vm, lambda: [os.close(number) for number in closed])
+    assert await vm.serves() == 200
+    vm.process.send_signal(signal.SIGTERM)
+    assert await vm.ended() == 0
+
+
+async def test_standard_error_that_nobody_reads(vm):
+    """Guards against a VM that hangs in a write to a pipe that is full."""
+    vm.settings_file.write_text("Zone: z1\n")
+    vm.log_file.write_text("")
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    with contextlib.suppress(BlockingIOError):
+        while os.write(writer, b"x"):
+            pass
+    os.set_blocking(writer, True)
+    await spawn_with_streams(vm, None, writer)
+    try:
+        assert await vm.ended() == 2
+    finally:
+        os.close(reader)
+        os.close(writer)
