Limit the bodies that a VM holds for all its callers together

A VM was killed above its memory by callers with bodies that were each within MaxBodyBytes: 75 of 4 MiB are 300 MB. All requests on it were lost.

Only the own stack counted the bodies of all requests. Both stacks now count with BodyBudget. On the users' platform 64 MB may be held; each body is held once more while it is sent on. The first 16 KB of each body are not counted, so that large bodies keep no usual request out. Bytes count as they come: a declared length alone holds nothing.

--- a/cassiamount/arrival.py
+++ b/cassiamount/arrival.py
@@ -2,6 +2,7 @@
 
 import orjson
 
+from .body_budget import HeldBody
 from .caller import refuse
 
 
@@ -91,7 +92,7 @@
         self.key = ""
         self.key_hash = ""
         self.team = None
-        self.held = []
+        self.held = HeldBody()
         self.trace = None
         raw = scope.get("raw_path") or scope["path"].encode()
         self.path = raw.decode("latin-1")
--- a/cassiamount/caller.py
+++ b/cassiamount/caller.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from .answers import CallerGone, error_body
+from .body_budget import BodyBudget
 from .requests import Refusal
 
 # Key in the scope of a function that writes a part of an answer at once, and returns
@@ -193,11 +194,16 @@
     limits : EdgeLimits
     """
 
-    __slots__ = ("limits", "held_bytes")
+    __slots__ = ("limits", "_budget")
 
     def __init__(self, limits):
         self.limits = limits
-        self.held_bytes = 0
+        self._budget = BodyBudget(limits.held_body_bytes)
+
+    @property
+    def held_bytes(self):
+        """Bytes of the bodies of all current requests."""
+        return self._budget.held_bytes
 
     def check_length(self, length):
         """Refuse a declared length over the limit before anything is read.
@@ -218,24 +224,21 @@
         ----------
         receive : callable
             ASGI receive channel.
-        held : list of int
-            Gets the number of bytes counted as held, which the request gives back
-            with `release` at its end.
+        held : HeldBody
+            Counts the bytes, which the request gives back with `release` at its end.
 
         Raises
         ------
         RefusedError, CallerGone
         """
         message = await self._first(receive)
-        parts = [self._part(message, held, 0)]
-        size = len(parts[0])
+        parts = [self._part(message, held)]
         if message.get("more_body"):
             try:
                 async with asyncio.timeout(self.limits.body_timeout_ms / 1000):
                     while message.get("more_body"):
                         message = await receive()
-                        parts.append(self._part(message, held, size))
-                        size += len(parts[-1])
+                        parts.append(self._part(message, held))
             except TimeoutError:
                 raise refuse(
                     408, "body_timeout", "the body arrives too slowly"
@@ -249,15 +252,13 @@
         except TimeoutError:
             raise refuse(408, "body_timeout", "the body arrives too slowly") from None
 
-    def _part(self, message, held, size):
+    def _part(self, message, held):
         if message["type"] == "http.disconnect":
             raise CallerGone("the caller disconnected while sending")
         part = message.get("body", b"")
-        if size + len(part) > self.limits.body_bytes:
+        if held.size_bytes + len(part) > self.limits.body_bytes:
             raise self._too_large()
-        self.held_bytes += len(part)
-        held.append(len(part))
-        if self.held_bytes > self.limits.held_body_bytes:
+        if not self._budget.take(held, len(part)):
             raise refuse(
                 503,
                 "not_run",
@@ -268,8 +269,7 @@
 
     def release(self, held):
         """Give back the bytes of a request that ended."""
-        self.held_bytes -= sum(held)
-        held.clear()
+        self._budget.release(held)
 
     def _too_large(self):
         limit = self.limits.body_bytes
--- a/cassiamount/fleet_edge.py
+++ b/cassiamount/fleet_edge.py
@@ -5,9 +5,11 @@
 import structlog
 
 from .answers import CallerGone, error_body
+from .body_budget import BodyBudget, HeldBody
 from .caller import WRITE_PART
 from .graceful_stop import stop_refusal
 from .relayed_request import InboundRequest
+from .replica_selection import clamp_retry_after_ms
 from .requests import Refusal
 from .serving import CallerProtocol
 
@@ -21,6 +23,10 @@
 # data resets it, and the caller might not get the refusal.
 MAX_DISCARD_MS = 2_000.0
 MAX_DISCARD_BYTES = 64 << 20
+# Bodies of all current requests; each is held a second time while it is sent on.
+MAX_BODY_BYTES = 64 << 20
+# Not counted of each body.
+FREE_BODY_BYTES = 16 << 10
 
 log = structlog.get_logger()
 
@@ -181,6 +187,7 @@
         self._relay = relay
         self._decode_request = decode_request
         self._timeouts = timeouts
+        self._bodies = BodyBudget(MAX_BODY_BYTES, FREE_BODY_BYTES)
         self.running = 0
 
     async def __call__(self, scope, receive, send):
@@ -188,18 +195,20 @@
         arrived_ms = self._state.now_ms()
         caller = ResponseWriter(scope, send, lambda: self._state.stopping)
         self.running += 1
+        held = HeldBody()
         try:
-            inbound = await self._read_request(scope, receive, caller, arrived_ms)
+            inbound = await self._read_request(scope, receive, caller, arrived_ms, held)
             if inbound is not None:
                 await self._serve_request(inbound, receive)
         except CallerGone:
             return
         finally:
             self.running -= 1
+            self._bodies.release(held)
         if caller.is_unread:
-            await _discard(receive)
+            await self._discard_body(caller, receive)
 
-    async def _read_request(self, scope, receive, caller, arrived_ms):
+    async def _read_request(self, scope, receive, caller, arrived_ms, held):
         target = scope.get(TARGET) or scope["raw_path"]
         try:
             metadata = self._decode_request(scope["method"], target, scope["headers"])
@@ -209,58 +218,80 @@
         limit = self._body_limit()
         content_length = dict(scope["headers"]).get(b"content-length")
         if content_length is not None and int(content_length) > limit:
-            await self._refuse_large_body(caller, receive, limit)
+            await self._refuse_body(caller, _body_too_large(limit), True)
             return None
         body = bytearray()
         try:
             async with self._timeouts.limit():
-                is_whole = await self._read_body(receive, body, limit)
+                refusal, more = await self._read_body(receive, body, limit, held)
         except TimeoutError:
-            log.info(
-                "request_unread",
-                request_id=metadata.request_id,
-                body_bytes=len(body),
-                took_ms=round(self._state.now_ms() - arrived_ms),
+            refusal, more = stop_refusal(), True
+        if refusal is None:
+            return InboundRequest(
+                metadata, target, scope["headers"], bytes(body), arrived_ms, caller
             )
-            await caller.refuse_unread(stop_refusal())
-            return None
-        if not is_whole:
-            await self._refuse_large_body(caller, receive, limit)
-            return None
-        return InboundRequest(
-            metadata, target, scope["headers"], bytes(body), arrived_ms, caller
+        log.info(
+            "request_unread",
+            request_id=metadata.request_id,
+            code=refusal.code,
+            body_bytes=len(body),
+            held_bytes=self._bodies.held_bytes,
+            took_ms=round(self._state.now_ms() - arrived_ms),
         )
+        self._bodies.release(held)
+        body.clear()
+        await self._refuse_body(caller, refusal, more)
+        return None
+
+    async def _read_body(self, receive, body, limit, held):
+        """Add the parts of a body.
 
-    async def _read_body(self, receive, body, limit):
-        """Add the parts of a body; return False if it is too large."""
+        Returns
+        -------
+        (Refusal or None, bool)
+            Why it was not read whole, and whether more of it follows.
+        """
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
                 raise CallerGone
-            body += message.get("body", b"")
-            if len(body) > limit:
-                return False
-            if not message.get("more_body", False):
-                return True
+            part = message.get("body", b"")
+            more = message.get("more_body", False)
+            if len(body) + len(part) > limit:
+                return _body_too_large(limit), more
+            if not self._bodies.take(held, len(part)):
+                return _bodies_full(), more
+            body += part
+            if not more:
+                return None, False
 
     def _body_limit(self):
         configuration = self._state.configuration
         return (4 << 20) if configuration is None else configuration.limits.body_bytes
 
-    async def _refuse_large_body(self, caller, receive, limit):
-        """Refuse a body that is too large, and discard the rest of it."""
-        refusal = Refusal(413, "body_too_large", f"the body exceeds {limit} bytes")
+    async def _refuse_body(self, caller, refusal, more):
+        """Refuse a request for its body; what follows of it is discarded later."""
+        if more:
+            await caller.refuse_unread(refusal)
+        else:
+            await caller.refuse(refusal, close=True)
+
+    async def _discard_body(self, caller, receive):
+        """Read what follows of a refused body, until its caller closes the connection.
+
+        Closing it with unread data resets it, and the caller might not get its answer.
+        """
         remaining_bytes = MAX_DISCARD_BYTES
         try:
             async with asyncio.timeout(MAX_DISCARD_MS / 1000):
                 while remaining_bytes > 0:
                     message = await receive()
+                    if message["type"] == "http.disconnect":
+                        return
                     remaining_bytes -= len(message.get("body", b""))
-                    if not message.get("more_body", False):
-                        break
         except TimeoutError:
             pass
-        await caller.refuse(refusal, close=True)
+        await caller.finish()
 
     async def _serve_request(self, inbound, receive):
         """Serve a request, and cancel it when its caller disconnects."""
@@ -279,15 +310,17 @@
             watcher.cancel()
 
     async def _cancel_on_disconnect(self, receive, task, caller):
-        await _discard(receive)
+        while (await receive())["type"] != "http.disconnect":
+            pass
         if not caller.finished:
             task.cancel()
 
 
-async def _discard(receive):
-    """Discard what arrives until the caller closes the connection.
+def _body_too_large(limit):
+    return Refusal(413, "body_too_large", f"the body exceeds {limit} bytes")
 
-    Closing it with unread data resets it, and the caller might not get its answer.
-    """
-    while (await receive())["type"] != "http.disconnect":
-        pass
+
+def _bodies_full():
+    message = "the bodies of current requests take up all memory set aside for them"
+    retry_after_s = clamp_retry_after_ms(None) / 1000
+    return Refusal(503, "bodies_full", message, retry_after_s=retry_after_s)
