Date what a peer's report proves by the receiver's own clock

A report that lay in the buffers of a VM which stood still, or that was long under way, counted as built when it was read: after 7 s it proved the keys and the list of backend servers current as of that moment. A thawed VM could so use a withdrawn key, or take the only software version of an old list for the only one.

Reports now tell the sender's time and echo the receiver's last one with the time since it came, so that the receiver knows on its own clock when a report was built at the earliest; the ages of both streams count from there. A report that lacks changes since the one before confirms nothing, as it may lack a software version that the list has no more. The first report to a VM has no echo and confirms nothing; the answer to it does.

The reports in test_fleet_reports.py have the new fields.

--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -103,6 +103,12 @@
     leaving : list
         ``[backend, started_wall_ms]`` of each server that has said that it leaves.
     software : SoftwarePart or None
+    built_ms : int
+        Monotonic time of the sender.
+    echo : list or None
+        Of the last report that the sender has from the receiver: its `built_ms`, and
+        the time since it came. By these the receiver knows, on its own clock, when this
+        report was built at the earliest, however long it was under way.
     """
 
     __slots__ = (
@@ -127,6 +133,8 @@
         "knows_fleet",
         "leaving",
         "software",
+        "built_ms",
+        "echo",
     )
 
     def __init__(self, **values):
@@ -191,11 +199,13 @@
     list_of(row(text, number)),
     optional(
         row(
-            list_of(row(text, text, number)),
+            list_of(row(text, text, number, number)),
             list_of(row(text, text, number)),
             optional(number),
         )
     ),
+    number,
+    optional(row(number, number)),
 )
 
 
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -1,6 +1,7 @@
 """State of one VM in front of a fleet, updated from the store and peers' reports."""
 
 import collections
+import math
 
 import structlog
 
@@ -507,6 +508,7 @@
         received_version = link.received_version
         if report.since <= received_version:
             received_version = max(received_version, report.version)
+        link.record_built(report.built_ms, now_ms)
         link.wants_demand = report.wants_demand
         link.positions = report.positions
         version_before = self._configuration_version()
@@ -523,7 +525,9 @@
         self.peers.on_vouched(report.vouched_ages, now_ms)
         is_complete = received_version >= report.version
         self.learn_vms(report.places, report.knows_fleet and is_complete)
-        self._apply_records(report, now_ms)
+        self._apply_records(report)
+        if is_complete:
+            self._apply_confirmations(report, now_ms)
         waited_before = self.demand.waiting_of(report.vm)
         self._apply_demand(report, now_ms)
         changes = None
@@ -571,7 +575,7 @@
             )
         return has_news
 
-    def _apply_records(self, report, now_ms):
+    def _apply_records(self, report):
         for stream, part in report.records.items():
             if stream in self.streams:
                 self.on_records(
@@ -582,6 +586,14 @@
                     part.next_offset,
                     part.carried,
                 )
+
+    def _apply_confirmations(self, report, now_ms):
+        """Take over until when a peer knew that its records were current."""
+        if report.echo is None or report.seen_started_ms != self._started_ms:
+            return
+        sent_ms, held_ms = report.echo
+        # A report may have waited in a buffer, for instance while this VM stood still.
+        built_ms = min(now_ms, sent_ms + held_ms)
         for stream, position in report.positions.items():
             if (
                 stream in self.streams
@@ -589,7 +601,7 @@
                 and position.age_ms is not None
             ):
                 self.confirm(
-                    stream, report.vm, position.next_offset, now_ms - position.age_ms
+                    stream, report.vm, position.next_offset, built_ms - position.age_ms
                 )
 
     def _apply_demand(self, report, now_ms):
@@ -795,6 +807,8 @@
             knows_fleet=self.knows_fleet and peers.names_all_to(name),
             leaving=self.notices.part_since(since),
             software=self.software.part_since(since, now_ms, peers.topology.is_mesh),
+            built_ms=math.floor(now_ms),
+            echo=None if link is None else link.echo(now_ms),
         )
 
     def _sources_for(self, name, scope, now_ms):
--- a/cassiamount/peer_table.py
+++ b/cassiamount/peer_table.py
@@ -1,5 +1,7 @@
 """What one VM knows about the other VMs of a fleet."""
 
+import math
+
 from .order_lease import PeerSummary
 from .peer_topology import PeerTopology, VmPlace
 
@@ -59,6 +61,8 @@
         "heard_ms",
         "wants_demand",
         "running_sent_ms",
+        "built_ms",
+        "built_heard_ms",
     )
 
     def __init__(self, started_ms):
@@ -74,6 +78,20 @@
         self.wants_demand = False
         # When this VM last reported its running requests to the peer.
         self.running_sent_ms = -float("inf")
+        # The peer's monotonic time in its last report, and when that came.
+        self.built_ms = None
+        self.built_heard_ms = 0.0
+
+    def record_built(self, built_ms, now_ms):
+        """Record the peer's monotonic time as of which it built a report."""
+        if self.built_ms is None or built_ms > self.built_ms:
+            self.built_ms, self.built_heard_ms = built_ms, now_ms
+
+    def echo(self, now_ms):
+        """Return the `VmReport.echo` for a report to the peer."""
+        if self.built_ms is None:
+            return None
+        return [self.built_ms, math.floor(now_ms - self.built_heard_ms)]
 
 
 class PeerTable:
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -62,6 +62,8 @@
         "knows_fleet": True,
         "leaving": [["e1", 1]],
         "software": SoftwarePart([["s", "v1", 0.0, 0]], [["r1", "v1", 40]], None),
+        "built_ms": 5_000,
+        "echo": [900, 40],
     }
     values.update(changes)
     return VmReport(**values)
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -301,6 +301,27 @@
     state.on_records(stream, FROM_STORE, records, None, position(era, end))
 
 
+@pytest.mark.parametrize("stream", [CONFIGURATION, BACKENDS])
+@pytest.mark.parametrize("held_ms", [0.0, 80.0])
+@pytest.mark.parametrize("late_ms", [0.0, 7_000.0])
+def test_report_that_was_long_under_way_proves_nothing_new(late_ms, held_ms, stream):
+    """Guards against a thawed VM that takes what it finds in its buffers for news."""
+    pair = VmPair()
+    pair.holder.clock = ManualClock(900_000.0)
+    for state in (pair.holder, pair.other):
+        load(state, stream, 1, 5, config=make_configuration(1))
+        state.clock.advance(ERA_SETTLE_MS)
+    pair.exchange()
+    for clock in (pair.clock, pair.holder.clock):
+        clock.advance(held_ms)
+    pair.holder.confirm(stream, FROM_STORE, position(1, 5), pair.holder.now_ms())
+    data = pair.encode_next_report(pair.holder, pair.other)
+    for clock in (pair.clock, pair.holder.clock):
+        clock.advance(late_ms)
+    pair.other.on_report(decode_report(data))
+    assert pair.other.freshness_of(stream).age_ms(pair.other.now_ms()) == late_ms
+
+
 @pytest.mark.parametrize("reports_first", [False, True])
 def test_vm_that_has_only_a_restored_copy_learns_what_its_peers_have(reports_first):
     """Guards against a restarted VM that works with what a restored store has."""
