Keep what decides in a VM's process out of the adapter

They are in vm_process now; the adapter only builds the components that speak to the platform. The test of body_budget gives the edge its time limits, and the test fleet uses the adapter's decoder instead of a copy.

--- a/cassiamount/platform/__main__.py
+++ b/cassiamount/platform/__main__.py
@@ -21,9 +21,10 @@
         os.environ.get(FILE_VARIABLE, ""), decode_settings, SystemClock()
     )
     file.read()
-    from .process import run_process
+    from ..vm_process import run_process
+    from .components import build_platform
 
-    return run_process(signals, file)
+    return run_process(signals, file, build_platform)
 
 
 if __name__ == "__main__":
--- a/cassiamount/platform/process.py
+++ b/cassiamount/vm_process.py
@@ -1,4 +1,4 @@
-"""The process of one VM of the system on the users' platform."""
+"""The process of one VM in front of a fleet, from its first line to its end."""
 
 import asyncio
 import os
@@ -6,36 +6,27 @@
 
 import structlog
 
-from ..bounded_stream import BoundedStream
-from ..clock import BootTimeClock
-from ..errors import InvariantViolation
-from ..fleet_node import FleetNode, PlatformAdapter
-from ..logs import configure_logs
-from ..process_usage import process_usage
-from ..standard_streams import STANDARD_OUTPUT, write_error
-from . import documents, headers
-from .engines import EngineClient
-from .settings import FILE_VARIABLE
-from .store import PlatformStore
+from .bounded_stream import BoundedStream
+from .clock import BootTimeClock
+from .errors import InvariantViolation
+from .fleet_node import FleetNode
+from .logs import configure_logs
+from .process_usage import process_usage
+from .standard_streams import STANDARD_OUTPUT, write_error
 
 EXIT_FAILURE = 1
 EXIT_FINDINGS = 2
 
 
-class Decoder:
-    """Decodes the documents in the platform's metadata store."""
-
-    configuration = staticmethod(documents.decode_configuration)
-    backend = staticmethod(documents.decode_backend)
-
-
-def run_process(signals, file):
+def run_process(signals, file, build_platform):
     """Run until SIGTERM; return the exit status.
 
     Parameters
     ----------
     signals : ProcessSignals
     file : SettingsFile
+    build_platform : callable
+        Returns the `PlatformAdapter` for settings.
     """
     configure_logs("info", BoundedStream(STANDARD_OUTPUT), cached=True)
     log = structlog.get_logger()
@@ -45,12 +36,12 @@
         python=python_version(),
         machine=machine(),
     )
-    status = run(signals, file)
+    status = _run(signals, file, build_platform)
     log.info("process_ending", status=status, **process_usage())
     return status
 
 
-def run(signals, file):
+def _run(signals, file, build_platform):
     """Take the settings and run the VM; return the exit status."""
     log = structlog.get_logger()
     decoded = file.wait_for_start(lambda: signals.stop_requested or not file.name)
@@ -63,31 +54,20 @@
         if file.is_readable:
             write_error("\n".join(findings))
             return EXIT_FINDINGS
-        write_error(f"cannot read {FILE_VARIABLE}={file.name}: {findings[0]}")
+        write_error(f"cannot read the settings file {file.name!r}: {findings[0]}")
         return EXIT_FAILURE
     settings = decoded.unwrap()
     structlog.contextvars.bind_contextvars(vm=settings.vm_name)
     try:
-        return asyncio.run(serve(settings, file, signals))
+        return asyncio.run(_serve(settings, file, signals, build_platform))
     except Exception as error:
         log.exception("stopped_with_failure", error=repr(error))
         return EXIT_FAILURE
 
 
-async def serve(settings, file, signals):
-    """Run one VM; return the exit status.
-
-    Parameters
-    ----------
-    settings : VmSettings
-    file : SettingsFile
-        It is read again when it changes, with or without SIGHUP.
-    signals : ProcessSignals
-    """
-    platform = PlatformAdapter(
-        PlatformStore(settings.store_address), EngineClient(), Decoder, headers
-    )
-    node = FleetNode(settings, platform, BootTimeClock())
+async def _serve(settings, file, signals, build_platform):
+    node = FleetNode(settings, build_platform(settings), BootTimeClock())
+    # It is read again when it changes, with or without SIGHUP.
     node.supervise("settings", lambda: file.follow(node.apply_settings))
     loop = asyncio.get_running_loop()
     signals.attach(loop, node.request_stop)
--- a/tests/fleet_fixtures.py
+++ b/tests/fleet_fixtures.py
@@ -8,7 +8,8 @@
 
 from cassiamount.clock import BootTimeClock
 from cassiamount.fleet_node import FleetNode, PlatformAdapter
-from cassiamount.platform import documents, headers
+from cassiamount.platform import headers
+from cassiamount.platform.components import Decoder
 from cassiamount.platform.engines import EngineClient
 from cassiamount.platform.settings import decode_settings
 from cassiamount.platform.store import PlatformStore as StoreClient
@@ -22,13 +23,6 @@
 TIMEOUT_S = 30
 
 
-class Decoder:
-    """The adapter's decoder of stored documents."""
-
-    configuration = staticmethod(documents.decode_configuration)
-    backend = staticmethod(documents.decode_backend)
-
-
 def configuration(version=1, keys=(KEY,), **route):
     model = {
         "WeightsMb": 100,
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -6,10 +6,12 @@
 
 from cassiamount import fleet_edge
 from cassiamount.body_budget import BodyBudget, HeldBody
+from cassiamount.clock import SystemClock
 from cassiamount.fleet import CallerLimits
 from cassiamount.fleet_edge import FleetEdge, FleetProtocol
 from cassiamount.metrics import Metrics
 from cassiamount.platform.headers import decode_request
+from cassiamount.request_timeouts import RequestTimeouts
 from cassiamount.serving import EdgeServer, open_listener
 
 BODY_BYTES = 1 << 20
@@ -82,7 +84,7 @@
     """Guards against callers with large bodies for whom the VM is killed."""
     monkeypatch.setattr(fleet_edge, "MAX_BODY_BYTES", 4 * BODY_BYTES)
     relay = Relay()
-    edge = FleetEdge(State(), relay, decode_request)
+    edge = FleetEdge(State(), relay, decode_request, RequestTimeouts(SystemClock()))
     listener = open_listener("127.0.0.1", 0)
     port = listener.getsockname()[1]
     server = EdgeServer(
