Bound and check what engines and other writers answer

An engine's report without a bound was read whole into memory, an order followed a redirect to another address, a Busy of "false" counted as busy, and a Seq of "1" as a number. A record of a VM without a usable address or with a capacity that is no number was told to all peers, which now refuse such a report; a version above 2**63 in a configuration could be told to nobody.

Now reports are read up to 1 MB and answers to orders up to 64 KB, without redirects or encodings, and their fields are checked by json_values as those of entries are. Records of VMs that name no address are left out with one line (vm_place_unreadable). A stored rule without parts, which would refuse every request, is unreadable. Times of stored versions and streams are whole numbers in range.

--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -19,6 +19,7 @@
 from .fleet_state import FleetState
 from .graceful_stop import CLOSE_RESERVE_MS, StopSchedule
 from .interval_stats import IntervalStats
+from .json_shapes import is_address
 from .metadata_store import BACKENDS, CONFIGURATION, VMS, StoreUnavailable
 from .metrics import Metrics
 from .peer_exchange import PeerExchange
@@ -323,11 +324,14 @@
         topology = self.state.peers.topology
         if self.state.knows_fleet and not topology.is_mesh and topology.relay:
             return era
-        places = [
-            VmPlace(record.key, *decode_place(record.value))
-            for record in (await store.newest(VMS)).records
-            if record.value is not None
-        ]
+        places = []
+        for record in (await store.newest(VMS)).records:
+            if record.value is not None:
+                place = VmPlace(record.key, *decode_place(record.value))
+                if record.key and is_address(place.address):
+                    places.append(place)
+                else:
+                    log.warning("vm_place_unreadable", peer=record.key)
         self.state.learn_vms(places, names_all=True)
         return era
 
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -16,6 +16,7 @@
     rank_part,
     row,
     text,
+    total,
 )
 from .metadata_store import KeyedRecord
 from .peer_topology import VmPlace
@@ -156,7 +157,7 @@
     flag,
     flag,
     count,
-    map_of(number),
+    map_of(total),
     text,
     flag,
 )
--- a/cassiamount/json_shapes.py
+++ b/cassiamount/json_shapes.py
@@ -7,8 +7,9 @@
 
 from itertools import chain
 
-# Numbers stay within what all JSON readers keep exact.
+# Numbers stay within what all JSON readers keep exact; sums are finite.
 MAX_NUMBER = 1 << 53
+MAX_SUM = 1e300
 TEXT = frozenset({str})
 FLAG = frozenset({bool})
 WHOLE = frozenset({int})
@@ -23,8 +24,8 @@
         raise ValueError(f"a value is of none of the types {types}")
 
 
-def _require_range(values, least):
-    if not least <= min(values) <= max(values) < MAX_NUMBER:
+def _require_range(values, least, most):
+    if not least <= min(values) <= max(values) < most:
         raise ValueError("a number is out of range")
 
 
@@ -40,10 +41,15 @@
         raise ValueError("a text is empty")
 
 
+def is_address(value):
+    """Return whether a text may be an address: it has only visible characters."""
+    return value.isascii() and value.isprintable() and bool(value) and " " not in value
+
+
 def address(values):
     """Check addresses: other characters end the task that connects to them."""
-    filled_text(values)
-    if not all(v.isascii() and v.isprintable() and " " not in v for v in values):
+    _require_types(values, TEXT)
+    if not all(map(is_address, values)):
         raise ValueError("no address")
 
 
@@ -55,19 +61,25 @@
 def count(values):
     """Check whole numbers that are not negative."""
     _require_types(values, WHOLE)
-    _require_range(values, 0)
+    _require_range(values, 0, MAX_NUMBER)
 
 
 def number(values):
-    """Check finite numbers."""
+    """Check numbers, for example times and ages."""
+    _require_types(values, NUMBER)
+    _require_range(values, -MAX_NUMBER, MAX_NUMBER)
+
+
+def total(values):
+    """Check sums of what callers name, which have no other bound."""
     _require_types(values, NUMBER)
-    _require_range(values, -MAX_NUMBER)
+    _require_range(values, -MAX_SUM, MAX_SUM)
 
 
 def rank_part(values):
     """Check numbers and bools, which compare with each other."""
     _require_types(values, COMPARABLE)
-    _require_range(values, -MAX_NUMBER)
+    _require_range(values, -MAX_NUMBER, MAX_NUMBER)
 
 
 def optional(shape):
--- a/cassiamount/peer_topology.py
+++ b/cassiamount/peer_topology.py
@@ -8,6 +8,8 @@
 
 import orjson
 
+from .json_shapes import address, number, optional, row, text
+
 # Up to this number of VMs, every pair exchanges reports.
 MAX_MESH_VMS = 12
 # Failing VMs of a zone, in order of preference, that are tried again all the time.
@@ -17,6 +19,8 @@
 OWN = "own"
 ZONE = "zone"
 OTHERS = "others"
+# Address, zone and capacity in a VM's record.
+PLACE_SHAPE = row(address, optional(text), number)
 
 
 class VmPlace:
@@ -149,10 +153,9 @@
     The record of an earlier version of this program is only the address.
     """
     try:
-        address, zone, capacity = orjson.loads(value)
-        if not isinstance(address, str) or not isinstance(zone, str | None):
-            raise TypeError("address and zone are no text")
-        capacity = float(capacity)
+        place = orjson.loads(value)
+        PLACE_SHAPE([place])
+        address, zone, capacity = place
     except (ValueError, TypeError):
         return value.decode("utf-8", "replace"), None, 0.0
-    return address, zone, capacity
+    return address, zone, float(capacity)
--- a/cassiamount/platform/documents.py
+++ b/cassiamount/platform/documents.py
@@ -16,13 +16,18 @@
 )
 from ..json_values import (
     count_field,
+    count_of,
     optional_field,
     parse_object,
     strings_field,
     text_field,
+    typed,
 )
 from ..keys import hash_key
 
+# What a document of another form raises.
+MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+
 
 class UnreadableDocument(ValueError):
     """A configuration or an entry of the platform that cannot be decoded."""
@@ -38,14 +43,14 @@
     try:
         document = orjson.loads(data)
         return FleetConfiguration(
-            int(document["Version"]),
+            count_of(int(document["Version"])),
             [_route(value) for value in document["Routes"]],
             {value["Name"]: _service(value) for value in document["Services"]},
             {value["Name"]: _team(value) for value in document.get("Tenants") or ()},
             bool(document.get("Tenants")),
             _limits(document.get("Limits") or {}),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except MALFORMED as error:
         raise UnreadableDocument(f"configuration: {error!r}") from error
 
 
@@ -160,23 +165,23 @@
             LEAVING_BY_STATE[value["State"]],
             remaining_ms,
             count_field(value, "born") if "born" in value else 0,
-            _checked_residents(value.get("Models")),
+            residents(value.get("Models")),
             strings_field(available, "InMemory"),
             strings_field(available, "OnDisk"),
             count_field(value, "Seq") if "Seq" in value else 0,
             optional_field(value, "Version", str, ""),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except MALFORMED as error:
         raise UnreadableDocument(f"server {name!r}: {error!r}") from error
 
 
 def residents(models):
-    """Return model -> adapters from an engine's list of loaded models."""
+    """Return model -> adapters from a list of loaded models, also of another writer."""
     return {
-        model["Name"]: frozenset(
-            name.rpartition("/")[2] for name in model.get("Adapters") or ()
+        text_field(model, "Name"): frozenset(
+            name.rpartition("/")[2] for name in strings_field(model, "Adapters")
         )
-        for model in models or ()
+        for model in typed(models or [], list)
     }
 
 
@@ -190,13 +195,3 @@
     if int(port) > MAX_PORT:
         raise ValueError("port is out of range")
     return text
-
-
-def _checked_residents(models):
-    """Return `residents` of a list that another program may have written."""
-    if not isinstance(models or [], list):
-        raise TypeError("Models")
-    for model in models or ():
-        text_field(model, "Name")
-        strings_field(model, "Adapters")
-    return residents(models)
--- a/cassiamount/platform/engines.py
+++ b/cassiamount/platform/engines.py
@@ -13,7 +13,15 @@
     OTHER_INSTANCE,
     EngineReport,
 )
-from .documents import residents
+from ..json_values import (
+    count_field,
+    optional_field,
+    parse_object,
+    strings_field,
+    typed,
+)
+from ..platform_http import UnreadableBody, read_body
+from .documents import MALFORMED, residents
 
 RESULT_BY_STATUS = {
     200: ALREADY_DONE,
@@ -28,11 +36,12 @@
     TimeoutError,
     aiohttp.ClientError,
     OSError,
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
+    UnreadableBody,
+    *MALFORMED,
 )
+# Far longer than a report may be; the answer to an order has no body that matters.
+MAX_REPORT_BYTES = 1024 * 1024
+MAX_ANSWER_BYTES = 64 * 1024
 # An engine responds to orders immediately. After a timeout the order may still be
 # carried out.
 ORDER_TIMEOUT_MS = 120
@@ -78,10 +87,11 @@
                 data=orjson.dumps(value),
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(total=ORDER_TIMEOUT_MS / 1000),
+                allow_redirects=False,
             ) as response:
-                await response.read()
+                await read_body(response, MAX_ANSWER_BYTES)
                 return RESULT_BY_STATUS.get(response.status, NO_ANSWER)
-        except (TimeoutError, aiohttp.ClientError, OSError):
+        except (TimeoutError, aiohttp.ClientError, OSError, UnreadableBody):
             return NO_ANSWER
 
     async def report(self, engine, address):
@@ -89,23 +99,24 @@
         headers = {"X-Cassiamount-Expect-Instance": engine}
         try:
             async with self._session.get(
-                f"http://{address}/report", headers=headers
+                f"http://{address}/report", headers=headers, allow_redirects=False
             ) as response:
                 if response.status != 200:
                     return None
-                return _decode_report(orjson.loads(await response.read()))
+                return decode_report(await read_body(response, MAX_REPORT_BYTES))
         except REPORT_ERRORS:
             return None
 
 
-def _decode_report(value):
-    available = value.get("Available") or {}
-    pending = frozenset(name.partition("@")[0] for name in value.get("Pending") or ())
+def decode_report(data):
+    """Return the `EngineReport` in bytes; one of `MALFORMED` if it has another form."""
+    value = parse_object(data)
+    available = optional_field(value, "Available", dict, {})
     return EngineReport(
-        int(value["Seq"]),
-        bool(value["Busy"]),
+        count_field(value, "Seq"),
+        typed(value["Busy"], bool),
         residents(value.get("Models")),
-        pending,
-        frozenset(available.get("InMemory") or ()),
-        frozenset(available.get("OnDisk") or ()),
+        frozenset(name.partition("@")[0] for name in strings_field(value, "Pending")),
+        strings_field(available, "InMemory"),
+        strings_field(available, "OnDisk"),
     )
--- a/cassiamount/quarantine_store.py
+++ b/cassiamount/quarantine_store.py
@@ -32,8 +32,11 @@
     """
     value = orjson.loads(data)
     parts = value.get("parts") if isinstance(value, dict) else None
-    if not isinstance(parts, list) or not all(isinstance(p, str) for p in parts):
+    # A rule without parts would refuse every request.
+    if not isinstance(parts, list) or not parts:
         raise ValueError("no list of parts")
+    if not all(isinstance(part, str) for part in parts):
+        raise ValueError("a part is no text")
     return frozenset(parts)
 
 
--- a/cassiamount/software_store.py
+++ b/cassiamount/software_store.py
@@ -5,6 +5,7 @@
 import orjson
 import structlog
 
+from .json_shapes import count
 from .metadata_store import SOFTWARE, StoreUnavailable
 from .software_versions import STREAM_LIFE_MS
 
@@ -56,8 +57,8 @@
         raise ValueError("no mapping of versions")
     ages_ms = {}
     for software, last_wall_ms in value.items():
-        if not isinstance(last_wall_ms, (int, float, type(None))):
-            raise ValueError(f"version {software!r} has no time")
+        if last_wall_ms is not None:
+            count([last_wall_ms])
         age_ms = 0.0 if last_wall_ms is None else wall_ms - last_wall_ms
         ages_ms[software] = max(0.0, float(age_ms))
     return ages_ms
@@ -77,6 +78,7 @@
     for item in value:
         match item:
             case [str(request_id), str(software), int(begun_wall_ms)]:
+                count([begun_wall_ms])
                 age_ms = max(0.0, wall_ms - begun_wall_ms)
                 streams.append((request_id, software, age_ms))
             case _:
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -25,6 +25,7 @@
 from cassiamount.software_versions import SoftwarePart
 from cassiamount.vm_state import VmState
 from tests.fleet_fixtures import Decoder
+from tests.mutated_json import mutate
 from tests.test_fleet_state import SETTINGS
 
 
@@ -160,26 +161,6 @@
     assert table.store_reader_rank(1.0) == 2
 
 
-ODD = [None, True, -1, 0.5, 1e300, 2**60, "", "\n", "\u20ac", [], {}, [None], {"": 1}]
-
-
-def mutate(value, rng):
-    """Return a JSON value in which one part is another one, missing or repeated."""
-    if isinstance(value, (list, dict)) and value and rng.random() < 0.9:
-        keys = list(value) if isinstance(value, dict) else range(len(value))
-        key = rng.choice(keys)
-        changed = value.copy()
-        how = rng.random()
-        if how < 0.05:
-            del changed[key]
-        elif how < 0.1 and isinstance(value, list):
-            changed.append(value[key])
-        else:
-            changed[key] = mutate(value[key], rng)
-        return changed
-    return rng.choice(ODD)
-
-
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.usefixtures("quiet_logs")
 def test_odd_report_is_refused_or_does_no_harm(seed):
@@ -196,7 +177,7 @@
     taken = 0
     for _ in range(2_000):
         clock.advance(50)
-        data = json.dumps(mutate(sound, rng)).encode()
+        data = json.dumps(mutate(sound, rng)).replace("Infinity", "1e999").encode()
         try:
             decoded = decode_report(data)
         except ValueError:
