Let no odd value end a task by its log line; check the weight store's limit

A task that logged a number above 64 bits or a text with a lone surrogate, as other programs may send them, failed by the log line itself. Such a line is now written with the values as ASCII texts. A weight store with concurrent_loads of 0.5 counted as one with none. tests/test_odd_answers.py also feeds 2,000 mutated answers to each call of the daemon's clients (log, VM list, weight store, engines).

--- a/cassiamount/logs.py
+++ b/cassiamount/logs.py
@@ -40,9 +40,22 @@
 
 
 def _to_json(event_dict, **options):
-    return orjson.dumps(
-        event_dict, default=repr, option=orjson.OPT_NON_STR_KEYS
-    ).decode()
+    dump = orjson.dumps
+    try:
+        return dump(event_dict, default=repr, option=orjson.OPT_NON_STR_KEYS).decode()
+    except TypeError:
+        # A text or a number that JSON cannot have must not end the task that logs it.
+        texts = {str(name): _short_ascii(value) for name, value in event_dict.items()}
+        return dump(texts).decode()
+
+
+def _short_ascii(value):
+    if isinstance(value, str) and value.isascii():
+        return value
+    try:
+        return ascii(value)[:MAX_VALUE_CHARACTERS]
+    except (ValueError, RecursionError):
+        return f"unprintable {type(value).__name__}"
 
 
 def configure_logs(level="info", stream=None, cached=False, **common):
--- a/cassiamount/weight_store_client.py
+++ b/cassiamount/weight_store_client.py
@@ -63,7 +63,7 @@
         if isinstance(document, dict):
             loads_per_s = document.get("loads_per_s")
             concurrent = document.get("concurrent_loads")
-            if is_positive(loads_per_s) and is_positive(concurrent):
+            if is_positive(loads_per_s) and is_positive(concurrent) and concurrent >= 1:
                 return WeightStoreLimits(float(loads_per_s), int(concurrent))
         raise PlatformUnavailable(f"weight store limits: status {response.status}")
 
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -6,15 +6,21 @@
 import pytest
 from starlette.responses import Response
 
+from cassiamount.engine_client import HttpEngineClient
+from cassiamount.errors import AppendOutcomeUnknown, PlatformUnavailable
 from cassiamount.fleet_orders import ALREADY_DONE, LOAD, NO_ANSWER, EngineOrder
+from cassiamount.log_client import HttpLogClient
 from cassiamount.peer_topology import decode_place
 from cassiamount.platform import documents, engines
+from cassiamount.platform_http import PlatformResponse
 from cassiamount.quarantine_store import decode_rule
 from cassiamount.software_store import (
     decode_streams,
     decode_versions,
     encode_versions,
 )
+from cassiamount.vm_list_client import HttpVmListClient
+from cassiamount.weight_store_client import HttpWeightStoreClient
 from tests.fleet_fixtures import Fleet, configuration
 from tests.mutated_json import mutate
 
@@ -111,3 +117,95 @@
         for server, task in fleet._servers:
             server.should_exit = server.force_exit = True
             await task
+
+
+class StubHttp:
+    """Answers each request of a client of the own stack with one JSON value."""
+
+    def __init__(self, value):
+        self.response = PlatformResponse(200, json.dumps(value).encode())
+
+    async def request(self, *arguments, **options):
+        return self.response
+
+
+def _client(kind, http):
+    client = kind.__new__(kind)
+    for name in ("_http", "_kv_http", "backend"):
+        if name in kind.__slots__:
+            setattr(client, name, http)
+    return client
+
+
+EVENT = {"offset": 3, "action": "stored", "model": "m", "prefix_hash": "a"}
+RESIDENT = {
+    "name": "m",
+    "kind": "model",
+    "version": "1",
+    "state": "ready",
+    "memory_mb": 5,
+}
+CALLS = {
+    "load": (
+        HttpEngineClient,
+        lambda client: client.load(),
+        {"running": 1, "residents": [RESIDENT], "state": "live", "as_of_ms": 5.5},
+    ),
+    "order state": (
+        HttpEngineClient,
+        lambda client: client.order_state("o"),
+        {"state": "done"},
+    ),
+    "cache events": (
+        HttpEngineClient,
+        lambda client: client.cache_events(3),
+        {"events": [EVENT], "earliest": 0, "next": 4},
+    ),
+    "log page": (
+        HttpLogClient,
+        lambda client: client.read("s", 3, 5),
+        {"records": [{"offset": 3, "value": {"k": 1}}], "earliest": 0, "next": 4},
+    ),
+    "append": (
+        HttpLogClient,
+        lambda client: client.append("s", [1]),
+        {"offsets": [3]},
+    ),
+    "VMs": (
+        HttpVmListClient,
+        lambda client: client.list_vms(),
+        {
+            "vms": [
+                {
+                    "name": "a",
+                    "zone": "z",
+                    "address": "a:1",
+                    "kind": "entry",
+                    "state": "live",
+                }
+            ]
+        },
+    ),
+    "limits": (
+        HttpWeightStoreClient,
+        lambda client: client.limits(),
+        {"loads_per_s": 2.5, "concurrent_loads": 3},
+    ),
+}
+
+
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.usefixtures("quiet_logs")
+async def test_mutated_answer_is_read_or_counts_as_an_outage(call):
+    """Guards against a task of the daemon that ends by an odd answer."""
+    kind, send, sound = CALLS[call]
+    await send(_client(kind, StubHttp(sound)))
+    for seed in range(2_000):
+        rng = random.Random(seed)
+        value = mutate(mutate(sound, rng), rng)
+        try:
+            result = await send(_client(kind, StubHttp(value)))
+        except (PlatformUnavailable, AppendOutcomeUnknown):
+            continue
+        if call == "limits":
+            assert result.concurrent_loads >= 1
