Do not pass on a request whose time is already over

Callers saw: a request whose body came after its own deadline was sent to a replica if a connection to one was open, and then answered 504: outcome unknown, though nobody could have waited for it.

Cause: the time limit acts at the next wait, and there is none before the send on an open connection. The same class as late work in a stop: taken though it cannot be ended.

Change: the check before each send asks for the deadline too; 503.

--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -263,19 +263,17 @@
                 raise Refused(504, "time_limit", "no answer in time") from None
             if stopped:
                 raise _stopping() from None
-            raise Refused(
-                503, "time_limit", "not begun in time", OVERLOADED_RETRY_AFTER_MS
-            ) from None
+            raise _not_begun() from None
 
     async def _run(self, request):
         while True:
-            self._check_stop(request)
+            self._check_time(request)
             selected = await self._wait_for_replica(request)
             connection = await self._connect(request, selected.view)
             if connection is None:
                 continue
             try:
-                self._check_stop(request)
+                self._check_time(request)
             except Refused:
                 self._pool.release(connection)
                 raise
@@ -285,9 +283,12 @@
                 return outcome
             self._prepare_retry(request, outcome)
 
-    def _check_stop(self, request):
-        """Refuse what may not be answered before the end of a graceful stop."""
-        if not self._may_begin(request, self._state.now_ms()):
+    def _check_time(self, request):
+        """Refuse what cannot be answered in its time, or before the end of a stop."""
+        now_ms = self._state.now_ms()
+        if now_ms >= request.deadline_ms and not request.may_have_run:
+            raise _not_begun()
+        if not self._may_begin(request, now_ms):
             raise _stopping()
 
     def _may_begin(self, request, now_ms):
@@ -854,6 +855,10 @@
         )
 
 
+def _not_begun():
+    return Refused(503, "time_limit", "not begun in time", OVERLOADED_RETRY_AFTER_MS)
+
+
 def _stopping():
     refusal = stop_refusal()
     return Refused(
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -269,3 +269,22 @@
         await fleet.stop_vm("v1")
     start.cancel()
     await asyncio.wait([start])
+
+
+@pytest.mark.parametrize("kind", KINDS)
+async def test_request_read_after_its_own_time_limit_is_not_passed_on(fleet, kind):
+    """Guards against a request that runs though nobody can get its answer."""
+    await fleet.add_vm("v1", grace_s=1)
+    callers = Callers(fleet, fleet.settings["v1"].caller_address)
+    # An open connection to each replica, on which nothing has to be waited for.
+    await asyncio.gather(*(callers.send(kind, "before") for _ in range(6)))
+    reader, writer = await callers.connect()
+    request_id, head, body = callers.request(kind, "late")
+    writer.write(head.replace(b"Deadline-Ms: 20000", b"Deadline-Ms: 50"))
+    await asyncio.sleep(0.2)
+    writer.write(body)
+    await callers.receive(request_id, reader)
+    writer.close()
+    assert callers.outcomes[request_id] == REFUSED
+    seen = [entry for replica in fleet.replicas.values() for entry in replica.seen]
+    assert request_id not in [entry["x-cassiamount-request-id"] for entry in seen]
