Let the soak stop VMs under slow requests

The soak's servers answered at once and its callers sent whole requests, so no request was late in a stop. Servers are now slow at some stops, and callers send a fifth of their requests in two parts with up to 5 s between them and some with another one behind.

A request counts as lost if the VM's log shows that it was read, not only if it ran. Servers were never slow before, so neither could occur.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -10,14 +10,17 @@
 import collections
 import os
 import random
+import re
 import signal
 import sys
 import tempfile
+from datetime import datetime
 from pathlib import Path
 
 import orjson
 
 from cassiamount.platform.settings import FILE_VARIABLE
+from standins.platform_replica import EVENT_S
 from tests.fleet_fixtures import HOST, KEY, Fleet, configuration
 from tests.free_ports import free_port
 
@@ -29,6 +32,14 @@
 NOT_RUN = (408, 421, 429, 503)
 # Statuses of a request whose VM or key is not ready yet; 0 means none.
 WAITING = (0, 401, 503)
+# Shares of the requests that callers send slowly, or with another one at once.
+SLOW_SHARE = 0.2
+MAX_PAUSE_S = 5.0
+PIPELINED_SHARE = 0.1
+# Codes of begun streams that a VM breaks off, and until when in a stop they are sent.
+CUT_OFF = ("broken: stopped", "broken: time limit")
+LATE_S = 3.0
+LOGGED = re.compile(rb'"event": ?"(stopping|request_sent|request_ended)"')
 GRACE_S = 6
 # Far longer than a step takes; only a hang exceeds it.
 STEP_TIMEOUT_S = 60
@@ -232,7 +243,38 @@
                 stream[1].close()
 
     async def _exchange(self, vm, process, reader, writer):
-        """Send one request; return whether the connection can carry another."""
+        """Send requests; return whether the connection can carry another."""
+        requests = [self._next_request()]
+        if requests[0][1] != "chat" and self.rng.random() < PIPELINED_SHARE:
+            requests.append(self._next_request())
+        waiting = list(requests)
+        try:
+            await self._write(writer, b"".join(data for _, _, data in requests))
+            while waiting:
+                status, headers, body = await read_response(reader)
+                request_id, kind, _ = waiting.pop(0)
+                self._check_answer(request_id, kind, status, body)
+                if headers.get("connection", "").lower() == "close":
+                    break
+        except (OSError, asyncio.IncompleteReadError):
+            headers = {"connection": "close"}
+        # A process that was killed owes nothing.
+        if vm.ending != "kill" and process.returncode in (None, 0):
+            for request_id, kind, _ in waiting:
+                self.lost.add((request_id, kind, vm.name))
+        return headers.get("connection", "").lower() != "close"
+
+    async def _write(self, writer, data):
+        """Send data, some of it in two parts with a pause between them."""
+        if self.rng.random() < SLOW_SHARE:
+            sent = self.rng.randrange(len(data))
+            writer.write(data[:sent])
+            await asyncio.sleep(self.rng.uniform(0.0, MAX_PAUSE_S))
+            data = data[sent:]
+        writer.write(data)
+
+    def _next_request(self):
+        """Return ID, kind and bytes of a request."""
         request_id = self.next_request_id()
         kind = self.rng.choice(["chat", "chat", "buy", "pay", "look"])
         head = [
@@ -247,14 +289,10 @@
             document = self.rng.randrange(6)
             head.append("X-Cassiamount-Model: m1")
             head.append(f"X-Cassiamount-Prefix-Hash: aa:9,d{document}:9,{request_id}:9")
-        try:
-            writer.write(("\r\n".join(head) + "\r\n\r\n" + request_id).encode())
-            status, headers, body = await read_response(reader)
-        except (OSError, asyncio.IncompleteReadError):
-            # A process that was killed owes nothing.
-            if vm.ending != "kill" and process.returncode in (None, 0):
-                self.lost.add((request_id, kind, vm.name))
-            return False
+        data = ("\r\n".join(head) + "\r\n\r\n" + request_id).encode()
+        return request_id, kind, data
+
+    def _check_answer(self, request_id, kind, status, body):
         self.answered += 1
         if status in NOT_RUN:
             self.refused.add(request_id)
@@ -264,7 +302,6 @@
                 raise SoakFailure(f"{request_id} ({kind}): wrong body {body!r}")
         elif status not in (502, 504):
             raise SoakFailure(f"{request_id} ({kind}): status {status}")
-        return headers.get("connection", "").lower() != "close"
 
     async def send_crashing(self, vm):
         """Send a request with the part that ends engines; return the answer's body."""
@@ -373,6 +410,16 @@
         await asyncio.sleep(self.rng.uniform(0.5, 3.0))
         replica.limit_per_s = None
 
+    async def stop_under_slow_requests(self):
+        """Stop a VM while all servers take long for their answers."""
+        slowed = [self.replicas[name] for name in self.live_replicas()]
+        for replica in slowed:
+            replica.work_s = self.rng.choice([0.0, self.rng.uniform(3.0, 8.0)])
+            replica.event_s = self.rng.choice([EVENT_S, self.rng.uniform(0.5, 1.5)])
+        await self.restart("term")
+        for replica in slowed:
+            replica.work_s, replica.event_s = 0.0, EVENT_S
+
     async def send_crashing_requests(self):
         for _ in range(self.rng.randrange(1, 4)):
             send = self.rng.choice([self.send_crashing, self.send_crashing_body])
@@ -389,6 +436,7 @@
             self.refuse_calls,
             self.crash_any_engine,
             self.name_limit,
+            self.stop_under_slow_requests,
             self.send_crashing_requests,
             self.restore_store,
         ]
@@ -455,8 +503,41 @@
         # A replica that ended broke off what it ran.
         broken = {i for name in self.ended_replicas for i in self.replicas[name].ran}
         owed = ran.keys() - broken
+        read, excused = self._read_by_vms()
+        owed = (owed | read) - broken - excused
         if lost := sorted(item for item in self.lost if item[0] in owed):
-            raise SoakFailure(f"ran, and the caller got no answer: {lost[:5]}")
+            raise SoakFailure(f"read, and the caller got no answer: {lost[:5]}")
+
+    def _read_by_vms(self):
+        """Return the requests that VMs have read whole, as their logs tell.
+
+        Returns
+        -------
+        read, excused : set of str
+            Excused are streams that their time limit broke off, and those that the
+            end of a stop broke off if they were sent early enough.
+        """
+        read, excused = set(), set()
+        for vm in self.vms.values():
+            stopping_at, sent_at = None, {}
+            for line in vm.log_file.read_bytes().splitlines():
+                if not line.startswith(b"{") or not LOGGED.search(line):
+                    continue
+                entry = orjson.loads(line)
+                at = datetime.fromisoformat(entry["timestamp"])
+                request_id = entry.get("request_id")
+                if entry["event"] == "stopping":
+                    stopping_at = at
+                elif entry["event"] == "request_sent":
+                    sent_at.setdefault(request_id, at)
+                elif entry["event"] == "request_ended":
+                    read.add(request_id)
+                    is_late = entry["code"] == "broken: stopped" and (
+                        (sent_at[request_id] - stopping_at).total_seconds() > LATE_S
+                    )
+                    if entry["code"] in CUT_OFF and not is_late:
+                        excused.add(request_id)
+        return read, excused
 
     def check_logs(self):
         for vm in self.vms.values():
