Keep the time from which streams may begin only beside several versions

The tests of a late release also restart a VM, and begin every fourth stream at the VM that is out of step.

--- a/cassiamount/software_store.py
+++ b/cassiamount/software_store.py
@@ -111,7 +111,7 @@
         """Forget what the store has, because another VM may have written."""
         # Service -> versions in service that the store has.
         self._stored = {}
-        # Service -> versions at which new streams may begin, as the store has them.
+        # Service -> versions at which new streams may begin, that the store has.
         self._stored_settled = {}
         # Span -> list of its streams, as a record has them.
         self._spans = {}
@@ -185,13 +185,14 @@
                 self._stored[service] = listed
 
     async def _write_settled(self):
-        settled = {}
-        for service, software in sorted(
-            self._state.software.settled(self._state.now_ms())
-        ):
-            settled.setdefault(service, []).append(software)
-        for service, names in settled.items():
-            if names != self._stored_settled.get(service):
+        """Write where streams may begin, for services with several versions."""
+        now_ms = self._state.now_ms()
+        versions, settled = {}, self._state.software.settled(now_ms)
+        for key in sorted(self._state.software.ages_ms(now_ms)):
+            versions.setdefault(key[0], []).append(key)
+        for service, keys in versions.items():
+            names = [software for _, software in keys if (service, software) in settled]
+            if len(keys) > 1 and names != self._stored_settled.get(service):
                 await self._store.put(SOFTWARE, SETTLED + service, orjson.dumps(names))
                 self._stored_settled[service] = names
 
--- a/tests/test_late_release.py
+++ b/tests/test_late_release.py
@@ -8,12 +8,14 @@
 
 pytestmark = pytest.mark.usefixtures("quiet_logs")
 
-# How a VM gets out of step: what it is cut from; None stands still.
+# How a VM gets out of step: what it is cut from; None stands still, and () ends and
+# starts again.
 OUT_OF_STEP = {
     "cut from all": ("peers", "store"),
     "cut from peers": ("peers",),
     "cut from the store": ("store",),
     "stands still": None,
+    "starts again": (),
 }
 # From the start of the callers to the disturbance, and from there to the release.
 CALM_S = 0.8
@@ -40,18 +42,25 @@
         self._jobs = set()
 
     async def run(self, seconds, name, per_s=40):
-        """Begin streams at the other VMs, and take each up at one VM."""
+        """Begin streams at the other VMs, and take each up at one VM.
+
+        Every fourth begins there and is taken up at another.
+        """
         world = self.world
         end_ms = world.loop.true_ms + seconds * 1000
         while world.loop.true_ms < end_ms:
-            first = world.rng.choice([vm for vm in world.vms if vm != name])
-            job = asyncio.create_task(self._run_one(first, name))
+            pair = [world.rng.choice([vm for vm in world.vms if vm != name]), name]
+            if len(self._jobs) % 4 == 0:
+                pair.reverse()
+            job = asyncio.create_task(self._run_one(*pair))
             job.add_done_callback(world.on_task_ended)
             self._jobs.add(job)
             await asyncio.sleep(1 / per_s)
 
     async def _run_one(self, first, second):
         world = self.world
+        if first not in world.vms:
+            return
         metadata = world.stream_metadata()
         begin_ms = world.loop.true_ms
         caller = await world.send_to(world.vms[first], metadata, self.stay_s)
@@ -62,6 +71,8 @@
         again = world.stream_metadata(metadata.request_id)
         again.model = metadata.model
         begin_ms = world.loop.true_ms
+        if second not in world.vms:
+            return
         caller = await world.send_to(world.vms[second], again)
         self.taken_up.append((begin_ms, caller.first_event_ms is not None))
 
@@ -104,6 +115,10 @@
             world.loop.call_later(RELEASE_S, world.add_release, "v2", 3)
         if kinds is None:
             await world.freeze_vm(vm, out_s)
+        elif not kinds:
+            await world.kill_vm(vm)
+            await asyncio.sleep(out_s)
+            world.add_vm(vm, world.network.zones[vm], True)
         else:
             await world.cut_paths(vm, kinds, out_s)
         await running
