--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -284,8 +284,8 @@
     Mutation(
         "fleet: a part of an event is held back",
         "cassiamount/event_framing.py",
-        "complete_events, self._buffer = data[:end], data[end:]",
-        'complete_events, self._buffer = data, b""',
+        "complete_events = bytes(self._buffer[:end])\n        del self._buffer[:end]",
+        "complete_events = bytes(self._buffer)\n        self._buffer.clear()",
         "tests/test_event_framing.py",
     ),
     Mutation(
