Answer what still runs at the end of the own stack's drain

Callers saw nothing at the end of drain_limit_ms: tasks were cancelled and connections aborted, also for requests that no backend server had got; and pipelined requests were dropped with the first answer of a VM that leaves.

Change: before the end the edge ends what runs by RequestTimeouts and says 503 if nothing was sent, 504 otherwise. A call with an idempotency key gets 504 always, since another VM may run it. Connection: close goes with the last request that has been read. Requests that end this way count as cut off, so the invariant on graceful stops is as strict as before.

Not changed: requests are still admitted by their head until balancer_wait_ms is over, whatever their own limits are.

--- a/cassiamount/arrival.py
+++ b/cassiamount/arrival.py
@@ -80,6 +80,8 @@
         "trace",
         "path",
         "query",
+        "job",
+        "is_claimed",
     )
 
     def __init__(self, scope, receive, caller, arrived_ms):
@@ -94,6 +96,10 @@
         self.team = None
         self.held = HeldBody()
         self.trace = None
+        # Set before anything of it is sent to a backend server.
+        self.job = None
+        # Whether it may have run under its idempotency key, perhaps at another VM.
+        self.is_claimed = False
         raw = scope.get("raw_path") or scope["path"].encode()
         self.path = raw.decode("latin-1")
         self.query = scope["query_string"].decode("latin-1")
--- a/cassiamount/caller.py
+++ b/cassiamount/caller.py
@@ -9,12 +9,22 @@
 # Key in the scope of a function that writes a part of an answer at once, and returns
 # False if the part has to go through the send channel; servers may leave it out.
 WRITE_PART = "cassiamount.write_part"
+# Key in the scope of a function that tells whether a pipelined request follows.
+IS_FOLLOWED = "cassiamount.is_followed"
 
 
 def _never(data):
     return False
 
 
+def _no_request_follows():
+    return False
+
+
+async def _discard_message(message):
+    pass
+
+
 class RefusedError(Exception):
     """Ends the handling of a request with a refusal.
 
@@ -45,11 +55,11 @@
     send : callable
         ASGI send channel.
     request_id : str
-    write_part : callable, optional
-        The value of `WRITE_PART` in the scope.
     stall_s : float
         A caller that reads nothing for this long is treated as gone; what is held
         for it meanwhile is bounded by the connection's write buffer.
+    write_part, is_followed : callable, optional
+        The values of `WRITE_PART` and `IS_FOLLOWED` in the scope.
     """
 
     __slots__ = (
@@ -60,6 +70,7 @@
         "finished",
         "close",
         "writes",
+        "_is_followed",
         "_writing",
         "_write_part",
         "_send",
@@ -67,7 +78,7 @@
         "_events",
     )
 
-    def __init__(self, send, request_id, stall_s, write_part=None):
+    def __init__(self, send, request_id, stall_s, write_part=None, is_followed=None):
         self.request_id = request_id
         self.status = 0
         self.code = ""
@@ -75,6 +86,7 @@
         self.finished = False
         # Set to ask the caller to open a new connection for its next request.
         self.close = False
+        self._is_followed = is_followed or _no_request_follows
         self.writes = 0
         self._writing = False
         self._send = send
@@ -87,7 +99,8 @@
         self.started = True
         self.status = status
         sent = [*headers, (b"x-request-id", self.request_id.encode())]
-        if self.close:
+        # A request that follows has been read, and so has the body of this one.
+        if self.close and not self._is_followed():
             sent.append((b"connection", b"close"))
         self._events = any(
             value.startswith(b"text/event-stream") for _, value in headers
@@ -160,6 +173,12 @@
         finally:
             self._writing = False
 
+    def detach(self):
+        """Drop what is still sent; the answer was completed or broken off."""
+        self.finished = True
+        self._send = _discard_message
+        self._write_part = _never
+
     def watch(self, on_stall):
         """Call `on_stall` once if a write is held up for `stall_s` or longer.
 
--- a/cassiamount/edge.py
+++ b/cassiamount/edge.py
@@ -9,13 +9,21 @@
 
 from .answers import CallerGone
 from .arrival import Arrival, EdgeLimits, bearer, check_method, parse_json
-from .caller import WRITE_PART, BodyReader, Caller, RefusedError, refuse
+from .caller import (
+    IS_FOLLOWED,
+    WRITE_PART,
+    BodyReader,
+    Caller,
+    RefusedError,
+    refuse,
+)
 from .errors import InvariantViolation
 from .invariants import KEY_SELECTS_TEAM, require
 from .jobs import ModelJob
 from .keys import hash_key
 from .model_request import InvalidModelRequest, parse_model_request
 from .redaction import value_contains_key
+from .request_timeouts import RequestTimeouts
 from .requests import Refusal, RequestInfo
 from .service_calls import ServiceCalls
 from .tracing import NO_TRACING
@@ -50,7 +58,10 @@
         self.tracing = tracing
         self.log = log
         self.bodies = BodyReader(limits)
+        self.timeouts = RequestTimeouts(clock)
         self.running = 0
+        # Requests that the end of a stop left without their whole answer.
+        self.unfinished = 0
         self._id_prefix = uuid.uuid4().hex[:20]
         self._ids = 0
 
@@ -74,6 +85,7 @@
             self._new_id(),
             self.limits.stall_ms / 1000,
             scope.get(WRITE_PART),
+            scope.get(IS_FOLLOWED),
         )
         arrival = Arrival(scope, receive, caller, self.clock.monotonic_ms())
         arrival.trace = self.tracing.request(arrival.headers, arrival.request_id)
@@ -91,8 +103,17 @@
     async def _guarded(self, method, arrival):
         caller = arrival.caller
         try:
-            self._admit(arrival)
-            await method(arrival)
+            async with self.timeouts.limit():
+                self._admit(arrival)
+                await method(arrival)
+        except TimeoutError as error:
+            if not self.timeouts.have_ended():
+                await self._fault(arrival, error)
+                return
+            self.unfinished += 1
+            caller.close = not caller.started
+            await self._last_words(caller, _stopped(arrival))
+            caller.detach()
         except RefusedError as error:
             # The rest of the body was perhaps not read.
             caller.close = caller.close or not caller.started
@@ -103,8 +124,11 @@
             self.metrics.count("invariant_violations_total", name=error.name)
             await self._internal_error(arrival, error)
         except Exception as error:
-            self.metrics.count("internal_errors_total", error=type(error).__name__)
-            await self._internal_error(arrival, error)
+            await self._fault(arrival, error)
+
+    async def _fault(self, arrival, error):
+        self.metrics.count("internal_errors_total", error=type(error).__name__)
+        await self._internal_error(arrival, error)
 
     async def _internal_error(self, arrival, error):
         """Answer a request that met a fault of the program itself."""
@@ -297,6 +321,7 @@
                 pass
             cancel()
 
+        arrival.job = job
         watcher = None if until_done else asyncio.ensure_future(watch())
         unwatch = caller.watch(cancel)
         try:
@@ -335,6 +360,16 @@
         await super().__call__(scope, receive, send)
 
 
+def _stopped(arrival):
+    """Return the last answer of a request that the end of a stop interrupts."""
+    job = arrival.job
+    if arrival.is_claimed or (job is not None and job.maybe_ran):
+        return Refusal(
+            504, "outcome_unknown", "this VM was stopped before the answer", False
+        )
+    return Refusal(503, "shutting_down", "this VM is being stopped", retry_after_s=1)
+
+
 async def _unknown_route(arrival):
     raise refuse(404, "route_not_found", "no such route")
 
--- a/cassiamount/fleet_edge.py
+++ b/cassiamount/fleet_edge.py
@@ -6,7 +6,7 @@
 
 from .answers import CallerGone, error_body
 from .body_budget import BodyBudget, HeldBody
-from .caller import WRITE_PART
+from .caller import IS_FOLLOWED, WRITE_PART
 from .graceful_stop import stop_refusal
 from .relayed_request import InboundRequest
 from .replica_selection import clamp_retry_after_ms
@@ -17,8 +17,6 @@
 TARGET = "cassiamount.target"
 # ASGI scope key of the connection's transport.
 TRANSPORT = "cassiamount.transport"
-# ASGI scope key of a function that tells whether a pipelined request follows.
-IS_FOLLOWED = "cassiamount.is_followed"
 # A refused body is still read up to these limits: closing a connection with unread
 # data resets it, and the caller might not get the refusal.
 MAX_DISCARD_MS = 2_000.0
@@ -47,7 +45,6 @@
         if self.scope is not None:
             self.scope[TARGET] = bytes(self.url)
             self.scope[TRANSPORT] = self.transport
-            self.scope[IS_FOLLOWED] = lambda: self.is_followed
 
     def _head_timeout(self):
         """Respond with 408 to a slow request head; close an idle connection."""
--- a/cassiamount/node.py
+++ b/cassiamount/node.py
@@ -27,6 +27,7 @@
 from .dispatcher import Dispatcher
 from .edge import build_application
 from .engine_client import HttpEngineClient
+from .graceful_stop import StopSchedule
 from .invariants import GRACEFUL_STOP, require
 from .keys import is_key_hash
 from .load_poller import LoadPoller
@@ -377,7 +378,12 @@
         log.info("leaving", active=self.dispatcher.active)
         await asyncio.sleep(self.settings.balancer_wait_ms / 1000)
         self.view.shutting_down = True
-        return await edge.stop(self.settings.drain_limit_ms)
+        limit_ms = self.settings.drain_limit_ms
+        schedule = StopSchedule(self.clock.monotonic_ms(), limit_ms)
+        application = self._application.state.edge
+        application.timeouts.shorten(schedule.requests_end_ms)
+        cut_off = await edge.stop(limit_ms)
+        return cut_off + application.unfinished
 
     async def _settle_requests(self):
         """Send cancellations and write outcomes that are still on their way.
--- a/cassiamount/service_calls.py
+++ b/cassiamount/service_calls.py
@@ -149,6 +149,7 @@
         """Run a call at most once for its idempotency key."""
         fingerprint = _fingerprint(job)
         team, caller = job.request_info.team, arrival.caller
+        arrival.is_claimed = True
         decision = await self._claims.claim(
             team, claim_key, fingerprint, arrival.request_id
         )
--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -12,7 +12,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .answers import error_body
-from .caller import WRITE_PART
+from .caller import IS_FOLLOWED, WRITE_PART
 from .caller_listener import ACCEPTS_AT_ONCE, CallerListener
 from .own_ports import open_when_free
 from .request_pieces import RequestPieces
@@ -212,6 +212,7 @@
         super().on_headers_complete()
         # The application's task has not begun yet.
         self.scope[WRITE_PART] = functools.partial(self._write_part, self.cycle)
+        self.scope[IS_FOLLOWED] = lambda: self.is_followed
 
     def _write_part(self, cycle, data):
         """Write a part of a chunked answer if that needs no waiting.
