--- a/cassiamount/metadata_store.py
+++ b/cassiamount/metadata_store.py
@@ -84,12 +84,34 @@
         self.is_holder = is_holder
 
 
+# Records of a snapshot at most, and their values together.
+MAX_SNAPSHOT_RECORDS = 100_000
+MAX_SNAPSHOT_BYTES = 32 * 1024 * 1024
 # Deletions that are kept so that slightly lagging peers can be sent a delta.
 MAX_TOMBSTONES = 1_000
 # Gaps in the history, each closed by a snapshot, that are kept for the same purpose.
 MAX_GAPS = 16
 
 
+def snapshot_may_go_on(records, last_page_length):
+    """Return whether another page of a snapshot may follow.
+
+    Pages that bring no key which was not there before would follow for ever.
+
+    Parameters
+    ----------
+    records : list of KeyedRecord
+        All so far.
+    last_page_length : int
+    """
+    if len(records) > MAX_SNAPSHOT_RECORDS:
+        return False
+    if sum(len(record.value or b"") for record in records) > MAX_SNAPSHOT_BYTES:
+        return False
+    before = {record.key for record in records[:-last_page_length]}
+    return any(record.key not in before for record in records[-last_page_length:])
+
+
 class KeyedView:
     """Local view of a stream: the latest known record of each key.
 
--- a/cassiamount/platform/store.py
+++ b/cassiamount/platform/store.py
@@ -16,6 +16,7 @@
     LeaseReply,
     StoreAnswerInvalid,
     StoreUnavailable,
+    snapshot_may_go_on,
 )
 from ..platform_http import UnreadableBody, read_body
 from ..store_position import (
@@ -48,9 +49,6 @@
 RESPONSE_TIMEOUT_MS = 1_000
 # Far longer than a page or a record may be.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
-# Pages of one snapshot at most, each of up to 500 records, and their values together.
-MAX_PAGES = 200
-MAX_SNAPSHOT_BYTES = 32 * 1024 * 1024
 # Rises each time the store comes back from an older copy of its data.
 ERA_HEADER = "Store-Era"
 
@@ -94,13 +92,9 @@
         StoreUnavailable
         """
         records = []
-        next_offset = after = first_era = None
-        keys = set()
-        size_bytes = 0
-        for _ in range(MAX_PAGES):
-            query = {"Topic": TOPICS[stream], "part": "0"}
-            if after is not None:
-                query["after"] = after
+        query = {"Topic": TOPICS[stream], "part": "0"}
+        next_offset = first_era = None
+        while True:
             page, era = await self._json(
                 "GET", "/log-newest", query, None, decode_newest
             )
@@ -115,13 +109,9 @@
                 records.append(KeyedRecord(position(era, offset), key, value or None))
             if not has_more:
                 return KeyedPage(records, next_offset)
-            found = {key for _, key, _ in items}
-            size_bytes += sum(len(value) for _, _, value in items)
-            if found <= keys or size_bytes > MAX_SNAPSHOT_BYTES:
-                break
-            keys |= found
-            after = items[-1][1]
-        raise self._invalid("/log-newest", "pages without an end")
+            if not snapshot_may_go_on(records, len(items)):
+                raise self._invalid("/log-newest", "pages without an end")
+            query["after"] = items[-1][1]
 
     async def read(self, stream, from_offset, wait_ms):
         """Return the records from an offset on, after waiting for one if there is none.
--- a/tests/platform/test_odd_store_answers.py
+++ b/tests/platform/test_odd_store_answers.py
@@ -205,3 +205,18 @@
     with pytest.raises(StoreUnavailable):
         await _call(client, "newest")
     assert await _call(client, "newest") == ([("config", b"7")], ERA + 1)
+
+
+async def test_snapshot_of_several_pages_is_read_to_its_end(fleet, client):
+    """Guards against a snapshot that is cut off, or read again without an end."""
+    pages = [
+        _newest(b'{"Key":"a","Value":"Nw==","Offset":0}', b"true", b"3"),
+        _newest(b'{"Key":"b","Value":"OA==","Offset":2}', b"true", b"3"),
+        _newest(b'{"Key":"a","Value":"OQ==","Offset":4}', b"false", b"5"),
+    ]
+    fleet.store.odd_answer = lambda path: (
+        Response(pages.pop(0)) if pages and path == "/log-newest" else None
+    )
+    records, next_offset = await _call(client, "newest")
+    assert records == [("a", b"7"), ("b", b"8"), ("a", b"9")]
+    assert (pages, next_offset) == ([], ERA + 3)
