--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,6 +24,8 @@
 from tests.fleet_fixtures import HOST, KEY, Fleet, configuration
 from tests.free_ports import free_port
 
+# The processes run the code of this tree, wherever the test runs.
+ROOT = Path(__file__).resolve().parent.parent
 STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
 CRASHING_PART = "c0ffee"
 # Body of requests that end each server of the plain service which runs them.
@@ -70,8 +72,8 @@
     def __init__(self, name, zone, store_port, folder):
         self.name = name
         self.ports = [free_port() for _ in range(4)]
-        self.settings_file = folder / f"{name}.yaml"
-        self.log_file = folder / f"{name}.log"
+        self.settings_file = folder.resolve() / f"{name}.yaml"
+        self.log_file = folder.resolve() / f"{name}.log"
         self.settings_file.write_text(
             SETTINGS.format(
                 name=name,
@@ -93,6 +95,7 @@
                 sys.executable,
                 "-m",
                 "cassiamount.platform",
+                cwd=ROOT,
                 stdout=log,
                 stderr=log,
                 env={
