Drop a line that is logged in the middle of another one

Cause: the lock of the bounded stream, which came with the libraries' log, is taken again by the same thread when a collection runs in a write and frees a task whose failure asyncio logs.

Change: the lock is re-entrant, and a line in the middle of another one counts as dropped, since the backlog is half changed then. The new test hung before (30 s), and passes.

--- a/cassiamount/bounded_stream.py
+++ b/cassiamount/bounded_stream.py
@@ -31,7 +31,8 @@
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._clock_s = clock_s
-        self._lock = threading.Lock()
+        self._lock = threading.RLock()
+        self._is_writing = False
         self._backlog = collections.deque()
         self._backlog_bytes = 0
         self._available_lines = BURST_LINES
@@ -43,7 +44,16 @@
         """Write a line, or count it as dropped."""
         data = text.encode("utf-8", "replace")
         with self._lock:
-            self._write(data)
+            if self._is_writing:
+                # A destructor that logs can run in the middle of a write.
+                self.dropped += 1
+                self.dropped_total += 1
+                return
+            self._is_writing = True
+            try:
+                self._write(data)
+            finally:
+                self._is_writing = False
 
     def _write(self, data):
         now_s = self._clock_s()
@@ -69,7 +79,8 @@
     def flush(self):
         """Write as much of the backlog as the reader accepts."""
         with self._lock:
-            self._write_backlog()
+            if not self._is_writing:
+                self._write_backlog()
 
     def _enqueue(self, data):
         self._backlog.append(data)
--- a/tests/test_bounded_stream.py
+++ b/tests/test_bounded_stream.py
@@ -1,6 +1,7 @@
 """Tests of the log stream that never blocks."""
 
 import os
+import threading
 
 from cassiamount.bounded_stream import BURST_LINES, MAX_BACKLOG_BYTES, BoundedStream
 
@@ -47,3 +48,26 @@
     log.write("x\n")
     log.write("y\n")
     assert log._backlog_bytes == 0
+
+
+def test_line_logged_in_the_middle_of_another_is_dropped(monkeypatch):
+    """Guards against a process that waits for itself for ever.
+
+    A collection can run in any write, and a destructor that it calls may log.
+    """
+    now_s = [0.0]
+    log, reader = open_stream(now_s)
+    write = os.write
+
+    def write_and_collect(descriptor, data):
+        log.write("of a destructor\n")
+        log.flush()
+        return write(descriptor, data)
+
+    monkeypatch.setattr(os, "write", write_and_collect)
+    thread = threading.Thread(target=log.write, args=("line\n",), daemon=True)
+    thread.start()
+    thread.join(30)
+    assert not thread.is_alive()
+    assert os.read(reader, 100) == b"line\n"
+    assert log.dropped_total == 1
