--- a/cassiamount/request_timeouts.py
+++ b/cassiamount/request_timeouts.py
@@ -35,6 +35,9 @@
         self._end_ms = end_ms
         end = self._loop_time(end_ms)
         for timeout in self._running:
+            if timeout.expired():
+                # It ends already, and can't be changed any more.
+                continue
             if timeout.when() is None or timeout.when() > end:
                 timeout.reschedule(end)
 
