Let no library fail by the level of what it logs

logger.log(35, ...) raised KeyError at its caller (found by review): only named levels are known. The level is rounded down, and any other failure of the handler is its own. The new test failed before.

--- a/cassiamount/library_logs.py
+++ b/cassiamount/library_logs.py
@@ -59,6 +59,13 @@
 
     def emit(self, record):
         """Write a record, unless too many came from its place."""
+        try:
+            self._emit(record)
+        except Exception:
+            # A library must not fail by what it logs.
+            self.handleError(record)
+
+    def _emit(self, record):
         dropped = self._limiter.admit((record.pathname, record.lineno))
         if dropped is None:
             return
@@ -68,7 +75,7 @@
             # Its arguments don't match its text.
             message = str(record.msg)
         self._log.log(
-            record.levelno,
+            _known_level(record.levelno),
             "library_record",
             library=record.name,
             message=message,
@@ -77,6 +84,11 @@
         )
 
 
+def _known_level(number):
+    """Return the highest level with a name that is not above a number."""
+    return min(logging.CRITICAL, number // 10 * 10)
+
+
 def take_library_logs():
     """Send the records of all libraries to the structured log."""
     root = logging.getLogger()
--- a/tests/test_library_logs.py
+++ b/tests/test_library_logs.py
@@ -53,3 +53,12 @@
     logs.configure_logs(stream=stream)
     logging.getLogger("asyncio").error("socket.accept() out of system resource")
     assert stream.getvalue().count("library_record") == 1
+
+
+def test_record_of_a_level_without_a_name_is_logged():
+    """Guards against a library that fails by what it logs."""
+    logs.configure_logs(stream=(stream := io.StringIO()))
+    for level in (35, 77):
+        logging.getLogger("library").log(level, "between two levels")
+    levels = [orjson.loads(line)["level"] for line in stream.getvalue().splitlines()]
+    assert levels == ["warning", "critical"]
