Let no failure end the link to a peer

Seen by review, by reading: a failure outside the exchange itself (when the next report is due, what its outcome changes) ended the link's task for good, and the dead link was kept, so the peer was not contacted any more. The whole step is guarded now.

--- a/cassiamount/peer_exchange.py
+++ b/cassiamount/peer_exchange.py
@@ -214,32 +214,43 @@
         self.task.cancel()
 
     async def _run(self):
-        exchange = self._exchange
         failures = 0
         while True:
-            next_report_ms = exchange.next_report_ms(self.name, failures)
-            woken = await self._wait(next_report_ms)
-            if not woken and (
-                next_report_ms is None
-                or (
-                    exchange.is_passive(self.name)
-                    and exchange.last_report_age_ms(self.name) < next_report_ms
-                )
-            ):
-                continue
-            begun_ms = exchange.now_ms()
             try:
-                await exchange.exchange(self.name, self.channel)
-                failures = 0
-            except PeerUnreachable:
-                failures += 1
+                failures = await self._step(failures)
             except Exception as error:
-                # A reply that cannot be applied must not end the link to its peer.
+                # No failure may end the link to a peer.
                 log.error("exchange_failed", peer=self.name, error=repr(error))
                 failures += 1
-            exchange.on_outcome(self.name, failures)
-            rest_ms = begun_ms + exchange.min_interval_ms() - exchange.now_ms()
-            await asyncio.sleep(max(0.0, rest_ms) / 1000)
+                await asyncio.sleep(QUICK_RETRY_MS / 1000)
+
+    async def _step(self, failures):
+        """Wait for the next report and send it; return the failures in a row."""
+        exchange = self._exchange
+        next_report_ms = exchange.next_report_ms(self.name, failures)
+        woken = await self._wait(next_report_ms)
+        if not woken and (
+            next_report_ms is None
+            or (
+                exchange.is_passive(self.name)
+                and exchange.last_report_age_ms(self.name) < next_report_ms
+            )
+        ):
+            return failures
+        begun_ms = exchange.now_ms()
+        try:
+            await exchange.exchange(self.name, self.channel)
+            failures = 0
+        except PeerUnreachable:
+            failures += 1
+        except Exception as error:
+            # A reply that cannot be applied.
+            log.error("exchange_failed", peer=self.name, error=repr(error))
+            failures += 1
+        exchange.on_outcome(self.name, failures)
+        rest_ms = begun_ms + exchange.min_interval_ms() - exchange.now_ms()
+        await asyncio.sleep(max(0.0, rest_ms) / 1000)
+        return failures
 
     async def _wait(self, next_report_ms):
         """Return whether an exchange was requested within the given time."""
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cassiamount import peer_exchange
 from cassiamount.change_counter import ChangeCounter
 from cassiamount.clock import ManualClock
 from cassiamount.fleet_reports import encode_report
@@ -86,3 +87,38 @@
             await asyncio.sleep(0.01)
     task.cancel()
     await exchange.close()
+
+
+@pytest.mark.parametrize("part", ["next_report_ms", "on_outcome"])
+async def test_failure_beside_an_exchange_does_not_end_the_link(monkeypatch, part):
+    """Guards against a link that ends for good, and is not opened again."""
+    monkeypatch.setattr(peer_exchange, "QUICK_RETRY_MS", 1.0)
+    pair = VmPair()
+    transport = Transport([report_with(), report_with()])
+    peers = PeerTable(VmState("v1", "z1", "v1:1", 1), ChangeCounter())
+    peers.add_place(VmPlace("v2", "v2:1", "z1"))
+    exchange = PeerExchange(
+        "v1:1",
+        transport,
+        peers,
+        pair.holder.build_report,
+        pair.holder.on_report,
+        ManualClock(),
+        IntervalStats(),
+    )
+    failures = [TypeError("of another type")] * 3
+    sound = getattr(PeerExchange, part)
+
+    def fail_at_first(self, *arguments):
+        if failures:
+            raise failures.pop()
+        return sound(self, *arguments)
+
+    monkeypatch.setattr(PeerExchange, part, fail_at_first)
+    task = asyncio.create_task(exchange.run())
+    async with asyncio.timeout(20):
+        while failures or "v2" not in pair.holder.peers.links:
+            await asyncio.sleep(0.01)
+            exchange.exchange_soon()
+    task.cancel()
+    await exchange.close()
