Send names in any script to replicas, and none that fits into no header

Cause: names were encoded as Latin-1 after a connection had been taken and before anything would release it; keys of the store that are no UTF-8 were changed into such names.

Change: headers carry names as UTF-8, as the store does; a name with control characters makes the record unreadable, a key that is no UTF-8 is left out, and a request that cannot be encoded closes its connection. The stand-in reads headers as UTF-8.

--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -621,13 +621,17 @@
             request.last_event_id,
         )
         inbound = request.inbound
-        data = self._codec.encode_request(
-            request.metadata.method,
-            inbound.request_target,
-            inbound.headers,
-            inbound.body,
-            attempt,
-        )
+        try:
+            data = self._codec.encode_request(
+                request.metadata.method,
+                inbound.request_target,
+                inbound.headers,
+                inbound.body,
+                attempt,
+            )
+        except Exception:
+            connection.abort()
+            raise
         state.view.record_sent(name, request.target)
         if request.is_model_request:
             self._prefixes.record_sent(name, request.metadata)
--- a/cassiamount/platform/documents.py
+++ b/cassiamount/platform/documents.py
@@ -46,7 +46,10 @@
             count_of(int(document["Version"])),
             [_route(value) for value in document["Routes"]],
             {value["Name"]: _service(value) for value in document["Services"]},
-            {value["Name"]: _team(value) for value in document.get("Tenants") or ()},
+            {
+                _header_text(value["Name"]): _team(value)
+                for value in document.get("Tenants") or ()
+            },
             bool(document.get("Tenants")),
             _limits(document.get("Limits") or {}),
         )
@@ -109,6 +112,13 @@
     )
 
 
+def _header_text(name):
+    """Return a name that is sent in a header, which holds no control characters."""
+    if not name.isprintable():
+        raise ValueError(f"the name {name!r} has control characters")
+    return name
+
+
 def _team(value):
     charged_by_tokens = value.get("Unit") == "token_count"
     priority = value.get("Priority")
@@ -154,6 +164,7 @@
     """
     try:
         value = parse_object(data)
+        _header_text(name)
         available = optional_field(value, "Available", dict, {})
         remaining_ms = optional_field(value, "RemainingMs", (int, float))
         return BackendRecord(
--- a/cassiamount/platform/headers.py
+++ b/cassiamount/platform/headers.py
@@ -161,10 +161,10 @@
             continue
         lines.append(b"%b: %b" % (name, value))
     lines.append(b"%b: %d" % (DEADLINE, max(1, attempt.time_left_ms)))
-    lines.append(b"%b: %b" % (EXPECT_INSTANCE, attempt.backend.encode("latin-1")))
+    lines.append(b"%b: %b" % (EXPECT_INSTANCE, attempt.backend.encode()))
     lines.append(b"%b: %d" % (PRIORITY, attempt.priority))
     if attempt.team:
-        lines.append(b"%b: %b" % (TENANT, attempt.team.encode("latin-1")))
+        lines.append(b"%b: %b" % (TENANT, attempt.team.encode()))
     if attempt.last_event_id:
         lines.append(b"%b: %b" % (LAST_EVENT, attempt.last_event_id.encode("latin-1")))
     if body or method not in ("GET", "HEAD"):
--- a/cassiamount/platform/store.py
+++ b/cassiamount/platform/store.py
@@ -312,6 +312,9 @@
     for offset, content in enumerate(contents, from_offset):
         split = 1 + content[0] if content else 0
         if 0 < split <= len(content):
-            key = content[1:split].decode("utf-8", "replace")
+            try:
+                key = content[1:split].decode()
+            except UnicodeDecodeError:
+                continue
             records.append(KeyedRecord(offset, key, content[split:] or None))
     return KeyedPage(records, from_offset + len(contents))
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -78,7 +78,7 @@
 
     async def __call__(self, scope, receive, send):
         """Answer one request."""
-        headers = {k.decode(): v.decode("latin-1") for k, v in scope["headers"]}
+        headers = {k.decode(): v.decode() for k, v in scope["headers"]}
         body = b""
         more = True
         while more:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -400,6 +400,35 @@
     writer.close()
 
 
+async def test_names_in_any_script_reach_the_replica(fleet):
+    """Guards against a server or a team whose name fails each of its requests."""
+    fleet.store.put("keyed.servers", "s1", None)
+    await fleet.add_replica("l\u00e4den-\u65e5\u672c", "shop")
+    document = configuration(2)
+    document["Tenants"][0]["Name"] = "\u00e9quipe-\u6771\u4eac"
+    fleet.store.put("keyed.op", "config", document)
+    await fleet.add_vm("v1")
+    assert (await fleet.send_request("v1", "/buy/x"))[0] == 200
+    (seen,) = fleet.replicas["l\u00e4den-\u65e5\u672c"].seen
+    for name, value in (
+        ("x-cassiamount-tenant", "\u00e9quipe-\u6771\u4eac"),
+        ("x-cassiamount-expect-instance", "l\u00e4den-\u65e5\u672c"),
+    ):
+        assert seen[name] == value
+
+
+@pytest.mark.parametrize("name", ["s\r\nX: y", "s\x00", "s\x85"])
+async def test_server_whose_name_fits_into_no_header_is_left_out(fleet, name):
+    """Guards against headers that another program's record adds to a request."""
+    fleet.store.put("keyed.servers", "s1", None)
+    await fleet.add_replica("good", "shop")
+    await fleet.add_replica(name, "shop")
+    node = await fleet.add_vm("v1")
+    statuses = [(await fleet.send_request("v1", "/buy/x"))[0] for _ in range(6)]
+    assert statuses == [200] * 6
+    assert name not in node.state.view.backends
+
+
 @pytest.mark.parametrize(
     ("part", "name"),
     [
@@ -532,6 +561,8 @@
     waiting = asyncio.create_task(
         fleet.send_request("v1", "/chat/x", X_Cassiamount_Model="m1/a9")
     )
+    # Later it would be refused as a request for a model that there is not.
+    await fleet.wait_until(lambda: node.state.waiting_requests())
     fleet.store.put("keyed.op", "config", changed)
     await fleet.wait_until(lambda: node.state.configuration.version == 2)
     response = await fleet.send_request("v1", "/chat/x", X_Cassiamount_Model="m3")
