Take over no era and no generation that cannot follow the known one

Change: an era more than 10 above the known one, or a generation more than a million above it in the same era, is an invalid answer, however often it comes.

Remains: a wrong number within these bounds that two answers name, and one at a start, are believed; a VM goes back from neither.

--- a/cassiamount/platform/store.py
+++ b/cassiamount/platform/store.py
@@ -179,7 +179,7 @@
         reply = await self._join(member, ttl_ms, generation)
         if reply.generation != generation:
             before, reply = reply, await self._join(member, ttl_ms, generation)
-            if not is_next_generation(reply.generation, before.generation):
+            if not is_next_generation(reply.generation, before.generation, generation):
                 raise self._invalid("/log-join", "the generation is not confirmed")
         return reply
 
--- a/cassiamount/store_position.py
+++ b/cassiamount/store_position.py
@@ -12,8 +12,11 @@
 # which use floating point keep them exact, for 9,007 eras.
 ERA_SPAN = 10**12
 ERA = re.compile("[0-9]{1,3}|[0-8][0-9]{3}", re.ASCII)
-# Changes of a group between two calls in a row at most.
+# Changes of a group between two calls in a row at most, and while a VM stood still.
 MAX_GENERATION_RISE = 100
+MAX_MISSED_GENERATIONS = 1_000_000
+# Eras that can have begun while a VM did not hear from the store.
+MAX_MISSED_ERAS = 10
 
 
 def position(era, offset):
@@ -47,7 +50,8 @@
     """The store's era, by what its answers name.
 
     Nothing leads back from an era, so one answer with a wrong one would end the use of
-    the store for ever. A later era counts only if two answers in a row name it.
+    the store for ever. A later era counts only if two answers in a row name it, and not
+    if it is far beyond the known one, as each return of the store raises it by one.
     """
 
     __slots__ = ("known", "_named")
@@ -60,13 +64,15 @@
 
     def observe(self, era):
         """Process the era that an answer names; return whether it is known now."""
+        if self.known and era > self.known + MAX_MISSED_ERAS:
+            return False
         if era == self._named:
             self.known = max(self.known, era)
         self._named = era if era > self.known else None
         return era <= self.known
 
 
-def is_next_generation(generation, before):
+def is_next_generation(generation, before, known):
     """Return whether two answers in a row agree on a generation, which only rises.
 
     It is a fencing token: with one wrong answer, no later token would be accepted.
@@ -74,6 +80,14 @@
     Parameters
     ----------
     generation, before : int
-        Positions.
+        Positions in the two answers.
+    known : int
+        Position before them; 0 if there is none.
     """
+    if (
+        known
+        and era_of(known) == era_of(generation)
+        and generation - known > MAX_MISSED_GENERATIONS
+    ):
+        return False
     return 0 <= generation - before <= MAX_GENERATION_RISE
--- a/tests/platform/test_odd_store_answers.py
+++ b/tests/platform/test_odd_store_answers.py
@@ -220,3 +220,26 @@
     records, next_offset = await _call(client, "newest")
     assert records == [("a", b"7"), ("b", b"8"), ("a", b"9")]
     assert (pages, next_offset) == ([], ERA + 3)
+
+
+@pytest.mark.parametrize(
+    ("call", "body", "era"),
+    [
+        *[(call, SOUND[call], "50") for call in PATHS],
+        ("join", b'{"Generation":100000000000,"parts":[["placement",0,0]]}', "1"),
+    ],
+)
+async def test_impossible_number_is_never_taken_over(fleet, client, call, body, era):
+    """Guards against VMs that a store which errs for a moment locks out for ever."""
+    sound = {name: await _call(client, name) for name in PATHS}
+    known = (await client.join_lease("v1", 1_500, 0)).generation
+    fleet.store.odd_answer = lambda path: Response(body, headers={"Store-Era": era})
+    for _ in range(5):
+        with pytest.raises(StoreUnavailable):
+            if call == "join":
+                await client.join_lease("v1", 1_500, known)
+            else:
+                await _call(client, call)
+    fleet.store.odd_answer = None
+    assert await _call(client, "newest") == sound["newest"]
+    assert (await client.join_lease("v1", 1_500, known)).generation == known
