Try a settings change again that failed to be applied

Found by review, by reading: the content counted as taken before it was applied, so that one failure lost the change. It counts as taken afterwards; the task's restart tries again. The new test covers it.

--- a/cassiamount/settings_file.py
+++ b/cassiamount/settings_file.py
@@ -128,15 +128,16 @@
             is_still = self.read()
             if not is_still or self._content == self._taken:
                 continue
-            self._taken = self._content
-            decoded = self.decode()
+            content, decoded = self._content, self.decode()
             if decoded.is_err():
+                self._taken = content
                 self.report(log.warning, decoded.unwrap_err())
                 continue
             settings = decoded.unwrap()
-            log.info("settings_taken", changed=self._settings.changes(settings))
-            self._settings = settings
+            # A change that fails to be applied is tried again.
             apply(settings)
+            log.info("settings_taken", changed=self._settings.changes(settings))
+            self._taken, self._settings = content, settings
 
     def report(self, log_at, findings):
         """Log why the settings that were read last are not taken.
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -100,3 +100,27 @@
         assert not following.done()
     following.cancel()
     assert taken == ["a: 1\nb: 3\n", "a: 1\n"]
+
+
+async def test_a_change_that_failed_to_be_applied_is_not_lost(tmp_path):
+    """Guards against a VM that goes on with the settings from before."""
+    path = tmp_path / "settings"
+    path.write_text(WHOLE)
+    clock = Writer(path, {})
+    file = SettingsFile(str(path), decode, clock)
+    file.wait_for_start(lambda: False)
+    clock.steps = {clock.reading + 5: b"a: 1\nb: 3\n"}
+    taken = []
+
+    def apply(settings):
+        taken.append(settings.text)
+        if len(taken) == 1:
+            raise TypeError("of another type")
+
+    with pytest.raises(TypeError):
+        await file.follow(apply)
+    following = asyncio.create_task(file.follow(apply))
+    for _ in range(1_000):
+        await asyncio.sleep(0)
+    following.cancel()
+    assert taken == ["a: 1\nb: 3\n"] * 2
