Accept fewer connections at once where few may be held

Seen once, in a whole test run beside load (test_idle_connections_leave_descriptors_for_requests[60]): with 60 descriptors one new connection was closed although idle ones could give way. Idle connections are closed one turn of the event loop after they are chosen, and up to 16 were accepted in each turn, more than the 15 that such a VM may hold. Now it accepts a quarter of what it may hold, at most 16.

Not brought about at will.

--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -363,7 +363,7 @@
             date_header=False,
             proxy_headers=False,
             timeout_keep_alive=KEEPALIVE_S,
-            backlog=ACCEPTS_AT_ONCE,
+            backlog=max(1, min(ACCEPTS_AT_ONCE, max_connections // 4)),
         )
         self._server = _Server(config)
         self._listener = listener
