Let no join overtake the leave of a VM that stops

Found by review, by reading: the renewal's join, which may now take two calls, could follow the leave of a planned stop; the ended VM was then a member of the lease's group for one more time to live, in which nobody orders. Calls on the group follow each other now. The new test failed before.

--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -85,6 +85,8 @@
         self._active = False
         # Whether this VM has joined the lease's group and not left it.
         self._is_member = False
+        # Held during calls on the group, so that none overtakes the leave of a stop.
+        self._group_calls = asyncio.Lock()
         self._report_slots = asyncio.Semaphore(MAX_CONCURRENT_REPORTS)
 
     def wake(self):
@@ -102,11 +104,14 @@
                 await asyncio.sleep(RENEW_INTERVAL_MS / 1000)
                 continue
             self._is_member = True
-            sent_ms = self._state.now_ms()
             try:
-                answer = await self._store.join_lease(
-                    member, self._lease_ms(), self._lease.generation
-                )
+                async with self._group_calls:
+                    if self._state.stopping:
+                        return
+                    sent_ms = self._state.now_ms()
+                    answer = await self._store.join_lease(
+                        member, self._lease_ms(), self._lease.generation
+                    )
                 self._state.on_store_response(True)
                 if answer.generation != self._lease.generation:
                     log.info(
@@ -133,7 +138,8 @@
     async def release_lease(self):
         """Release the order lease at a planned stop."""
         self._lease.release(self._state.now_ms())
-        await self._leave_lease()
+        async with self._group_calls:
+            await self._leave_lease()
 
     async def _leave_lease(self):
         """Leave the lease's group; return whether the store has answered."""
