Let no odd value end the feeds of a placement

Found by review, by reading (own stack): anything but PlatformUnavailable ended a feed until the lease changed hands, without a line.

--- a/cassiamount/placement_runner.py
+++ b/cassiamount/placement_runner.py
@@ -164,8 +164,12 @@
 
     async def _feed_demand(self, mailbox):
         while True:
-            for vm, totals in self._demand_totals().items():
-                mailbox.send(DemandTotals(vm, totals))
+            try:
+                for vm, totals in self._demand_totals().items():
+                    mailbox.send(DemandTotals(vm, totals))
+            except Exception as error:
+                # One odd value must not end the feed.
+                log.error("placement_feed_failed", error=repr(error))
             await asyncio.sleep(DEMAND_INTERVAL_MS / 1000)
 
     async def _feed_limits(self, mailbox):
@@ -175,6 +179,8 @@
                 mailbox.send(await self._weight_store.limits())
             except PlatformUnavailable as error:
                 log.info("weight_store_unavailable", error=str(error))
+            except Exception as error:
+                log.error("placement_feed_failed", error=repr(error))
             await asyncio.sleep(LIMITS_INTERVAL_MS / 1000)
 
     async def close(self):
