--- a/cassiamount/platform/settings.py
+++ b/cassiamount/platform/settings.py
@@ -1,7 +1,5 @@
 """Decodes the platform's settings file."""
 
-import math
-
 import yaml
 from result import Err, Ok
 
@@ -13,6 +11,7 @@
 
 # Each field: path in the file, type, name in `VmSettings`, and default or `REQUIRED`.
 REQUIRED = object()
+MAX_NUMBER = 1e9
 FIELDS = (
     (("NodeName",), str, "vm_name", REQUIRED),
     (("Zone",), str, "zone", REQUIRED),
@@ -99,8 +98,8 @@
         if not (type(port) is int and 0 < port < 65536):
             findings.append(Finding(file_name, f"{port!r} is not a port"))
     for name, value in values.items():
-        if isinstance(value, float) and not math.isfinite(value):
-            findings.append(Finding(file_name, f"{name} is {value!r}"))
+        if type(value) in (int, float) and not 0 <= value <= MAX_NUMBER:
+            findings.append(Finding(file_name, f"{name} is out of range"))
     return findings
 
 
