Run and stop a node in one place for both entry points

vm_process and node_process repeated the same lines; ProcessSignals runs the node now. Any failure of the daemon ends it with a log line and status 1, not only a broken invariant.

--- a/cassiamount/node_process.py
+++ b/cassiamount/node_process.py
@@ -5,10 +5,8 @@
 from pathlib import Path
 
 import cyclopts
-import structlog
 
 from .bounded_stream import BoundedStream
-from .errors import InvariantViolation
 from .logs import configure_logs
 from .node import Node
 from .settings import parse_settings
@@ -57,22 +55,14 @@
         return EXIT_FINDINGS
     checked = parsed.unwrap()
     stream = BoundedStream(sys.stderr.fileno())
-    configure_logs(log_level, stream, vm=checked.vm_name)
-    return asyncio.run(_serve(checked, signals))
-
-
-async def _serve(settings, signals):
-    node = Node(settings)
-    loop = asyncio.get_running_loop()
-    signals.attach(loop, node.request_stop)
+    log = configure_logs(log_level, stream, vm=checked.vm_name)
     try:
-        if signals.stop_requested:
-            # Nothing was accepted yet.
-            return 0
-        await node.run()
-    except InvariantViolation as error:
-        structlog.get_logger().error("stopped_with_failure", error=str(error))
+        asyncio.run(_serve(checked, signals))
+    except Exception as error:
+        log.exception("stopped_with_failure", error=repr(error))
         return EXIT_FAILURE
-    finally:
-        signals.detach(loop)
     return 0
+
+
+async def _serve(settings, signals):
+    await signals.run(Node(settings), asyncio.get_running_loop())
--- a/cassiamount/process_signals.py
+++ b/cassiamount/process_signals.py
@@ -24,12 +24,26 @@
         for number in STOP_SIGNALS:
             signal.signal(number, self._keep)
 
-    def attach(self, loop, request_stop):
-        """Call `request_stop` for each request to stop that comes from now on."""
+    async def run(self, node, loop):
+        """Run a node until a request to stop, unless one has come already.
+
+        Parameters
+        ----------
+        node : object
+            Has `run` and `request_stop`.
+        loop : asyncio.AbstractEventLoop
+            The running one.
+        """
         for number in STOP_SIGNALS:
-            loop.add_signal_handler(number, request_stop)
-
-    def detach(self, loop):
+            loop.add_signal_handler(number, node.request_stop)
+        try:
+            # Nothing was accepted before.
+            if not self.stop_requested:
+                await node.run()
+        finally:
+            self._detach(loop)
+
+    def _detach(self, loop):
         """Keep requests to stop again, before the loop closes.
 
         Closing the loop would set the default, by which a second request to stop ends
--- a/cassiamount/vm_process.py
+++ b/cassiamount/vm_process.py
@@ -8,7 +8,6 @@
 
 from .bounded_stream import BoundedStream
 from .clock import BootTimeClock
-from .errors import InvariantViolation
 from .fleet_node import FleetNode
 from .logs import configure_logs
 from .process_usage import process_usage
@@ -59,25 +58,15 @@
     settings = decoded.unwrap()
     structlog.contextvars.bind_contextvars(vm=settings.vm_name)
     try:
-        return asyncio.run(_serve(settings, file, signals, build_platform))
+        asyncio.run(_serve(settings, file, signals, build_platform))
     except Exception as error:
         log.exception("stopped_with_failure", error=repr(error))
         return EXIT_FAILURE
+    return 0
 
 
 async def _serve(settings, file, signals, build_platform):
     node = FleetNode(settings, build_platform(settings), BootTimeClock())
     # It is read again when it changes, with or without SIGHUP.
     node.supervise("settings", lambda: file.follow(node.apply_settings))
-    loop = asyncio.get_running_loop()
-    signals.attach(loop, node.request_stop)
-    try:
-        if signals.stop_requested:
-            return 0
-        await node.run()
-    except InvariantViolation as error:
-        structlog.get_logger().error("stopped_with_failure", error=str(error))
-        return EXIT_FAILURE
-    finally:
-        signals.detach(loop)
-    return 0
+    await signals.run(node, asyncio.get_running_loop())
