Let no written part of an answer hide the crash of its server

Cause: a lost connection was evidence only before the first event; a stream that broke off 500 ms after it, and an answer without a length that ended with its connection, even cleared the part. Ruled out: the decision itself (with a crash before the first event it rejects after three crashes), and the exchange between VMs (every VM lacked the evidence of its own attempts).

Change: a server is watched for 500 ms after each attempt that ended there. If it refuses connections in that time, these attempts are evidence, however much of their answers had come; only an answer that the server outlives clears the parts of its request. Requests at a crash carry a key, so that their parts can be thinned out as answers clear them.

--- a/cassiamount/backend_connection.py
+++ b/cassiamount/backend_connection.py
@@ -60,6 +60,8 @@
         self._sends = 0
         self._busy = False
         self._closed = False
+        # Whether the backend server ended it, or the network.
+        self.was_lost = False
         self._eof_received = False
         self._reading_paused = False
         self._queued_bytes = 0
@@ -165,6 +167,7 @@
 
     def connection_lost(self, exc):
         """Complete or fail the response that is being received."""
+        self.was_lost = not self._closed
         self._closed = True
         if not self._busy:
             self._idle_closed()
@@ -178,10 +181,7 @@
         ):
             self._finish()
             return
-        self._fail(
-            "connection lost" if exc is None else f"connection lost: {exc}",
-            connection_lost=True,
-        )
+        self._fail("connection lost" if exc is None else f"connection lost: {exc}")
 
     # Callbacks of the httptools parser.
 
@@ -268,11 +268,11 @@
         if self._closed:
             self._transport.close()
 
-    def _fail(self, reason, connection_lost=False):
+    def _fail(self, reason):
         if self._busy:
             self._busy = False
             self.body_sink = None
-            self.messages.put_nowait(ResponseFailed(reason, True, connection_lost))
+            self.messages.put_nowait(ResponseFailed(reason, True))
         self.abort()
 
     def _idle_closed(self):
@@ -329,6 +329,9 @@
         self._clock = clock
         self._idle = {}
         self.opened = 0
+        # Called with the address when an idle connection is lost and no other one to
+        # the address is left.
+        self.on_last_idle_lost = None
 
     def acquire_idle(self, address, request_id):
         """Return a usable idle connection for a request, or None if there is none.
@@ -377,13 +380,15 @@
         idle = self._idle.setdefault(connection.address, [])
         if len(idle) >= self.MAX_IDLE_PER_ADDRESS:
             idle.pop(0).abort()
-        connection.on_idle_closed = self._forget_idle
+        connection.on_idle_closed = self._on_idle_closed
         idle.append(connection)
 
-    def _forget_idle(self, connection):
+    def _on_idle_closed(self, connection):
         idle = self._idle.get(connection.address, [])
         if connection in idle:
             idle.remove(connection)
+        if not idle and self.on_last_idle_lost is not None:
+            self.on_last_idle_lost(connection.address)
 
     def close(self):
         """Close all idle connections."""
--- a/cassiamount/backend_messages.py
+++ b/cassiamount/backend_messages.py
@@ -162,13 +162,10 @@
     reason : str
     sent : bool
         Whether the request may have reached the backend server.
-    connection_lost : bool
-        Whether the connection ended, as it does when the backend server crashes.
     """
 
-    __slots__ = ("reason", "sent", "connection_lost")
+    __slots__ = ("reason", "sent")
 
-    def __init__(self, reason, sent, connection_lost=False):
+    def __init__(self, reason, sent):
         self.reason = reason
         self.sent = sent
-        self.connection_lost = connection_lost
--- a/cassiamount/fleet.py
+++ b/cassiamount/fleet.py
@@ -404,7 +404,7 @@
     model, adapter : str
         Empty if the request names none.
     prompt_tokens, output_tokens : int or None
-    prefix : tuple of (str, int)
+    prefix : iterable of (str, int)
         Hash and number of tokens of each part of the prompt.
     last_event_id : str
         Set if the caller resumes a stream.
@@ -467,4 +467,5 @@
 
     def shared_parts(self):
         """Return the prompt's parts without the last, which no other caller sends."""
-        return [name for name, _ in self.prefix[:-1]]
+        names = [name for name, _ in self.prefix]
+        return names[:-1]
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import math
+from itertools import islice
 
 from .backend_messages import Attempt
-from .crash_detector import CrashDetector
+from .crash_detector import MAX_LOGGED_PARTS, CrashDetector, EndedAttempt
 from .fleet import choose_target
 from .fleet_orders import SOFTWARE_MARK
 from .graceful_stop import AnswerTimes, stop_refusal
@@ -45,8 +46,6 @@
 STARTING_RETRY_AFTER_MS = 500.0
 # Once a VM reaches the store or its peers, it has a proven list after about this time.
 STALE_LIST_RETRY_AFTER_MS = 500.0
-# A server that runs on this long after the first event did not crash by the request.
-SURVIVED_MS = 500.0
 
 
 class FleetRelay:
@@ -98,7 +97,10 @@
         self._timeouts = timeouts
         self._notify_waiting = notify_waiting
         self._notify_peers = notify_peers
-        self._crash_detector = CrashDetector(pool, self._on_crash)
+        self._crash_detector = CrashDetector(
+            state.clock, self._probe, self._on_crash, self._on_survived
+        )
+        pool.on_last_idle_lost = self._on_idle_lost
         self._forwarder = ResponseForwarder(codec, state.clock)
         self._changed = asyncio.Event()
         # Route -> durations of its last whole answers.
@@ -225,7 +227,7 @@
         if blocked_for_ms > 0:
             raise Refused(
                 503,
-                "prompt_quarantined" if len(parts) > 1 else "request_quarantined",
+                "prompt_quarantined" if parts.has_prompt else "request_quarantined",
                 "backend servers crash on this request or a part of its prompt",
                 blocked_for_ms,
             )
@@ -651,13 +653,13 @@
             placement_age_ms=self._state.placement_age_ms(),
         )
         outcome = None
-        request.first_event_ms = None
+        request.head_ms = request.first_event_ms = None
         try:
             connection.send(data, request.metadata.request_id)
             outcome = await self._forwarder.forward(
                 request,
                 connection,
-                lambda metadata: self._on_head(view, metadata),
+                lambda metadata: self._on_head(request, view, metadata),
                 lambda: self._on_stream(request, view.record),
             )
             if isinstance(outcome, AttemptFailure) and not outcome.not_run:
@@ -669,6 +671,7 @@
         finally:
             state.view.record_ended(view, request.target)
             now_ms = state.now_ms()
+            self._watch_server(request, view.record, outcome, connection, sent_ms)
             if isinstance(outcome, int):
                 self._pool.release(connection)
                 if outcome < 500:
@@ -680,11 +683,11 @@
                 self._pool.release(connection)
             else:
                 connection.abort()
-            self._record_evidence(request, view.record, outcome, sent_ms, now_ms)
             self._record_outcome(request, view, outcome, now_ms)
 
-    def _on_head(self, view, metadata):
+    def _on_head(self, request, view, metadata):
         """Record what the head of a response says about its backend server."""
+        request.head_ms = self._state.now_ms()
         self._record_notices(view.record, metadata)
         # Only an answer that ran shows that a limit has ended.
         if metadata.limit_per_s is None and not 200 <= metadata.status < 300:
@@ -723,25 +726,32 @@
                     request.metadata.request_id, record.software, self._state.now_ms()
                 )
 
-    def _record_evidence(self, request, record, outcome, sent_ms, now_ms):
-        """Record whether the server answered a request, or may have crashed by it."""
-        begun_ms = request.first_event_ms
-        if isinstance(outcome, int):
-            is_empty = request.route.streamed and begun_ms is None
-            survived = outcome < 300 and not is_empty
-        else:
-            survived = begun_ms is not None and now_ms - begun_ms >= SURVIVED_MS
-        if survived:
-            if self._state.quarantine.record_answer(request.parts, now_ms):
-                self._notify_peers()
-        elif (
-            isinstance(outcome, AttemptFailure)
-            and outcome.connection_lost
-            and begun_ms is None
-        ):
-            self._crash_detector.on_connection_lost(
-                record, request.parts, sent_ms, now_ms
-            )
+    def _watch_server(self, request, record, outcome, connection, sent_ms):
+        """Watch whether a server crashes by an attempt that has ended there."""
+        if isinstance(outcome, AttemptFailure) and outcome.not_run:
+            return
+        is_empty = request.route.streamed and request.first_event_ms is None
+        is_answer = isinstance(outcome, int) and outcome < 300 and not is_empty
+        now_ms = self._state.now_ms()
+        self._crash_detector.watch(
+            record,
+            EndedAttempt(request.parts, sent_ms, request.head_ms, is_answer, now_ms),
+        )
+        # Without an outcome the caller left, unless the connection was lost.
+        if connection.was_lost or (outcome is not None and not connection.usable):
+            self._crash_detector.on_connection_closed(record)
+
+    def _on_idle_lost(self, address):
+        for view in list(self._state.view.backends.values()):
+            if view.record.address == address:
+                self._crash_detector.on_connection_closed(view.record)
+
+    async def _probe(self, address):
+        self._pool.release(await self._pool.open(address))
+
+    def _on_survived(self, attempt):
+        if self._state.quarantine.record_answer(attempt.parts, attempt.ended_ms):
+            self._notify_peers()
 
     def _on_crash(self, record, requests, lost_ms):
         now_ms = self._state.now_ms()
@@ -759,7 +769,7 @@
             backend=backend,
             reason=reason,
             had_events=request.first_event_ms is not None,
-            prompt_parts=request.parts,
+            prompt_parts=list(islice(request.parts, MAX_LOGGED_PARTS)),
         )
 
     def _record_outcome(self, request, view, outcome, now_ms):
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -162,7 +162,7 @@
     flag,
 )
 _RESIDENCY = row(number, map_of(list_of(text)), map_of(number), list_of(text))
-_CRASH = row(text, number, number, list_of(row(number, list_of(text))))
+_CRASH = row(text, number, number, list_of(row(text, number, list_of(text))))
 # What a report holds, in the order of its slots.
 REPORT_SHAPE = row(
     filled_text,
--- a/cassiamount/relayed_request.py
+++ b/cassiamount/relayed_request.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from .crash_quarantine import FINGERPRINT_PREFIX
+from .crash_quarantine import FINGERPRINT_PREFIX, RequestParts
 from .fleet import DEFAULT_PRIORITY
 from .fleet_orders import target_name
 from .replica_selection import START_DEADLINE_FRACTION, first_byte_timeout_ms
@@ -54,7 +54,8 @@
         team_name : str
             Empty if callers need no key.
         """
-        return [self._fingerprint(team_name), *self.metadata.shared_parts()]
+        fingerprint = self._fingerprint(team_name)
+        return RequestParts(fingerprint, self.metadata.shared_parts)
 
     def _fingerprint(self, team_name):
         """Return a part that is the same when a team sends the same request again."""
@@ -100,7 +101,7 @@
     service : str
     is_model_request : bool
     team : TeamConfig or None
-    parts : list of str
+    parts : RequestParts
         As `CrashQuarantine` knows the request.
     now_ms : float
     """
@@ -126,6 +127,7 @@
         "waiting_targets",
         "configuration_version",
         "sends",
+        "head_ms",
         "first_event_ms",
         "reserved",
         "software",
@@ -163,7 +165,8 @@
         self.waiting_targets = {}
         self.configuration_version = 0
         self.sends = 0
-        # Arrival of the first event of the current attempt.
+        # Arrival of the response's head and first event in the current attempt.
+        self.head_ms = None
         self.first_event_ms = None
         # Start of a backend server with a limit, and time of this request's turn.
         self.reserved = None
@@ -197,8 +200,6 @@
         Whether the backend server states that it did not run the request.
     connection_reusable : bool
         Whether the connection can carry another request.
-    connection_lost : bool
-        Whether the connection ended, as it does when the backend server crashes.
     """
 
     __slots__ = (
@@ -206,7 +207,6 @@
         "status",
         "not_run",
         "connection_reusable",
-        "connection_lost",
     )
 
     def __init__(
@@ -215,10 +215,8 @@
         status=0,
         not_run=False,
         connection_reusable=False,
-        connection_lost=False,
     ):
         self.reason = reason
         self.status = status
         self.not_run = not_run
         self.connection_reusable = connection_reusable
-        self.connection_lost = connection_lost
--- a/cassiamount/response_forwarding.py
+++ b/cassiamount/response_forwarding.py
@@ -109,9 +109,7 @@
         message = await connection.receive()
         if isinstance(message, ResponseFailed):
             request.may_have_run = True
-            return AttemptFailure(
-                message.reason, connection_lost=message.connection_lost
-            )
+            return AttemptFailure(message.reason)
         metadata = message.metadata
         on_head(metadata)
         if metadata.not_run:
@@ -165,9 +163,7 @@
             elif isinstance(message, ResponseComplete):
                 break
             else:
-                return AttemptFailure(
-                    message.reason, connection_lost=message.connection_lost
-                )
+                return AttemptFailure(message.reason)
         status = head.metadata.status
         if (
             status >= 500
@@ -220,7 +216,7 @@
                     request.last_event_id = framer.last_event_id
             elif isinstance(message, ResponseComplete):
                 if framer.has_partial_event:
-                    return self._stream_failure(request, "ends within an event", True)
+                    return self._stream_failure(request, "ends within an event")
                 if not request.response_started:
                     await self._start_stream(request, head, on_stream)
                 if framer.rest:
@@ -229,9 +225,7 @@
                 await request.inbound.caller.finish()
                 return head.metadata.status
             else:
-                return self._stream_failure(
-                    request, message.reason, message.connection_lost
-                )
+                return self._stream_failure(request, message.reason)
 
     async def _forward_events(self, request, head, events, on_stream):
         if request.first_event_ms is None:
@@ -247,9 +241,9 @@
         headers = self._codec.response_headers(head.headers)
         await request.inbound.caller.start(head.metadata.status, headers)
 
-    def _stream_failure(self, request, reason, connection_lost=False):
+    def _stream_failure(self, request, reason):
         if request.response_started and not (
             request.route.resumable and request.last_event_id
         ):
             raise BrokenStream(reason)
-        return AttemptFailure(reason, connection_lost=connection_lost)
+        return AttemptFailure(reason)
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -41,6 +41,8 @@
         Prompt part by which the replica ends when it begins an answer on it.
     crashing_body : bytes
         Body of requests by which the replica ends when it begins to run them.
+    crash_after : int
+        Parts of an answer that it writes before it ends.
     on_crash : callable
         Ends the replica's server.
     limit_per_s : str or None
@@ -69,6 +71,7 @@
         self.left = []
         self.crashing_part = ""
         self.crashing_body = None
+        self.crash_after = 0
         self.on_crash = None
         self.limit_per_s = None
         self.leaving = False
@@ -154,6 +157,8 @@
         prompt = headers.get("x-cassiamount-prefix-hash", "").split(",")
         parts = [part.partition(":")[0] for part in prompt[:-1]]
         if self.crashing_part in parts or body == self.crashing_body:
+            if self.crash_after:
+                await self._write_some(answer, send, bool(model))
             self.on_crash()
             return
         if self.work_s:
@@ -175,6 +180,18 @@
         else:
             await _send(send, 200, answer, b"done by " + self.name.encode())
 
+    async def _write_some(self, answer, send, is_stream):
+        """Write the parts of an answer before the replica ends."""
+        if is_stream:
+            answer.append((b"content-type", b"text/event-stream"))
+        else:
+            answer.append((b"content-length", b"100"))
+        start = {"type": "http.response.start", "status": 200, "headers": answer}
+        await send(start)
+        for number in range(1, self.crash_after + 1):
+            await _part(send, b"id: %d\ndata: x\n\n" % number)
+            await asyncio.sleep(self.event_s)
+
     async def _stream(self, headers, answer, send):
         first = int(headers.get("last-event-id") or 0) + 1
         answer.append((b"content-type", b"text/event-stream"))
--- a/tests/fleet_world/__init__.py
+++ b/tests/fleet_world/__init__.py
@@ -6,6 +6,7 @@
 not modelled.
 """
 
+from .engines import STAGES
 from .world import World, WorldConfig, small_world
 
-__all__ = ["World", "WorldConfig", "small_world"]
+__all__ = ["STAGES", "World", "WorldConfig", "small_world"]
--- a/tests/fleet_world/engines.py
+++ b/tests/fleet_world/engines.py
@@ -30,6 +30,14 @@
 PREFILL_TOKENS_PER_MS = 29.4
 TOKENS_PER_EVENT = 8
 QUEUE = 25
+# How far an engine has written an answer when it ends by it.
+NOTHING = "nothing"
+HEAD = "head"
+FIRST_EVENT = "first event"
+ALL_EVENTS = "all events"
+CLOSED = "closed"
+WHOLE = "whole"
+STAGES = [NOTHING, HEAD, FIRST_EVENT, ALL_EVENTS, CLOSED, WHOLE]
 
 
 class Engine:
@@ -59,9 +67,11 @@
         self.heartbeats = 0
         # Connections with a request, which an end of the engine breaks.
         self.connections = set()
-        # Called with a request that is about to be answered; returns whether the engine
-        # ends by it.
-        self.ends_by = lambda metadata: False
+        # Called with a request and one of `STAGES` that its answer has reached; returns
+        # whether the engine ends by it.
+        self.ends_by = lambda metadata, stage: False
+        # Pools with idle connections to this engine.
+        self.idle_pools = {}
         # Called with a request that arrived, and the VM that sent it.
         self.record_arrival = lambda metadata, vm: None
         # Called with each model request that begins to run.
@@ -167,8 +177,7 @@
             step_ms = STEP_MS + STEP_MS_PER_REQUEST * self.running
             await asyncio.sleep(metadata.prompt_tokens / PREFILL_TOKENS_PER_MS / 1000)
             events = max(1, metadata.output_tokens // TOKENS_PER_EVENT)
-            if self.ends_by(metadata):
-                self.end()
+            self.write(metadata, NOTHING)
             yield True
             await asyncio.sleep(events * TOKENS_PER_EVENT * step_ms / 1000)
             yield True
@@ -177,10 +186,19 @@
             async with self._free_slot:
                 self._free_slot.notify()
 
+    def write(self, metadata, stage):
+        """Get to a stage of an answer; return whether the engine has ended by it."""
+        if self.ends_by(metadata, stage):
+            self.end()
+            return True
+        return False
+
     def end(self):
         """Break all connections, as the end of the process does."""
         for connection in list(self.connections):
             connection.break_off()
+        for pool, address in self.idle_pools.items():
+            pool.on_last_idle_lost(address)
 
     def holds(self, metadata):
         """Return whether a request's model and adapter are loaded."""
@@ -242,6 +260,8 @@
         self._vm = vm
         self._tasks = tasks
         self._task = None
+        self.was_lost = False
+        self.usable = True
         self.messages = asyncio.Queue()
 
     def send(self, request, request_id):
@@ -258,9 +278,13 @@
     def break_off(self):
         """Fail the response; the run of the request ends."""
         self._engine.connections.discard(self)
-        self.messages.put_nowait(ResponseFailed("connection lost", True, True))
+        self._lose()
+        self.messages.put_nowait(ResponseFailed("connection lost", True))
         self._task.cancel()
 
+    def _lose(self):
+        self.was_lost, self.usable = True, False
+
     async def receive(self):
         return await self.messages.get()
 
@@ -282,13 +306,24 @@
                         engine.record_run(metadata)
                     self._put_head(metadata, 200)
                     started = True
+                    if engine.write(metadata, HEAD):
+                        return
                 self.messages.put_nowait(BodyChunk(b"id: 1\ndata: x\n\n"))
+                if engine.write(metadata, FIRST_EVENT):
+                    return
             status = 200 if started else 503
         if not started:
             await network.transfer(expected, vm, 300)
             self._put_head(metadata, status)
+        if started and engine.write(metadata, ALL_EVENTS):
+            return
         engine.connections.discard(self)
+        if started and engine.write(metadata, CLOSED):
+            self._lose()
         self.messages.put_nowait(ResponseComplete())
+        if started:
+            await asyncio.sleep(0.005)
+            engine.write(metadata, WHOLE)
 
     def _put_head(self, metadata, status):
         head = ResponseMetadata(
@@ -313,6 +348,7 @@
         self._addresses = addresses
         self._vm = vm
         self._tasks = set()
+        self.on_last_idle_lost = None
 
     def acquire_idle(self, address, request_id=""):
         engine = self._engines.get(self._addresses[address])
@@ -329,7 +365,9 @@
         return connection
 
     def release(self, connection):
-        return None
+        engine = connection._engine
+        if engine is not None:
+            engine.idle_pools[self] = f"{engine.name}:9"
 
     def close(self):
         for task in self._tasks:
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -15,7 +15,7 @@
 from tests.fleet_fixtures import Decoder
 from tests.machines.virtual import VirtualLoop
 
-from .engines import Engine, WorldCodec, WorldEngineClient, WorldPool
+from .engines import NOTHING, Engine, WorldCodec, WorldEngineClient, WorldPool
 from .network import Link, Network, WorldTransport
 from .store import WorldStore, WorldStoreClient
 
@@ -91,6 +91,12 @@
         self.large_link_mbps = 100.0
         # Requests a second with the prompt part that ends engines; no others have it.
         self.crashing_per_s = 0.0
+        # Its place in the prompt; a random one if None.
+        self.crashing_place = None
+        # How far an engine has written its answer when it ends.
+        self.crash_stage = NOTHING
+        # Parts that all requests of a route share, besides the first one.
+        self.shared_parts = 0
         # How often one and the same request comes that ends the server which runs it,
         # and its route.
         self.poison_per_s = 0.0
@@ -492,7 +498,9 @@
         engine.record_told = lambda vm: self.told_ms.setdefault(
             (engine.name, vm), self.loop.true_ms
         )
-        engine.ends_by = lambda metadata: self._ends_engine(engine, metadata)
+        engine.ends_by = lambda metadata, stage: self._ends_engine(
+            engine, metadata, stage
+        )
         self._put_engine(engine.name)
 
     def _record_arrival(self, engine, metadata, vm):
@@ -519,8 +527,10 @@
         is_poison = metadata.request_id.startswith("poison")
         return is_poison or CRASHING_PART in metadata.shared_parts()
 
-    def _ends_engine(self, engine, metadata):
-        if not self._is_crashing(metadata) or engine.has_ended:
+    def _ends_engine(self, engine, metadata, stage):
+        if stage != self.config.crash_stage or engine.has_ended:
+            return False
+        if not self._is_crashing(metadata):
             return False
         engine.has_ended = True
         self.crashes_ms.append(self.loop.true_ms)
@@ -573,7 +583,10 @@
             _, limit_ms, prompt, output = ROUTES[route]
             metadata = self._metadata(route, *self._choose_target(route, 0.0))
             parts = [name for name, _ in metadata.prefix]
-            parts.insert(self.rng.randrange(len(parts)), CRASHING_PART)
+            place = self.config.crashing_place
+            if place is None:
+                place = self.rng.randrange(len(parts))
+            parts.insert(place, CRASHING_PART)
             metadata.prefix = tuple((name, 100) for name in parts)
             self._start_call(self._send(Caller(self.loop), metadata))
 
@@ -732,7 +745,9 @@
                 prompt_tokens=prompt,
                 output_tokens=output,
             )
-        parts = (route, f"{route}-doc{self.rng.randrange(DOCUMENTS)}", self._next_id)
+        shared = (f"{route}-part{n}" for n in range(self.config.shared_parts))
+        document = f"{route}-doc{self.rng.randrange(DOCUMENTS)}"
+        parts = (route, *shared, document, self._next_id)
         return RequestMetadata(
             f"r{self._next_id}",
             "POST",
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -571,10 +571,24 @@
     Mutation(
         "crash: requests without a prompt are checked",
         "cassiamount/relayed_request.py",
-        "return [self._fingerprint(team_name), *self.metadata.shared_parts()]",
-        "return self.metadata.shared_parts()",
+        "fingerprint = self._fingerprint(team_name)",
+        "fingerprint = FINGERPRINT_PREFIX + self.metadata.request_id",
         "tests/test_crashing_requests.py",
     ),
+    Mutation(
+        "crash: only whole answers clear a request",
+        "cassiamount/crash_detector.py",
+        "if attempt.is_answer:",
+        "if True:",
+        "tests/test_crash_detector.py",
+    ),
+    Mutation(
+        "crash: what ends with its connection is no evidence",
+        "cassiamount/fleet_relay.py",
+        "if connection.was_lost or (outcome is not None and not connection.usable):",
+        "if isinstance(outcome, AttemptFailure) and not connection.usable:",
+        "tests/test_crashing_prompts.py",
+    ),
     Mutation(
         "crash: a request that was sent between two crashes separates them",
         "cassiamount/crash_quarantine.py",
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -185,6 +185,7 @@
         name = f"e{self._next_replica}"
         replica = await self.add_replica(name, "llm", {"m1": ["a1"], "m2": []})
         replica.crashing_part = CRASHING_PART
+        replica.crash_after = self.rng.randrange(4)
         replica.on_crash = lambda: self.crash(name, self.add_engine)
 
     async def add_shop(self):
@@ -193,6 +194,7 @@
         name = f"s{self._next_replica}"
         replica = await self.add_replica(name, "shop")
         replica.crashing_body = CRASHING_BODY
+        replica.crash_after = self.rng.randrange(3)
         replica.on_crash = lambda: self.crash(name, self.add_shop)
 
     def crash(self, name, add_replacement):
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -4,24 +4,53 @@
 
 import pytest
 
-from cassiamount.crash_detector import CrashDetector
+from cassiamount.clock import SystemClock
+from cassiamount.crash_detector import (
+    MAX_ENDED_ATTEMPTS,
+    SURVIVED_MS,
+    CrashDetector,
+    EndedAttempt,
+)
+from cassiamount.crash_quarantine import RequestParts
 from cassiamount.fleet import BackendRecord
 
+RECORD = BackendRecord("e1", "llm", "h:1", "z")
+OTHER = BackendRecord("e2", "llm", "h:2", "z")
+
+
+class Server:
+    """Takes connections as an address would, and records what a detector finds."""
+
+    def __init__(self, error=None):
+        self.error = error
+        self.clock = SystemClock()
+        self.probes = []
+        self.crashes = []
+        self.survivors = []
 
-class Pool:
-    """Opens connections as an address would."""
+    async def probe(self, address):
+        self.probes.append(address)
+        if self.error is not None:
+            raise self.error
 
-    def __init__(self, error):
-        self._error = error
-        self.released = []
+    def on_crash(self, record, requests, lost_ms):
+        self.crashes.append((record.name, [(r.key, r.parts) for r in requests]))
 
-    async def open(self, address):
-        if self._error is not None:
-            raise self._error
-        return address
+    def detector(self):
+        return CrashDetector(
+            self.clock, self.probe, self.on_crash, self.survivors.append
+        )
 
-    def release(self, connection):
-        self.released.append(connection)
+    def ended(self, name, begun_ms=None, is_answer=False):
+        """Return an attempt that ends now; it began `begun_ms` ago."""
+        now_ms = self.clock.monotonic_ms()
+        begun_ms = None if begun_ms is None else now_ms - begun_ms
+        parts = RequestParts(f"request:{name}", lambda: [name])
+        return EndedAttempt(parts, now_ms - 1_000.0, begun_ms, is_answer, now_ms)
+
+
+def suspect(name):
+    return f"request:{name}", [f"request:{name}", name]
 
 
 @pytest.mark.parametrize(
@@ -36,17 +65,67 @@
 )
 async def test_only_a_server_that_refuses_connections_has_crashed(error, crashed):
     """Guards against lost links and cut answers that count as crashes."""
-    pool = Pool(error)
-    found = []
+    server = Server(error)
+    detector = server.detector()
+    for name in ("a", "b"):
+        detector.watch(RECORD, server.ended(name))
+        detector.on_connection_closed(RECORD)
+    detector.watch(OTHER, server.ended("c"))
+    await asyncio.sleep(0.05)
+    expected = ("e1", [suspect("a"), suspect("b")])
+    assert server.crashes == ([expected] if crashed else [])
+    assert server.probes == ["h:1"]
+    detector.close()
 
-    def on_crash(record, requests, lost_ms):
-        found.append(([(r.parts, r.waited_ms) for r in requests], lost_ms))
 
-    detector = CrashDetector(pool, on_crash)
-    record = BackendRecord("e1", "llm", "h:1", "z")
-    detector.on_connection_lost(record, ["a"], 60.0, 100.0)
-    detector.on_connection_lost(record, ["b"], 80.0, 105.0)
+@pytest.mark.parametrize("begun_ms", [None, 1.0, 900.0])
+@pytest.mark.parametrize("is_answer", [False, True])
+async def test_written_part_of_an_answer_clears_no_request(begun_ms, is_answer):
+    """Guards against a crash after some events that counts as an answer."""
+    server = Server(ConnectionRefusedError())
+    detector = server.detector()
+    detector.watch(RECORD, server.ended("a", begun_ms, is_answer))
+    detector.on_connection_closed(RECORD)
+    await asyncio.sleep(SURVIVED_MS / 1000 + 0.1)
+    assert server.crashes == [("e1", [suspect("a")])]
+    assert not server.survivors
+    detector.close()
+
+
+async def test_answer_counts_once_its_server_has_lived_on():
+    """Guards against sound requests that no answer clears, and an endless watch."""
+    server = Server()
+    detector = server.detector()
+    answered = server.ended("a", 5.0, is_answer=True)
+    detector.watch(RECORD, server.ended("b"))
+    detector.watch(RECORD, answered)
+    assert not server.survivors
+    await asyncio.sleep(SURVIVED_MS / 1000 + 0.1)
+    assert server.survivors == [answered]
+    detector.on_connection_closed(RECORD)
     await asyncio.sleep(0.05)
-    expected = ([(["a"], 40.0), (["b"], 25.0)], 100.0)
-    assert found == ([expected] if crashed else [])
-    assert pool.released == ([] if error else ["h:1"])
+    assert not server.probes
+    detector.close()
+
+
+async def test_request_that_had_just_begun_is_the_first_suspect():
+    """Guards against evidence that leaves out the most likely cause of a crash."""
+    server = Server(ConnectionRefusedError())
+    detector = server.detector()
+    for name, begun_ms in (("old", 5_000.0), ("new", 5.0), ("waiting", None)):
+        detector.watch(RECORD, server.ended(name, begun_ms))
+    detector.on_connection_closed(RECORD)
+    await asyncio.sleep(0.05)
+    [(_, requests)] = server.crashes
+    assert requests == [suspect("waiting"), suspect("new"), suspect("old")]
+    detector.close()
+
+
+async def test_watched_attempts_are_bounded():
+    """Guards against memory that grows with the rate of requests."""
+    server = Server()
+    detector = server.detector()
+    for number in range(MAX_ENDED_ATTEMPTS + 3):
+        detector.watch(RECORD, server.ended(str(number), 5.0, is_answer=True))
+    assert len(server.survivors) == 3
+    detector.close()
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -12,7 +12,7 @@
     MIN_CRASHES_AFTER_ANSWERS,
     QUARANTINE_MS,
     CrashQuarantine,
-    WaitingRequest,
+    SuspectRequest,
 )
 
 STEP_MS = 1_000.0
@@ -23,7 +23,7 @@
 
 
 def waiting(*requests, waited_ms=500.0):
-    return [WaitingRequest(parts, waited_ms) for parts in requests]
+    return [SuspectRequest(" ".join(parts), parts, waited_ms) for parts in requests]
 
 
 def crash(quarantine, number, *requests, at_ms=None, waited_ms=500.0):
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -2,8 +2,11 @@
 
 import pytest
 
-from tests.fleet_world import small_world
+from cassiamount.crash_quarantine import MIN_CRASHES
+from tests.fleet_world import STAGES, small_world
 
+# Crashes after which the fleet must know the part.
+MAX_CRASHES = 5
 # Crashing requests that may reach engines once the fleet must have learned of them.
 MAX_ARRIVALS = 3
 # Time from the crash that suffices until then, and until others are served again.
@@ -103,4 +106,23 @@
         crashing_per_s=0.8,
     ).run(40.0, script)
     assert world.crashes_ms
-    check(world, 5, ("live", "short"))
+    check(world, MAX_CRASHES, ("live", "short"))
+
+
+def play_crashing(**changes):
+    """Play a fleet whose engines are soon back, and check that few of them end."""
+    world = small_world(
+        seed=3,
+        requests_per_s={"live": 18.0, "short": 16.0, "batch": 2.0},
+        crashing_per_s=1.5,
+        restart_s=1.0,
+        **changes,
+    ).run(20.0)
+    assert MIN_CRASHES <= len(world.crashes_ms) <= MAX_CRASHES
+    check(world, MAX_CRASHES, ("live", "short"))
+
+
+@pytest.mark.parametrize("stage", STAGES[1:])
+def test_part_is_found_however_much_of_an_answer_was_written(stage):
+    """Guards against engines that end in the middle of an answer, unnoticed."""
+    play_crashing(crash_stage=stage)
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -9,7 +9,7 @@
 from starlette.responses import Response
 
 from cassiamount import supervisor
-from cassiamount.crash_quarantine import MIN_CRASHES, WaitingRequest
+from cassiamount.crash_quarantine import MIN_CRASHES, SuspectRequest
 from cassiamount.fleet_controller import FleetController
 from tests.fleet_fixtures import KEY, TIMEOUT_S, Fleet, configuration
 
@@ -250,7 +250,7 @@
     state = node.state
     for number in range(MIN_CRASHES):
         at_ms = state.now_ms() - 1_000.0 * (number + 1)
-        request = WaitingRequest(["bad"], 500.0)
+        request = SuspectRequest("r", ["bad"], 500.0)
         state.quarantine.record_crash(f"x{number}", 1, [request], at_ms)
 
 
@@ -269,7 +269,10 @@
         assert (await fleet.send_request(vm, "/chat/x", **headers))[0] == 200
 
 
-async def test_request_that_ends_plain_servers_is_refused_on_every_vm(fleet):
+@pytest.mark.parametrize("crash_after", [0, 1])
+async def test_request_that_ends_plain_servers_is_refused_on_every_vm(
+    fleet, crash_after
+):
     """Guards against a request that ends server after server of a plain service."""
     for vm in ("v1", "v2", "v3"):
         await fleet.add_vm(vm)
@@ -278,6 +281,7 @@
         await fleet.add_replica(name, "shop")
     for name in names:
         fleet.replicas[name].crashing_body = b"poison"
+        fleet.replicas[name].crash_after = crash_after
         fleet.replicas[name].on_crash = lambda name=name: fleet.end_replica(name)
     for node in fleet.nodes.values():
         await fleet.wait_until(lambda node=node: len(node.state.view.backends) == 6)
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -56,7 +56,7 @@
             4, 30, {"e1": (9, [1, {"m": ["a"]}, {"n": 80}, ["o"]])}, {"q": (9, 1_500)}
         ),
         "quarantine": QuarantinePart(
-            [["e1", 1, 30, [[45, ["p1", "p2"]]]]], {"p1": 20}, [[["p2"], 5]]
+            [["e1", 1, 30, [["r1", 45, ["p1", "p2"]]]]], {"p1": 20}, [[["p2"], 5]]
         ),
         "limits": LimitsPart([["e1", 1, 1.4, 30], ["e2", 1, None, 5]]),
         "places": [VmPlace("v8", "v8:1", "z2", 0.5)],
@@ -82,7 +82,7 @@
     assert [place.to_value() for place in decoded.places] == [["v8", "v8:1", "z2", 0.5]]
     assert decoded.knows_fleet
     assert decoded.limits.limits[1] == ["e2", 1, None, 5]
-    assert decoded.quarantine.crashes == [["e1", 1, 30, [[45, ["p1", "p2"]]]]]
+    assert decoded.quarantine.crashes == [["e1", 1, 30, [["r1", 45, ["p1", "p2"]]]]]
 
 
 @pytest.mark.parametrize(
--- a/tests/test_response_forwarding.py
+++ b/tests/test_response_forwarding.py
@@ -221,6 +221,8 @@
     assert isinstance(outcome, expected[result])
     assert caller.body == delivered
     assert caller.finished is (result == "complete")
+    # Even a stream that looks whole may have ended with its server.
+    assert connection.was_lost
 
 
 @pytest.mark.parametrize(
@@ -240,6 +242,7 @@
     outcome = await task
     assert isinstance(outcome, int) is is_complete
     assert caller.body == (b"first second" if is_complete else b"")
+    assert connection.was_lost
 
 
 def failure_head(status, extra=b""):
