Suspect every part of a prompt, and bound the evidence by its bytes

Cause: the evidence of a crash kept 32 parts of a request, as the bound on its memory.

Change: all parts count. The bytes of their names are bounded for a crash, a VM's view of it and in all; over that whole requests are left out, the least likely first. Prompts are kept as the bytes of their header, as 4,096 parts take 30 times that as objects. The same bound by place was found in the index of prompts for routing, which one long prompt emptied: it takes the first 256 parts and hashes each once.

--- a/cassiamount/crash_detector.py
+++ b/cassiamount/crash_detector.py
@@ -7,7 +7,7 @@
 import structlog
 
 from .background import BackgroundTasks
-from .crash_quarantine import MAX_PARTS_PER_REQUEST, SuspectRequest
+from .crash_quarantine import SuspectRequest
 
 # The end of a process breaks all its connections at about the same time.
 GATHER_MS = 20.0
@@ -136,7 +136,7 @@
         requests = (
             SuspectRequest(
                 attempt.parts.fingerprint,
-                list(islice(attempt.parts, MAX_PARTS_PER_REQUEST)),
+                list(attempt.parts),
                 max(0.0, lost_ms - attempt.sent_ms),
             )
             for attempt in attempts
--- a/cassiamount/crash_quarantine.py
+++ b/cassiamount/crash_quarantine.py
@@ -27,7 +27,6 @@
 # each of which may be the one that crashes servers, so whole requests are left out.
 MAX_CRASHES = 64
 MAX_REQUESTS_PER_CRASH = 64
-MAX_PARTS_PER_REQUEST = 32
 MAX_ANSWERED_PARTS = 10_000
 # Names of the parts of the requests at one crash, as one VM saw it and as all did.
 MAX_SEEN_BYTES = 64 << 10
--- a/cassiamount/platform/headers.py
+++ b/cassiamount/platform/headers.py
@@ -98,7 +98,7 @@
         adapter,
         prompt_tokens,
         output_tokens,
-        _prefix_parts(values.get(PREFIX, b"")),
+        PrefixParts(values.get(PREFIX, b"")),
         values.get(LAST_EVENT, b"").decode("latin-1"),
         values.get(RESUMES, b"").decode("latin-1"),
     )
@@ -127,13 +127,30 @@
     return key.strip() if scheme.lower() == "bearer" else ""
 
 
-def _prefix_parts(value):
-    parts = []
-    for part in value.split(b","):
-        name, _, tokens = part.strip().partition(b":")
-        if name and tokens.isdigit():
-            parts.append((name.decode("latin-1"), _count(tokens)))
-    return tuple(parts)
+class PrefixParts:
+    """Names and numbers of tokens of a prompt's parts.
+
+    They are parsed at each iteration: a header of 16 KB holds up to 4,096 parts, which
+    as objects take 30 times its size.
+
+    Raises
+    ------
+    ValueError
+        If a number is too large.
+    """
+
+    __slots__ = ("_value",)
+
+    def __init__(self, value):
+        self._value = value
+        for _ in self:
+            pass
+
+    def __iter__(self):
+        for part in self._value.split(b","):
+            name, _, tokens = part.strip().partition(b":")
+            if name and tokens.isdigit():
+                yield name.decode("latin-1"), _count(tokens)
 
 
 def encode_request(method, target, headers, body, attempt):
--- a/cassiamount/replica_selection.py
+++ b/cassiamount/replica_selection.py
@@ -1,5 +1,7 @@
 """Selects the backend server for a request, or estimates when one will be ready."""
 
+from itertools import islice
+
 from .fleet_orders import target_name
 
 # Makes a replica in this availability zone win over an equally loaded remote one.
@@ -299,6 +301,9 @@
 
 # Prompt prefixes remembered for each backend server.
 MAX_KEYS_PER_BACKEND = 2_000
+# Leading parts of a prompt that are remembered; a prompt of thousands of parts would
+# displace all others.
+MAX_INDEXED_PARTS = 256
 
 
 class SentPrefixIndex:
@@ -310,7 +315,7 @@
     def record_sent(self, backend, metadata):
         """Remember the prompt prefixes of a request that was sent."""
         recent_keys = self._keys_by_backend.setdefault(backend, {})
-        for key in self._prefix_keys(metadata):
+        for key, _ in self._prefix_keys(metadata):
             recent_keys.pop(key, None)
             recent_keys[key] = None
         while len(recent_keys) > MAX_KEYS_PER_BACKEND:
@@ -322,9 +327,7 @@
         if not recent_keys:
             return 0
         tokens = 0
-        for key, (_, count) in zip(
-            self._prefix_keys(metadata), metadata.prefix, strict=True
-        ):
+        for key, count in self._prefix_keys(metadata):
             if key not in recent_keys:
                 break
             tokens += count
@@ -335,9 +338,8 @@
         self._keys_by_backend.pop(backend, None)
 
     def _prefix_keys(self, metadata):
-        keys = []
-        leading_parts = (metadata.model, metadata.adapter)
-        for name, _ in metadata.prefix:
-            leading_parts = (leading_parts, name)
-            keys.append(hash(leading_parts))
-        return keys
+        """Yield a key of each leading part with those before it, and its tokens."""
+        key = hash((metadata.model, metadata.adapter))
+        for name, count in islice(metadata.prefix, MAX_INDEXED_PARTS):
+            key = hash((key, name))
+            yield key, count
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -12,6 +12,7 @@
     MIN_CRASHES_AFTER_ANSWERS,
     QUARANTINE_MS,
     CrashQuarantine,
+    RequestParts,
     SuspectRequest,
 )
 
@@ -241,3 +242,48 @@
     for number in range(MIN_CRASHES):
         crash(quarantine, number, ["part"])
     assert not is_blocked(quarantine, "part")
+
+
+def test_long_prompt_is_suspected_at_every_place():
+    """Guards against a part that is never suspected, for its place in the prompt."""
+    for place in (0, 31, 32, 33, 500, 3_999):
+        quarantine = make_quarantine()
+        for number in range(MIN_CRASHES):
+            parts = [f"{number}-{n}" for n in range(3_999)]
+            parts.insert(place, "bad")
+            crash(quarantine, number, parts)
+        assert quarantine.rules() == [frozenset({"bad"})]
+
+
+def test_evidence_is_bounded_and_keeps_the_first_suspects():
+    """Guards against long prompts that take up the memory, and hide what crashes."""
+    quarantine = make_quarantine()
+    for number in range(40):
+        requests = [["bad", *(f"{number}-{k}-{n}" for n in range(4_000))] for k in "ab"]
+        crash(quarantine, number, *requests, *([f"{number}-{k}"] for k in range(99)))
+        size_bytes = sum(
+            crash_quarantine.MIN_NAME_BYTES * len(request["parts"])
+            for request in map(request_value, evidence(quarantine))
+        )
+        assert size_bytes <= crash_quarantine.MAX_EVIDENCE_BYTES
+        assert is_blocked(quarantine, "bad") == (number >= MIN_CRASHES - 1)
+
+
+def evidence(quarantine):
+    """Return the requests that a report to a new peer holds."""
+    part = quarantine.part_since(0, 0.0)
+    return [request for crash in part.crashes for request in crash[3]]
+
+
+def request_value(item):
+    return dict(zip(("key", "age_ms", "parts"), item, strict=True))
+
+
+@pytest.mark.parametrize("name", ["b" * 64, "b" * 65, "b" * 4_000])
+def test_long_names_are_known_by_a_short_one(name):
+    """Guards against a few long names that take up the memory for all others."""
+    parts = list(RequestParts("request:x", lambda: [name]))
+    assert parts[0] == "request:x"
+    assert len(parts[1]) <= crash_quarantine.MAX_NAME_BYTES
+    assert parts == list(RequestParts("request:x", lambda: [name]))
+    assert parts != list(RequestParts("request:x", lambda: [name + "c"]))
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -126,3 +126,9 @@
 def test_part_is_found_however_much_of_an_answer_was_written(stage):
     """Guards against engines that end in the middle of an answer, unnoticed."""
     play_crashing(crash_stage=stage)
+
+
+@pytest.mark.parametrize(("shared_parts", "place"), [(40, 39), (200, None)])
+def test_part_is_found_at_any_place_of_a_long_prompt(shared_parts, place):
+    """Guards against parts behind the first ones, which are never suspected."""
+    play_crashing(shared_parts=shared_parts, crashing_place=place)
--- a/tests/test_replica_selection.py
+++ b/tests/test_replica_selection.py
@@ -245,3 +245,15 @@
     limits.reserve(("b1", 1), 0.0)
     found = selector_of(view, limits).select_for_model("s", call_metadata(), 0.0)
     assert (found.reason, found.wait_ms) == ("model", 400.0)
+
+
+def test_long_prompts_do_not_displace_the_others():
+    """Guards against one prompt of thousands of parts that empties the index."""
+    prefixes = SentPrefixIndex()
+    usual = call_metadata(prefix=(("p", 300), ("q", 200)))
+    prefixes.record_sent("e1", usual)
+    for number in range(4):
+        parts = tuple((f"{number}-{n}", 1) for n in range(4_000))
+        prefixes.record_sent("e1", call_metadata(prefix=parts))
+    assert prefixes.cached_tokens("e1", usual) == 500
+    assert prefixes.cached_tokens("e1", call_metadata(prefix=parts)) > 0
