Tell requests at a crash apart by all their parts

Evidence of one crash was keyed by the fingerprint of a request, which covers path and body. The key is now a digest of all parts. The tests' world gave every request a body of its own; it can now give all the same one.

--- a/cassiamount/crash_detector.py
+++ b/cassiamount/crash_detector.py
@@ -134,10 +134,8 @@
             ],
         )
         requests = (
-            SuspectRequest(
-                attempt.parts.fingerprint,
-                list(attempt.parts),
-                max(0.0, lost_ms - attempt.sent_ms),
+            SuspectRequest.from_parts(
+                list(attempt.parts), max(0.0, lost_ms - attempt.sent_ms)
             )
             for attempt in attempts
         )
--- a/cassiamount/crash_quarantine.py
+++ b/cassiamount/crash_quarantine.py
@@ -85,7 +85,7 @@
     Parameters
     ----------
     key : str
-        Distinguishes the request from the others at the same crash.
+        Distinguishes the request from those at the same crash with other parts.
     parts : sequence of str
     age_ms : float
         Time from its sending until the crash.
@@ -98,6 +98,14 @@
         self.parts = parts
         self.age_ms = age_ms
 
+    @classmethod
+    def from_parts(cls, parts, age_ms):
+        """Return a request that is known by all its parts.
+
+        Its fingerprint does not suffice, as requests may differ in their heads only.
+        """
+        return cls(_digest("\n".join(parts)), parts, age_ms)
+
     @property
     def size_bytes(self):
         """What the names of its parts count against the limits on evidence."""
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -97,6 +97,8 @@
         self.crash_stage = NOTHING
         # Parts that all requests of a route share, besides the first one.
         self.shared_parts = 0
+        # Whether requests differ in their heads only.
+        self.same_bodies = False
         # How often one and the same request comes that ends the server which runs it,
         # and its route.
         self.poison_per_s = 0.0
@@ -794,7 +796,9 @@
             return
         vm = vm or self.rng.choice(list(self.vms.values()))
         target = metadata.path.encode()
-        body = metadata.request_id.encode() if body is None else body
+        if body is None:
+            is_same = self.config.same_bodies
+            body = b"" if is_same else metadata.request_id.encode()
         inbound = InboundRequest(
             metadata, target, metadata, body, self.loop.true_ms, caller
         )
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cassiamount.change_counter import ChangeCounter
 from cassiamount.clock import SystemClock
 from cassiamount.crash_detector import (
     MAX_ENDED_ATTEMPTS,
@@ -11,7 +12,7 @@
     CrashDetector,
     EndedAttempt,
 )
-from cassiamount.crash_quarantine import RequestParts
+from cassiamount.crash_quarantine import CrashQuarantine, RequestParts
 from cassiamount.fleet import BackendRecord
 
 RECORD = BackendRecord("e1", "llm", "h:1", "z")
@@ -34,7 +35,7 @@
             raise self.error
 
     def on_crash(self, record, requests, lost_ms):
-        self.crashes.append((record.name, [(r.key, r.parts) for r in requests]))
+        self.crashes.append((record.name, [r.parts for r in requests]))
 
     def detector(self):
         return CrashDetector(
@@ -50,7 +51,7 @@
 
 
 def suspect(name):
-    return f"request:{name}", [f"request:{name}", name]
+    return [f"request:{name}", name]
 
 
 @pytest.mark.parametrize(
@@ -108,6 +109,30 @@
     detector.close()
 
 
+async def test_requests_with_the_same_path_and_body_are_all_suspects():
+    """Guards against a prompt that is taken for another one with the same body."""
+    server = Server(ConnectionRefusedError())
+    found = []
+    detector = CrashDetector(
+        server.clock,
+        server.probe,
+        lambda record, requests, lost_ms: found.extend(requests),
+        server.survivors.append,
+    )
+    for name in ("sound", "bad"):
+        now_ms = server.clock.monotonic_ms()
+        parts = RequestParts("request:x", lambda name=name: [name])
+        detector.watch(RECORD, EndedAttempt(parts, now_ms, None, False, now_ms))
+    detector.on_connection_closed(RECORD)
+    await asyncio.sleep(0.05)
+    quarantine = CrashQuarantine(ChangeCounter())
+    quarantine.record_crash("e1", 1, found, 0.0)
+    [(_, _, _, requests)] = quarantine.part_since(0, 0.0).crashes
+    parts = sorted(sorted(parts) for _, _, parts in requests)
+    assert parts == [["bad", "request:x"], ["request:x", "sound"]]
+    detector.close()
+
+
 async def test_request_that_had_just_begun_is_the_first_suspect():
     """Guards against evidence that leaves out the most likely cause of a crash."""
     server = Server(ConnectionRefusedError())
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -24,7 +24,7 @@
 
 
 def waiting(*requests, waited_ms=500.0):
-    return [SuspectRequest(" ".join(parts), parts, waited_ms) for parts in requests]
+    return [SuspectRequest.from_parts(parts, waited_ms) for parts in requests]
 
 
 def crash(quarantine, number, *requests, at_ms=None, waited_ms=500.0):
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -128,6 +128,12 @@
     play_crashing(crash_stage=stage)
 
 
+@pytest.mark.parametrize("stage", STAGES[:3])
+def test_part_is_found_if_requests_differ_in_their_prompts_only(stage):
+    """Guards against a prompt that is taken for another one with the same body."""
+    play_crashing(crash_stage=stage, same_bodies=True)
+
+
 @pytest.mark.parametrize(("shared_parts", "place"), [(40, 39), (200, None)])
 def test_part_is_found_at_any_place_of_a_long_prompt(shared_parts, place):
     """Guards against parts behind the first ones, which are never suspected."""
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -250,7 +250,7 @@
     state = node.state
     for number in range(MIN_CRASHES):
         at_ms = state.now_ms() - 1_000.0 * (number + 1)
-        request = SuspectRequest("r", ["bad"], 500.0)
+        request = SuspectRequest.from_parts(["bad"], 500.0)
         state.quarantine.record_crash(f"x{number}", 1, [request], at_ms)
 
 
