Bound what all slow readers of answers hold together

Cause: up to 640 KB of waiting parts for a slow reader and 1 MiB for an event that has not ended, times 1,800 callers. A whole answer was handed to the connection at once and counted as delivered. A response that failed in its parser lived on, with its event, until a garbage collection (a reference to the exception in the frame that had caught it).

Change: the memory plan derives from MemoryMb what all bodies, all answers and so many callers may hold. What can wait is not read on beyond 16 KB an answer; a plain answer over the common budget is passed on as it comes; only an event that has not ended and finds no memory breaks off. Answers are written in parts of 8 KB at the speed of the caller. A body in small chunks is handed over once a read. The own stack has a common budget of answers.

--- a/cassiamount/backend_client.py
+++ b/cassiamount/backend_client.py
@@ -8,6 +8,8 @@
 MAX_HEAD_LINE_BYTES = 8_190
 MAX_HEAD_FIELDS = 100
 MAX_BODY_BYTES = 8 << 20
+# A response is read no further while twice as much of it waits.
+READ_BUFFER_BYTES = 16 << 10
 CONNECT_TIMEOUT_S = 2.0
 CANCEL_TIMEOUT_S = 2.0
 KEEPALIVE_TIMEOUT_S = 20.0
@@ -109,19 +111,26 @@
         if self._idle_timer is not None:
             self._idle_timer.cancel()
 
-    async def body(self, limit_bytes=MAX_BODY_BYTES):
+    async def body(self, answer, limit_bytes=MAX_BODY_BYTES):
         """Return the whole body.
 
+        Parameters
+        ----------
+        answer : HeldAnswer
+        limit_bytes : int
+
         Raises
         ------
         AttemptBroken
-            If the body ends early or exceeds the limit.
+            If the body ends early, exceeds the limit, or finds no memory.
         """
         parts, size = [], 0
         while part := await self.chunk():
             size += len(part)
             if size > limit_bytes:
                 raise AttemptBroken("response body exceeds the size limit")
+            if not answer.hold(size):
+                raise AttemptBroken("no memory for the response body")
             parts.append(part)
         return b"".join(parts)
 
@@ -176,6 +185,7 @@
             max_line_size=MAX_HEAD_LINE_BYTES,
             max_field_size=MAX_HEAD_LINE_BYTES,
             max_headers=MAX_HEAD_FIELDS,
+            read_bufsize=READ_BUFFER_BYTES,
         )
         # aiohttp by itself retries PUT and DELETE if a reused connection was closed,
         # but only the relay may decide on retries.
--- a/cassiamount/backend_connection.py
+++ b/cassiamount/backend_connection.py
@@ -12,9 +12,9 @@
 # Reading pauses while more messages than this wait for the relay.
 MAX_QUEUED_MESSAGES = 256
 # The same for the bytes of these messages.
-MAX_QUEUED_BYTES = 256 << 10
+MAX_QUEUED_BYTES = 16 << 10
 # Most bytes that one read takes in.
-MAX_READ_BYTES = 64 << 10
+MAX_READ_BYTES = 16 << 10
 # Idle connections are reused only for this fraction of the keep-alive time; after that
 # the backend server may close the connection while the request is on its way.
 KEEP_ALIVE_FRACTION = 0.7
@@ -65,6 +65,8 @@
         self._eof_received = False
         self._reading_paused = False
         self._queued_bytes = 0
+        # Pieces of the body that came with the current read.
+        self._pieces = []
         # Received since the request or since the last bytes of a body.
         self._bytes_without_content = 0
         self._reset_response()
@@ -97,6 +99,7 @@
         self._request_id = request_id
         self.messages = asyncio.Queue()
         self._queued_bytes = 0
+        self._pieces.clear()
         self._bytes_without_content = 0
         self._parser = httptools.HttpResponseParser(self)
         self._reset_response()
@@ -144,12 +147,9 @@
         self._bytes_without_content += len(data)
         try:
             self._parser.feed_data(data)
+            self._hand_over_body()
         except (*PARSER_ERRORS, ValueError) as error:
-            cause = error.__context__
-            reason = (
-                str(cause) if isinstance(cause, ValueError) else type(error).__name__
-            )
-            self._fail(f"no HTTP response: {reason}")
+            self._fail(f"no HTTP response: {_reason(error)}")
         if self._busy and self._bytes_without_content > MAX_HEAD_BYTES:
             place = "chunk size or trailers" if self._in_body else "head"
             self._fail(_too_large(place, self._bytes_without_content))
@@ -236,10 +236,20 @@
         return response_id == self._request_id != ""
 
     def on_body(self, data):
-        """Queue a piece of the body if it belongs to the current request."""
+        """Take a piece of the body if it belongs to the current request."""
         self._bytes_without_content = 0
-        if not (self._matches_request and self._busy):
+        if self._matches_request and self._busy:
+            self._pieces.append(data)
+
+    def _hand_over_body(self):
+        """Hand over at once what one read has brought of the body.
+
+        A body in chunks of a few bytes would take many times its size as messages.
+        """
+        if not self._pieces:
             return
+        data = b"".join(self._pieces)
+        self._pieces.clear()
         if self.body_sink is not None:
             self.body_sink(data)
         else:
@@ -261,6 +271,7 @@
             self._finish()
 
     def _finish(self):
+        self._hand_over_body()
         self.idle_since_ms = self._clock.monotonic_ms()
         self._busy = False
         self.body_sink = None
@@ -272,6 +283,7 @@
         if self._busy:
             self._busy = False
             self.body_sink = None
+            self._pieces.clear()
             self.messages.put_nowait(ResponseFailed(reason, True))
         self.abort()
 
@@ -290,6 +302,13 @@
         self._has_excess_bytes = False
 
 
+def _reason(error):
+    # A reference to the exception in the frame that has caught it would keep both, and
+    # what the response holds, until the next garbage collection.
+    cause = error if isinstance(error, ValueError) else error.__context__
+    return str(cause) if isinstance(cause, ValueError) else type(error).__name__
+
+
 def _too_large(place, size_bytes):
     return f"{place} too large: {size_bytes} of {MAX_HEAD_BYTES} bytes"
 
--- a/cassiamount/caller.py
+++ b/cassiamount/caller.py
@@ -6,6 +6,9 @@
 from .body_budget import BodyBudget
 from .requests import Refusal
 
+# A longer part of an answer is written piece by piece, so that no more of it than the
+# connection's write buffer is held a second time.
+MAX_WRITE_BYTES = 8 << 10
 # Key in the scope of a function that writes a part of an answer at once, and returns
 # False if the part has to go through the send channel; servers may leave it out.
 WRITE_PART = "cassiamount.write_part"
@@ -110,12 +113,16 @@
         )
 
     async def write(self, data):
-        """Send a part of the body.
+        """Send a part of the body, at the speed of the caller.
 
         Raises
         ------
         CallerGone
         """
+        for start in range(0, len(data), MAX_WRITE_BYTES):
+            await self._write(data[start : start + MAX_WRITE_BYTES])
+
+    async def _write(self, data):
         self.writes += 1
         if self._write_part(data):
             return
@@ -138,6 +145,9 @@
         """Send a whole answer."""
         length = (b"content-length", str(len(body)).encode())
         await self.start(status, [*headers, length])
+        if len(body) > MAX_WRITE_BYTES:
+            await self.write(body)
+            body = b""
         await self._last(body)
         self.finished = True
 
--- a/cassiamount/event_framing.py
+++ b/cassiamount/event_framing.py
@@ -19,6 +19,11 @@
         self._buffer = bytearray()
         self.last_event_id = ""
 
+    @property
+    def held_bytes(self):
+        """Size of the incomplete event."""
+        return len(self._buffer)
+
     @property
     def has_partial_event(self):
         """Whether the buffer holds an incomplete event."""
--- a/cassiamount/event_stream.py
+++ b/cassiamount/event_stream.py
@@ -37,6 +37,11 @@
         self._buffer = bytearray()
         self._pending_cr = False
 
+    @property
+    def held_bytes(self):
+        """Size of the incomplete event."""
+        return len(self._buffer)
+
     def feed(self, chunk):
         """Return the events that `chunk` completes, each without its blank line.
 
--- a/cassiamount/fleet_edge.py
+++ b/cassiamount/fleet_edge.py
@@ -5,8 +5,8 @@
 import structlog
 
 from .answers import CallerGone, error_body
-from .body_budget import BodyBudget, HeldBody
-from .caller import IS_FOLLOWED, WRITE_PART
+from .body_budget import HeldBody
+from .caller import IS_FOLLOWED, MAX_WRITE_BYTES, WRITE_PART
 from .graceful_stop import stop_refusal
 from .relayed_request import InboundRequest
 from .replica_selection import clamp_retry_after_ms
@@ -21,10 +21,6 @@
 # data resets it, and the caller might not get the refusal.
 MAX_DISCARD_MS = 2_000.0
 MAX_DISCARD_BYTES = 64 << 20
-# Bodies of all current requests; each is held a second time while it is sent on.
-MAX_BODY_BYTES = 64 << 20
-# Not counted of each body.
-FREE_BODY_BYTES = 16 << 10
 
 log = structlog.get_logger()
 
@@ -93,6 +89,9 @@
         headers = [item for item in headers if item[0] != b"content-length"]
         headers.append((b"content-length", b"%d" % len(body)))
         await self.start(status, headers)
+        if len(body) > MAX_WRITE_BYTES:
+            await self.send_chunk(body)
+            body = b""
         self.finished = True
         await self._send({"type": "http.response.body", "body": body})
 
@@ -114,15 +113,20 @@
         bool
             Whether it was written.
         """
-        return self._write_part is not None and self._write_part(data)
+        return (
+            len(data) <= MAX_WRITE_BYTES
+            and self._write_part is not None
+            and self._write_part(data)
+        )
 
     async def send_chunk(self, data):
-        """Send a chunk of the response body."""
-        if self.write_at_once(data):
-            return
-        await self._send(
-            {"type": "http.response.body", "body": data, "more_body": True}
-        )
+        """Send a chunk of the response body, at the speed of the caller."""
+        for start in range(0, len(data), MAX_WRITE_BYTES):
+            part = data[start : start + MAX_WRITE_BYTES]
+            if not self.write_at_once(part):
+                await self._send(
+                    {"type": "http.response.body", "body": part, "more_body": True}
+                )
 
     async def finish(self):
         """End the response body."""
@@ -177,14 +181,16 @@
     decode_request : callable
         ``(method, target, headers) -> RequestMetadata``; raises ValueError.
     timeouts : RequestTimeouts
+    bodies : BodyBudget
+        Limits what is held of all bodies.
     """
 
-    def __init__(self, state, relay, decode_request, timeouts):
+    def __init__(self, state, relay, decode_request, timeouts, bodies):
         self._state = state
         self._relay = relay
         self._decode_request = decode_request
         self._timeouts = timeouts
-        self._bodies = BodyBudget(MAX_BODY_BYTES, FREE_BODY_BYTES)
+        self._bodies = bodies
         self.running = 0
 
     async def __call__(self, scope, receive, send):
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -7,6 +7,7 @@
 import structlog
 
 from .backend_connection import ConnectionPool
+from .body_budget import BodyBudget
 from .descriptors import (
     MAX_OPERATOR_CONNECTIONS,
     descriptor_limit,
@@ -20,6 +21,7 @@
 from .graceful_stop import CLOSE_RESERVE_MS, StopSchedule
 from .interval_stats import IntervalStats
 from .json_shapes import is_address
+from .memory_plan import FREE_BYTES, MemoryPlan
 from .metadata_store import BACKENDS, CONFIGURATION, VMS, StoreUnavailable
 from .metrics import Metrics
 from .peer_exchange import PeerExchange
@@ -123,6 +125,7 @@
         )
         self._pool = pool or ConnectionPool(platform.codec.decode_response, clock)
         timeouts = RequestTimeouts(clock)
+        memory = MemoryPlan(settings.memory_mb)
         prefixes = SentPrefixIndex()
         selector = ReplicaSelector(
             self.state.view, settings.zone, prefixes, self.state.limits
@@ -139,10 +142,15 @@
             timeouts,
             self._notify_lease_holder,
             self._exchange.exchange_soon,
+            BodyBudget(memory.answer_bytes, FREE_BYTES),
         )
         self._timeouts = timeouts
         self._edge = FleetEdge(
-            self.state, self._relay, platform.codec.decode_request, timeouts
+            self.state,
+            self._relay,
+            platform.codec.decode_request,
+            timeouts,
+            BodyBudget(memory.body_bytes, FREE_BYTES),
         )
         self._supervisor = Supervisor("vm", clock)
         self._stop_requested = asyncio.Event()
@@ -224,7 +232,10 @@
     async def _start_servers(self):
         """Open the ports for HTTP, each as soon as it is free."""
         settings = self._settings
-        most = most_caller_connections(descriptor_limit(settings.max_descriptors))
+        most = min(
+            most_caller_connections(descriptor_limit(settings.max_descriptors)),
+            MemoryPlan(settings.memory_mb).callers,
+        )
         log.info("caller_connections", most=most)
         few = MAX_OPERATOR_CONNECTIONS
         ports = [
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -70,6 +70,8 @@
     notify_peers : callable
         Called when other VMs should learn soon of a crashed engine, of an answer that
         clears a prompt part, or of a request limit.
+    answer_budget : BodyBudget
+        Limits what is held of all answers.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         timeouts,
         notify_waiting,
         notify_peers,
+        answer_budget,
     ):
         self._state = state
         self._selector = selector
@@ -101,7 +104,7 @@
             state.clock, self._probe, self._on_crash, self._on_survived
         )
         pool.on_last_idle_lost = self._on_idle_lost
-        self._forwarder = ResponseForwarder(codec, state.clock)
+        self._forwarder = ResponseForwarder(codec, state.clock, answer_budget)
         self._changed = asyncio.Event()
         # Route -> durations of its last whole answers.
         self._answer_times = {}
--- a/cassiamount/jobs.py
+++ b/cassiamount/jobs.py
@@ -205,7 +205,7 @@
         await copier.copy(attempt, response)
 
     async def _relay_whole(self, relay, attempt, response, caller):
-        body = await response.body()
+        body = await response.body(attempt.answer)
         try:
             document = orjson.loads(body)
         except orjson.JSONDecodeError as error:
@@ -226,7 +226,7 @@
         status = response.status
         if self.response_started or not 400 <= status < 500 or status in (408, 429):
             raise AttemptBroken(f"engine returned status {status}")
-        body = await response.body()
+        body = await response.body(attempt.answer)
         response.release()
         self.progress.usage_tokens = 0
         self.response_started = True
--- a/cassiamount/platform/settings.py
+++ b/cassiamount/platform/settings.py
@@ -34,6 +34,7 @@
     (("Limits", "CpuShare"), (int, float), "cpu_share", 1.0),
     (("Limits", "Cores"), (int, float), "cores", 1),
     (("Limits", "MaxFds"), int, "max_descriptors", None),
+    (("Limits", "MemoryMb"), (int, float), "memory_mb", 300),
 )
 
 
--- a/cassiamount/relay.py
+++ b/cassiamount/relay.py
@@ -4,7 +4,9 @@
 
 from .answers import Answer, error_body
 from .backend_client import AttemptBroken, NotAccepted
+from .body_budget import BodyBudget, HeldAnswer
 from .invariants import TRUTHFUL_REFUSAL, require
+from .memory_plan import FREE_BYTES
 from .requests import (
     ADMITTED,
     BROKEN,
@@ -21,6 +23,8 @@
 from .retries import RetryBudget, backoff_ms
 
 MAX_ATTEMPTS = 3
+# What is held of all answers until their callers have taken it.
+MAX_ANSWER_BYTES = 64 << 20
 # Timeout for the response head of an attempt that continues a response which the caller
 # is already reading.
 RESUME_HEAD_TIMEOUT_S = 10.0
@@ -55,15 +59,17 @@
         "started_ms",
         "first_byte_ms",
         "response",
+        "answer",
         "span",
     )
 
-    def __init__(self, dispatch, request_id, started_ms):
+    def __init__(self, dispatch, request_id, started_ms, answer):
         self.dispatch = dispatch
         self.request_id = request_id
         self.started_ms = started_ms
         self.first_byte_ms = None
         self.response = None
+        self.answer = answer
         self.span = None
 
 
@@ -88,6 +94,7 @@
         self.metrics = metrics
         self.rng = rng
         self.retry_budget = retry_budget or RetryBudget()
+        self._answers = BodyBudget(MAX_ANSWER_BYTES, FREE_BYTES)
         self._background = set()
 
     async def run(self, job, caller):
@@ -249,12 +256,18 @@
         return Answer(refusal.status, "application/json", error_body(refusal), refusal)
 
     def _begin_attempt(self, job, dispatch):
-        attempt = Attempt(dispatch, job.attempt_id(dispatch), self.clock.monotonic_ms())
+        attempt = Attempt(
+            dispatch,
+            job.attempt_id(dispatch),
+            self.clock.monotonic_ms(),
+            HeldAnswer(self._answers),
+        )
         attempt.span = job.trace.begin("backend", backend=dispatch.backend)
         return attempt
 
     async def _end_attempt(self, job, attempt, outcome, final):
         """Report an attempt's end to the dispatcher, exactly once for each Dispatch."""
+        attempt.answer.release()
         now_ms = self.clock.monotonic_ms()
         first_byte_ms = (
             attempt.first_byte_ms if attempt.first_byte_ms is not None else now_ms
--- a/cassiamount/response_forwarding.py
+++ b/cassiamount/response_forwarding.py
@@ -6,6 +6,7 @@
     ResponseComplete,
     ResponseFailed,
 )
+from .body_budget import HeldAnswer
 from .event_framing import EventFramer
 from .relayed_request import AttemptFailure, BrokenStream
 from .requests import FIRST_BYTE, NOT_RUN_STATUSES
@@ -14,7 +15,7 @@
 # response breaks off.
 MAX_BUFFERED_BODY_BYTES = 1 << 20
 # Reading from the backend server pauses while this many bytes wait for a slow caller.
-MAX_WAITING_BYTES = 1 << 18
+MAX_WAITING_BYTES = 16 << 10
 
 
 class EventSink:
@@ -25,14 +26,23 @@
     request : RelayedRequest
     connection : BackendConnection
     framer : EventFramer
+    answer : HeldAnswer
     """
 
-    __slots__ = ("_request", "_connection", "_framer", "_waiting", "_waiting_bytes")
+    __slots__ = (
+        "_request",
+        "_connection",
+        "_framer",
+        "_answer",
+        "_waiting",
+        "_waiting_bytes",
+    )
 
-    def __init__(self, request, connection, framer):
+    def __init__(self, request, connection, framer, answer):
         self._request = request
         self._connection = connection
         self._framer = framer
+        self._answer = answer
         # Events that wait for the caller's connection, each with the ID of its last.
         self._waiting = []
         self._waiting_bytes = 0
@@ -46,6 +56,7 @@
             If an event is too large.
         """
         events = self._framer.feed(data)
+        self._answer.check_event(self._waiting_bytes + len(events), self._framer)
         if not events:
             return
         last_event_id = self._framer.last_event_id
@@ -67,6 +78,7 @@
             self._request.last_event_id = last_event_id
             del self._waiting[0]
             self._waiting_bytes -= len(events)
+            self._answer.hold(self._waiting_bytes + self._framer.held_bytes)
         self._connection.resume_reading()
 
 
@@ -78,11 +90,14 @@
     codec : object
         Has `response_headers`, which selects the headers that the caller gets.
     clock : SystemClock or ManualClock
+    budget : BodyBudget
+        Shared by all answers.
     """
 
-    def __init__(self, codec, clock):
+    def __init__(self, codec, clock, budget):
         self._codec = codec
         self._clock = clock
+        self._budget = budget
 
     async def forward(self, request, connection, on_head, on_stream):
         """Forward the response to one attempt.
@@ -106,6 +121,13 @@
         BrokenStream
             If the caller got part of the response and the rest is lost.
         """
+        answer = HeldAnswer(self._budget)
+        try:
+            return await self._forward(request, connection, on_head, on_stream, answer)
+        finally:
+            answer.release()
+
+    async def _forward(self, request, connection, on_head, on_stream, answer):
         message = await connection.receive()
         if isinstance(message, ResponseFailed):
             request.may_have_run = True
@@ -128,7 +150,7 @@
             return AttemptFailure("answer without the marks of its backend server")
         if success and (request.route.streamed or metadata.event_stream):
             return await self._forward_event_stream(
-                request, connection, message, on_stream
+                request, connection, message, on_stream, answer
             )
         if request.response_started or metadata.status in NOT_RUN_STATUSES:
             # The caller reads a stream, which only further events may continue, or it
@@ -139,7 +161,7 @@
                 status=metadata.status,
                 connection_reusable=True,
             )
-        return await self._forward_body(request, connection, message)
+        return await self._forward_body(request, connection, message, answer)
 
     async def _discard_body(self, connection):
         while True:
@@ -147,7 +169,7 @@
             if isinstance(message, (ResponseComplete, ResponseFailed)):
                 return
 
-    async def _forward_body(self, request, connection, head):
+    async def _forward_body(self, request, connection, head, answer):
         """Forward a response with a plain body, which is buffered if it is small."""
         chunks = []
         size = 0
@@ -156,9 +178,9 @@
             if isinstance(message, BodyChunk):
                 chunks.append(message.data)
                 size += len(message.data)
-                if size > MAX_BUFFERED_BODY_BYTES:
+                if not answer.hold(size) or size > MAX_BUFFERED_BODY_BYTES:
                     return await self._forward_large_body(
-                        request, connection, head, chunks
+                        request, connection, head, chunks, answer
                     )
             elif isinstance(message, ResponseComplete):
                 break
@@ -178,7 +200,7 @@
         await request.inbound.caller.send_response(status, headers, b"".join(chunks))
         return status
 
-    async def _forward_large_body(self, request, connection, head, chunks):
+    async def _forward_large_body(self, request, connection, head, chunks, answer):
         request.response_started = True
         caller = request.inbound.caller
         await caller.start(
@@ -186,6 +208,8 @@
         )
         for chunk in chunks:
             await caller.send_chunk(chunk)
+        answer.release()
+        chunks.clear()
         while True:
             message = await connection.receive()
             if isinstance(message, BodyChunk):
@@ -196,10 +220,10 @@
             else:
                 raise BrokenStream(message.reason)
 
-    async def _forward_event_stream(self, request, connection, head, on_stream):
+    async def _forward_event_stream(self, request, connection, head, on_stream, answer):
         """Forward events as they arrive, but only complete ones."""
         framer = EventFramer()
-        sink = EventSink(request, connection, framer)
+        sink = EventSink(request, connection, framer, answer)
         while True:
             if request.first_event_ms is not None and connection.messages.empty():
                 connection.body_sink = sink.feed
@@ -209,11 +233,13 @@
             elif isinstance(message, BodyChunk):
                 try:
                     events = framer.feed(message.data)
+                    answer.check_event(len(events), framer)
                 except ValueError as error:
                     return self._stream_failure(request, str(error))
                 if events:
                     await self._forward_events(request, head, events, on_stream)
                     request.last_event_id = framer.last_event_id
+                    answer.hold(framer.held_bytes)
             elif isinstance(message, ResponseComplete):
                 if framer.has_partial_event:
                     return self._stream_failure(request, "ends within an event")
--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -25,7 +25,9 @@
 # A connection is read no further while so many bytes wait for the answer before them.
 MAX_WAITING_BYTES = 16 << 10
 # Most bytes that one read of a connection takes in.
-MAX_READ_BYTES = 64 << 10
+MAX_READ_BYTES = 16 << 10
+# An answer waits while this many bytes are not sent yet.
+MAX_UNSENT_BYTES = 8 << 10
 
 
 class _HeldFlow(FlowControl):
@@ -64,6 +66,7 @@
         super().connection_made(transport)
         self.flow = _HeldFlow(transport)
         transport.max_size = MAX_READ_BYTES
+        transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         self._pieces = RequestPieces()
         # Received bytes that are not parsed yet; None while all are.
         self._waiting = None
--- a/cassiamount/stream_copier.py
+++ b/cassiamount/stream_copier.py
@@ -5,6 +5,7 @@
 import orjson
 
 from .backend_client import AttemptBroken
+from .body_budget import NoMemory
 from .event_stream import EventSplitter, MalformedStream
 from .invariants import WHOLE_ANSWER, require
 
@@ -51,8 +52,11 @@
             whole_chunk = events is not None and not self._resumed
             ready, malformed = [], None
             try:
-                self._read(splitter.feed(chunk) if events is None else events, ready)
-            except MalformedStream as error:
+                if events is None:
+                    events = splitter.feed(chunk)
+                    attempt.answer.check_event(len(chunk), splitter)
+                self._read(events, ready)
+            except (MalformedStream, NoMemory) as error:
                 malformed = error
             # The events before a malformed one are already recorded as delivered, so
             # they must be sent.
--- a/cassiamount/vm_settings.py
+++ b/cassiamount/vm_settings.py
@@ -36,6 +36,8 @@
         Processor capacity of this VM.
     max_descriptors : int or None
         Most descriptors that the VM's process may open.
+    memory_mb : float
+        Memory beyond which the platform kills the VM's process.
     """
 
     __slots__ = (
@@ -59,6 +61,7 @@
         "min_lease_ms",
         "processor_cores",
         "max_descriptors",
+        "memory_mb",
     )
 
     def __init__(self, **values):
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -4,11 +4,17 @@
 
 import pytest
 
-from cassiamount import fleet_edge
-from cassiamount.body_budget import BodyBudget, HeldBody
+from cassiamount.backend_client import AttemptBroken, BackendResponse
+from cassiamount.body_budget import BodyBudget, HeldAnswer, HeldBody
 from cassiamount.clock import SystemClock
 from cassiamount.fleet import CallerLimits
 from cassiamount.fleet_edge import FleetEdge, FleetProtocol
+from cassiamount.memory_plan import (
+    CALLER_BYTES,
+    FREE_BYTES,
+    PROCESS_BYTES,
+    MemoryPlan,
+)
 from cassiamount.metrics import Metrics
 from cassiamount.platform.headers import decode_request
 from cassiamount.request_timeouts import RequestTimeouts
@@ -39,6 +45,27 @@
     assert budget.held_bytes == 0
 
 
+@pytest.mark.parametrize("memory_mb", [128, 200, 300, 1_000, 4_000])
+def test_all_bounds_fit_into_the_memory(memory_mb):
+    """Guards against bounds that hold one by one and exceed the memory together."""
+    plan = MemoryPlan(memory_mb)
+    shared_bytes = PROCESS_BYTES + 2 * plan.body_bytes + plan.answer_bytes
+    assert plan.callers > 1
+    assert shared_bytes + plan.callers * CALLER_BYTES <= memory_mb << 20
+
+
+def test_budget_follows_what_is_held():
+    """Guards against memory that is counted after its answer was taken."""
+    budget = BodyBudget(100, 10)
+    first, second = HeldAnswer(budget), HeldAnswer(budget)
+    assert first.hold(90) and not second.hold(40)
+    assert second.hold(20) and budget.held_bytes == 90
+    assert first.hold(5) and second.hold(110) and budget.held_bytes == 100
+    first.release()
+    second.release()
+    assert budget.held_bytes == 0
+
+
 class Relay:
     """Answers all requests when it may."""
 
@@ -80,11 +107,16 @@
 
 
 @pytest.mark.parametrize("chunked", [False, True])
-async def test_bodies_beyond_the_budget_are_refused_unrun(monkeypatch, chunked):
+async def test_bodies_beyond_the_budget_are_refused_unrun(chunked):
     """Guards against callers with large bodies for whom the VM is killed."""
-    monkeypatch.setattr(fleet_edge, "MAX_BODY_BYTES", 4 * BODY_BYTES)
     relay = Relay()
-    edge = FleetEdge(State(), relay, decode_request, RequestTimeouts(SystemClock()))
+    edge = FleetEdge(
+        State(),
+        relay,
+        decode_request,
+        RequestTimeouts(SystemClock()),
+        BodyBudget(4 * BODY_BYTES, FREE_BYTES),
+    )
     listener = open_listener("127.0.0.1", 0)
     port = listener.getsockname()[1]
     server = EdgeServer(
@@ -111,3 +143,29 @@
         assert (await send(port, BODY_BYTES, chunked))[0] == 200
     finally:
         await server.stop(1_000)
+
+
+class Response(BackendResponse):
+    """A response whose body has arrived."""
+
+    def __init__(self, parts):
+        self._parts = parts
+
+    async def chunk(self):
+        return self._parts.pop(0) if self._parts else b""
+
+
+@pytest.mark.parametrize(("limit_bytes", "fits"), [(100_000, True), (30_000, False)])
+async def test_whole_answers_of_engines_share_a_budget(limit_bytes, fits):
+    """Guards against large completions for which a VM of the own stack is killed."""
+    budget = BodyBudget(limit_bytes, FREE_BYTES)
+    answer = HeldAnswer(budget)
+    response = Response([b"x" * 20_000] * 4)
+    if fits:
+        assert await response.body(answer) == b"x" * 80_000
+    else:
+        with pytest.raises(AttemptBroken, match="no memory"):
+            await response.body(answer)
+    assert budget.held_bytes <= limit_bytes + 20_000
+    answer.release()
+    assert budget.held_bytes == 0
--- a/tests/test_response_forwarding.py
+++ b/tests/test_response_forwarding.py
@@ -1,11 +1,15 @@
 """Tests of the way of events from a backend server to a caller."""
 
 import asyncio
+import gc
 import random
+import weakref
 
 import pytest
 
 from cassiamount.backend_connection import BackendConnection
+from cassiamount.backend_messages import BodyChunk, ResponseComplete, ResponseHead
+from cassiamount.body_budget import BodyBudget
 from cassiamount.clock import ManualClock
 from cassiamount.fleet import RequestMetadata, RouteConfig
 from cassiamount.platform import headers
@@ -87,7 +91,7 @@
         self.finished = True
 
 
-def open_stream(caller):
+def open_stream(caller, budget=None):
     """Return a connection that has sent a request, and the task that forwards."""
     clock = ManualClock()
     connection = BackendConnection("a:1", headers.decode_response, clock)
@@ -100,7 +104,7 @@
     request.state.transition_to(ADMITTED)
     request.state.transition_to(DISPATCHED)
     connection.send(b"", "r1")
-    forwarder = ResponseForwarder(headers, clock)
+    forwarder = ResponseForwarder(headers, clock, budget or BodyBudget(1 << 30))
     task = asyncio.create_task(
         forwarder.forward(request, connection, lambda m: None, lambda: None)
     )
@@ -301,3 +305,98 @@
     assert not outcome.not_run
     assert request.may_have_run
     assert caller.body == b""
+
+
+def chunked(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+async def test_answers_share_a_budget():
+    """Guards against events without end, of many answers, for which a VM is killed."""
+    budget = BodyBudget(200_000, 16_384)
+    streams = [open_stream(Caller(random.Random(0), 0.0), budget) for _ in range(20)]
+    most_bytes = 0
+    for _ in range(10):
+        for connection, _, _, _ in streams:
+            if not connection._closed:
+                head = b"" if connection._in_body else HEAD + chunked(b"data: a\n\n")
+                connection.data_received(head + chunked(b"x" * 10_000))
+                await asyncio.sleep(0)
+            most_bytes = max(most_bytes, budget.held_bytes)
+    await asyncio.sleep(0)
+    going_on = [stream for stream in streams if not stream[3].done()]
+    # What exceeds the budget ends at once, and the others go on.
+    assert 0 < len(going_on) < len(streams)
+    assert most_bytes <= budget.limit_bytes + 10_000
+    for connection, _, _, task in going_on:
+        connection.data_received(chunked(b"\n\n") + b"0\r\n\r\n")
+        assert await task == 200
+    outcomes = await asyncio.gather(*(s[3] for s in streams), return_exceptions=True)
+    assert {type(outcome) for outcome in outcomes} == {int, BrokenStream}
+    assert budget.held_bytes == 0
+
+
+async def test_small_answers_need_no_budget():
+    """Guards against usual streams that large ones keep out."""
+    budget = BodyBudget(0, 16_384)
+    caller = Caller(random.Random(0), 0.5)
+    connection, _, _, task = open_stream(caller, budget)
+    connection.data_received(HEAD + chunked(EVENTS) + b"0\r\n\r\n")
+    assert await task == 200
+    assert caller.body == EVENTS
+
+
+async def test_body_beyond_the_budget_is_passed_on_as_it_comes():
+    """Guards against plain answers that are refused, or held, without memory."""
+    budget = BodyBudget(0, 16_384)
+    caller = Caller(random.Random(0), 0.0)
+    connection, _, request, task = open_stream(caller, budget)
+    request.route = RouteConfig("look", "h", "/", [("s", 1.0)], idempotent=True)
+    connection.data_received(UNFRAMED_HEAD + b"content-length: 50000\r\n\r\n")
+    for _ in range(5):
+        connection.data_received(b"x" * 10_000)
+        await asyncio.sleep(0)
+        assert budget.held_bytes <= 20_000 - budget.free_bytes
+    assert await task == 200
+    assert caller.body == b"x" * 50_000
+    assert caller.finished
+    assert budget.held_bytes == 0
+
+
+async def test_failed_response_is_freed_at_once():
+    """Guards against large events that live on until a garbage collection."""
+    gc.disable()
+    try:
+        budget = BodyBudget(0, 16_384)
+        caller = Caller(random.Random(0), 0.0)
+        connection, _, _, task = open_stream(caller, budget)
+        connection.data_received(HEAD + chunked(b"data: a\n\n"))
+        await asyncio.sleep(0)
+        connection.data_received(chunked(b"x" * 20_000))
+        await asyncio.gather(task, return_exceptions=True)
+        freed = weakref.ref(connection)
+        connection._parser = None
+        del connection, task
+        await asyncio.sleep(0)
+        assert freed() is None
+    finally:
+        gc.enable()
+
+
+async def test_body_in_small_chunks_takes_one_message_for_each_read():
+    """Guards against chunks of a few bytes that take many times their size."""
+    connection = BackendConnection("a:1", headers.decode_response, ManualClock())
+    connection.connection_made(Transport())
+    connection.send(b"", "r1")
+    connection.data_received(HEAD + chunked(b"x") * 2_000)
+    connection.data_received(chunked(b"y") * 2_000 + b"0\r\n\r\n")
+    messages = []
+    while not connection.messages.empty():
+        messages.append(connection.messages.get_nowait())
+    assert [type(message) for message in messages] == [
+        ResponseHead,
+        BodyChunk,
+        BodyChunk,
+        ResponseComplete,
+    ]
+    assert messages[1].data + messages[2].data == b"x" * 2_000 + b"y" * 2_000
