Refuse requests that crash servers on the own stack too

Each VM now watches its servers after every attempt with the detector of the fleet path and decides with the same quarantine; a request is known by team, method, path and body, and by the leading blocks of its prompt. It is refused at once (503, not run, Retry-After), also if it waited or was to be repeated.

--- a/cassiamount/backend_client.py
+++ b/cassiamount/backend_client.py
@@ -192,6 +192,19 @@
         session._retry_connection = False
         return session
 
+    async def probe(self, address):
+        """Open a connection to a backend server and close it.
+
+        Raises
+        ------
+        OSError
+            If connecting fails or times out.
+        """
+        host, _, port = address.rpartition(":")
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
+        writer.close()
+
     async def close(self):
         """Close all connections."""
         for session in (self._pooled_session, self._single_use_session):
--- a/cassiamount/jobs.py
+++ b/cassiamount/jobs.py
@@ -6,6 +6,7 @@
 from .backend_client import AttemptBroken, NotAccepted
 from .event_stream import StreamProgress
 from .invariants import AT_MOST_ONCE, KEY_STAYS_AT_EDGE, require
+from .request_quarantine import parts_of
 from .requests import RequestState
 from .stream_copier import StreamCopier
 
@@ -69,6 +70,10 @@
         """Return the request identifier that an attempt sends."""
         return self.request_info.request_id
 
+    def parts(self):
+        """Return the parts by which `RequestQuarantine` knows the request."""
+        raise NotImplementedError
+
     def resumable(self):
         """Return whether another attempt could still deliver the response."""
         return not self.response_started
@@ -130,6 +135,12 @@
             return self.request_info.request_id
         return f"{self.request_info.request_id}-{dispatch.attempt}"
 
+    def parts(self):
+        """Return the parts by which `RequestQuarantine` knows the request."""
+        info = self.request_info
+        body = self.request.engine_body(info.model, info.adapter, "")
+        return parts_of(info.team, self.method, self.target, body, info.prefix_hashes)
+
     def resumable(self):
         """Return whether another engine could continue from the text so far."""
         if not self.response_started:
@@ -270,6 +281,15 @@
             (name.decode("latin-1"), value.decode("latin-1")) for name, value in headers
         ]
 
+    def parts(self):
+        """Return the parts by which `RequestQuarantine` knows the request."""
+        return parts_of(
+            self.request_info.team,
+            self.method,
+            self.request_info.service + self.target,
+            self.body,
+        )
+
     def attach_claim(self, claim):
         """Attach the idempotency claim that this VM won for the call."""
         self.claim = claim
--- a/cassiamount/relay.py
+++ b/cassiamount/relay.py
@@ -5,8 +5,10 @@
 from .answers import Answer, error_body
 from .backend_client import AttemptBroken, NotAccepted
 from .body_budget import BodyBudget, HeldAnswer
+from .crash_detector import EndedAttempt
 from .invariants import TRUTHFUL_REFUSAL, require
 from .memory_plan import FREE_BYTES
+from .request_quarantine import RequestQuarantine
 from .requests import (
     ADMITTED,
     BROKEN,
@@ -95,6 +97,9 @@
         self.rng = rng
         self.retry_budget = retry_budget or RetryBudget()
         self._answers = BodyBudget(MAX_ANSWER_BYTES, FREE_BYTES)
+        self._quarantine = RequestQuarantine(
+            clock, lambda address: backends.probe(address)
+        )
         self._background = set()
 
     async def run(self, job, caller):
@@ -110,14 +115,18 @@
         Answer
         """
         self.retry_budget.record_request()
-        decision = await self._await_decision(
+        parts = job.parts()
+        decision = self._quarantine.refusal(parts) or await self._await_decision(
             job, self.dispatcher.submit(job.request_info)
         )
         if isinstance(decision, Dispatch):
             job.state.transition_to(ADMITTED)
             refusal = job.recheck_key(job.request_info)
+            if refusal is None:
+                refusal = self._quarantine.refusal(parts)
             if refusal is not None:
-                # The key was withdrawn while the request was queued; nothing was sent.
+                # The key was withdrawn while the request was queued, or servers crashed
+                # on such requests meanwhile; nothing was sent.
                 await self._end_attempt(
                     job, self._begin_attempt(job, decision), CANCELLED, final=True
                 )
@@ -126,7 +135,7 @@
         while isinstance(decision, Dispatch):
             number += 1
             dispatch = decision
-            result = await self._attempt(job, caller, dispatch, number)
+            result = await self._attempt(job, parts, caller, dispatch, number)
             if isinstance(result, Answer):
                 return result
             if not result.will_retry:
@@ -143,6 +152,7 @@
 
     async def wait_background(self):
         """Wait for background tasks, such as cancellations that are being sent."""
+        self._quarantine.close()
         while self._background:
             await asyncio.wait(set(self._background))
 
@@ -158,30 +168,33 @@
         finally:
             job.trace.end(span)
 
-    async def _attempt(self, job, caller, dispatch, number):
+    async def _attempt(self, job, parts, caller, dispatch, number):
         """Run one attempt; return the Answer or the FailedAttempt."""
         attempt = self._begin_attempt(job, dispatch)
-        outcome, will_retry = CANCELLED, False
+        outcome, will_retry, is_answer = CANCELLED, False, False
         try:
             job.state.transition_to(DISPATCHED)
             answer = await job.run(self, attempt, caller)
-            outcome = DONE
+            outcome, is_answer = DONE, answer.status < 300
             job.state.transition_to(COMPLETE)
             return answer
         except NotAccepted as error:
             outcome = NOT_ACCEPTED
-            will_retry = await self._should_retry(job, outcome, number)
+            will_retry = await self._should_retry(job, parts, outcome, number)
             return FailedAttempt(error, will_retry)
         except AttemptBroken as error:
             outcome = BROKEN
+            self._watch_server(parts, attempt, False, is_broken=True)
             self._abandon(job, attempt)
-            will_retry = await self._should_retry(job, outcome, number)
+            will_retry = await self._should_retry(job, parts, outcome, number)
             return FailedAttempt(error, will_retry)
         finally:
             # Also runs if the caller disconnects and this task is cancelled.
             if outcome == CANCELLED:
                 job.maybe_ran = True
                 self._abandon(job, attempt)
+            if outcome in (DONE, CANCELLED):
+                self._watch_server(parts, attempt, is_answer)
             await self._end_attempt(job, attempt, outcome, final=not will_retry)
 
     def _abandon(self, job, attempt):
@@ -193,7 +206,16 @@
             address = attempt.dispatch.address
             self.spawn_background(self.backends.cancel(address, attempt.request_id))
 
-    async def _should_retry(self, job, outcome, number):
+    def _watch_server(self, parts, attempt, is_answer, is_broken=False):
+        """Watch whether a server crashes by an attempt that has ended there."""
+        now_ms = self.clock.monotonic_ms()
+        ended = EndedAttempt(
+            parts, attempt.started_ms, attempt.first_byte_ms, is_answer, now_ms
+        )
+        dispatch = attempt.dispatch
+        self._quarantine.watch(dispatch.backend, dispatch.address, ended, is_broken)
+
+    async def _should_retry(self, job, parts, outcome, number):
         """Return whether to retry after a failed attempt, having waited the backoff.
 
         The backoff comes before the end of the attempt is reported, so that the
@@ -224,7 +246,7 @@
             return False
         self.metrics.count("retries_total")
         await asyncio.sleep(pause_ms / 1000)
-        return True
+        return self._quarantine.refusal(parts) is None
 
     def _final_refusal(self, job, failure):
         if not job.maybe_ran:
