--- a/cassiamount/crash_detector.py
+++ b/cassiamount/crash_detector.py
@@ -7,7 +7,7 @@
 import structlog
 
 from .background import BackgroundTasks
-from .crash_quarantine import SuspectRequest
+from .crash_quarantine import MAX_LOGGED_PARTS, SuspectRequest
 
 # The end of a process breaks all its connections at about the same time.
 GATHER_MS = 20.0
@@ -15,9 +15,8 @@
 SURVIVED_MS = 500.0
 # Attempts whose servers are still watched; the oldest count as survived before that.
 MAX_ENDED_ATTEMPTS = 512
-# Requests that a line of the log names, and parts of each.
+# Requests that a line of the log names.
 MAX_LOGGED_REQUESTS = 8
-MAX_LOGGED_PARTS = 8
 
 log = structlog.get_logger()
 
--- a/cassiamount/crash_quarantine.py
+++ b/cassiamount/crash_quarantine.py
@@ -38,6 +38,8 @@
 # A longer name is replaced by its digest.
 MAX_NAME_BYTES = 64
 
+# Parts that a line of the log names for a request or a rule.
+MAX_LOGGED_PARTS = 8
 # Begins the part that stands for a whole request; prompt parts have hexadecimal names.
 FINGERPRINT_PREFIX = "request:"
 
@@ -410,7 +412,9 @@
         for wider in [known for known in self._rules if rule < known]:
             del self._rules[wider]
         self._rules[rule] = _Rule(at_ms, self._counter.next())
-        log.warning("prompt_quarantined", parts=sorted(rule))
+        log.warning(
+            "prompt_quarantined", parts=sorted(rule)[:MAX_LOGGED_PARTS], count=len(rule)
+        )
         return True
 
     # Decisions.
@@ -452,7 +456,9 @@
 
     def _release(self, rule, reason):
         del self._rules[rule]
-        log.warning("prompt_released", parts=sorted(rule), reason=reason)
+        log.warning(
+            "prompt_released", parts=sorted(rule)[:MAX_LOGGED_PARTS], reason=reason
+        )
 
     def _next_rules(self):
         """Return the most likely combinations that are not rejected yet.
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -5,7 +5,8 @@
 from itertools import islice
 
 from .backend_messages import Attempt
-from .crash_detector import MAX_LOGGED_PARTS, CrashDetector, EndedAttempt
+from .crash_detector import CrashDetector, EndedAttempt
+from .crash_quarantine import MAX_LOGGED_PARTS
 from .fleet import choose_target
 from .fleet_orders import SOFTWARE_MARK
 from .graceful_stop import AnswerTimes, stop_refusal
