Log when a request was read, held and left by its caller

request_sent now has held_ms (since it was read) and unread_ms (how long it may have lain unread because the process ran late), caller_left tells when the end of a caller was learned, and process_late when a timer ran 250 ms late or more, with the processor time of that span, which tells a process that stood still from a busy one. No decision changes.

--- a/cassiamount/fleet_edge.py
+++ b/cassiamount/fleet_edge.py
@@ -183,14 +183,17 @@
     timeouts : RequestTimeouts
     bodies : BodyBudget
         Limits what is held of all bodies.
+    delay : ProcessDelay
+        Tells how late requests may have been read.
     """
 
-    def __init__(self, state, relay, decode_request, timeouts, bodies):
+    def __init__(self, state, relay, decode_request, timeouts, bodies, delay):
         self._state = state
         self._relay = relay
         self._decode_request = decode_request
         self._timeouts = timeouts
         self._bodies = bodies
+        self._delay = delay
         self.running = 0
 
     async def __call__(self, scope, receive, send):
@@ -231,7 +234,13 @@
             refusal, more = stop_refusal(), True
         if refusal is None:
             return InboundRequest(
-                metadata, target, scope["headers"], bytes(body), arrived_ms, caller
+                metadata,
+                target,
+                scope["headers"],
+                bytes(body),
+                arrived_ms,
+                caller,
+                self._delay.unread_ms(),
             )
         log.info(
             "request_unread",
@@ -309,9 +318,19 @@
                 raise
             # The caller disconnected; there is no connection to respond on.
             task.uncancel()
+            self._log_caller_left(inbound, "read")
         finally:
             watcher.cancel()
 
+    def _log_caller_left(self, inbound, seen):
+        log.info(
+            "caller_left",
+            request_id=inbound.metadata.request_id,
+            seen=seen,
+            unread_ms=round(inbound.unread_ms),
+            held_ms=round(self._state.now_ms() - inbound.arrived_ms),
+        )
+
     async def _cancel_on_disconnect(self, receive, task, caller):
         while (await receive())["type"] != "http.disconnect":
             pass
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import random
+import time
 
 import structlog
 
@@ -27,6 +28,7 @@
 from .peer_exchange import PeerExchange
 from .peer_topology import VmPlace, decode_place, encode_place
 from .peer_transport import PeerTransport
+from .process_delay import ProcessDelay
 from .process_usage import process_usage
 from .quarantine_store import QuarantineStore
 from .replica_selection import ReplicaSelector, SentPrefixIndex
@@ -38,6 +40,8 @@
 
 # Interval of the checks for unreachable peers and missing backend servers.
 REVIEW_INTERVAL_MS = 100.0
+# A timer that runs this late is logged.
+LATE_LOG_MS = 250.0
 # Interval of the log lines on the VM's own load.
 LOAD_LOG_INTERVAL_MS = 2_000.0
 ANNOUNCE_RETRY_MS = 500.0
@@ -125,6 +129,7 @@
         )
         self._pool = pool or ConnectionPool(platform.codec.decode_response, clock)
         timeouts = RequestTimeouts(clock)
+        self._delay = ProcessDelay(clock)
         memory = MemoryPlan(settings.memory_mb)
         prefixes = SentPrefixIndex()
         selector = ReplicaSelector(
@@ -151,6 +156,7 @@
             platform.codec.decode_request,
             timeouts,
             BodyBudget(memory.body_bytes, FREE_BYTES),
+            self._delay,
         )
         self._supervisor = Supervisor("vm", clock)
         self._stop_requested = asyncio.Event()
@@ -350,10 +356,19 @@
         logged_ms = self._clock.monotonic_ms()
         while True:
             interval_ms = max(REVIEW_INTERVAL_MS, self.state.peers.cache_ms())
-            due_ms = self._clock.monotonic_ms() + interval_ms
+            self._delay.expect(interval_ms)
+            ran_s = time.process_time()
             await asyncio.sleep(interval_ms / 1000)
+            late_ms = self._delay.observe()
+            self._stats.observe_ms("loop_lag", late_ms)
+            if late_ms >= LATE_LOG_MS:
+                # Little processor time means that the process was not let run.
+                log.warning(
+                    "process_late",
+                    late_ms=round(late_ms),
+                    processor_ms=round(1000 * (time.process_time() - ran_s)),
+                )
             now_ms = self._clock.monotonic_ms()
-            self._stats.observe_ms("loop_lag", max(0.0, now_ms - due_ms))
             for name in self.state.review_peers():
                 self._exchange.exchange_soon(name)
             if now_ms - logged_ms >= LOAD_LOG_INTERVAL_MS:
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -651,6 +651,8 @@
             send=request.sends,
             expected_ms=round(selected.wait_ms),
             load=view.load,
+            unread_ms=round(inbound.unread_ms),
+            held_ms=round(sent_ms - inbound.arrived_ms),
             left_ms=round(attempt.time_left_ms),
             last_event=request.last_event_id,
             software=view.record.software,
--- a/cassiamount/relayed_request.py
+++ b/cassiamount/relayed_request.py
@@ -26,7 +26,10 @@
     headers : list of (bytes, bytes)
     body : bytes
     arrived_ms : float
+        When it was read.
     caller : ResponseWriter
+    unread_ms : float
+        How long it may have lain unread before that.
     """
 
     __slots__ = (
@@ -36,15 +39,26 @@
         "body",
         "arrived_ms",
         "caller",
+        "unread_ms",
     )
 
-    def __init__(self, metadata, request_target, headers, body, arrived_ms, caller):
+    def __init__(
+        self,
+        metadata,
+        request_target,
+        headers,
+        body,
+        arrived_ms,
+        caller,
+        unread_ms=0.0,
+    ):
         self.metadata = metadata
         self.request_target = request_target
         self.headers = headers
         self.body = body
         self.arrived_ms = arrived_ms
         self.caller = caller
+        self.unread_ms = unread_ms
 
     def parts(self, team_name):
         """Return the parts by which `CrashQuarantine` knows this request.
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -17,6 +17,7 @@
 )
 from cassiamount.metrics import Metrics
 from cassiamount.platform.headers import decode_request
+from cassiamount.process_delay import ProcessDelay
 from cassiamount.request_timeouts import RequestTimeouts
 from cassiamount.serving import EdgeServer, open_listener
 
@@ -116,6 +117,7 @@
         decode_request,
         RequestTimeouts(SystemClock()),
         BodyBudget(4 * BODY_BYTES, FREE_BYTES),
+        ProcessDelay(SystemClock()),
     )
     listener = open_listener("127.0.0.1", 0)
     port = listener.getsockname()[1]
