Send nothing to a replica for a caller that has left

Cause: the end of a caller's connection was known only once the event loop had read it and the tasks between had run. A request that was read late, because the process stood still or was busy, was parsed, given a replica and written to a kept connection in one step, with the end right behind it in the socket. The same race was lost after an answer that did not run the request (or a 500), when it was read together with the end: the request was repeated elsewhere.

Now the relay asks the socket itself just before each attempt and each repeat (POLLRDHUP, which also sees an end behind data that was not read). What never reached a replica gives its tokens back. An end that is found closes the connection at once.

Ruled out for the record: a request that was read in time can't be sent 0.8 s after its limit, which is checked before each attempt.

--- a/cassiamount/caller.py
+++ b/cassiamount/caller.py
@@ -14,6 +14,9 @@
 WRITE_PART = "cassiamount.write_part"
 # Key in the scope of a function that tells whether a pipelined request follows.
 IS_FOLLOWED = "cassiamount.is_followed"
+# Key in the scope of a function that tells whether the caller has closed its
+# connection, also if the server has not read that yet.
+HAS_LEFT = "cassiamount.has_left"
 
 
 def _never(data):
@@ -24,6 +27,11 @@
     return False
 
 
+def has_not_left():
+    """Return False, for servers that can't tell."""
+    return False
+
+
 async def _discard_message(message):
     pass
 
--- a/cassiamount/fleet_edge.py
+++ b/cassiamount/fleet_edge.py
@@ -6,7 +6,13 @@
 
 from .answers import CallerGone, error_body
 from .body_budget import HeldBody
-from .caller import IS_FOLLOWED, MAX_WRITE_BYTES, WRITE_PART
+from .caller import (
+    HAS_LEFT,
+    IS_FOLLOWED,
+    MAX_WRITE_BYTES,
+    WRITE_PART,
+    has_not_left,
+)
 from .graceful_stop import stop_refusal
 from .relayed_request import InboundRequest
 from .replica_selection import clamp_retry_after_ms
@@ -71,6 +77,7 @@
         "started",
         "finished",
         "is_unread",
+        "has_left",
         "_write_part",
     )
 
@@ -79,6 +86,7 @@
         self._send = send
         self._is_closing = is_closing
         self._write_part = scope.get(WRITE_PART)
+        self.has_left = scope.get(HAS_LEFT, has_not_left)
         self.started = False
         self.finished = False
         # Whether a whole answer was sent before the whole request had arrived.
@@ -319,6 +327,10 @@
             # The caller disconnected; there is no connection to respond on.
             task.uncancel()
             self._log_caller_left(inbound, "read")
+        except CallerGone:
+            self._log_caller_left(inbound, "before_attempt")
+            inbound.caller.finished = True
+            await watcher
         finally:
             watcher.cancel()
 
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -4,6 +4,7 @@
 import math
 from itertools import islice
 
+from .answers import CallerGone
 from .backend_messages import Attempt
 from .crash_detector import CrashDetector, EndedAttempt
 from .crash_quarantine import MAX_LOGGED_PARTS
@@ -142,8 +143,10 @@
         except BrokenStream as broken:
             code = f"broken: {broken}"
             inbound.caller.abort()
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, CallerGone):
             code = "caller-gone"
+            if request is not None and not request.sends:
+                self._refund(request)
             raise
         finally:
             self._finish(inbound, request, status, code)
@@ -280,15 +283,22 @@
                 continue
             try:
                 self._check_time(request)
-            except Refused:
+                self._check_caller(request)
+            except (Refused, CallerGone):
                 self._pool.release(connection)
                 raise
             request.reserved = None
             outcome = await self._attempt(request, selected, connection)
             if isinstance(outcome, int):
                 return outcome
+            self._check_caller(request)
             self._prepare_retry(request, outcome)
 
+    def _check_caller(self, request):
+        """End a request whose caller has left, also if that was not read yet."""
+        if request.inbound.caller.has_left():
+            raise CallerGone
+
     def _check_time(self, request):
         """Refuse what cannot be answered in its time, or before the end of a stop."""
         now_ms = self._state.now_ms()
@@ -847,12 +857,17 @@
         )
         if request is not None:
             request.state.check_refusal(refusal)
-            if not_run and request.team is not None:
-                self._state.quota.refund(
-                    request.team.name, request.charged_tokens, self._state.now_ms()
-                )
+            if not_run:
+                self._refund(request)
         await inbound.caller.refuse(refusal)
 
+    def _refund(self, request):
+        """Return the tokens of a request that did not run."""
+        if request.team is not None:
+            self._state.quota.refund(
+                request.team.name, request.charged_tokens, self._state.now_ms()
+            )
+
     def _finish(self, inbound, request, status, code):
         took_ms = self._state.now_ms() - inbound.arrived_ms
         if request is not None and request.state.state != COMPLETE:
--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -12,8 +12,9 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .answers import error_body
-from .caller import IS_FOLLOWED, WRITE_PART
+from .caller import HAS_LEFT, IS_FOLLOWED, WRITE_PART
 from .caller_listener import ACCEPTS_AT_ONCE, CallerListener
+from .connection_end import has_ended
 from .own_ports import open_when_free
 from .request_pieces import RequestPieces
 from .requests import Refusal
@@ -216,6 +217,14 @@
         # The application's task has not begun yet.
         self.scope[WRITE_PART] = functools.partial(self._write_part, self.cycle)
         self.scope[IS_FOLLOWED] = lambda: self.is_followed
+        self.scope[HAS_LEFT] = self.has_left
+
+    def has_left(self):
+        """Return whether the caller has closed the connection; if so, close it too."""
+        if not has_ended(self.transport):
+            return False
+        self.transport.abort()
+        return True
 
     def _write_part(self, cycle, data):
         """Write a part of a chunked answer if that needs no waiting.
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -53,6 +53,8 @@
         Time from a request to its answer, and between the events of a stream.
     pause : str or None
         If set, requests are refused with 503 and this ``Retry-After``.
+    on_request : callable or None
+        Called with the scope of each request before it is answered.
     """
 
     def __init__(self, name, models=None, load_s=0.05):
@@ -78,6 +80,7 @@
         self.pause = None
         self.work_s = 0.0
         self.event_s = EVENT_S
+        self.on_request = None
 
     async def __call__(self, scope, receive, send):
         """Answer one request."""
@@ -137,6 +140,8 @@
         query = scope["query_string"].decode()
         target = scope["path"] + (f"?{query}" if query else "")
         self.seen.append({"target": target, "body": body, **headers})
+        if self.on_request is not None:
+            self.on_request(scope)
         model, _, adapter = headers.get("x-cassiamount-model", "").partition("/")
         answer = [(b"x-cassiamount-request-id", request_id.encode())]
         if self.leaving:
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -252,6 +252,9 @@
     def abort(self):
         self.status = 0
 
+    def has_left(self):
+        return False
+
 
 class World:
     """Runs a fleet with callers for some virtual seconds.
