Notice callers that leave while their connection is not read

A caller that had sent 16 KB or more behind its request was read no further until its answer was complete, so the end of its connection was not seen either: the replica worked on until the time limit.

--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -27,6 +27,8 @@
 MAX_WAITING_BYTES = 16 << 10
 # Most bytes that one read of a connection takes in.
 MAX_READ_BYTES = 16 << 10
+# How often a connection that is read no further is asked for its end.
+END_CHECK_INTERVAL_S = 0.2
 # An answer waits while this many bytes are not sent yet.
 MAX_UNSENT_BYTES = 8 << 10
 
@@ -79,6 +81,7 @@
         self._stopping = False
         self._timed = False
         self._timer = None
+        self._end_check = None
         if len(self.connections) > self.max_connections:
             if not self.idle:
                 self._count("connection_limit")
@@ -93,6 +96,8 @@
     def connection_lost(self, exc):
         """Forget the connection."""
         self._stop_timer()
+        if self._end_check is not None:
+            self._end_check.cancel()
         self.idle.pop(self, None)
         super().connection_lost(exc)
 
@@ -152,6 +157,17 @@
         if len(self._waiting) >= MAX_WAITING_BYTES:
             self.flow.held = True
             self.flow.pause_reading()
+            if self._end_check is None:
+                self._check_end_later()
+
+    def _check_end_later(self):
+        self._end_check = self.loop.call_later(END_CHECK_INTERVAL_S, self._check_end)
+
+    def _check_end(self):
+        """Close a connection whose end can't be read because reading is paused."""
+        self._end_check = None
+        if self.flow.held and not self.has_left():
+            self._check_end_later()
 
     def on_response_complete(self):
         """Parse the request that waited for the answer, if any."""
--- a/tests/test_callers_left.py
+++ b/tests/test_callers_left.py
@@ -1,12 +1,11 @@
 """Tests that no work goes on for callers that have left, counted at the replicas."""
 
 import asyncio
-import socket
-import struct
 
 import pytest
 
 from tests.fleet_fixtures import HOST, KEY, Fleet, configuration
+from tests.leaving_callers import LeavingCaller
 
 KINDS = ("look", "buy", "chat")
 
@@ -24,45 +23,26 @@
     await fleet.stop()
 
 
-class LeavingCaller:
-    """A caller over a blocking socket: the event loop stands still while it acts."""
-
-    def __init__(self, fleet, request_id, kind, body=b""):
-        host, _, port = fleet.settings["v1"].caller_address.rpartition(":")
-        self._address = host, int(port)
-        self._socket = None
-        lines = [
-            f"{'GET' if kind == 'look' and not body else 'POST'} /{kind}/x HTTP/1.1",
-            f"Host: {HOST}",
-            f"Authorization: Bearer {KEY}",
-            f"X-Cassiamount-Request-Id: {request_id}",
-            "X-Cassiamount-Deadline-Ms: 6000",
-        ]
-        if kind == "chat":
-            lines.append("X-Cassiamount-Model: m1")
-        if body or kind != "look":
-            lines.append(f"Content-Length: {len(body)}")
-        self.request = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-    def connect(self):
-        self._socket = socket.create_connection(self._address)
-
-    def send(self, data):
-        self._socket.sendall(data)
-
-    def leave(self, resets):
-        if resets:
-            linger = struct.pack("ii", 1, 0)
-            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        self._socket.close()
-
-    def receive_answer(self):
-        self._socket.settimeout(10)
-        data = b""
-        while not data.endswith((b"done by s1", b"done by s2", b"0\r\n\r\n")):
-            received = self._socket.recv(65536)
-            assert received, data
-            data += received
+def caller_of(fleet, request_id, kind, body=b"", deadline_ms=6000):
+    """Return a caller of a VM who has not connected yet."""
+    host, _, port = fleet.settings["v1"].caller_address.rpartition(":")
+    lines = [
+        f"{'GET' if kind == 'look' and not body else 'POST'} /{kind}/x HTTP/1.1",
+        f"Host: {HOST}",
+        f"Authorization: Bearer {KEY}",
+        f"X-Cassiamount-Request-Id: {request_id}",
+        f"X-Cassiamount-Deadline-Ms: {deadline_ms}",
+    ]
+    if kind == "chat":
+        lines.append("X-Cassiamount-Model: m1")
+    if body or kind != "look":
+        lines.append(f"Content-Length: {len(body)}")
+    request = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+    return LeavingCaller((host, int(port)), request)
+
+
+def receive_answer(caller):
+    caller.receive_until(b"done by s1", b"done by s2", b"0\r\n\r\n")
 
 
 def seen(fleet, request_id):
@@ -75,10 +55,10 @@
 async def settle(fleet):
     """Wait until the VM has handled all that came before."""
     for kind in KINDS:
-        caller = LeavingCaller(fleet, f"after-{kind}", kind)
+        caller = caller_of(fleet, f"after-{kind}", kind)
         caller.connect()
         caller.send(caller.request)
-        await asyncio.to_thread(caller.receive_answer)
+        await asyncio.to_thread(receive_answer, caller)
         caller.leave(resets=False)
     await fleet.wait_until(lambda: not fleet.nodes["v1"]._edge.running)
 
@@ -104,12 +84,12 @@
 ):
     """Guards against work for callers that left while the process stood still."""
     await settle(fleet)
-    callers = [LeavingCaller(fleet, f"gone-{n}", kind) for n in range(8)]
+    callers = [caller_of(fleet, f"gone-{n}", kind) for n in range(8)]
     if kept:
         for caller in callers:
             caller.connect()
             caller.send(caller.request.replace(b": gone-", b": before-"))
-            await asyncio.to_thread(caller.receive_answer)
+            await asyncio.to_thread(receive_answer, caller)
     for caller in callers:
         if not kept:
             caller.connect()
@@ -126,7 +106,7 @@
 ):
     """Guards against work for callers whose last byte and end are read together."""
     await settle(fleet)
-    callers = [LeavingCaller(fleet, f"gone-{n}", kind, b"x" * 200) for n in range(8)]
+    callers = [caller_of(fleet, f"gone-{n}", kind, b"x" * 200) for n in range(8)]
     for caller in callers:
         caller.connect()
         caller.send(caller.request[:-1])
@@ -162,9 +142,26 @@
             replica.status = 500
     names = [f"gone-{n}" for n in range(8)]
     for name in names:
-        caller = callers[name] = LeavingCaller(fleet, name, "look")
+        caller = callers[name] = caller_of(fleet, name, "look")
         caller.connect()
         caller.send(caller.request)
         await fleet.wait_until(lambda name=name: name not in callers)
     await fleet.wait_until(lambda: not fleet.nodes["v1"]._edge.running)
     assert [seen(fleet, name) for name in names] == [1] * 8
+
+
+@pytest.mark.parametrize("resets", [False, True], ids=["closed", "reset"])
+async def test_a_caller_that_leaves_behind_much_unread_data_is_noticed(fleet, resets):
+    """Guards against ends that are not read while reading is paused."""
+    fleet.store.put("keyed.op", "config", configuration(2, TimeoutMs=90_000))
+    node, replica = fleet.nodes["v1"], fleet.replicas["e1"]
+    await fleet.wait_until(lambda: node.state.configuration.version == 2)
+    replica.hold = True
+    caller = caller_of(fleet, "gone", "chat", deadline_ms=90_000)
+    caller.connect()
+    caller.send(caller.request + 200 * caller.request.replace(b": gone", b": next"))
+    await fleet.wait_until(lambda: replica.ran == ["gone"])
+    caller.leave(resets)
+    await fleet.wait_until(lambda: replica.left == ["gone"])
+    await fleet.wait_until(lambda: not node._edge.running)
+    assert replica.ran == ["gone"]
