Begin no attempt for a caller that has left on the own stack

The relay asks the caller's connection before it opens one to a server, and again when the request is about to be written there: a new connection may take two seconds. What was never sent counts as not run, is not charged and is not cancelled at an engine. A call with an idempotency key goes on as before: its caller, or another one, may ask for the outcome.

The stand-in of test_claims.py takes the new argument and calls it.

--- a/cassiamount/backend_client.py
+++ b/cassiamount/backend_client.py
@@ -1,6 +1,7 @@
 """HTTP client that sends attempts of requests to backend servers."""
 
 import asyncio
+import contextvars
 
 import aiohttp
 import yarl
@@ -17,6 +18,10 @@
 NOT_ACCEPTED_HEADER = "X-Not-Accepted"
 
 
+# The attempt that the current task sends.
+_sending = contextvars.ContextVar("sending", default=None)
+
+
 class NotAccepted(Exception):
     """The backend server certainly ran no part of the request."""
 
@@ -145,6 +150,37 @@
         self._response.close()
 
 
+def _begin():
+    pass
+
+
+class _Sending:
+    """One attempt, from its connection to the head of its response."""
+
+    __slots__ = ("_begin_send",)
+
+    def __init__(self, begin_send):
+        self._begin_send = begin_send
+
+    def begin(self, connection):
+        self._begin_send()
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Asks whether an attempt may begin once there is a connection for it."""
+
+    async def connect(self, req, traces, timeout):
+        connection = await super().connect(req, traces, timeout)
+        sending = _sending.get()
+        if sending is not None:
+            try:
+                sending.begin(connection)
+            except BaseException:
+                connection.release()
+                raise
+        return connection
+
+
 class BackendClient:
     """HTTP connections to the backend servers.
 
@@ -173,7 +209,7 @@
 
     def _open_session(self, force_close):
         options = {} if force_close else {"keepalive_timeout": KEEPALIVE_TIMEOUT_S}
-        connector = aiohttp.TCPConnector(
+        connector = _Connector(
             limit=self._max_connections, force_close=force_close, **options
         )
         session = aiohttp.ClientSession(
@@ -221,6 +257,7 @@
         request_id,
         head_timeout_s,
         new_connection=False,
+        begin_send=_begin,
     ):
         """Send one attempt and wait for the response head.
 
@@ -238,6 +275,9 @@
             Timeout for the response head.
         new_connection : bool
             Use a new connection, and only for this attempt.
+        begin_send : callable, optional
+            Called when the request is about to be written to its connection; what it
+            raises is raised here, and nothing was sent.
 
         Returns
         -------
@@ -250,6 +290,8 @@
         session = self._single_use_session if new_connection else self._pooled_session
         url = _url(address, target)
         headers = [*headers, (REQUEST_ID_HEADER, request_id)]
+        sending = _Sending(begin_send)
+        token = _sending.set(sending)
         try:
             async with asyncio.timeout(head_timeout_s):
                 response = await session.request(
@@ -262,6 +304,8 @@
             if isinstance(error, aiohttp.ConnectionTimeoutError):
                 raise NotAccepted(_describe(error)) from error
             raise AttemptBroken(_describe(error)) from error
+        finally:
+            _sending.reset(token)
         if response.headers.get(REQUEST_ID_HEADER) != request_id:
             response.close()
             self._metrics.count("crossed_answers_total")
--- a/cassiamount/caller.py
+++ b/cassiamount/caller.py
@@ -69,8 +69,8 @@
     stall_s : float
         A caller that reads nothing for this long is treated as gone; what is held
         for it meanwhile is bounded by the connection's write buffer.
-    write_part, is_followed : callable, optional
-        The values of `WRITE_PART` and `IS_FOLLOWED` in the scope.
+    write_part, is_followed, has_left : callable, optional
+        The values of `WRITE_PART`, `IS_FOLLOWED` and `HAS_LEFT` in the scope.
     """
 
     __slots__ = (
@@ -81,6 +81,7 @@
         "finished",
         "close",
         "writes",
+        "has_left",
         "_is_followed",
         "_writing",
         "_write_part",
@@ -89,7 +90,16 @@
         "_events",
     )
 
-    def __init__(self, send, request_id, stall_s, write_part=None, is_followed=None):
+    def __init__(
+        self,
+        send,
+        request_id,
+        stall_s,
+        write_part=None,
+        is_followed=None,
+        has_left=None,
+    ):
+        self.has_left = has_left or has_not_left
         self.request_id = request_id
         self.status = 0
         self.code = ""
--- a/cassiamount/edge.py
+++ b/cassiamount/edge.py
@@ -10,6 +10,7 @@
 from .answers import CallerGone
 from .arrival import Arrival, EdgeLimits, bearer, check_method, parse_json
 from .caller import (
+    HAS_LEFT,
     IS_FOLLOWED,
     WRITE_PART,
     BodyReader,
@@ -86,6 +87,7 @@
             self.limits.stall_ms / 1000,
             scope.get(WRITE_PART),
             scope.get(IS_FOLLOWED),
+            scope.get(HAS_LEFT),
         )
         arrival = Arrival(scope, receive, caller, self.clock.monotonic_ms())
         arrival.trace = self.tracing.request(arrival.headers, arrival.request_id)
@@ -120,6 +122,8 @@
             await self._last_words(caller, error.refusal, error.param)
         except CallerGone:
             caller.code = caller.code or "caller_gone"
+            if not caller.started:
+                await _until_disconnected(arrival)
         except InvariantViolation as error:
             self.metrics.count("invariant_violations_total", name=error.name)
             await self._internal_error(arrival, error)
@@ -317,8 +321,7 @@
                 task.cancel()
 
         async def watch():
-            while (await arrival.receive())["type"] != "http.disconnect":
-                pass
+            await _until_disconnected(arrival)
             cancel()
 
         arrival.job = job
@@ -360,6 +363,11 @@
         await super().__call__(scope, receive, send)
 
 
+async def _until_disconnected(arrival):
+    while (await arrival.receive())["type"] != "http.disconnect":
+        pass
+
+
 def _stopped(arrival):
     """Return the last answer of a request that the end of a stop interrupts."""
     job = arrival.job
--- a/cassiamount/jobs.py
+++ b/cassiamount/jobs.py
@@ -49,6 +49,8 @@
     engine = False
     retry_if_not_accepted = True
     retry_advice = ""
+    # Whether it is begun even if the caller has left.
+    outlives_caller = False
 
     def __init__(
         self, request_info, method, target, key, recheck_key, trace, head_deadline_ms
@@ -293,6 +295,8 @@
     def attach_claim(self, claim):
         """Attach the idempotency claim that this VM won for the call."""
         self.claim = claim
+        # The caller, or another one, may ask for the outcome with the same key.
+        self.outlives_caller = True
         self.retry_if_not_accepted = True
         self.retry_advice = "repeat the request with the same Idempotency-Key to ask"
 
--- a/cassiamount/relay.py
+++ b/cassiamount/relay.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
-from .answers import Answer, error_body
+from .answers import Answer, CallerGone, error_body
 from .backend_client import AttemptBroken, NotAccepted
 from .body_budget import BodyBudget, HeldAnswer
+from .caller import has_not_left
 from .crash_detector import EndedAttempt
 from .invariants import TRUTHFUL_REFUSAL, require
 from .memory_plan import FREE_BYTES
@@ -63,6 +64,8 @@
         "response",
         "answer",
         "span",
+        "has_left",
+        "sent",
     )
 
     def __init__(self, dispatch, request_id, started_ms, answer):
@@ -73,6 +76,24 @@
         self.response = None
         self.answer = answer
         self.span = None
+        # Tells whether the caller has left, unless the job outlives it.
+        self.has_left = has_not_left
+        self.sent = False
+
+    def begin_send(self):
+        """Note that a request is about to be written to its connection.
+
+        Raises
+        ------
+        CallerGone
+        """
+        self.check_caller()
+        self.sent = True
+
+    def check_caller(self):
+        """Raise CallerGone if the caller has left, also if that was not read yet."""
+        if self.has_left():
+            raise CallerGone("the caller left before the attempt")
 
 
 class Relay:
@@ -171,6 +192,8 @@
     async def _attempt(self, job, parts, caller, dispatch, number):
         """Run one attempt; return the Answer or the FailedAttempt."""
         attempt = self._begin_attempt(job, dispatch)
+        if not job.outlives_caller:
+            attempt.has_left = caller.has_left
         outcome, will_retry, is_answer = CANCELLED, False, False
         try:
             job.state.transition_to(DISPATCHED)
@@ -190,10 +213,10 @@
             return FailedAttempt(error, will_retry)
         finally:
             # Also runs if the caller disconnects and this task is cancelled.
-            if outcome == CANCELLED:
+            if outcome == CANCELLED and attempt.sent:
                 job.maybe_ran = True
                 self._abandon(job, attempt)
-            if outcome in (DONE, CANCELLED):
+            if outcome in (DONE, CANCELLED) and attempt.sent:
                 self._watch_server(parts, attempt, is_answer)
             await self._end_attempt(job, attempt, outcome, final=not will_retry)
 
@@ -327,6 +350,7 @@
             attempt.response.close()
             attempt.response = None
         job.check_key_absent(headers, body)
+        attempt.check_caller()
         attempt.response = await self.backends.send(
             attempt.dispatch.address,
             job.method,
@@ -336,6 +360,7 @@
             attempt.request_id,
             self.head_timeout_s(job),
             new_connection=new_connection,
+            begin_send=attempt.begin_send,
         )
         return attempt.response
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -228,9 +228,10 @@
     async def ended(self, attempt_ended):
         self.open.remove(attempt_ended.request_id)
 
-    async def send(self, *arguments, new_connection):
+    async def send(self, *arguments, new_connection, begin_send):
         """Replace `BackendClient.send`; the rule `backend_responds` ends the call."""
         assert new_connection
+        begin_send()
         response = asyncio.get_running_loop().create_future()
         self.environment.pending_sends.append((arguments[5], arguments[4], response))
         return await response
