Take back a request that was given up while it was on its way

Closing a connection leaves the kernel to deliver what it has taken, and aiohttp even what it has not: a request that a server had not read yet reached it whole after its caller had left.

A connection that is given up during an attempt is now reset, on both stacks, so that what was not delivered never is.

Before: test_a_request_on_its_way_is_taken_back_when_its_caller_leaves failed on both stacks (60,000 of 60,000 bytes of the body arrived, and 300,000 of 300,000). After: both pass.

--- a/cassiamount/backend_client.py
+++ b/cassiamount/backend_client.py
@@ -6,6 +6,8 @@
 import aiohttp
 import yarl
 
+from .connection_end import reset
+
 MAX_HEAD_LINE_BYTES = 8_190
 MAX_HEAD_FIELDS = 100
 MAX_BODY_BYTES = 8 << 20
@@ -157,13 +159,20 @@
 class _Sending:
     """One attempt, from its connection to the head of its response."""
 
-    __slots__ = ("_begin_send",)
+    __slots__ = ("_begin_send", "_transport")
 
     def __init__(self, begin_send):
         self._begin_send = begin_send
+        self._transport = None
 
     def begin(self, connection):
         self._begin_send()
+        self._transport = connection.transport
+
+    def abort(self):
+        """Take back what the server has not received of the request."""
+        if self._transport is not None:
+            reset(self._transport)
 
 
 class _Connector(aiohttp.TCPConnector):
@@ -297,12 +306,16 @@
                 response = await session.request(
                     method, url, headers=headers, data=body, allow_redirects=False
                 )
+        except asyncio.CancelledError:
+            sending.abort()
+            raise
         except aiohttp.ClientConnectorError as error:
             # No connection was made, so nothing was sent.
             raise NotAccepted(_describe(error)) from error
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             if isinstance(error, aiohttp.ConnectionTimeoutError):
                 raise NotAccepted(_describe(error)) from error
+            sending.abort()
             raise AttemptBroken(_describe(error)) from error
         finally:
             _sending.reset(token)
--- a/cassiamount/backend_connection.py
+++ b/cassiamount/backend_connection.py
@@ -6,6 +6,7 @@
 import httptools
 
 from .backend_messages import BodyChunk, ResponseComplete, ResponseFailed, ResponseHead
+from .connection_end import reset
 
 # The kernel drops the connection if sent data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 1_500
@@ -108,7 +109,11 @@
     def abort(self):
         """Close the connection at once; the backend server sees a reset."""
         self._closed = True
-        if self._transport is not None:
+        if self._transport is None:
+            return
+        if self._busy:
+            reset(self._transport)
+        else:
             self._transport.abort()
 
     async def receive(self):
--- a/cassiamount/connection_end.py
+++ b/cassiamount/connection_end.py
@@ -1,7 +1,12 @@
-"""Whether a connection was closed at its other end, also if that was not read yet."""
+"""The end of a connection: whether the other side has closed it, and resetting it."""
 
+import contextlib
 import select
+import socket
+import struct
 
+# On, and for no time.
+LINGER_NOT = struct.pack("ii", 1, 0)
 # Without the first one, an end behind data that was not read is found only by reading.
 ENDED = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
 
@@ -24,3 +29,19 @@
     poll = select.poll()
     poll.register(connection.fileno(), ENDED)
     return bool(poll.poll(0))
+
+
+def reset(transport):
+    """Close a connection at once and take back what was not delivered yet.
+
+    Otherwise the kernel goes on to deliver what it has taken.
+
+    Parameters
+    ----------
+    transport : asyncio.Transport
+    """
+    connection = transport.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        with contextlib.suppress(OSError):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+    transport.abort()
--- a/tests/test_callers_left.py
+++ b/tests/test_callers_left.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.fleet_fixtures import HOST, KEY, Fleet, configuration
-from tests.leaving_callers import LeavingCaller
+from tests.leaving_callers import LateReader, LeavingCaller
 
 KINDS = ("look", "buy", "chat")
 
@@ -150,6 +150,27 @@
     assert [seen(fleet, name) for name in names] == [1] * 8
 
 
+async def test_a_request_on_its_way_is_taken_back_when_its_caller_leaves(fleet):
+    """Guards against requests that arrive whole long after they were given up."""
+    reader = LateReader()
+    for name in ("s1", "s2"):
+        fleet.remove_replica(name)
+    fleet.replicas["slow"], fleet.software["slow"] = fleet.replicas["s1"], "v1"
+    fleet.addresses["slow"] = reader.address
+    fleet.register_replica("slow", "shop")
+    view = fleet.nodes["v1"].state.view
+    await fleet.wait_until(lambda: {"slow", "e1"} == set(view.backends))
+    caller = caller_of(fleet, "gone", "buy", b"x" * 60_000)
+    caller.connect()
+    caller.send(caller.request)
+    edge = fleet.nodes["v1"]._edge
+    await fleet.wait_until(lambda: view.backends["slow"].load > 0)
+    caller.leave(resets=False)
+    await fleet.wait_until(lambda: not edge.running)
+    data = await asyncio.to_thread(reader.read_all)
+    assert data.count(b"x") < 60_000
+
+
 @pytest.mark.parametrize("resets", [False, True], ids=["closed", "reset"])
 async def test_a_caller_that_leaves_behind_much_unread_data_is_noticed(fleet, resets):
     """Guards against ends that are not read while reading is paused."""
--- a/tests/test_callers_left_edge.py
+++ b/tests/test_callers_left_edge.py
@@ -7,7 +7,7 @@
 import pytest
 
 from .edge_fixtures import KEY, open_app, open_site
-from .leaving_callers import LeavingCaller
+from .leaving_callers import LateReader, LeavingCaller
 
 KINDS = ("stock", "orders", "chat", "chat-stream")
 COUNT = 8
@@ -169,3 +169,18 @@
         while site.edge.running:
             await asyncio.sleep(0.01)
     assert seen(site) == COUNT
+
+
+async def test_a_request_on_its_way_is_taken_back_when_its_caller_leaves(site):
+    """Guards against requests that arrive whole long after they were given up."""
+    reader = LateReader()
+    site.dispatcher.addresses["engine"] = [("slow", reader.address)]
+    caller = begin(site, "chat", "x" * 300_000)
+    while not site.dispatcher.open:
+        await asyncio.sleep(0.01)
+    caller.leave(resets=False)
+    async with asyncio.timeout(30):
+        while site.edge.running:
+            await asyncio.sleep(0.01)
+    data = await asyncio.to_thread(reader.read_all)
+    assert data.count(b"x") < 300_000
