Return the tokens of a request that no replica ran when its caller leaves

A caller that left while its request waited, or before it was read, had its tokens charged as if it had run, so the team got less than its rate.

They are returned if no replica can have run the request. Without the return test_a_request_that_never_ran_is_not_charged_when_its_caller_left fails; it passes with it.

--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -145,7 +145,7 @@
             inbound.caller.abort()
         except (asyncio.CancelledError, CallerGone):
             code = "caller-gone"
-            if request is not None and not request.sends:
+            if request is not None and not request.may_have_run:
                 self._refund(request)
             raise
         finally:
--- a/tests/test_callers_left.py
+++ b/tests/test_callers_left.py
@@ -41,6 +41,14 @@
     return LeavingCaller((host, int(port)), request)
 
 
+def limited_configuration():
+    """Return a configuration whose team has a rate, so that its use is counted."""
+    document = configuration(2)
+    document["Tenants"][0].update(RatePerS=1_000_000, Burst=1_000_000)
+    document["Limits"].update(Unit="token_count", RawTokens=100)
+    return document
+
+
 def receive_answer(caller):
     caller.receive_until(b"done by s1", b"done by s2", b"0\r\n\r\n")
 
@@ -186,3 +194,23 @@
     await fleet.wait_until(lambda: replica.left == ["gone"])
     await fleet.wait_until(lambda: not node._edge.running)
     assert replica.ran == ["gone"]
+
+
+async def test_a_request_that_never_ran_is_not_charged_when_its_caller_left(fleet):
+    """Guards against teams that pay for requests which no replica has run."""
+    quota = fleet.nodes["v1"].state.quota
+    fleet.store.put("keyed.op", "config", limited_configuration())
+    await fleet.wait_until(lambda: fleet.nodes["v1"].state.configuration.version == 2)
+    await settle(fleet)
+    used = quota.used_tokens()
+    for number in range(8):
+        caller = caller_of(fleet, f"gone-{number}", "buy")
+        caller.connect()
+        caller.send(caller.request)
+        caller.leave(resets=False)
+    await asyncio.sleep(0)
+    await fleet.wait_until(lambda: not fleet.nodes["v1"]._edge.running)
+    await settle(fleet)
+    after = quota.used_tokens()
+    await settle(fleet)
+    assert after["t"] - used["t"] == quota.used_tokens()["t"] - after["t"] > 0
