Tell the request that runs that its caller has left, not the last one parsed

Requests behind a body of unknown length may be parsed while it is answered. The end of their connection was then told to the last request that was parsed and not to the one that ran: its replica worked on until the time limit.

Before: both cases of test_a_caller_that_leaves_behind_parsed_requests_is_noticed failed (the replica was still at work after 30 s of a limit of 90 s). After: both pass. Both stacks share this code.

--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -82,6 +82,8 @@
         self._timed = False
         self._timer = None
         self._end_check = None
+        # The cycle of the request that runs; others may have been parsed behind it.
+        self._running = None
         if len(self.connections) > self.max_connections:
             if not self.idle:
                 self._count("connection_limit")
@@ -98,6 +100,10 @@
         self._stop_timer()
         if self._end_check is not None:
             self._end_check.cancel()
+        running = self._running
+        if running is not None and not running.response_complete:
+            running.disconnected = True
+            running.message_event.set()
         self.idle.pop(self, None)
         super().connection_lost(exc)
 
@@ -111,6 +117,10 @@
         self._waiting += data
         self._hold_if_much_waits()
 
+    def _start_asgi_task(self, cycle, app):
+        self._running = cycle
+        super()._start_asgi_task(cycle, app)
+
     def _parse(self, data):
         size = len(data)
         start = 0
--- a/tests/test_callers_left.py
+++ b/tests/test_callers_left.py
@@ -215,3 +215,23 @@
     after = quota.used_tokens()
     await settle(fleet)
     assert after["t"] - used["t"] == quota.used_tokens()["t"] - after["t"] > 0
+
+
+@pytest.mark.parametrize("resets", [False, True], ids=["closed", "reset"])
+async def test_a_caller_that_leaves_behind_parsed_requests_is_noticed(fleet, resets):
+    """Guards against ends of which only the last request that was parsed learns."""
+    fleet.store.put("keyed.op", "config", configuration(2, TimeoutMs=90_000))
+    node, replica = fleet.nodes["v1"], fleet.replicas["e1"]
+    await fleet.wait_until(lambda: node.state.configuration.version == 2)
+    replica.hold = True
+    caller = caller_of(fleet, "gone", "chat", deadline_ms=90_000)
+    chunked = caller.request.replace(
+        b"Content-Length: 0", b"Transfer-Encoding: chunked"
+    )
+    caller.connect()
+    caller.send(chunked + b"1\r\nx\r\n0\r\n\r\n" + request_bytes("next", "look"))
+    await fleet.wait_until(lambda: replica.ran == ["gone"])
+    caller.leave(resets)
+    await fleet.wait_until(lambda: replica.left == ["gone"])
+    await fleet.wait_until(lambda: not node._edge.running)
+    assert seen(fleet, "next") == 0
