--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -603,6 +603,41 @@
         "return [rule]",
         "tests/test_crash_quarantine.py",
     ),
+    Mutation(
+        "left: nothing is sent for a caller that has left",
+        "cassiamount/fleet_relay.py",
+        "if request.inbound.caller.has_left():",
+        "if False:",
+        "tests/test_callers_left.py",
+    ),
+    Mutation(
+        "left: the own stack sends nothing for a caller that has left",
+        "cassiamount/relay.py",
+        "if self.has_left():",
+        "if False:",
+        "tests/test_callers_left_edge.py",
+    ),
+    Mutation(
+        "left: a connection that is not read is asked for its end",
+        "cassiamount/serving.py",
+        "if self.flow.held and not self.has_left():",
+        "if self.flow.held:",
+        "tests/test_callers_left.py",
+    ),
+    Mutation(
+        "left: the request that runs learns of the end",
+        "cassiamount/serving.py",
+        "running.disconnected = True",
+        "pass",
+        "tests/test_callers_left.py",
+    ),
+    Mutation(
+        "left: what is given up is taken back",
+        "cassiamount/connection_end.py",
+        "connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)",
+        "pass",
+        "tests/test_callers_left.py",
+    ),
 )
 
 
