--- a/cassiamount/backend_client.py
+++ b/cassiamount/backend_client.py
@@ -161,7 +161,13 @@
 
 
 class _Sending:
-    """One attempt, from its connection to the head of its response."""
+    """One attempt, from its connection to the head of its response.
+
+    Parameters
+    ----------
+    begin_send : callable
+        See `BackendClient.send`.
+    """
 
     __slots__ = ("_begin_send", "_transport")
 
@@ -170,6 +176,7 @@
         self._transport = None
 
     def begin(self, connection):
+        """Ask whether the request may be written to this connection."""
         self._begin_send()
         self._transport = connection.transport
 
@@ -180,16 +187,22 @@
 
 
 class _ResponseHandler(ResponseHandler):
-    """Ends a connection that brings bytes without content, and no end of them."""
+    """Ends a connection that brings bytes without content, and no end of them.
+
+    The parser of aiohttp bounds a head, but neither interim responses nor the size and
+    the extensions of a chunk.
+    """
 
     _content_bytes = 0
     _bytes_without_content = 0
 
     def set_response_params(self, **options):
+        """Expect the response to another request."""
         self._bytes_without_content = 0
         super().set_response_params(**options)
 
     def data_received(self, data):
+        """Parse received bytes, and count them unless they bring content."""
         super().data_received(data)
         payload = self._payload
         content_bytes = 0 if payload is None else payload.total_bytes
--- a/cassiamount/connection_end.py
+++ b/cassiamount/connection_end.py
@@ -5,9 +5,9 @@
 import socket
 import struct
 
-# On, and for no time.
-LINGER_NOT = struct.pack("ii", 1, 0)
-# Without the first one, an end behind data that was not read is found only by reading.
+# A `struct linger` that is on, for zero seconds: closing the socket resets it.
+NO_LINGER = struct.pack("ii", 1, 0)
+# POLLRDHUP also tells of an end behind data that was not read; Linux has it.
 ENDED = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
 
 
@@ -43,5 +43,5 @@
     connection = transport.get_extra_info("socket")
     if connection is not None and connection.fileno() >= 0:
         with contextlib.suppress(OSError):
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
     transport.abort()
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -634,7 +634,7 @@
     Mutation(
         "left: what is given up is taken back",
         "cassiamount/connection_end.py",
-        "connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)",
+        "connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)",
         "pass",
         "tests/test_callers_left.py",
     ),
