Let the admission queue take any priority classes and orders

The side in front of a fleet has priorities 0 to 9 and serves a team's requests by their latest start, the own stack has three classes and serves by arrival. Classes and order become parameters, so that one decision object serves both.

A priority can matter for whether a replica is ready; prefers_urgent then asks again for a more urgent class.

--- a/cassiamount/admission.py
+++ b/cassiamount/admission.py
@@ -1,21 +1,14 @@
 """Weighted fair queue of requests that wait for a replica."""
 
 import heapq
-from collections import deque
 from itertools import count
 
 from .admission_rates import RouteRates
 from .admission_results import Queued, Refused, deadline_refusal, full_refusal
+from .admission_teams import ArrivalOrder, QueueEntry, TeamQueue
 from .requests import PRIORITIES
 
 QUEUE_LIMIT = 2_000
-# A request is late once it has waited for this fraction of the time from its arrival to
-# its deadline. Newer requests are then served first: in an overload, serving the oldest
-# first would make every request late.
-LATE_WAIT_FRACTION = 0.05
-# While the oldest request of a queue is late, one request in this many is still served
-# in order of arrival.
-OLDEST_FIRST_INTERVAL = 4
 # Fraction of the tokens served that is credited to each waiting class of lower
 # priority, so that no class starves.
 LOWER_CLASS_RESERVE = 0.05
@@ -24,72 +17,6 @@
 MAX_CREDIT_TOKENS = 20_000
 
 
-def route_of(request_info):
-    """Return the service, adapter or model whose replicas can take a request."""
-    return request_info.service or request_info.adapter or request_info.model
-
-
-class _QueueEntry:
-    __slots__ = ("request_info", "sequence", "route")
-
-    def __init__(self, request_info, sequence):
-        self.request_info = request_info
-        self.sequence = sequence
-        self.route = route_of(request_info)
-
-
-class _TeamQueue:
-    """Waiting requests of one team in one priority class, with a queue for each route.
-
-    Separate queues keep a route without a free replica from blocking other routes.
-    """
-
-    __slots__ = ("routes", "length", "removals")
-
-    def __init__(self):
-        self.routes = {}
-        self.removals = 0
-        self.length = 0
-
-    def push(self, entry):
-        self.routes.setdefault(entry.route, deque()).append(entry)
-        self.length += 1
-
-    def remove_entry(self, queue, entry):
-        if queue[0] is entry:
-            queue.popleft()
-        elif queue[-1] is entry:
-            queue.pop()
-        else:
-            queue.remove(entry)
-        if not queue:
-            del self.routes[entry.route]
-        self.length -= 1
-        self.removals += 1
-
-    def heads(self, now_ms):
-        """Return the next entry of each route, oldest first."""
-        return sorted(
-            (self._next_entry(queue, now_ms) for queue in self.routes.values()),
-            key=lambda entry: entry.sequence,
-        )
-
-    def _next_entry(self, queue, now_ms):
-        request_info = queue[0].request_info
-        timeout_ms = request_info.deadline_ms - request_info.arrived_ms
-        late = now_ms - request_info.arrived_ms > LATE_WAIT_FRACTION * timeout_ms
-        if late and self.removals % OLDEST_FIRST_INTERVAL:
-            return queue[-1]
-        return queue[0]
-
-    def newest(self):
-        """Return the entry that arrived last."""
-        return max(
-            (queue[-1] for queue in self.routes.values()),
-            key=lambda entry: entry.sequence,
-        )
-
-
 class AdmissionQueue:
     """Weighted fair queue of requests that wait for a replica.
 
@@ -97,17 +24,30 @@
     lower ones. Within a class, the team with the lowest virtual time is served next.
     A team's virtual time is the number of its tokens served, divided by its weight.
 
+    Requests have a `request_id`, `team`, `priority`, `route`, `arrived_ms`,
+    `deadline_ms` and `cost_tokens`, as `RequestInfo` has.
+
     Parameters
     ----------
-    limit : int
+    limit : int or float
         Largest number of waiting requests over all classes.
     reserve : float
-        Fraction of the tokens served that is credited to waiting lower classes.
+        Fraction of the tokens served that is credited to each waiting lower class.
+    priorities : tuple
+        The priority classes, most urgent first.
+    order : type
+        Order of the requests of one team in one class for one route: `ArrivalOrder` or
+        `DeadlineOrder`.
+    prefers_urgent : bool
+        Whether a replica may be ready for a more urgent request only.
     """
 
     __slots__ = (
         "_limit",
         "_reserve",
+        "_ranks",
+        "_order",
+        "_prefers_urgent",
         "_classes",
         "_entries",
         "_deadlines",
@@ -121,17 +61,28 @@
         "_charged_tokens",
     )
 
-    def __init__(self, limit=QUEUE_LIMIT, reserve=LOWER_CLASS_RESERVE):
+    def __init__(
+        self,
+        limit=QUEUE_LIMIT,
+        reserve=LOWER_CLASS_RESERVE,
+        priorities=PRIORITIES,
+        order=ArrivalOrder,
+        prefers_urgent=False,
+    ):
         self._limit = limit
         self._reserve = reserve
-        self._classes = {priority: {} for priority in PRIORITIES}
+        # Priority class -> its rank, 0 for the most urgent.
+        self._ranks = {priority: rank for rank, priority in enumerate(priorities)}
+        self._order = order
+        self._prefers_urgent = prefers_urgent
+        self._classes = {priority: {} for priority in priorities}
         self._entries = {}
         self._deadlines = []
         # Team -> virtual time; teams without waiting requests may lag behind.
         self._virtual_times = {}
         self._system_virtual_time = 0.0
         self._weights = {}
-        self._credits = dict.fromkeys(PRIORITIES, 0.0)
+        self._credits = dict.fromkeys(priorities, 0.0)
         self._sequence = count()
         self._rates = RouteRates()
         self._route_lengths = {}
@@ -186,20 +137,23 @@
         ready : callable
             Takes a RequestInfo; returns whether a replica can take the request. The
             request for which it returns True is returned. After False it is not
-            called again for the same service, adapter or model.
+            called again for the same route, except for a more urgent request if the
+            queue was told that this can make a difference.
 
         Returns
         -------
         RequestInfo or None
         """
-        blocked = set()
+        # Route -> rank of the most urgent class that no replica is ready for.
+        blocked = {}
 
         def can_send(entry):
-            if entry.route in blocked:
+            rank = self._ranks[entry.request_info.priority]
+            if entry.route in blocked and rank >= blocked[entry.route]:
                 return False
             if ready(entry.request_info):
                 return True
-            blocked.add(entry.route)
+            blocked[entry.route] = rank if self._prefers_urgent else 0
             return False
 
         entry = self._next_from_reserve(can_send, now_ms)
@@ -255,34 +209,57 @@
         earlier ones of its own team, and for as many of each other team in its class,
         in the ratio of the weights.
         """
-        route = route_of(request_info)
+        return self._count_ahead(request_info) * self._rates.interval_ms(
+            request_info.route
+        )
+
+    def is_waiting_before(self, request_info):
+        """Return whether a request of its class or a higher one waits for its route."""
+        rank = self._ranks[request_info.priority]
+        return any(
+            request_info.route in queue.routes
+            for priority, teams in self._classes.items()
+            if self._ranks[priority] <= rank
+            for queue in teams.values()
+        )
+
+    def record_served(self, request_info):
+        """Charge its team for a request that was sent without having waited."""
+        self._start_team(request_info.team)
+        self._charge(request_info)
+
+    def forget_route(self, route):
+        """Forget the rate of a route for which no request will wait again."""
+        self._rates.remove(route)
+
+    def _count_ahead(self, request_info):
+        route = request_info.route
         own_weight = self._weight(request_info.team)
         ahead = 0.0
-        for priority in PRIORITIES[: PRIORITIES.index(request_info.priority)]:
+        for priority in self._classes:
+            if priority == request_info.priority:
+                break
             ahead += sum(
                 len(queue.routes.get(route, ()))
                 for queue in self._classes[priority].values()
             )
         teams = self._classes[request_info.priority]
         own = teams.get(request_info.team)
-        own_length = len(own.routes.get(route, ())) if own else 0
+        own_length = own.count_before(request_info) if own else 0
         for team, queue in teams.items():
             length = len(queue.routes.get(route, ()))
             share = (own_length + 1) * self._weight(team) / own_weight
             ahead += own_length if team == request_info.team else min(length, share)
-        return ahead * self._rates.interval_ms(route)
+        return ahead
 
     def _push(self, request_info, now_ms):
-        entry = _QueueEntry(request_info, next(self._sequence))
+        entry = QueueEntry(request_info, next(self._sequence))
         teams = self._classes[request_info.priority]
         if not self._is_waiting(request_info.team):
-            # An idle team accumulates no credit: it would block the others on return.
-            floor = max(
-                self._system_virtual_time,
-                self._virtual_times.get(request_info.team, 0.0),
-            )
-            self._virtual_times[request_info.team] = floor
-        teams.setdefault(request_info.team, _TeamQueue()).push(entry)
+            self._start_team(request_info.team)
+        if request_info.team not in teams:
+            teams[request_info.team] = TeamQueue(self._order)
+        teams[request_info.team].push(entry)
         self._entries[request_info.request_id] = entry
         length = self._route_lengths.get(entry.route, 0)
         self._route_lengths[entry.route] = length + 1
@@ -294,11 +271,17 @@
                 (request_info.deadline_ms, entry.sequence, request_info.request_id),
             )
 
+    def _start_team(self, team):
+        """Set the virtual time of a team that has no waiting requests."""
+        # An idle team accumulates no credit: it would block the others on return.
+        floor = max(self._system_virtual_time, self._virtual_times.get(team, 0.0))
+        self._virtual_times[team] = floor
+
     def _remove(self, entry):
         request_info = entry.request_info
         teams = self._classes[request_info.priority]
         team_queue = teams[request_info.team]
-        team_queue.remove_entry(team_queue.routes[entry.route], entry)
+        team_queue.remove(entry)
         if not team_queue.length:
             del teams[request_info.team]
         del self._entries[request_info.request_id]
@@ -323,8 +306,10 @@
         return self._weights.get(team, 1.0)
 
     def _next_from_reserve(self, can_send, now_ms):
-        for priority in PRIORITIES[1:]:
+        for priority, rank in self._ranks.items():
             credit = self._credits[priority]
+            if rank == 0:
+                continue
             if not self._classes[priority]:
                 self._credits[priority] = 0.0
             elif credit >= 1:
@@ -340,7 +325,7 @@
         return None
 
     def _next_by_priority(self, can_send, now_ms):
-        for priority in PRIORITIES:
+        for priority in self._classes:
             entry = self._least_served(priority, can_send, now_ms)
             if entry is not None:
                 return entry
@@ -366,12 +351,12 @@
         ]
         if waiting:
             self._system_virtual_time = max(self._system_virtual_time, min(waiting))
-        served = PRIORITIES.index(request_info.priority)
+        served_rank = self._ranks[request_info.priority]
         self._credits[request_info.priority] = max(
             0.0, self._credits[request_info.priority] - request_info.cost_tokens
         )
-        for priority in PRIORITIES[served + 1 :]:
-            if self._classes[priority]:
+        for priority, rank in self._ranks.items():
+            if rank > served_rank and self._classes[priority]:
                 credit = (
                     self._credits[priority] + request_info.cost_tokens * self._reserve
                 )
@@ -384,10 +369,10 @@
         of the request, or else in its own class, if that queue is longer than its
         team's own queue in the ratio of the weights.
         """
-        lowest = PRIORITIES.index(request_info.priority)
-        for priority in reversed(PRIORITIES[lowest + 1 :]):
-            if self._classes[priority]:
-                return self._longest_team_queue(priority)[1].newest()
+        own_rank = self._ranks[request_info.priority]
+        for priority, rank in reversed(self._ranks.items()):
+            if rank > own_rank and self._classes[priority]:
+                return self._longest_team_queue(priority)[1].last()
         teams = self._classes[request_info.priority]
         if not teams:
             return None
@@ -398,7 +383,7 @@
             team != request_info.team
             and longest.length / self._weight(team) > own_share
         ):
-            return longest.newest()
+            return longest.last()
         return None
 
     def _longest_team_queue(self, priority):
--- a/cassiamount/admission_rates.py
+++ b/cassiamount/admission_rates.py
@@ -49,3 +49,7 @@
         """Return the mean interval, or 0 if it is unknown."""
         rate = self._rates.get(route)
         return rate.interval_ms or 0.0 if rate else 0.0
+
+    def remove(self, route):
+        """Forget the average of a route."""
+        self._rates.pop(route, None)
--- a/cassiamount/requests.py
+++ b/cassiamount/requests.py
@@ -179,6 +179,11 @@
         self.idempotent = idempotent
         self.key_hash = key_hash
 
+    @property
+    def route(self):
+        """Service, adapter or model whose replicas can take the request."""
+        return self.service or self.adapter or self.model
+
     @property
     def cost_tokens(self):
         """Tokens charged at admission: the prompt and the largest possible output."""
--- a/cassiamount/routing.py
+++ b/cassiamount/routing.py
@@ -1,6 +1,5 @@
 """Selection of a replica for each request."""
 
-from .admission import route_of
 from .invariants import LEAVING_BACKEND_IDLE, require
 from .prefix_index import PrefixIndex
 from .replica_state import ReplicaState
@@ -182,7 +181,7 @@
         self._now_ms = max(self._now_ms, now_ms)
         # A request with an adapter is routed by the adapter alone: engines refuse it
         # while the adapter is not ready, and a ready adapter's base model is ready too.
-        route = route_of(request_info)
+        route = request_info.route
         offering = self._backends_by_route.get(route, ())
         if not offering:
             return NoReplica(NOT_RESIDENT if request_info.model else UNAVAILABLE)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from cassiamount.admission import LATE_WAIT_FRACTION, AdmissionQueue, Queued, Refused
+from cassiamount.admission import AdmissionQueue, Queued, Refused
+from cassiamount.admission_teams import LATE_WAIT_FRACTION
 from cassiamount.requests import BATCH, INTERACTIVE, NORMAL, PRIORITIES, RequestInfo
 
 
