Bound what a team owes that was served while others did not compete

The virtual time of the system followed only teams with waiting requests. The time now also passes while no team waits, and the advance of a team that begins to wait is bounded by MAX_CREDIT_TOKENS.

--- a/cassiamount/admission.py
+++ b/cassiamount/admission.py
@@ -12,8 +12,8 @@
 # Fraction of the tokens served that is credited to each waiting class of lower
 # priority, so that no class starves.
 LOWER_CLASS_RESERVE = 0.05
-# Largest credit of a class, so that credit that could not be used for some time does
-# not turn into a long burst.
+# Largest credit of a class, and largest advance of a team that begins to wait, so that
+# credit that could not be used for some time does not turn into a long burst.
 MAX_CREDIT_TOKENS = 20_000
 
 
@@ -273,9 +273,13 @@
 
     def _start_team(self, team):
         """Set the virtual time of a team that has no waiting requests."""
-        # An idle team accumulates no credit: it would block the others on return.
-        floor = max(self._system_virtual_time, self._virtual_times.get(team, 0.0))
-        self._virtual_times[team] = floor
+        # An idle team accumulates no credit: it would block the others on return. Nor
+        # does it pay for long for what it got while others waited for something else.
+        floor = self._system_virtual_time
+        most = floor + MAX_CREDIT_TOKENS / self._weight(team)
+        self._virtual_times[team] = min(
+            most, max(floor, self._virtual_times.get(team, 0.0))
+        )
 
     def _remove(self, entry):
         request_info = entry.request_info
@@ -341,6 +345,7 @@
 
     def _charge(self, request_info):
         self._charged_tokens[request_info.request_id] = request_info.cost_tokens
+        started = self._virtual_times[request_info.team]
         self._virtual_times[request_info.team] += (
             request_info.cost_tokens / self._weight(request_info.team)
         )
@@ -349,8 +354,11 @@
             for teams in self._classes.values()
             for team in teams
         ]
-        if waiting:
-            self._system_virtual_time = max(self._system_virtual_time, min(waiting))
+        # If no team waits, there was no contention, and the time passes with what is
+        # served: a team that was alone would owe the next one everything it got.
+        self._system_virtual_time = max(
+            self._system_virtual_time, min(waiting, default=started)
+        )
         served_rank = self._ranks[request_info.priority]
         self._credits[request_info.priority] = max(
             0.0, self._credits[request_info.priority] - request_info.cost_tokens
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -52,6 +52,22 @@
     assert 15 <= teams["late"] <= 25
 
 
+@pytest.mark.parametrize("other_waits", [False, True])
+def test_team_that_was_served_alone_is_not_shut_out(other_waits):
+    """Guards against a team that pays for what it got while no one else wanted it."""
+    queue = AdmissionQueue()
+    if other_waits:
+        queue.offer(request_info(0, "late", model="loading"), 0.0)
+    for number in range(2_000):
+        queue.offer(request_info(number, "alone"), 0.0)
+        queue.take(0.0, lambda waiting: waiting.model == "m")
+    for number in range(2_000, 2_600):
+        queue.offer(request_info(number, "alone"), 0.0)
+        queue.offer(request_info(number, "late"), 0.0)
+    teams = Counter(queue.take(0.0, lambda _: True).team for _ in range(600))
+    assert teams["alone"] >= 190
+
+
 def test_refused_request_earns_no_credit():
     """Guards against a team over its rate that gains priority from refusals."""
     queue = AdmissionQueue()
