Let one ordered queue decide which waiting request of a VM gets a server

Each waiting request of a VM in front of a fleet selected again at every change of state, in no order, so a change cost one selection for each of them. Now a dispatch pass, at most one for all changes of a moment, selects once for each distinct target and once for each request that gets a server; only that request wakes. The order is that of AdmissionQueue: priority, the team that got least, latest start.

Requests share a selection only if nothing is excluded for them (servers tried or unreachable, software version, reserved turn). A server counts as loaded from the moment it is given to a request, so that one pass does not give the same room twice. The new reason busy waits behind the queue, or is refused at once.

Waiting and refusing leave fleet_relay.py: waiting_requests (order, pure), waiting_refusals (codes and Retry-After, as before), request_selection (exclusions, as before) and replica_waiting.

--- a/cassiamount/admission.py
+++ b/cassiamount/admission.py
@@ -125,7 +125,7 @@
                 return Refused(full_refusal(wait_ms))
             self._remove(victim)
             displaced.append((victim.request_info, full_refusal(wait_ms)))
-        self._push(request_info, now_ms)
+        self.push(request_info, now_ms)
         return Queued(wait_ms, displaced)
 
     def take(self, now_ms, ready):
@@ -181,7 +181,7 @@
     def requeue(self, request_info, now_ms):
         """Queue a request again that was taken but that no backend server accepted."""
         self.settle(request_info, 0)
-        self._push(request_info, now_ms)
+        self.push(request_info, now_ms)
 
     def remove(self, request_id):
         """Remove a waiting request, for example because its caller disconnected."""
@@ -228,6 +228,13 @@
         self._start_team(request_info.team)
         self._charge(request_info)
 
+    def refund(self, request_info):
+        """Take back the charge for a request that was settled, but did not run."""
+        if request_info.team in self._virtual_times:
+            self._virtual_times[request_info.team] -= (
+                request_info.cost_tokens / self._weight(request_info.team)
+            )
+
     def forget_route(self, route):
         """Forget the rate of a route for which no request will wait again."""
         self._rates.remove(route)
@@ -252,7 +259,8 @@
             ahead += own_length if team == request_info.team else min(length, share)
         return ahead
 
-    def _push(self, request_info, now_ms):
+    def push(self, request_info, now_ms):
+        """Queue a request without regard to its deadline or to the queue's limit."""
         entry = QueueEntry(request_info, next(self._sequence))
         teams = self._classes[request_info.priority]
         if not self._is_waiting(request_info.team):
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -9,8 +9,7 @@
 from .crash_detector import CrashDetector, EndedAttempt
 from .crash_quarantine import MAX_LOGGED_PARTS
 from .fleet import choose_target
-from .fleet_orders import SOFTWARE_MARK
-from .graceful_stop import AnswerTimes, stop_refusal
+from .graceful_stop import AnswerTimes
 from .model_demand import LATENCY_SENSITIVE_OBJECTIVE_MS
 from .relayed_request import (
     DEADLINE_GRACE_MS,
@@ -19,16 +18,12 @@
     Refused,
     RelayedRequest,
 )
-from .replica_selection import (
-    PAUSED,
-    PLACEMENT_DECISION_MS,
-    NoReplicaReady,
-    SelectedReplica,
-    clamp_retry_after_ms,
-)
+from .replica_selection import clamp_retry_after_ms
+from .replica_waiting import ReplicaWaiting
 from .requests import ADMITTED, COMPLETE, DISPATCHED, Refusal
 from .response_forwarding import ResponseForwarder
 from .software_versions import LIST_STALE
+from .waiting_refusals import stopping_refusal
 
 # A backend server that could not be connected to is avoided for this long.
 UNREACHABLE_AVOID_MS = 700.0
@@ -36,14 +31,7 @@
 MISSING_MODEL_AVOID_MS = 400.0
 # Backend servers that may be unreachable before a request is refused.
 MAX_CONNECT_FAILURES = 4
-# A request waits for this fraction of its route's objective while it is unknown when
-# its model will be ready.
-UNKNOWN_WAIT_FRACTION = 0.8
-# A caller that got a Retry-After time is counted as waiting until this long after it.
-EXPECTED_RETRY_GRACE_MS = 400.0
 OVERLOADED_RETRY_AFTER_MS = 150.0
-# Callers come back within this part of a pause after its end.
-PAUSE_SPREAD = 0.25
 STALE_KEYS_RETRY_AFTER_MS = 1_000.0
 STARTING_RETRY_AFTER_MS = 500.0
 # Once a VM reaches the store or its peers, it has a proven list after about this time.
@@ -92,7 +80,6 @@
         answer_budget,
     ):
         self._state = state
-        self._selector = selector
         self._pool = pool
         self._codec = codec
         self._prefixes = prefixes
@@ -100,25 +87,21 @@
         self._log = log
         self._rng = rng
         self._timeouts = timeouts
-        self._notify_waiting = notify_waiting
         self._notify_peers = notify_peers
         self._crash_detector = CrashDetector(
             state.clock, self._probe, self._on_crash, self._on_survived
         )
         pool.on_last_idle_lost = self._on_idle_lost
         self._forwarder = ResponseForwarder(codec, state.clock, answer_budget)
-        self._changed = asyncio.Event()
+        self._waiting = ReplicaWaiting(
+            state, selector, metrics, log, rng, notify_waiting, self._check_allowed
+        )
         # Route -> durations of its last whole answers.
         self._answer_times = {}
         # Schedule of the graceful stop, once it has begun.
         self.stop_schedule = None
         # Requests that the end of the grace period left without their whole answer.
         self.unfinished = 0
-        state.listeners.append(self._on_change)
-
-    def _on_change(self):
-        self._changed.set()
-        self._changed = asyncio.Event()
 
     def close(self):
         """Stop the checks of backend servers."""
@@ -271,14 +254,17 @@
             if request.may_have_run:
                 raise Refused(504, "time_limit", "no answer in time") from None
             if stopped:
-                raise _stopping() from None
+                raise stopping_refusal() from None
             raise _not_begun() from None
 
     async def _run(self, request):
         while True:
             self._check_time(request)
-            selected = await self._wait_for_replica(request)
-            connection = await self._connect(request, selected.view)
+            selected = await self._waiting.wait(request)
+            try:
+                connection = await self._connect(request, selected.view)
+            finally:
+                self._waiting.release(request, selected.view)
             if connection is None:
                 continue
             try:
@@ -305,7 +291,7 @@
         if now_ms >= request.deadline_ms and not request.may_have_run:
             raise _not_begun()
         if not self._may_begin(request, now_ms):
-            raise _stopping()
+            raise stopping_refusal()
 
     def _may_begin(self, request, now_ms):
         """Return whether a request may be sent; a begun stream may always go on."""
@@ -323,242 +309,6 @@
     def _answer_times_of(self, request):
         return self._answer_times.setdefault(request.route.name, AnswerTimes())
 
-    async def _wait_for_replica(self, request):
-        wait_started_ms = None
-        unknown_since_ms = None
-        try:
-            while True:
-                now_ms = self._state.now_ms()
-                self._check_quarantine(request.parts, now_ms)
-                found = self._select_replica(request, now_ms)
-                if isinstance(found, SelectedReplica):
-                    self._reserve(request, found.view, now_ms)
-                    if (
-                        now_ms + found.wait_ms
-                        > max(request.start_deadline_ms, now_ms + 1)
-                        and found.wait_ms > request.route.objective_ms
-                    ):
-                        raise Refused(
-                            503, "full", "all replicas are full", found.wait_ms
-                        )
-                    return found
-                if wait_started_ms is None:
-                    wait_started_ms = now_ms
-                if found.wait_ms is not None:
-                    unknown_since_ms = None
-                elif unknown_since_ms is None:
-                    unknown_since_ms = now_ms
-                try:
-                    self._check_wait(request, found, unknown_since_ms, now_ms)
-                    if found.limited is not None:
-                        self._reserve(request, found.limited, now_ms)
-                except Refused as refused:
-                    self._count_expected_retry(request, refused)
-                    raise
-                await self._wait_for_change(request, found)
-        finally:
-            self._stop_waiting(request)
-            if wait_started_ms is not None:
-                waited_ms = self._state.now_ms() - wait_started_ms
-                self._metrics.observe_ms("wait_ms", waited_ms, cause="replica")
-
-    def _reserve(self, request, view, now_ms):
-        """Reserve this VM's next request to a backend server that names a limit."""
-        start = view.record.start
-        if not self._state.limits.is_limited(start):
-            return
-        if request.reserved is None or request.reserved[0] != start:
-            request.reserved = (start, self._state.limits.reserve(start, now_ms))
-
-    def _select_replica(self, request, now_ms):
-        exclude = set(request.unreachable_backends)
-        if len(request.tried) < request.route.attempts:
-            exclude.update(request.tried)
-        unsettled = self._unsettled(request, now_ms)
-        exclude.update(view.record.name for view in unsettled)
-        if request.is_model_request:
-            found = self._selector.select_for_model(
-                request.service,
-                request.metadata,
-                now_ms,
-                exclude,
-                request.reserved,
-                request.software,
-            )
-        else:
-            found = self._selector.select_for_service(
-                request.service, now_ms, exclude, request.reserved, request.software
-            )
-        if (
-            isinstance(found, NoReplicaReady)
-            and found.reason == "no-backend"
-            and self._is_mixed(request)
-        ):
-            raise Refused(
-                503,
-                "version_gone",
-                "no replica of the version that began this stream can go on with it",
-            )
-        if isinstance(found, NoReplicaReady) and found.wait_ms is None:
-            self._check_unsettled(request, found, unsettled)
-        return found
-
-    def _unsettled(self, request, now_ms):
-        """Return view -> time in ms for replicas where a stream may not begin yet."""
-        route = request.route
-        if request.software is not None or not (route.streamed and route.retryable):
-            return {}
-        waits_ms = self._state.software.unsettled(request.service, now_ms)
-        if not waits_ms:
-            return {}
-        return {
-            view: waits_ms[view.record.software]
-            for view in self._state.view.of_service(request.service)
-            if view.record.software in waits_ms
-        }
-
-    def _check_unsettled(self, request, found, unsettled):
-        """Refuse a request that only replicas of a new version could take."""
-        waits_ms = [
-            wait_ms
-            for view, wait_ms in unsettled.items()
-            if not request.is_model_request or request.metadata.model in view.ready
-        ]
-        if waits_ms or (unsettled and found.reason == "no-backend"):
-            raise Refused(
-                503,
-                "version_new",
-                "not all VMs know the replicas' software version yet",
-                clamp_retry_after_ms(min(waits_ms or unsettled.values())),
-            )
-
-    def _check_wait(self, request, found, unknown_since_ms, now_ms):
-        """Refuse a request that will not be ready in time or that has waited too long.
-
-        Parameters
-        ----------
-        request : RelayedRequest
-        found : NoReplicaReady
-        unknown_since_ms : float or None
-            Since when the wait cannot be estimated.
-        now_ms : float
-        """
-        if self._state.stopping:
-            raise _stopping()
-        if found.reason == "no-backend":
-            raise Refused(
-                503, "no_backend", "no backend server", clamp_retry_after_ms(None)
-            )
-        if found.reason == PAUSED:
-            # Callers that were refused together should not come back together.
-            spread = 1 + PAUSE_SPREAD * self._rng.random()
-            raise Refused(
-                503,
-                "backend_paused",
-                "backend servers want no requests now",
-                found.wait_ms * spread,
-            )
-        if found.limited is not None:
-            if now_ms + found.wait_ms > request.start_deadline_ms:
-                raise Refused(
-                    503,
-                    "backend_limited",
-                    "backend servers take no more requests now",
-                    clamp_retry_after_ms(found.retry_after_ms),
-                )
-        elif found.wait_ms is None:
-            # An engine or an adapter slot may become free soon.
-            limit_ms = max(
-                PLACEMENT_DECISION_MS,
-                UNKNOWN_WAIT_FRACTION * request.route.objective_ms,
-            )
-            if now_ms - unknown_since_ms > limit_ms:
-                raise Refused(
-                    503,
-                    f"{found.reason}_missing",
-                    "no replica holds what was asked for",
-                    clamp_retry_after_ms(request.route.objective_ms),
-                )
-        elif now_ms + found.wait_ms > request.start_deadline_ms:
-            raise Refused(
-                503,
-                f"{found.reason}_loading",
-                "what was asked for is not loaded yet",
-                clamp_retry_after_ms(found.wait_ms),
-            )
-
-    def _count_expected_retry(self, request, refused):
-        """Count a refused caller as waiting until it is expected to retry."""
-        if (
-            self._state.stopping
-            or not request.is_model_request
-            or refused.retry_after_ms is None
-        ):
-            return
-        waiting = self._state.demand.waiting
-        target = self._waiting_target(request)
-        waiting[target] = waiting.get(target, 0) + 1
-        asyncio.get_running_loop().call_later(
-            (refused.retry_after_ms + EXPECTED_RETRY_GRACE_MS) / 1000,
-            self._decrement_waiting,
-            target,
-        )
-        self._notify_waiting()
-
-    def _waiting_target(self, request):
-        """Return what a request waits for, with its software version if that matters.
-
-        A model that is loaded at another version is not missing to the placement.
-        """
-        if not request.is_model_request or not self._is_mixed(request):
-            return request.target
-        return f"{request.metadata.model}{SOFTWARE_MARK}{request.software}"
-
-    def _is_mixed(self, request):
-        """Return whether some replicas may not go on with a begun stream."""
-        return request.software is not None and any(
-            view.record.software != request.software
-            for view in self._state.view.of_service(request.service)
-        )
-
-    async def _wait_for_change(self, request, found):
-        target = self._waiting_target(request)
-        if target not in request.waiting_targets:
-            request.waiting_targets[target] = True
-            self._log.info(
-                "request_waits",
-                request_id=request.metadata.request_id,
-                target=target,
-                reason=found.reason,
-                expected_ms=None if found.wait_ms is None else round(found.wait_ms),
-                patience_ms=round(request.start_deadline_ms - self._state.now_ms()),
-                placement_age_ms=self._state.placement_age_ms(),
-            )
-            waiting = self._state.demand.waiting
-            waiting[target] = waiting.get(target, 0) + 1
-            self._notify_waiting()
-        timeout_ms = PLACEMENT_DECISION_MS if found.wait_ms is None else 400.0
-        if found.limited is not None:
-            timeout_ms = min(timeout_ms, found.wait_ms)
-        changed = self._changed
-        try:
-            async with asyncio.timeout(timeout_ms / 1000):
-                await changed.wait()
-        except TimeoutError:
-            return
-
-    def _stop_waiting(self, request):
-        for target in request.waiting_targets:
-            self._decrement_waiting(target)
-        request.waiting_targets.clear()
-
-    def _decrement_waiting(self, target):
-        left = self._state.demand.waiting.get(target, 1) - 1
-        if left > 0:
-            self._state.demand.waiting[target] = left
-        else:
-            self._state.demand.waiting.pop(target, None)
-
     async def _connect(self, request, view):
         connection = self._pool.acquire_idle(
             view.record.address, request.metadata.request_id
@@ -594,13 +344,17 @@
             self._pool.release(connection)
             return None
         try:
-            self._recheck_key(request)
-            self._check_quarantine(request.parts, self._state.now_ms())
+            self._check_allowed(request, self._state.now_ms())
         except Refused:
             self._pool.release(connection)
             raise
         return connection
 
+    def _check_allowed(self, request, now_ms):
+        """Refuse a request that must no longer be sent, though it was admitted."""
+        self._recheck_key(request)
+        self._check_quarantine(request.parts, now_ms)
+
     def _recheck_key(self, request):
         """Refuse a request if its key was withdrawn while it waited."""
         configuration = self._state.configuration
@@ -700,6 +454,7 @@
             else:
                 connection.abort()
             self._record_outcome(request, view, outcome, now_ms)
+            self._waiting.on_room()
 
     def _on_head(self, request, view, metadata):
         """Record what the head of a response says about its backend server."""
@@ -894,13 +649,6 @@
     return Refused(503, "time_limit", "not begun in time", OVERLOADED_RETRY_AFTER_MS)
 
 
-def _stopping():
-    refusal = stop_refusal()
-    return Refused(
-        refusal.status, refusal.code, refusal.message, 1000 * refusal.retry_after_s
-    )
-
-
 def _refused_after_attempt(refused):
     """Return the error for a request that may have run and can't be sent again."""
     if refused.status in (502, 504):
--- a/cassiamount/relayed_request.py
+++ b/cassiamount/relayed_request.py
@@ -139,6 +139,7 @@
         "last_event_id",
         "response_started",
         "waiting_targets",
+        "granted",
         "configuration_version",
         "sends",
         "head_ms",
@@ -177,6 +178,8 @@
         self.last_event_id = ""
         self.response_started = False
         self.waiting_targets = {}
+        # The `WaitingRequest` for which it got its latest replica.
+        self.granted = None
         self.configuration_version = 0
         self.sends = 0
         # Arrival of the response's head and first event in the current attempt.
--- a/cassiamount/replica_selection.py
+++ b/cassiamount/replica_selection.py
@@ -30,6 +30,8 @@
 MAX_RETRY_AFTER_MS = 5_000.0
 # All replicas that could take a request want nothing from this VM for now.
 PAUSED = "paused"
+# All replicas that could take a request are full.
+BUSY = "busy"
 # Retry-After time if the wait cannot be estimated.
 DEFAULT_RETRY_AFTER_MS = 700.0
 
@@ -50,7 +52,8 @@
     Parameters
     ----------
     reason : str
-        What is missing: ``no-backend``, ``model``, ``adapter``, ``limit``, or `PAUSED`.
+        What is missing: ``no-backend``, ``model``, ``adapter``, ``limit``, `PAUSED` or
+        `BUSY`.
     wait_ms : float or None
         Estimated time until a replica is ready; None if unknown.
     limited : BackendView, optional
@@ -113,7 +116,7 @@
         self._limits = limits
 
     def select_for_service(
-        self, service, now_ms, exclude=(), reserved=None, software=None
+        self, service, now_ms, exclude=(), reserved=None, software=None, priority=0
     ):
         """Select a replica for a request that names no model.
 
@@ -127,6 +130,8 @@
             that was reserved there.
         software : str, optional
             The only software version that may get the request.
+        priority : int
+            0 is the most urgent; not used yet.
 
         Returns
         -------
@@ -179,7 +184,14 @@
         return SelectedReplica(view, wait_ms + self._zone_penalty_ms(view))
 
     def select_for_model(
-        self, service, metadata, now_ms, exclude=(), reserved=None, software=None
+        self,
+        service,
+        metadata,
+        now_ms,
+        exclude=(),
+        reserved=None,
+        software=None,
+        priority=0,
     ):
         """Select a replica for a request that names a model.
 
@@ -188,7 +200,7 @@
         service : str
         metadata : RequestMetadata
         now_ms : float
-        exclude, reserved, software
+        exclude, reserved, software, priority
             As in `select_for_service`.
 
         Returns
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -460,9 +460,9 @@
     ),
     Mutation(
         "fleet: a stop refuses what waits",
-        "cassiamount/fleet_relay.py",
-        'if self._state.stopping:\n            raise Refused(503, "stopping"',
-        'if False:\n            raise Refused(503, "stopping"',
+        "cassiamount/replica_waiting.py",
+        "if self._state.stopping:\n            return stopping_refusal()",
+        "if False:\n            return stopping_refusal()",
         "tests/test_fleet_node.py",
     ),
     Mutation(
