--- a/cassiamount/replica_waiting.py
+++ b/cassiamount/replica_waiting.py
@@ -410,7 +410,12 @@
 
 
 def _late_refusal():
-    return Refused(503, "time_limit", "not begun in time", clamp_retry_after_ms(None))
+    return Refused(
+        503,
+        "time_limit",
+        "no backend server was ready by the latest start",
+        clamp_retry_after_ms(None),
+    )
 
 
 def _rounded(value_ms):
