--- a/cassiamount/metadata_store.py
+++ b/cassiamount/metadata_store.py
@@ -129,7 +129,8 @@
         relayed to peers.
     rank : callable, optional
         ``(key, value) -> tuple``: increases with each value that the writer of a key
-        writes; empty if the value cannot be read.
+        writes; empty if the value cannot be read. None for keys whose values have no
+        order: of their records in two eras, the one of the later era counts.
     keeps_lost : bool
         Whether keys that the store has lost stay.
     counter : ChangeCounter, optional
@@ -391,7 +392,8 @@
             return None if record.rank is None else (record.rank, True)
         if self._rank is None:
             return None
-        return self._rank(record.key, record.value), False
+        rank = self._rank(record.key, record.value)
+        return None if rank is None else (rank, False)
 
     def _prune_tombstones(self):
         excess = len(self._changed_offsets) - len(self.values) - MAX_TOMBSTONES
