Limit the requests to cold backend servers

A cold server crashes above a rate that all VMs must keep together in any second. RequestLimits now combines the limit that a server names with that of cold servers; the longer interval applies.

Ruled out: the share of the named limits. It allows N + limit requests in a second with N just under limit + 3 VMs, twice the limit. Turns alone: a VM that stood still would send all turns that passed at once, so the spacing is checked again when a request is sent.

A value that cannot be read gets a bounded meaning and one log line.

--- a/cassiamount/backend_messages.py
+++ b/cassiamount/backend_messages.py
@@ -64,6 +64,8 @@
         Whether the backend server says that it leaves.
     retry_after_ms : float or None
         Time for which a backend server that refuses wants nothing from this VM.
+    cold_ms : float
+        Time for which the backend server says that it is still cold.
     """
 
     __slots__ = (
@@ -80,6 +82,7 @@
         "limit_per_s",
         "leaving",
         "retry_after_ms",
+        "cold_ms",
     )
 
     def __init__(
@@ -97,6 +100,7 @@
         limit_per_s=None,
         leaving=False,
         retry_after_ms=None,
+        cold_ms=0.0,
     ):
         self.status = status
         self.request_id = request_id
@@ -111,6 +115,7 @@
         self.limit_per_s = limit_per_s
         self.leaving = leaving
         self.retry_after_ms = retry_after_ms
+        self.cold_ms = cold_ms
 
 
 class ResponseHead:
--- a/cassiamount/fleet.py
+++ b/cassiamount/fleet.py
@@ -30,6 +30,8 @@
         0 is the most urgent.
     targets : tuple of (str, float)
         Services with their weights.
+    regions : frozenset of str or None
+        The only regions whose backend servers may get requests, if not all may.
     """
 
     __slots__ = (
@@ -46,6 +48,7 @@
         "attempts",
         "priority",
         "targets",
+        "regions",
     )
 
     def __init__(
@@ -63,6 +66,7 @@
         gap_objective_ms=0.0,
         attempts=1,
         priority=DEFAULT_PRIORITY,
+        regions=None,
     ):
         self.name = name
         self.host = host
@@ -77,6 +81,7 @@
         self.gap_objective_ms = gap_objective_ms
         self.attempts = attempts
         self.priority = priority
+        self.regions = regions
 
     @property
     def retryable(self):
@@ -129,14 +134,40 @@
 
 
 class ServiceConfig:
-    """One service; `engine` is None if its backend servers run no models."""
+    """One service; `engine` is None if its backend servers run no models.
 
-    __slots__ = ("name", "max_connections", "engine")
+    Parameters
+    ----------
+    name : str
+    max_connections : int
+    engine : EngineConfig or None
+    cold_start_ms : float
+        Time for which a server is cold after a start during traffic.
+    cold_requests_per_s : float
+        Requests a second that a cold server takes from all VMs; 0 means no limit.
+    """
+
+    __slots__ = (
+        "name",
+        "max_connections",
+        "engine",
+        "cold_start_ms",
+        "cold_requests_per_s",
+    )
 
-    def __init__(self, name, max_connections, engine=None):
+    def __init__(
+        self,
+        name,
+        max_connections,
+        engine=None,
+        cold_start_ms=0.0,
+        cold_requests_per_s=0.0,
+    ):
         self.name = name
         self.max_connections = max_connections
         self.engine = engine
+        self.cold_start_ms = cold_start_ms
+        self.cold_requests_per_s = cold_requests_per_s
 
 
 class TeamConfig:
@@ -154,6 +185,8 @@
         Charge for a request that states no tokens.
     charged_by_tokens : bool
         Whether the budget counts tokens; otherwise each request costs 1.
+    regions : frozenset of str or None
+        As in `RouteConfig`; both apply.
     """
 
     __slots__ = (
@@ -164,6 +197,7 @@
         "burst_tokens",
         "default_tokens",
         "charged_by_tokens",
+        "regions",
     )
 
     def __init__(
@@ -175,6 +209,7 @@
         burst_tokens=0.0,
         default_tokens=1.0,
         charged_by_tokens=False,
+        regions=None,
     ):
         self.name = name
         self.key_hashes = frozenset(key_hashes)
@@ -183,6 +218,7 @@
         self.burst_tokens = burst_tokens
         self.default_tokens = default_tokens
         self.charged_by_tokens = charged_by_tokens
+        self.regions = regions
 
     def cost_tokens(self, tokens):
         """Return what a request costs of the team's budget.
@@ -227,17 +263,29 @@
     keyed : bool
         Whether requests need an API key; false for a configuration without teams.
     limits : CallerLimits
+    remarks : tuple of str
+        Values that could not be read and were replaced by a default.
     """
 
-    __slots__ = ("version", "routes", "services", "teams", "keyed", "limits", "_keys")
+    __slots__ = (
+        "version",
+        "routes",
+        "services",
+        "teams",
+        "keyed",
+        "limits",
+        "remarks",
+        "_keys",
+    )
 
-    def __init__(self, version, routes, services, teams, keyed, limits):
+    def __init__(self, version, routes, services, teams, keyed, limits, remarks=()):
         self.version = version
         self.routes = RouteTable(routes)
         self.services = services
         self.teams = teams
         self.keyed = keyed
         self.limits = limits
+        self.remarks = tuple(remarks)
         self._keys = KeyTable(
             {key: team.name for team in teams.values() for key in team.key_hashes}
         )
@@ -279,6 +327,20 @@
         return None
 
 
+def allowed_regions(route, team):
+    """Return the regions that may get a request, or None if all may.
+
+    Parameters
+    ----------
+    route : RouteConfig
+    team : TeamConfig or None
+    """
+    regions = None if team is None else team.regions
+    if route.regions is None or regions is None:
+        return route.regions if regions is None else regions
+    return route.regions & regions
+
+
 def choose_target(route, rng):
     """Return a service for a request, chosen at random by the weights of its route."""
     if len(route.targets) == 1:
@@ -315,6 +377,9 @@
         Increases with each entry that the server writes after a start.
     software : str
         Version of the server's software; empty if its entry names none.
+    cold_ms : float
+        Time for which the server was still cold when it wrote the entry; not a number
+        if the entry's value cannot be read.
     """
 
     __slots__ = (
@@ -331,6 +396,7 @@
         "on_disk",
         "heartbeats",
         "software",
+        "cold_ms",
     )
 
     def __init__(
@@ -348,6 +414,7 @@
         on_disk=frozenset(),
         heartbeats=0,
         software="",
+        cold_ms=0.0,
     ):
         self.name = name
         self.service = service
@@ -362,6 +429,7 @@
         self.on_disk = on_disk
         self.heartbeats = heartbeats
         self.software = software
+        self.cold_ms = cold_ms
 
     @property
     def rank(self):
@@ -380,12 +448,13 @@
         """Return whether another entry has the same meaning.
 
         Heartbeats and the remaining time, which follows from the first entry that
-        states it, change without a meaning.
+        states it, change without a meaning. Whether a changed cold time has one
+        depends on when the entries came (`ColdServers.is_news`).
         """
         return all(
             getattr(self, name) == getattr(other, name)
             for name in self.__slots__
-            if name not in ("remaining_ms", "heartbeats")
+            if name not in ("remaining_ms", "heartbeats", "cold_ms")
         )
 
 
--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -194,7 +194,12 @@
             list_of(row(list_of(text, least=1), number)),
         )
     ),
-    optional(row(list_of(row(text, number, optional(number), number)))),
+    optional(
+        row(
+            list_of(row(text, number, optional(number), number)),
+            list_of(row(text, number, number)),
+        )
+    ),
     list_of(_PLACE),
     flag,
     list_of(row(text, number)),
--- a/cassiamount/json_values.py
+++ b/cassiamount/json_values.py
@@ -1,5 +1,7 @@
 """Checks of parsed JSON that another program has written."""
 
+import math
+
 import orjson
 
 # Counts and positions stay below 2**53, which all JSON readers keep exact.
@@ -31,6 +33,13 @@
     return value
 
 
+def amount_or_nan(value, most):
+    """Return an amount from 0 to a maximum; not a number if it is something else."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return math.nan
+    return float(value) if 0 <= value <= most else math.nan
+
+
 def parse_object(data):
     """Return the JSON object in bytes.
 
--- a/cassiamount/platform/components.py
+++ b/cassiamount/platform/components.py
@@ -11,6 +11,7 @@
 
     configuration = staticmethod(documents.decode_configuration)
     backend = staticmethod(documents.decode_backend)
+    evacuation = staticmethod(documents.decode_evacuation)
 
 
 def build_platform(settings):
--- a/cassiamount/platform/documents.py
+++ b/cassiamount/platform/documents.py
@@ -1,9 +1,11 @@
 """Decodes the platform's configuration and its entries of backend servers."""
 
+import math
 import re
 
 import orjson
 
+from ..cold_servers import MAX_COLD_MS, MAX_COLD_PER_S
 from ..fleet import (
     BackendRecord,
     CallerLimits,
@@ -15,6 +17,7 @@
     TeamConfig,
 )
 from ..json_values import (
+    amount_or_nan,
     count_field,
     count_of,
     optional_field,
@@ -42,21 +45,47 @@
     """
     try:
         document = orjson.loads(data)
+        remarks = []
         return FleetConfiguration(
             count_of(int(document["Version"])),
             [_route(value) for value in document["Routes"]],
-            {value["Name"]: _service(value) for value in document["Services"]},
+            {value["Name"]: _service(value, remarks) for value in document["Services"]},
             {
                 _header_text(value["Name"]): _team(value)
                 for value in document.get("Tenants") or ()
             },
             bool(document.get("Tenants")),
             _limits(document.get("Limits") or {}),
+            remarks,
         )
     except MALFORMED as error:
         raise UnreadableDocument(f"configuration: {error!r}") from error
 
 
+def decode_evacuation(key):
+    """Return the zone that a key of the configuration's topic orders to evacuate.
+
+    None if the key is no such order.
+    """
+    prefix, _, zone = key.partition("/")
+    return zone if prefix == "evacuate" and zone else None
+
+
+def _cold_value(service, field, most, remarks):
+    amount = amount_or_nan(service.get(field) or 0, most)
+    if math.isnan(amount):
+        remarks.append(
+            f"{field} of service {service['Name']!r} is not from 0 to {most}"
+        )
+        return 0.0
+    return amount
+
+
+def _regions(value):
+    """Return the regions in a list that may be missing or empty, or None."""
+    return strings_field(value, "RegionsAllowed") or None
+
+
 def _route(value):
     targets = [(value["Service"], 1.0)] if value.get("Service") else []
     if value.get("Split"):
@@ -76,15 +105,18 @@
         gap_objective_ms=float(value.get("GapGoalMs") or 0),
         attempts=int(value.get("Attempts") or 1),
         priority=int(value["Priority"]) if value.get("Priority") is not None else 5,
+        regions=_regions(value),
     )
 
 
-def _service(value):
+def _service(value, remarks):
     engine = value.get("Engine")
     return ServiceConfig(
         value["Name"],
         int(value.get("MaxConns") or 0),
         None if not engine else _engine(engine),
+        1000 * _cold_value(value, "ColdStartS", MAX_COLD_MS / 1000, remarks),
+        _cold_value(value, "ColdPerS", MAX_COLD_PER_S, remarks),
     )
 
 
@@ -130,6 +162,7 @@
         float(value.get("Burst") or 0),
         float(value.get("RawTokens") or 1),
         charged_by_tokens,
+        _regions(value),
     )
 
 
@@ -181,6 +214,7 @@
             strings_field(available, "OnDisk"),
             count_field(value, "Seq") if "Seq" in value else 0,
             optional_field(value, "Version", str, ""),
+            amount_or_nan(value.get("ColdRemainingMs") or 0, MAX_COLD_MS),
         )
     except MALFORMED as error:
         raise UnreadableDocument(f"server {name!r}: {error!r}") from error
--- a/cassiamount/platform/headers.py
+++ b/cassiamount/platform/headers.py
@@ -5,6 +5,7 @@
 import structlog
 
 from ..backend_messages import ResponseMetadata
+from ..cold_servers import cold_time_of
 from ..fleet import RequestMetadata
 
 log = structlog.get_logger()
@@ -28,6 +29,7 @@
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+COLD_START = b"x-cassiamount-cold-start-ms"
 
 # Headers that only the system may set; those of a caller are dropped.
 SYSTEM_HEADERS = frozenset(
@@ -210,6 +212,7 @@
         _limit_per_s(values.get(SERVER_LIMIT)),
         values.get(SERVER_LEAVING, b"").strip() == b"1",
         _retry_after_ms(headers) if status == 503 else None,
+        cold_time_of(values.get(COLD_START, b"0")),
     )
 
 
@@ -249,7 +252,10 @@
 
 
 # Response headers that apply only to the connection to the backend server.
-DROPPED_RESPONSE_HEADERS = CONNECTION_HEADERS - {b"content-length"} | {LOAD, INSTANCE}
+OWN_RESPONSE_HEADERS = {LOAD, INSTANCE, COLD_START}
+DROPPED_RESPONSE_HEADERS = (
+    CONNECTION_HEADERS - {b"content-length"} | OWN_RESPONSE_HEADERS
+)
 
 
 def response_headers(headers):
--- a/cassiamount/platform/settings.py
+++ b/cassiamount/platform/settings.py
@@ -4,7 +4,7 @@
 from result import Err, Ok
 
 from ..findings import Finding
-from ..vm_settings import VmSettings
+from ..vm_settings import VmSettings, readable_regions
 
 # Environment variable that names the file.
 FILE_VARIABLE = "CASSIAMOUNT_NODE_FILE"
@@ -35,6 +35,10 @@
     (("Limits", "Cores"), (int, float), "cores", 1),
     (("Limits", "MaxFds"), int, "max_descriptors", None),
     (("Limits", "MemoryMb"), (int, float), "memory_mb", 300),
+    (("Bounds", "EvacuateMs"), (int, float), "evacuate_ms", 5_000),
+    (("Bounds", "ColdOverrun"), (int, float), "cold_overrun", 1.5),
+    (("Bounds", "ColdSlack"), (int, float), "cold_slack", 5),
+    (("Zones",), (list, dict), "zone_regions", ()),
 )
 
 
@@ -81,6 +85,10 @@
         return Err(findings)
     # The share is one of a core that is this many times as fast.
     values["processor_cores"] = round(values.pop("cpu_share") * values.pop("cores"), 2)
+    zones = values["zone_regions"]
+    if not isinstance(zones, dict):
+        zones = {str(z["Name"]): z.get("Region") for z in zones if "Name" in z}
+    values["zone_regions"] = readable_regions(zones)
     return Ok(VmSettings(**values))
 
 
--- a/cassiamount/request_limits.py
+++ b/cassiamount/request_limits.py
@@ -1,10 +1,13 @@
-"""Request limits that backend servers name, kept by all VMs together."""
+"""Request limits of backend servers, named or while cold, kept by all VMs together."""
 
 import hashlib
 import math
 
 import structlog
 
+from .cold_servers import ColdServers
+from .zone_evacuation import ZoneEvacuations
+
 # A limit ends with an answer without one, if none has named it for this time.
 RELEASE_MS = 2_000.0
 # A limit that goes on is reported to peers again after this time.
@@ -28,16 +31,19 @@
     limits : list
         ``[backend, started_wall_ms, limit_per_s, age_ms]`` each; a limit of None has
         ended.
+    cold : list
+        ``[backend, started_wall_ms, remaining_ms]`` each, of servers that became cold.
     """
 
-    __slots__ = ("limits",)
+    __slots__ = ("limits", "cold")
 
-    def __init__(self, limits):
+    def __init__(self, limits, cold=()):
         self.limits = limits
+        self.cold = cold
 
     def to_value(self):
         """Return the list that represents this object in a report."""
-        return [self.limits]
+        return [self.limits, list(self.cold)]
 
 
 class _Limit:
@@ -76,20 +82,35 @@
     counter : ChangeCounter
     vm_names : callable
         Returns the names of all VMs that may be sending requests.
+    cold : ColdServers, optional
+        Cold servers have a limit too; the lower one applies.
     """
 
-    __slots__ = ("_own_name", "_counter", "_vm_names", "_limits")
+    __slots__ = ("cold", "_own_name", "_counter", "_vm_names", "_limits")
 
-    def __init__(self, own_name, counter, vm_names):
+    def __init__(self, own_name, counter, vm_names, cold=None):
+        self.cold = cold or ColdServers(own_name, vm_names, ZoneEvacuations())
         self._own_name = own_name
         self._counter = counter
         self._vm_names = vm_names
         self._limits = {}
 
-    def is_limited(self, server):
-        """Return whether a server names a limit."""
+    def is_limited(self, server, now_ms=math.inf):
+        """Return whether a server names a limit, or is cold at a time that is given."""
         known = self._limits.get(server)
-        return known is not None and known.limit_per_s is not None
+        if known is not None and known.limit_per_s is not None:
+            return True
+        return self.cold.limit_per_s(server, now_ms) is not None
+
+    def record_cold(self, server, cold_ms, now_ms):
+        """Record that a response says for how long its server is cold.
+
+        Returns
+        -------
+        bool
+            Whether peers should learn of it soon.
+        """
+        return self.cold.record_stated(server, cold_ms, now_ms, self._counter.next)
 
     def record_answer(self, server, limit_per_s, now_ms):
         """Record the limit that an answer names, or None.
@@ -111,31 +132,48 @@
 
     def is_stale(self, server, now_ms):
         """Return whether a request should find out if a limit goes on."""
-        return now_ms > self._limits[server].named_ms + CHECK_MS
+        known = self._limits.get(server)
+        if known is None or known.limit_per_s is None:
+            return False
+        return now_ms > known.named_ms + CHECK_MS
 
     def delay_ms(self, server, now_ms):
         """Return the time until this VM may send a request; infinite if others do."""
         known = self._limits.get(server)
-        if known is None or known.limit_per_s is None:
+        interval_ms = self._combined_ms(server, known, now_ms)
+        if not interval_ms:
             return 0.0
-        if not self._interval_ms(server, known) < math.inf:
+        if not interval_ms < math.inf:
             return math.inf
-        return max(0.0, known.next_ms - now_ms)
+        return 0.0 if known is None else max(0.0, known.next_ms - now_ms)
 
     def retry_after_ms(self, server, now_ms):
         """Return the time until some VM may send a request to a server."""
-        known = self._limits[server]
-        return min(self.delay_ms(server, now_ms), 1000.0 / known.limit_per_s)
+        known = self._limits.get(server)
+        limits = [
+            None if known is None else known.limit_per_s,
+            self.cold.limit_per_s(server, now_ms),
+        ]
+        limit_per_s = min((n for n in limits if n is not None), default=math.inf)
+        return min(self.delay_ms(server, now_ms), 1000.0 / limit_per_s)
 
     def reserve(self, server, now_ms):
         """Reserve this VM's next request to a server; return its time."""
         known = self._limits.get(server)
-        if known is None or known.limit_per_s is None:
+        interval_ms = self._combined_ms(server, known, now_ms)
+        if not interval_ms:
             return now_ms
+        if known is None:
+            known = self._limits[server] = _Limit()
         at_ms = max(now_ms, known.next_ms)
-        known.next_ms = at_ms + self._interval_ms(server, known)
+        if interval_ms < math.inf:
+            known.next_ms = at_ms + interval_ms
         return at_ms
 
+    def take_turn(self, server, now_ms):
+        """Return whether a request may be sent at this moment, and count it."""
+        return self.cold.take_turn(server, now_ms)
+
     def remove_others(self, servers):
         """Forget the servers that are gone."""
         for server in self._limits.keys() - servers:
@@ -150,11 +188,12 @@
             for server, known in self._limits.items()
             if known.version > since_version
         ]
-        return LimitsPart(limits) if limits else None
+        cold = self.cold.part_since(since_version, now_ms)
+        return LimitsPart(limits, cold) if limits or cold else None
 
     def apply(self, part, now_ms):
         """Apply what a peer reported; return whether it was new."""
-        news = False
+        news = self.cold.apply(part.cold, now_ms, self._counter.next)
         for backend, started_wall_ms, limit_per_s, age_ms in part.limits:
             server = (backend, started_wall_ms)
             news |= self._set(server, limit_per_s, now_ms - age_ms, now_ms)
@@ -189,6 +228,13 @@
             )
         return changed
 
+    def _combined_ms(self, server, known, now_ms):
+        """Return the longer of the intervals of both limits; 0 without a limit."""
+        interval_ms = self.cold.interval_ms(server, now_ms)
+        if known is None or known.limit_per_s is None:
+            return interval_ms
+        return max(interval_ms, self._interval_ms(server, known))
+
     def _interval_ms(self, server, known):
         """Return the time between this VM's requests; infinite if it sends none."""
         names = self._vm_names()
--- a/cassiamount/vm_settings.py
+++ b/cassiamount/vm_settings.py
@@ -1,5 +1,9 @@
 """Settings of one VM that runs in front of a fleet."""
 
+import structlog
+
+log = structlog.get_logger()
+
 
 class VmSettings:
     """Settings that a VM reads when it starts.
@@ -38,6 +42,14 @@
         Most descriptors that the VM's process may open.
     memory_mb : float
         Memory beyond which the platform kills the VM's process.
+    evacuate_ms : float
+        Time after the write of an order to evacuate a zone from which no request may
+        reach its backend servers.
+    cold_overrun, cold_slack : float
+        Requests that a cold server takes in any one second: a multiple of its service's
+        limit plus a number.
+    zone_regions : dict of str to str
+        Region of each availability zone; empty if the settings name none.
     """
 
     __slots__ = (
@@ -62,6 +74,10 @@
         "processor_cores",
         "max_descriptors",
         "memory_mb",
+        "evacuate_ms",
+        "cold_overrun",
+        "cold_slack",
+        "zone_regions",
     )
 
     def __init__(self, **values):
@@ -80,3 +96,18 @@
     def ip(self):
         """The VM's own IP address."""
         return self.caller_address.rpartition(":")[0]
+
+
+def readable_regions(zones):
+    """Return zone -> region for the entries that can be read; log the others.
+
+    Only requests that are limited to some regions depend on them, and a VM that does
+    not start for a wrong entry serves none.
+    """
+    regions = {}
+    for zone, region in zones.items():
+        if isinstance(zone, str) and isinstance(region, str) and region:
+            regions[zone] = region
+        else:
+            log.warning("zone_region_unreadable", zone=repr(zone)[:80])
+    return regions
