Send no requests to evacuated zones, few to cold servers, none out of region

FleetState derives the orders from the configuration's stream, feeds the cold servers from the list, and tells in the log when a zone is empty. The placement counts engines of evacuated zones neither as copies nor as candidates.

A VM that learns of an order late derives the time for only copies from the last proof that the order was not there, and has none without such a proof.

--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -220,6 +220,7 @@
                     or self._state.notices.pause_ms(view.record.start, now_ms) > 0
                 }
             )
+            placement.evacuated = frozenset(self._state.evacuations.zones)
             placement.set_demand(running, waiting, rates, now_ms)
             for engine in placement.engines.values():
                 self._query_if_unknown(engine, now_ms)
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -272,6 +272,10 @@
         self.state.key_freshness.limit_ms = settings.key_limit_ms
         self.state.retry_budget.ratio = settings.retry_ratio
         self.state.retry_budget.slack = settings.retry_slack
+        self.state.evacuations.bound_ms = settings.evacuate_ms
+        self.state.limits.cold.overrun = settings.cold_overrun
+        self.state.limits.cold.slack = settings.cold_slack
+        self.state.settings.zone_regions = settings.zone_regions
         self._settings.grace_s = settings.grace_s
         if self._schedule is not None:
             self._schedule.limit_grace(settings.grace_s * 1000)
@@ -379,8 +383,14 @@
                     **self._controller.status(),
                     **process_usage(),
                     task_restarts=self._supervisor.restarts,
+                    **self._evacuation_status(),
                 )
 
+    def _evacuation_status(self):
+        """Return the zones that are ordered to be evacuated, for the log."""
+        status = self.state.evacuations.status(self._clock.monotonic_ms())
+        return {"evacuations": status} if status else {}
+
     async def _drain(self):
         """Finish accepted requests, and stop accepting new ones."""
         schedule = StopSchedule(self._stop_requested_ms, self._settings.grace_s * 1000)
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -46,6 +46,8 @@
         self.pinned = {}
         # Engines that name a request limit; their copies serve too few requests.
         self.limited = frozenset()
+        # Zones whose engines count neither as copies nor as candidates.
+        self.evacuated = frozenset()
         self._adapter_waiting = {}
         self._running = {}
         # Engine -> its requests, in total and by model.
@@ -170,7 +172,10 @@
         dict of str to float
             Model -> time.
         """
-        live = sum(not engine.record.leaving for engine in self.engines.values())
+        live = sum(
+            not engine.record.leaving and engine.record.zone not in self.evacuated
+            for engine in self.engines.values()
+        )
         concurrent_changes = max(1, math.ceil(RARE_CHANGE_ENGINE_FRACTION * live))
         ready_times = {}
         for position, name in enumerate(missing_models):
@@ -247,6 +252,7 @@
                 engine.record.leaving
                 or model in engine.drained
                 or engine.record.name in self.limited
+                or engine.record.zone in self.evacuated
             ):
                 continue
             if (model, adapter) in engine.adapters_loading:
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -8,7 +8,7 @@
 from .backend_messages import Attempt
 from .crash_detector import CrashDetector, EndedAttempt
 from .crash_quarantine import MAX_LOGGED_PARTS
-from .fleet import choose_target
+from .fleet import allowed_regions, choose_target
 from .fleet_orders import SOFTWARE_MARK
 from .graceful_stop import AnswerTimes, stop_refusal
 from .model_demand import LATENCY_SENSITIVE_OBJECTIVE_MS
@@ -278,7 +278,7 @@
         while True:
             self._check_time(request)
             selected = await self._wait_for_replica(request)
-            connection = await self._connect(request, selected.view)
+            connection = await self._connect(request, selected)
             if connection is None:
                 continue
             try:
@@ -365,7 +365,7 @@
     def _reserve(self, request, view, now_ms):
         """Reserve this VM's next request to a backend server that names a limit."""
         start = view.record.start
-        if not self._state.limits.is_limited(start):
+        if not self._state.limits.is_limited(start, now_ms):
             return
         if request.reserved is None or request.reserved[0] != start:
             request.reserved = (start, self._state.limits.reserve(start, now_ms))
@@ -376,6 +376,7 @@
             exclude.update(request.tried)
         unsettled = self._unsettled(request, now_ms)
         exclude.update(view.record.name for view in unsettled)
+        exclude.update(self._outside_regions(request))
         if request.is_model_request:
             found = self._selector.select_for_model(
                 request.service,
@@ -403,6 +404,18 @@
             self._check_unsettled(request, found, unsettled)
         return found
 
+    def _outside_regions(self, request):
+        """Return the backend servers that may not get a request of its regions."""
+        regions = allowed_regions(request.route, request.team)
+        if regions is None:
+            return ()
+        region_of = self._state.settings.zone_regions.get
+        return [
+            view.record.name
+            for view in self._state.view.of_service(request.service)
+            if region_of(view.record.zone) not in regions
+        ]
+
     def _unsettled(self, request, now_ms):
         """Return view -> time in ms for replicas where a stream may not begin yet."""
         route = request.route
@@ -559,7 +572,8 @@
         else:
             self._state.demand.waiting.pop(target, None)
 
-    async def _connect(self, request, view):
+    async def _connect(self, request, selected):
+        view = selected.view
         connection = self._pool.acquire_idle(
             view.record.address, request.metadata.request_id
         )
@@ -569,6 +583,9 @@
             except OSError as error:
                 now_ms = self._state.now_ms()
                 view.avoided_until_ms = now_ms + UNREACHABLE_AVOID_MS
+                if isinstance(error, ConnectionRefusedError):
+                    # No process listens: it will start anew, and be cold.
+                    self._state.limits.cold.record_lost(view.record.start, now_ms)
                 request.unreachable_backends.add(view.record.name)
                 self._log.info(
                     "backend_unreachable",
@@ -599,8 +616,33 @@
         except Refused:
             self._pool.release(connection)
             raise
+        reason = self._why_not_now(selected)
+        if reason is not None:
+            self._pool.release(connection)
+            request.reserved = None
+            self._metrics.count("requests_held_back_total", reason=reason)
+            self._log.info(
+                "request_held_back",
+                request_id=request.metadata.request_id,
+                backend=view.record.name,
+                zone=view.record.zone,
+                reason=reason,
+            )
+            return None
         return connection
 
+    def _why_not_now(self, selected):
+        """Return why a selected replica may not get its request now, or None.
+
+        While the connection was opened its zone may have been ordered to be evacuated,
+        or it may have become cold.
+        """
+        state, record = self._state, selected.view.record
+        now_ms = state.now_ms()
+        if not state.evacuations.accepts(record.zone, now_ms, selected.is_only_copy):
+            return "evacuated"
+        return None if state.limits.take_turn(record.start, now_ms) else "cold"
+
     def _recheck_key(self, request):
         """Refuse a request if its key was withdrawn while it waited."""
         configuration = self._state.configuration
@@ -716,6 +758,11 @@
 
     def _record_notices(self, record, metadata):
         notices, now_ms = self._state.notices, self._state.now_ms()
+        if metadata.cold_ms and self._state.limits.record_cold(
+            record.start, metadata.cold_ms, now_ms
+        ):
+            self._state.notify()
+            self._notify_peers()
         if metadata.leaving and notices.record_leaving(record.start):
             self._metrics.count("backends_leaving_total")
             self._log.info(
@@ -774,6 +821,7 @@
         view = self._state.view.backends.get(record.name)
         if view is not None and view.record.start == record.start:
             view.avoided_until_ms = now_ms + UNREACHABLE_AVOID_MS
+        self._state.limits.cold.record_lost(record.start, now_ms)
         if self._state.quarantine.record_crash(*record.start, requests, lost_ms):
             self._state.notify()
             self._notify_peers()
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -6,6 +6,7 @@
 import structlog
 
 from .change_counter import ChangeCounter
+from .cold_servers import FIRST_LIST_MS, ColdServers
 from .crash_quarantine import CrashQuarantine
 from .engine_residency import RESIDENCY_EXPIRY_MS, EngineResidency
 from .fleet_demand import FleetDemand
@@ -30,6 +31,7 @@
 from .software_versions import SoftwareVersions
 from .store_position import era_of
 from .vm_state import VmState
+from .zone_evacuation import ZoneEvacuations
 
 # In a small fleet a VM relays records that a peer reported only to VMs that still lack
 # them after this many report periods, because the VM that read the store reports them
@@ -55,6 +57,9 @@
 PEER_GRACE_MS = 1_000.0
 # The same for a relay to tell of all VMs.
 FLEET_GRACE_MS = 2_000.0
+# A VM that hears no other one and has had no proof of its list of backend servers for
+# this long, the time of two heartbeats, may have missed that servers became cold.
+UNSURE_AGE_MS = 3_000.0
 # Time after the start in which a VM may hear of streams that began before it.
 HEARSAY_MS = 3_000.0
 
@@ -81,7 +86,8 @@
         self.configuration = None
         self._counter = ChangeCounter()
         self.notices = ServerNotices(self._counter)
-        self.view = FleetView(self.notices)
+        self.evacuations = ZoneEvacuations(settings.evacuate_ms)
+        self.view = FleetView(self.notices, self.evacuations)
         self.peers = PeerTable(
             VmState(
                 settings.vm_name,
@@ -123,8 +129,16 @@
         self.lease = OrderLease(settings.order_turn_ms, now_ms)
         self.residency = EngineResidency(self._counter)
         self.quarantine = CrashQuarantine(self._counter)
+        cold = ColdServers(
+            settings.vm_name,
+            lambda: self.peers.sending_vms() if self.knows_fleet else (),
+            self.evacuations,
+            settings.cold_overrun,
+            settings.cold_slack,
+        )
+        cold.is_unsure = True
         self.limits = RequestLimits(
-            settings.vm_name, self._counter, self.peers.sending_vms
+            settings.vm_name, self._counter, self.peers.sending_vms, cold
         )
         # Whether this VM has been told of all others since its start. Before that it
         # cannot know which part of a shared limit it may use.
@@ -140,6 +154,12 @@
         self._begun_ms = now_ms
         # Backend server -> (offset of its entry, BackendRecord).
         self._records = {}
+        # Whether this VM has had a list of the backend servers.
+        self._has_list = False
+        # Time until which orders that an older copy of the store has again may be
+        # removed again, and whether any such order waits for it.
+        self._restored_until_ms = -math.inf
+        self._has_doubtful_orders = False
         # Backend server -> offset of its entry that could not be decoded.
         self._unreadable = {}
         # Backend server -> time since which its entry is missing.
@@ -227,6 +247,7 @@
                 unheard=sorted(self.peers.unheard_vms()),
                 share=self.quota.share,
             )
+            self._review_certainty(now_ms)
             self.notify()
 
     def is_starting(self):
@@ -328,6 +349,7 @@
         else:
             self._peer_positions[stream].append((view.next_offset, self.now_ms()))
         if stream == CONFIGURATION:
+            self._apply_evacuations(source, before_offset)
             self._apply_configuration(source)
         else:
             self._apply_backends()
@@ -342,6 +364,8 @@
             # After a start the store may just have lost what other VMs had taken.
             if not is_start or not self.settings.first_start:
                 self._settled_ms = now_ms + ERA_SETTLE_MS
+            if not is_start:
+                self._restored_until_ms = now_ms + ERA_SETTLE_MS
         else:
             if not is_start or not self.settings.first_start:
                 self._relisted_ms = now_ms + LOST_ENTRY_GRACE_MS
@@ -356,6 +380,90 @@
                 lost=sorted(lost),
             )
 
+    def _apply_evacuations(self, source, before_offset=None):
+        """Apply the orders to evacuate zones.
+
+        Parameters
+        ----------
+        source : str
+            As in `on_records`.
+        before_offset : int or None
+            End of the records that this VM had before, as far as it had any.
+        """
+        now_ms = self.now_ms()
+        evacuations = self.evacuations
+        changes = evacuations.changes
+        self._has_doubtful_orders = False
+        ordered = set()
+        for key, (offset, _) in self.streams[CONFIGURATION].values.items():
+            zone = self._decoder.evacuation(key)
+            if zone is None:
+                continue
+            ordered.add(zone)
+            if evacuations.is_evacuated(zone):
+                continue
+            if now_ms < self._restored_until_ms and evacuations.was_removed(zone):
+                self._has_doubtful_orders = True
+                continue
+            absent_ms = -math.inf
+            if (
+                before_offset is not None
+                and offset >= before_offset
+                and era_of(offset) == era_of(before_offset)
+            ):
+                absent_ms = self.key_freshness.current_as_of_ms or absent_ms
+            evacuations.set_order(zone, now_ms, absent_ms)
+            log.info(
+                "evacuation_ordered",
+                zone=zone,
+                source=source,
+                offset=offset,
+                known_zone=self._is_zone(zone),
+                age_ms=None if math.isinf(absent_ms) else round(now_ms - absent_ms),
+            )
+        for zone in list(evacuations.zones - ordered):
+            evacuations.remove_order(zone, now_ms)
+            log.info("evacuation_removed", zone=zone, source=source)
+        if evacuations.changes == changes:
+            return
+        zones = {view.record.zone for view in self.view.backends.values()}
+        if zones and zones <= evacuations.zones:
+            log.warning("evacuation_of_all_zones", zones=sorted(zones))
+        self.notify()
+
+    def _is_zone(self, zone):
+        """Return whether a VM or a backend server is known to be in a zone."""
+        return (
+            zone == self.settings.zone
+            or zone in self.settings.zone_regions
+            or any(view.record.zone == zone for view in self.view.backends.values())
+        )
+
+    def _review_evacuations(self, now_ms):
+        """Count the requests that still run in evacuated zones."""
+        if self._has_doubtful_orders and now_ms >= self._restored_until_ms:
+            self._apply_evacuations(FROM_STORE)
+        if not self.evacuations.zones:
+            return
+        running = {zone: [0, 0] for zone in self.evacuations.zones}
+        for view in self.view.backends.values():
+            counts = running.get(view.record.zone)
+            if counts is not None:
+                counts[0] += view.own_requests
+                counts[1] += view.peer_requests
+        for zone, (own, others) in running.items():
+            if self.evacuations.record_running(zone, own, others):
+                log.info(
+                    "zone_empty", zone=zone, **self.evacuations.status(now_ms)[zone]
+                )
+
+    def _review_certainty(self, now_ms):
+        """Set whether this VM may have missed that servers became cold."""
+        is_alone = self.peers.vm_count(now_ms) > 1 and not self._linked_peers(now_ms)
+        self.limits.cold.is_unsure = not self.knows_fleet or (
+            is_alone and self.list_age_ms(now_ms) > UNSURE_AGE_MS
+        )
+
     def _apply_configuration(self, source):
         known = self.streams[CONFIGURATION].values.get(CONFIGURATION_KEY)
         if known is None:
@@ -371,6 +479,14 @@
             return
         self.quota.set_teams(configuration.teams, self.now_ms())
         self.configuration = configuration
+        self.limits.cold.set_services(
+            {
+                service.name: (service.cold_start_ms, service.cold_requests_per_s)
+                for service in configuration.services.values()
+            }
+        )
+        for remark in configuration.remarks:
+            log.warning("configuration_value_unreadable", remark=remark)
         log.info(
             "configuration_taken",
             version=configuration.version,
@@ -421,6 +537,13 @@
         self.software.observe(
             [view.record for view in self.view.backends.values()], now_ms
         )
+        self.limits.cold.observe(
+            [view.record for view in self.view.backends.values()],
+            now_ms,
+            not self._has_list,
+            self.settings.first_start and now_ms - self._begun_ms < FIRST_LIST_MS,
+        )
+        self._has_list = True
         self.limits.remove_others(
             {view.record.start for view in self.view.backends.values()}
         )
@@ -467,6 +590,10 @@
         return record
 
     def _rank_configuration(self, key, data):
+        if key != CONFIGURATION_KEY:
+            # Orders have no order among themselves: the later era of the store counts,
+            # so that an order after its removal and a restored store is obeyed.
+            return None
         try:
             return (self._decoder.configuration(data).version,)
         except ValueError:
@@ -481,7 +608,9 @@
     def _same_backend(self, name, before, after):
         try:
             known = self._decoder.backend(name, before)
-            return self._decoder.backend(name, after).same_as(known)
+            record = self._decoder.backend(name, after)
+            is_news = self.limits.cold.is_news(record, self.now_ms())
+            return record.same_as(known) and not is_news
         except ValueError:
             return False
 
@@ -550,7 +679,8 @@
         return targets - {report.vm, None}
 
     def _configuration_version(self):
-        return None if self.configuration is None else self.configuration.version
+        version = None if self.configuration is None else self.configuration.version
+        return version, self.evacuations.changes
 
     def _apply_states(self, report, now_ms):
         """Apply the states in a report; return whether there is urgent news."""
@@ -643,6 +773,8 @@
         self.demand.rates.forget_idle(now_ms)
         self._recount_peer_requests()
         self.remove_missing_backends()
+        self._review_evacuations(now_ms)
+        self._review_certainty(now_ms)
         self.quarantine.remove_expired(now_ms)
         flags_changed = self._update_own_state(now_ms)
         return self._linked_peers(now_ms) if lost or flags_changed else set()
--- a/cassiamount/fleet_view.py
+++ b/cassiamount/fleet_view.py
@@ -3,6 +3,7 @@
 from collections import deque
 
 from .invariants import LEAVING_BACKEND_IDLE, require
+from .zone_evacuation import ZoneEvacuations
 
 # Outcomes of attempts older than this do not count towards a failure rate.
 OUTCOME_WINDOW_MS = 4_000.0
@@ -103,10 +104,12 @@
     Parameters
     ----------
     notices : ServerNotices
+    evacuations : ZoneEvacuations, optional
     """
 
-    def __init__(self, notices):
+    def __init__(self, notices, evacuations=None):
         self.notices = notices
+        self.evacuations = evacuations or ZoneEvacuations()
         self.backends = {}
         # Model whose load is queued -> time at which some engine should have it ready.
         self.queued = {}
@@ -186,6 +189,25 @@
             if not view.leaving
             and view.record.name not in exclude
             and software in (None, view.record.software)
+            and not self.evacuations.is_evacuated(view.record.zone)
+        ]
+
+    def only_copies(self, service, now_ms, exclude=(), software=None):
+        """Return the usable servers of zones that were just ordered to be evacuated.
+
+        They may get requests for models that no other server has.
+        """
+        if not self.evacuations.zones:
+            return []
+        return [
+            view
+            for view in self.of_service(service)
+            if self.evacuations.is_evacuated(view.record.zone)
+            and self.evacuations.accepts(view.record.zone, now_ms, is_only_copy=True)
+            and not view.leaving
+            and view.record.name not in exclude
+            and software in (None, view.record.software)
+            and self.notices.may_send(view.record.start, now_ms)
         ]
 
     def record_sent(self, name, model):
--- a/cassiamount/model_planner.py
+++ b/cassiamount/model_planner.py
@@ -99,7 +99,9 @@
         self._engines = {
             name: engine
             for name, engine in placement.engines.items()
-            if not engine.record.leaving and name not in placement.limited
+            if not engine.record.leaving
+            and name not in placement.limited
+            and engine.record.zone not in placement.evacuated
         }
         # Model -> engines with a copy.
         self._copies = {}
--- a/cassiamount/replica_selection.py
+++ b/cassiamount/replica_selection.py
@@ -35,13 +35,22 @@
 
 
 class SelectedReplica:
-    """The replica selected for a request, and the estimated time to its first byte."""
+    """The replica selected for a request, and the estimated time to its first byte.
 
-    __slots__ = ("view", "wait_ms")
+    Parameters
+    ----------
+    view : BackendView
+    wait_ms : float
+    is_only_copy : bool
+        Whether its zone is being evacuated and no other replica has the model.
+    """
+
+    __slots__ = ("view", "wait_ms", "is_only_copy")
 
-    def __init__(self, view, wait_ms):
+    def __init__(self, view, wait_ms, is_only_copy=False):
         self.view = view
         self.wait_ms = wait_ms
+        self.is_only_copy = is_only_copy
 
 
 class NoReplicaReady:
@@ -150,7 +159,7 @@
         best = next_turn = None
         for candidate in candidates:
             start = candidate.view.record.start
-            if self._limits.is_limited(start):
+            if self._limits.is_limited(start, now_ms):
                 delay_ms = self._limits.delay_ms(start, now_ms)
                 if reserved is not None and reserved[0] == start:
                     delay_ms = max(0.0, reserved[1] - now_ms)
@@ -196,16 +205,13 @@
         SelectedReplica or NoReplicaReady
         """
         target = target_name(metadata.model, metadata.adapter)
-        candidates = []
         usable = self._view.usable(service, now_ms, exclude, software)
-        for view in usable:
-            if (
-                view.missing_until_ms.get(target, 0.0) > now_ms
-                or metadata.model in view.drained
-            ):
-                continue
-            if self._has_loaded(view, metadata):
-                candidates.append(self._estimate_for_model(view, metadata))
+        candidates = self._with_model(usable, target, metadata, now_ms)
+        if not candidates:
+            views = self._view.only_copies(service, now_ms, exclude, software)
+            candidates = self._with_model(views, target, metadata, now_ms)
+            for candidate in candidates:
+                candidate.is_only_copy = True
         best = self._best_within_limits(candidates, now_ms, reserved)
         if isinstance(best, SelectedReplica):
             return best
@@ -223,6 +229,16 @@
             return pause
         return missing
 
+    def _with_model(self, views, target, metadata, now_ms):
+        """Return a `SelectedReplica` for each server that has a request's model."""
+        return [
+            self._estimate_for_model(view, metadata)
+            for view in views
+            if view.missing_until_ms.get(target, 0.0) <= now_ms
+            and metadata.model not in view.drained
+            and self._has_loaded(view, metadata)
+        ]
+
     def _when_paused_ends(self, service, now_ms, exclude, software, metadata=None):
         """Return when the first replica wants requests again that could take one.
 
