Show evacuated zones on the metrics address, and count no limited rest as engines

If all engines outside of the evacuated zones name limits, none of them is treated differently; otherwise the placement had no engine left. A VM asks whether it is cut off only where a service limits its cold servers.

--- a/cassiamount/cold_servers.py
+++ b/cassiamount/cold_servers.py
@@ -149,6 +149,11 @@
         """
         self._services = {n: rule for n, rule in services.items() if rule[1] > 0}
 
+    @property
+    def has_rules(self):
+        """Whether any service limits the requests to its cold servers."""
+        return bool(self._services)
+
     def observe(self, records, now_ms, is_first_list, is_first_start):
         """Apply a new list of backend servers.
 
--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -212,6 +212,7 @@
                     for view in self._state.view.of_service(service.name)
                 }
             )
+            placement.evacuated = frozenset(self._state.evacuations.zones)
             placement.set_limited(
                 {
                     view.record.name
@@ -220,7 +221,6 @@
                     or self._state.notices.pause_ms(view.record.start, now_ms) > 0
                 }
             )
-            placement.evacuated = frozenset(self._state.evacuations.zones)
             placement.set_demand(running, waiting, rates, now_ms)
             for engine in placement.engines.values():
                 self._query_if_unknown(engine, now_ms)
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -127,6 +127,9 @@
             self._metrics,
             self._stats,
         )
+        evacuations = self.state.evacuations
+        self._metrics.gauge("evacuated_zones", lambda: len(evacuations.zones))
+        self._metrics.gauge("evacuated_requests", evacuations.running_requests)
         self._pool = pool or ConnectionPool(platform.codec.decode_response, clock)
         timeouts = RequestTimeouts(clock)
         self._delay = ProcessDelay(clock)
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -92,7 +92,11 @@
 
     def set_limited(self, names):
         """Set the engines that name a limit; if all do, none is treated differently."""
-        live = {n for n, e in self.engines.items() if not e.record.leaving}
+        live = {
+            name
+            for name, engine in self.engines.items()
+            if not engine.record.leaving and engine.record.zone not in self.evacuated
+        }
         self.limited = frozenset() if live <= set(names) else frozenset(names)
 
     def set_demand(self, running, waiting, rates, now_ms):
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -459,9 +459,11 @@
 
     def _review_certainty(self, now_ms):
         """Set whether this VM may have missed that servers became cold."""
-        is_alone = self.peers.vm_count(now_ms) > 1 and not self._linked_peers(now_ms)
         self.limits.cold.is_unsure = not self.knows_fleet or (
-            is_alone and self.list_age_ms(now_ms) > UNSURE_AGE_MS
+            self.limits.cold.has_rules
+            and self.list_age_ms(now_ms) > UNSURE_AGE_MS
+            and self.peers.vm_count(now_ms) > 1
+            and not self._linked_peers(now_ms)
         )
 
     def _apply_configuration(self, source):
--- a/cassiamount/zone_evacuation.py
+++ b/cassiamount/zone_evacuation.py
@@ -145,6 +145,10 @@
         was_empty, order.is_empty = order.is_empty, not own and not others
         return order.is_empty and not was_empty
 
+    def running_requests(self):
+        """Return how many requests of all VMs were last seen in evacuated zones."""
+        return sum(sum(order.running or ()) for order in self._orders.values())
+
     def status(self, now_ms):
         """Return the orders with what still runs in their zones, for operators."""
         return {
--- a/tests/test_zone_evacuation.py
+++ b/tests/test_zone_evacuation.py
@@ -267,6 +267,8 @@
 
     placement = make_placement(make_record("e1", "a"), make_record("e2", zone="z2"))
     placement.evacuated = frozenset(["z1"])
+    placement.set_limited({"e2"})
+    assert not placement.limited
     placement.set_demand({}, {"a": 2}, {}, 100.0)
     (change,) = placement.plan(100.0)
     assert (change.engine, change.model) == ("e2", "a")
