Load models in the regions of the requests that wait for them

A request that may go only to some regions waited for a model that had a copy elsewhere: to the placement nothing was missing, and the request was refused as model_missing. The counts of waiting requests now name the zones, in the way in which they name a software version.

--- a/cassiamount/fleet_orders.py
+++ b/cassiamount/fleet_orders.py
@@ -14,6 +14,24 @@
 
 # Separates the software version from the target, in the counts of waiting requests.
 SOFTWARE_MARK = "@"
+# Follows the software version, which may be empty, before the only zones that may have
+# the requests.
+ZONES_MARK = "\t"
+
+
+def may_hold(pin, record):
+    """Return whether an engine is one of those that pinned requests can go to.
+
+    Parameters
+    ----------
+    pin : str
+        What follows `SOFTWARE_MARK`.
+    record : BackendRecord
+    """
+    software, _, zones = pin.partition(ZONES_MARK)
+    return software in ("", record.software) and (
+        not zones or record.zone in zones.split(",")
+    )
 
 
 def target_name(model, adapter):
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -41,8 +41,8 @@
         self.demand = {}
         # Model without a copy -> time at which some engine should have loaded it.
         self.queued = {}
-        # (model, software version) -> [requests that wait for a copy at an engine of
-        # that version, time since which they do].
+        # (model, software version or zones) -> [requests that wait for a copy at an
+        # engine of that version or in those zones, time since which they do].
         self.pinned = {}
         # Engines that name a request limit; their copies serve too few requests.
         self.limited = frozenset()
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -9,7 +9,7 @@
 from .crash_detector import CrashDetector, EndedAttempt
 from .crash_quarantine import MAX_LOGGED_PARTS
 from .fleet import allowed_regions, choose_target
-from .fleet_orders import SOFTWARE_MARK
+from .fleet_orders import SOFTWARE_MARK, ZONES_MARK
 from .graceful_stop import AnswerTimes, stop_refusal
 from .model_demand import LATENCY_SENSITIVE_OBJECTIVE_MS
 from .relayed_request import (
@@ -521,11 +521,30 @@
     def _waiting_target(self, request):
         """Return what a request waits for, with its software version if that matters.
 
-        A model that is loaded at another version is not missing to the placement.
+        A model that is loaded at another version, or only in regions that may not have
+        the request, is not missing to the placement.
         """
-        if not request.is_model_request or not self._is_mixed(request):
+        if not request.is_model_request:
             return request.target
-        return f"{request.metadata.model}{SOFTWARE_MARK}{request.software}"
+        pin = request.software if self._is_mixed(request) else ""
+        zones = self._zones_without_model(request)
+        if zones:
+            pin += ZONES_MARK + ",".join(zones)
+        return request.metadata.model + SOFTWARE_MARK + pin if pin else request.target
+
+    def _zones_without_model(self, request):
+        """Return the zones of a request's regions if no engine there has its model."""
+        outside = set(self._outside_regions(request))
+        if not outside:
+            return ()
+        allowed = [
+            view
+            for view in self._state.view.of_service(request.service)
+            if view.record.name not in outside
+        ]
+        if any(request.metadata.model in view.ready for view in allowed):
+            return ()
+        return sorted({view.record.zone for view in allowed})
 
     def _is_mixed(self, request):
         """Return whether some replicas may not go on with a begun stream."""
--- a/cassiamount/model_planner.py
+++ b/cassiamount/model_planner.py
@@ -4,6 +4,7 @@
 import math
 
 from .engine_state import ModelChange
+from .fleet_orders import may_hold
 from .model_demand import REQUEST_DURATION_MS, WAITING_WINDOW_S
 
 # Fraction of an engine's slots that requests for one model should use at most; higher
@@ -285,16 +286,16 @@
         return heapq.nlargest(MAX_CANDIDATE_MODELS, wanted)
 
     def _pinned_candidates(self):
-        """Return (gain, model, engines) of models that lack a copy at some version.
+        """Return (gain, model, engines) of models that lack a copy at some engines.
 
         Streams that are taken up can go on only at the software version of their first
-        event.
+        event, and some requests may go only to some zones.
         """
         candidates = []
-        for (model, software), (count, since_ms) in self._placement.pinned.items():
-            if any(copy.record.software == software for copy in self.copies(model)):
+        for (model, pin), (count, since_ms) in self._placement.pinned.items():
+            if any(may_hold(pin, copy.record) for copy in self.copies(model)):
                 continue
-            engines = [e for e in self._available if e.record.software == software]
+            engines = [e for e in self._available if may_hold(pin, e.record)]
             aging = 1 + (self._now_ms - since_ms) / AGING_MS
             gain_per_s = count / WAITING_WINDOW_S * aging
             candidates.append((gain_per_s, model, engines[:MAX_CANDIDATE_ENGINES]))
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -5,7 +5,7 @@
 from cassiamount.engine_state import AdapterChange, ModelChange
 from cassiamount.errors import InvariantViolation
 from cassiamount.fleet import BackendRecord, EngineConfig, ModelConfig
-from cassiamount.fleet_orders import SOFTWARE_MARK, EngineReport
+from cassiamount.fleet_orders import SOFTWARE_MARK, ZONES_MARK, EngineReport
 from cassiamount.fleet_placement import FleetPlacement
 from cassiamount.model_planner import (
     MAX_CANDIDATE_ENGINES,
@@ -386,6 +386,24 @@
     return EngineConfig(48, 100_000, 230_000.0, 2, 2.0, models)
 
 
+@pytest.mark.parametrize(
+    ("zones", "engines"),
+    [("z2", ["e2"]), ("z1,z3", []), ("z4", [])],
+    ids=["elsewhere", "has-one", "no-engine"],
+)
+def test_model_is_loaded_in_the_zones_of_its_requests(zones, engines):
+    """Guards against requests of one region that wait for a copy in another one."""
+    placement = make_placement(
+        make_record("e1", "a", zone="z1"),
+        make_record("e2", zone="z2"),
+        make_record("e3", zone="z3"),
+    )
+    waiting = {"a" + SOFTWARE_MARK + ZONES_MARK + zones: 3}
+    update_demand(placement, 100.0, waiting, {"a": 1})
+    changes = placement.plan(100.0)
+    assert [change.engine for change in changes if change.model == "a"] == engines
+
+
 @pytest.mark.parametrize("pinned", [False, True])
 @pytest.mark.parametrize("target", ["d", "a/x", "d/x"])
 @pytest.mark.parametrize("changing", [False, True])
