--- a/cassiamount/fleet_view.py
+++ b/cassiamount/fleet_view.py
@@ -183,13 +183,19 @@
 
     def willing(self, service, exclude=(), software=None):
         """Return `usable` with the servers that want nothing from this VM for now."""
+        return [
+            view
+            for view in self._staying(service, exclude, software)
+            if not self.evacuations.is_evacuated(view.record.zone)
+        ]
+
+    def _staying(self, service, exclude, software):
         return [
             view
             for view in self.of_service(service)
             if not view.leaving
             and view.record.name not in exclude
             and software in (None, view.record.software)
-            and not self.evacuations.is_evacuated(view.record.zone)
         ]
 
     def only_copies(self, service, now_ms, exclude=(), software=None):
@@ -201,12 +207,9 @@
             return []
         return [
             view
-            for view in self.of_service(service)
+            for view in self._staying(service, exclude, software)
             if self.evacuations.is_evacuated(view.record.zone)
             and self.evacuations.accepts(view.record.zone, now_ms, is_only_copy=True)
-            and not view.leaving
-            and view.record.name not in exclude
-            and software in (None, view.record.software)
             and self.notices.may_send(view.record.start, now_ms)
         ]
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -38,6 +38,48 @@
 
 
 MUTATIONS = (
+    Mutation(
+        "fleet: evacuated zones get no requests",
+        "cassiamount/fleet_view.py",
+        "if not self.evacuations.is_evacuated(view.record.zone)",
+        "if True",
+        "tests/test_zone_evacuation.py",
+    ),
+    Mutation(
+        "fleet: zone and turn are checked with the open connection",
+        "cassiamount/fleet_relay.py",
+        "reason = self._why_not_now(selected)",
+        "reason = None",
+        "tests/test_zone_evacuation.py",
+    ),
+    Mutation(
+        "fleet: only copies end sooner for a VM that learned late",
+        "cassiamount/zone_evacuation.py",
+        "until_ms = min(until_ms, latest_ms)",
+        "pass",
+        "tests/test_zone_evacuation.py",
+    ),
+    Mutation(
+        "fleet: orders have no rank",
+        "cassiamount/fleet_state.py",
+        "if key != CONFIGURATION_KEY:",
+        "if False:",
+        "tests/test_zone_evacuation.py",
+    ),
+    Mutation(
+        "fleet: VMs out of sight keep their share of a cold server",
+        "cassiamount/cold_servers.py",
+        "FORGET_VM_MS = 600_000.0",
+        "FORGET_VM_MS = 0.0",
+        "tests/test_cold_servers.py",
+    ),
+    Mutation(
+        "fleet: requests to a cold server are spaced when they are sent",
+        "cassiamount/cold_servers.py",
+        "if now_ms - sent_ms < MIN_SPACING_FRACTION * interval_ms or not (",
+        "if not (",
+        "tests/test_cold_servers.py",
+    ),
     Mutation(
         "no team with a limit before all VMs are known",
         "cassiamount/fleet_relay.py",
--- a/tests/test_zone_evacuation.py
+++ b/tests/test_zone_evacuation.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from cassiamount.clock import ManualClock
+from cassiamount.cold_servers import ColdServers
 from cassiamount.fleet import RouteConfig, TeamConfig, allowed_regions
 from cassiamount.fleet_reports import decode_report, encode_report
 from cassiamount.fleet_state import ERA_SETTLE_MS, FleetState
@@ -310,6 +311,31 @@
     assert len(fleet.replicas["s1"].ran) == 2
 
 
+@pytest.mark.parametrize(("reason", "status"), [("evacuated", 503), ("cold", 200)])
+async def test_checks_with_an_open_connection(fleet, monkeypatch, reason, status):
+    """Guards against requests that were waiting for a connection when things changed.
+
+    The zone was ordered to be evacuated, or the server's turn was taken.
+    """
+    node = await fleet.add_vm("v1")
+    turns = [False, True]
+    open_connection = node._pool.open
+
+    async def open_late(address):
+        connection = await open_connection(address)
+        if reason == "evacuated":
+            node.state.evacuations.set_order("z1", node.state.now_ms())
+        return connection
+
+    monkeypatch.setattr(node._pool, "open", open_late)
+    monkeypatch.setattr(ColdServers, "take_turn", lambda *_: turns.pop(0))
+
+    assert (await fleet.send_request("v1", "/buy/x"))[0] == status
+    assert len(fleet.replicas["s1"].ran) == (status == 200)
+    held_back = node._metrics.counter("requests_held_back_total", reason=reason)
+    assert held_back == 1
+
+
 async def test_requests_stay_in_their_regions(fleet):
     """Guards against a request in another region than its route allows."""
     document = configuration(version=2)
