Keep the limit of cold servers while VMs join or restart

A VM that takes the place of another sender waits for one interval, and one that has just started sends nothing to cold servers in its first second. Both sets of senders, or what a VM sent before its restart, would else fall into the same second.

--- a/cassiamount/cold_servers.py
+++ b/cassiamount/cold_servers.py
@@ -5,6 +5,8 @@
 
 import structlog
 
+# The limit applies to the requests within any time of this length.
+COLD_WINDOW_MS = 1_000.0
 # Fraction of the requests allowed in any one second that the VMs plan to use. The rest
 # is for requests that arrive closer together than they were sent, and for VMs that know
 # other sets of VMs while some start.
@@ -66,7 +68,8 @@
     senders = min(count, planned)
     most_in_a_second = planned // senders
     interval_ms = max(
-        1000.0 * senders / limit_per_s, SPACING_FACTOR * 1000.0 / most_in_a_second
+        1000.0 * senders / limit_per_s,
+        SPACING_FACTOR * COLD_WINDOW_MS / most_in_a_second,
     )
     return senders, interval_ms
 
@@ -289,8 +292,11 @@
             )
             own = _weight(server, self._own_name)
             rank = sum(_weight(server, name) < own for name in names)
-            known = (basis, interval_ms if rank < senders else math.inf)
-            self._shares[server] = known
+            interval_ms = interval_ms if rank < senders else math.inf
+            if known is not None and interval_ms < known[1] == math.inf:
+                # The VM whose place this one takes may just have sent a request.
+                self._sent_ms[server] = now_ms
+            known = self._shares[server] = (basis, interval_ms)
         return known[1]
 
     def _sending_vms(self, now_ms):
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -6,7 +6,7 @@
 import structlog
 
 from .change_counter import ChangeCounter
-from .cold_servers import FIRST_LIST_MS, ColdServers
+from .cold_servers import COLD_WINDOW_MS, FIRST_LIST_MS, ColdServers
 from .crash_quarantine import CrashQuarantine
 from .engine_residency import RESIDENCY_EXPIRY_MS, EngineResidency
 from .fleet_demand import FleetDemand
@@ -131,7 +131,7 @@
         self.quarantine = CrashQuarantine(self._counter)
         cold = ColdServers(
             settings.vm_name,
-            lambda: self.peers.sending_vms() if self.knows_fleet else (),
+            self._cold_senders,
             self.evacuations,
             settings.cold_overrun,
             settings.cold_slack,
@@ -457,6 +457,14 @@
                     "zone_empty", zone=zone, **self.evacuations.status(now_ms)[zone]
                 )
 
+    def _cold_senders(self):
+        """Return the VMs that may send to cold servers; none just after the start.
+
+        What this VM sent before it was restarted counts in the first second.
+        """
+        is_new = self.now_ms() < self._begun_ms + COLD_WINDOW_MS
+        return self.peers.sending_vms() if self.knows_fleet and not is_new else ()
+
     def _review_certainty(self, now_ms):
         """Set whether this VM may have missed that servers became cold."""
         self.limits.cold.is_unsure = not self.knows_fleet or (
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -89,6 +89,24 @@
     assert len(sent) >= 0.7 * per_s * 5
 
 
+@pytest.mark.parametrize(("before", "after"), [(7, 79), (79, 300), (79, 85)])
+def test_limit_is_kept_while_vms_join(before, after):
+    """Guards against the old and the new senders of a server in the same second."""
+    names = [f"v{n}" for n in range(after)]
+    vms = [Vm(name, names[:before]) for name in names]
+    sent = []
+    now_ms = 0.0
+    while now_ms < 5_000.0:
+        # New VMs send nothing in their first second (`FleetState`).
+        for number, vm in enumerate(vms):
+            if now_ms >= 1_000.0:
+                vm.names = names
+            if (number < before or now_ms >= 2_000.0) and vm.send(now_ms):
+                sent.append(now_ms)
+        now_ms += 40.0
+    assert most_in_a_second(sent) <= 1.5 * 20.0 + 5
+
+
 def test_requests_that_were_held_up_do_not_come_together():
     """Guards against a burst of the turns that passed while a VM stood still."""
     vm = Vm("v1", ["v1"])
