Take the wait of new senders back, and show the first second by a test

The join test passes without that wait: a VM takes a place only if it is one of the senders among all that live, so the places of live VMs do not change hands while VMs join. The first second after a start stays; its test fails without it.

--- a/cassiamount/cold_servers.py
+++ b/cassiamount/cold_servers.py
@@ -292,11 +292,8 @@
             )
             own = _weight(server, self._own_name)
             rank = sum(_weight(server, name) < own for name in names)
-            interval_ms = interval_ms if rank < senders else math.inf
-            if known is not None and interval_ms < known[1] == math.inf:
-                # The VM whose place this one takes may just have sent a request.
-                self._sent_ms[server] = now_ms
-            known = self._shares[server] = (basis, interval_ms)
+            known = (basis, interval_ms if rank < senders else math.inf)
+            self._shares[server] = known
         return known[1]
 
     def _sending_vms(self, now_ms):
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cassiamount.change_counter import ChangeCounter
+from cassiamount.clock import ManualClock
 from cassiamount.cold_servers import (
     FORGET_VM_MS,
     NAMES_CACHE_MS,
@@ -13,11 +14,12 @@
     cold_time_of,
 )
 from cassiamount.fleet import BackendRecord
+from cassiamount.fleet_state import FleetState
 from cassiamount.platform.documents import decode_backend, decode_configuration
 from cassiamount.platform.settings import decode_settings
 from cassiamount.request_limits import RequestLimits
 from cassiamount.zone_evacuation import ZoneEvacuations
-from tests.fleet_fixtures import configuration
+from tests.fleet_fixtures import Decoder, configuration
 from tests.test_fleet_state import SETTINGS
 
 SERVER = ("b1", 1)
@@ -91,13 +93,15 @@
 
 @pytest.mark.parametrize(("before", "after"), [(7, 79), (79, 300), (79, 85)])
 def test_limit_is_kept_while_vms_join(before, after):
-    """Guards against the old and the new senders of a server in the same second."""
+    """Guards against the old and the new senders of a server in the same second.
+
+    New VMs send nothing in their first second, as the next test shows.
+    """
     names = [f"v{n}" for n in range(after)]
     vms = [Vm(name, names[:before]) for name in names]
     sent = []
     now_ms = 0.0
     while now_ms < 5_000.0:
-        # New VMs send nothing in their first second (`FleetState`).
         for number, vm in enumerate(vms):
             if now_ms >= 1_000.0:
                 vm.names = names
@@ -107,6 +111,19 @@
     assert most_in_a_second(sent) <= 1.5 * 20.0 + 5
 
 
+def test_vm_that_has_just_started_sends_nothing_to_cold_servers():
+    """Guards against a restarted VM that uses its share twice in one second."""
+    clock = ManualClock()
+    parsed = decode_settings(SETTINGS.format(name="v1"), "boot.yaml").unwrap()
+    state = FleetState(parsed, Decoder, clock, 1)
+    state.learn_vms([], names_all=True)
+    state.limits.cold.set_services({"s": (COLD_MS, 20.0)})
+    state.limits.cold.observe([entry(cold_ms=COLD_MS)], 0.0, True, False)
+    for now_ms, delay_ms in ((0.0, math.inf), (999.0, math.inf), (1_249.0, 0.0)):
+        clock.advance(now_ms - clock.monotonic_ms())
+        assert state.limits.delay_ms(SERVER, now_ms) == delay_ms
+
+
 def test_requests_that_were_held_up_do_not_come_together():
     """Guards against a burst of the turns that passed while a VM stood still."""
     vm = Vm("v1", ["v1"])
