--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -212,6 +212,7 @@
                     for view in self._state.view.of_service(service.name)
                 }
             )
+            placement.evacuated = frozenset(self._state.evacuations.zones)
             placement.set_limited(
                 {
                     view.record.name
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -41,11 +41,13 @@
         self.demand = {}
         # Model without a copy -> time at which some engine should have loaded it.
         self.queued = {}
-        # (model, software version) -> [requests that wait for a copy at an engine of
-        # that version, time since which they do].
+        # (model, software version or zones) -> [requests that wait for a copy at an
+        # engine of that version or in those zones, time since which they do].
         self.pinned = {}
         # Engines that name a request limit; their copies serve too few requests.
         self.limited = frozenset()
+        # Zones whose engines count neither as copies nor as candidates.
+        self.evacuated = frozenset()
         self._adapter_waiting = {}
         self._running = {}
         # Engine -> its requests, in total and by model.
@@ -90,7 +92,11 @@
 
     def set_limited(self, names):
         """Set the engines that name a limit; if all do, none is treated differently."""
-        live = {n for n, e in self.engines.items() if not e.record.leaving}
+        live = {
+            name
+            for name, engine in self.engines.items()
+            if not engine.record.leaving and engine.record.zone not in self.evacuated
+        }
         self.limited = frozenset() if live <= set(names) else frozenset(names)
 
     def set_demand(self, running, waiting, rates, now_ms):
@@ -170,7 +176,10 @@
         dict of str to float
             Model -> time.
         """
-        live = sum(not engine.record.leaving for engine in self.engines.values())
+        live = sum(
+            not engine.record.leaving and engine.record.zone not in self.evacuated
+            for engine in self.engines.values()
+        )
         concurrent_changes = max(1, math.ceil(RARE_CHANGE_ENGINE_FRACTION * live))
         ready_times = {}
         for position, name in enumerate(missing_models):
@@ -247,6 +256,7 @@
                 engine.record.leaving
                 or model in engine.drained
                 or engine.record.name in self.limited
+                or engine.record.zone in self.evacuated
             ):
                 continue
             if (model, adapter) in engine.adapters_loading:
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -262,7 +262,7 @@
             self._check_time(request)
             selected = await self._waiting.wait(request)
             try:
-                connection = await self._connect(request, selected.view)
+                connection = await self._connect(request, selected)
             finally:
                 self._waiting.release(request, selected.view)
             if connection is None:
@@ -309,7 +309,8 @@
     def _answer_times_of(self, request):
         return self._answer_times.setdefault(request.route.name, AnswerTimes())
 
-    async def _connect(self, request, view):
+    async def _connect(self, request, selected):
+        view = selected.view
         connection = self._pool.acquire_idle(
             view.record.address, request.metadata.request_id
         )
@@ -319,6 +320,9 @@
             except OSError as error:
                 now_ms = self._state.now_ms()
                 view.avoided_until_ms = now_ms + UNREACHABLE_AVOID_MS
+                if isinstance(error, ConnectionRefusedError):
+                    # No process listens: it will start anew, and be cold.
+                    self._state.limits.cold.record_lost(view.record.start, now_ms)
                 request.unreachable_backends.add(view.record.name)
                 self._log.info(
                     "backend_unreachable",
@@ -348,8 +352,33 @@
         except Refused:
             self._pool.release(connection)
             raise
+        reason = self._why_not_now(selected)
+        if reason is not None:
+            self._pool.release(connection)
+            request.reserved = None
+            self._metrics.count("requests_held_back_total", reason=reason)
+            self._log.info(
+                "request_held_back",
+                request_id=request.metadata.request_id,
+                backend=view.record.name,
+                zone=view.record.zone,
+                reason=reason,
+            )
+            return None
         return connection
 
+    def _why_not_now(self, selected):
+        """Return why a selected replica may not get its request now, or None.
+
+        While the connection was opened its zone may have been ordered to be evacuated,
+        or it may have become cold.
+        """
+        state, record = self._state, selected.view.record
+        now_ms = state.now_ms()
+        if not state.evacuations.accepts(record.zone, now_ms, selected.is_only_copy):
+            return "evacuated"
+        return None if state.limits.take_turn(record.start, now_ms) else "cold"
+
     def _check_allowed(self, request, now_ms):
         """Refuse a request that must no longer be sent, though it was admitted."""
         self._recheck_key(request)
@@ -471,6 +500,11 @@
 
     def _record_notices(self, record, metadata):
         notices, now_ms = self._state.notices, self._state.now_ms()
+        if metadata.cold_ms and self._state.limits.record_cold(
+            record.start, metadata.cold_ms, now_ms
+        ):
+            self._state.notify()
+            self._notify_peers()
         if metadata.leaving and notices.record_leaving(record.start):
             self._metrics.count("backends_leaving_total")
             self._log.info(
@@ -529,6 +563,7 @@
         view = self._state.view.backends.get(record.name)
         if view is not None and view.record.start == record.start:
             view.avoided_until_ms = now_ms + UNREACHABLE_AVOID_MS
+        self._state.limits.cold.record_lost(record.start, now_ms)
         if self._state.quarantine.record_crash(*record.start, requests, lost_ms):
             self._state.notify()
             self._notify_peers()
--- a/cassiamount/replica_waiting.py
+++ b/cassiamount/replica_waiting.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 
+from .fleet import allowed_regions
 from .relayed_request import Refused
 from .replica_selection import (
     BUSY,
@@ -175,7 +176,12 @@
         )
         route = request.route
         # Only these routes keep to replicas whose software version is settled.
-        key = (request.service, request.target, route.streamed and route.retryable)
+        key = (
+            request.service,
+            request.target,
+            route.streamed and route.retryable,
+            allowed_regions(route, request.team),
+        )
         return WaitingRequest(request, key, is_own, unknown_limit_ms(route), now_ms)
 
     def _accept(self, waiting, found, now_ms):
@@ -201,7 +207,7 @@
     def _reserve(self, request, view, now_ms):
         """Reserve this VM's next request to a backend server that names a limit."""
         start = view.record.start
-        if not self._state.limits.is_limited(start):
+        if not self._state.limits.is_limited(start, now_ms):
             return
         if request.reserved is None or request.reserved[0] != start:
             request.reserved = (start, self._state.limits.reserve(start, now_ms))
--- a/cassiamount/request_selection.py
+++ b/cassiamount/request_selection.py
@@ -1,6 +1,7 @@
 """Selection of a replica for one request of a fleet, with what excludes replicas."""
 
-from .fleet_orders import SOFTWARE_MARK
+from .fleet import allowed_regions
+from .fleet_orders import SOFTWARE_MARK, ZONES_MARK
 from .relayed_request import Refused
 from .replica_selection import NoReplicaReady, clamp_retry_after_ms
 
@@ -37,6 +38,7 @@
             exclude.update(request.tried)
         unsettled = self._unsettled(request, now_ms)
         exclude.update(view.record.name for view in unsettled)
+        exclude.update(self._outside_regions(request))
         if request.is_model_request:
             found = self._selector.select_for_model(
                 request.service,
@@ -70,6 +72,18 @@
             self._check_unsettled(request, found, unsettled)
         return found
 
+    def _outside_regions(self, request):
+        """Return the backend servers that may not get a request of its regions."""
+        regions = allowed_regions(request.route, request.team)
+        if regions is None:
+            return ()
+        region_of = self._state.settings.zone_regions.get
+        return [
+            view.record.name
+            for view in self._state.view.of_service(request.service)
+            if region_of(view.record.zone) not in regions
+        ]
+
     def _unsettled(self, request, now_ms):
         """Return view -> time in ms for replicas where a stream may not begin yet."""
         route = request.route
@@ -109,8 +123,27 @@
     def waiting_target(self, request):
         """Return what a request waits for, with its software version if that matters.
 
-        A model that is loaded at another version is not missing to the placement.
+        A model that is loaded at another version, or only in regions that may not have
+        the request, is not missing to the placement.
         """
-        if not request.is_model_request or not self.is_mixed(request):
+        if not request.is_model_request:
             return request.target
-        return f"{request.metadata.model}{SOFTWARE_MARK}{request.software}"
+        pin = request.software if self.is_mixed(request) else ""
+        zones = self._zones_without_model(request)
+        if zones:
+            pin += ZONES_MARK + ",".join(zones)
+        return request.metadata.model + SOFTWARE_MARK + pin if pin else request.target
+
+    def _zones_without_model(self, request):
+        """Return the zones of a request's regions if no engine there has its model."""
+        outside = set(self._outside_regions(request))
+        if not outside:
+            return ()
+        allowed = [
+            view
+            for view in self._state.view.of_service(request.service)
+            if view.record.name not in outside
+        ]
+        if any(request.metadata.model in view.ready for view in allowed):
+            return ()
+        return sorted({view.record.zone for view in allowed})
