--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -73,6 +73,13 @@
         "FORGET_VM_MS = 0.0",
         "tests/test_cold_servers.py",
     ),
+    Mutation(
+        "fleet: nothing for cold servers in the first second",
+        "cassiamount/fleet_state.py",
+        "is_new = self.now_ms() < self._begun_ms + COLD_WINDOW_MS",
+        "is_new = False",
+        "tests/test_cold_servers.py",
+    ),
     Mutation(
         "fleet: requests to a cold server are spaced when they are sent",
         "cassiamount/cold_servers.py",
