--- a/cassiamount/metadata_store.py
+++ b/cassiamount/metadata_store.py
@@ -340,12 +340,15 @@
             ):
                 self._carry(record.key)
             return False
-        self._carried.pop(record.key, None)
+        was_carried = self._carried.pop(record.key, None) is not None
         current = self.values.get(record.key)
         lost_rank = self._lost_ranks.pop(record.key, None)
         if record.value is None:
             rank = lost_rank if record.rank is None else record.rank
             self._delete(record.key, record.offset, rank)
+            if was_carried and self._keeps_lost:
+                # No snapshot shows peers that keep the lost value that it is deleted.
+                self._carry(record.key)
             return current is not None
         self._deleted_ranks.pop(record.key, None)
         self.values[record.key] = (record.offset, record.value)
--- a/tests/test_zone_evacuation.py
+++ b/tests/test_zone_evacuation.py
@@ -178,6 +178,25 @@
     assert vms.evacuated() == dict.fromkeys(vms.states, set())
 
 
+def test_removal_of_an_order_that_the_store_lost_reaches_all():
+    """Guards against a VM that obeys for ever because a snapshot shows no removal."""
+    vms = Vms()
+    older = dict(vms.held)
+    for name in vms.states:
+        vms.read(name)
+    vms.write("z1", b"{}")
+    vms.restore(older)
+    for name in vms.states:
+        vms.read(name)
+    vms.exchange()
+    vms.cut.update(["v2", "v3"])
+    vms.write("z1", None)
+    vms.read("v2")
+    vms.read("v3")
+    vms.exchange()
+    assert vms.evacuated() == dict.fromkeys(vms.states, set())
+
+
 STEPS = st.lists(
     st.one_of(
         st.tuples(st.just("order"), st.sampled_from(["z1", "z2", "nowhere"])),
