--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -48,7 +48,7 @@
 class Site:
     """A server whose application repeats the path and the body of a request."""
 
-    def __init__(self):
+    def __init__(self, max_connections=100):
         self.counts = dict.fromkeys(
             ("unanswered", "most_unanswered", "most_waiting", "pieces"), 0
         )
@@ -61,6 +61,7 @@
             self.app,
             listener,
             Metrics(),
+            max_connections=max_connections,
             base_protocol=CountingProtocol,
             caller_limits=lambda: self.counts,
         )
@@ -72,6 +73,8 @@
             message = await receive()
             body += message.get("body", b"")
             more = message.get("more_body", False)
+        if scope["path"] == "/headers":
+            body = b",".join(name for name, _ in scope["headers"])
         if scope["path"] == "/watch":
             while (await receive())["type"] != "http.disconnect":
                 pass
@@ -211,6 +214,45 @@
     writer.close()
 
 
+async def test_trailers_do_not_become_headers(site):
+    """Guards against trailers that a backend server gets as headers of the request."""
+    request = encode(b"/headers", b"x", 1) + encode(b"/last")
+    answers = await site.exchange(request.replace(b"T: u", b"X-Team: other"))
+    assert answers[0] == b"/headers=host,transfer-encoding;"
+
+
+async def test_head_of_many_lines_is_refused(site):
+    """Guards against heads that take many times their bytes as objects."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+    writer.write(b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 2_000)
+    async with asyncio.timeout(60):
+        assert (await reader.read(100)).startswith(b"HTTP/1.1 431 ")
+    writer.close()
+
+
+async def test_bodies_that_stand_still_leave_their_connections_to_others():
+    """Guards against clients whose unfinished bodies take all connections for good."""
+    site = Site(max_connections=3)
+    await site.server.start()
+    writers = []
+    for _ in range(3):
+        _, writer = await asyncio.open_connection("127.0.0.1", site.port)
+        writer.write(b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nx")
+        writers.append(writer)
+    try:
+        async with asyncio.timeout(60):
+            while True:
+                try:
+                    assert await site.exchange(encode(b"/last")) == [b"/last=;"]
+                    break
+                except (OSError, asyncio.IncompleteReadError):
+                    await asyncio.sleep(0.1)
+    finally:
+        for writer in writers:
+            writer.close()
+        await site.server.stop(2_000)
+
+
 async def test_stop_answers_requests_that_wait_as_bytes(site):
     """Guards against a planned stop that drops what had come before it."""
     site.go.clear()
