Drop trailers of requests and limit the lines of a head

uvicorn adds trailers to the headers of the request that is being read. A backend server got them as headers of the request, and with short lines they take some 25 times their bytes as objects, which the limit of 16 KB on framing does not count. Heads of many short lines take the same, so a head may have 256 lines; clients send fewer than 100. The refusal (431) is counted as header_too_large and logged with the name of the bound.

--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -7,6 +7,7 @@
 import gc
 import socket
 
+import structlog
 import uvicorn
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
@@ -27,11 +28,16 @@
 MAX_WAITING_BYTES = 16 << 10
 # Most bytes that one read of a connection takes in.
 MAX_READ_BYTES = 16 << 10
+# Most lines of a head. As objects each takes some 200 bytes, whatever its length, so
+# those of a head of 16 KB could take 500 KB. Clients send fewer than 100.
+MAX_HEAD_LINES = 256
 # How often a connection that is read no further is asked for its end.
 END_CHECK_INTERVAL_S = 0.2
 # An answer waits while this many bytes are not sent yet.
 MAX_UNSENT_BYTES = 8 << 10
 
+log = structlog.get_logger()
+
 
 class _HeldFlow(FlowControl):
     """Flow control whose reading the application can't resume while it is held."""
@@ -77,6 +83,7 @@
         # Bytes of a body of unknown length since the last ones with content.
         self._framing_bytes = 0
         self._in_head = True
+        self._has_excess_lines = False
         self._wire_bytes = 0
         self._stopping = False
         self._timed = False
@@ -209,7 +216,7 @@
         if not self._in_head:
             if self._framing_bytes > self.head_bytes and not self._body_left_bytes:
                 self._refuse_framing()
-        elif self._wire_bytes > self.head_bytes:
+        elif self._wire_bytes > self.head_bytes or self._has_excess_lines:
             self._refuse_head()
         elif not self._answer_is_due():
             self._limit_head_time()
@@ -226,6 +233,19 @@
         self._wire_bytes = max(1, self._wire_bytes)
         super().on_message_begin()
 
+    def on_header(self, name, value):
+        """Keep a line of a head; drop trailers.
+
+        uvicorn would add trailers to the headers of the request that is being read: a
+        backend server would get them as such, and they would take memory.
+        """
+        if not self._in_head:
+            return
+        if len(self.headers) < MAX_HEAD_LINES:
+            super().on_header(name, value)
+        else:
+            self._has_excess_lines = True
+
     def on_headers_complete(self):
         """Check the size of a head that came in one piece."""
         self._in_head = self._timed = False
@@ -236,7 +256,7 @@
             size += len(name) + len(value) + 4
             if name == b"content-length":
                 self._body_left_bytes = int(value)
-        if size > self.head_bytes:
+        if size > self.head_bytes or self._has_excess_lines:
             self._refuse_head()
             return
         super().on_headers_complete()
@@ -302,7 +322,11 @@
 
     def _refuse_head(self):
         self._count("header_too_large")
-        message = f"the head exceeds {self.head_bytes} bytes"
+        if self._has_excess_lines:
+            log.info("head_refused", bound="MAX_HEAD_LINES", limit=MAX_HEAD_LINES)
+            message = f"the head exceeds {MAX_HEAD_LINES} lines"
+        else:
+            message = f"the head exceeds {self.head_bytes} bytes"
         self._answer(Refusal(431, "header_too_large", message))
 
     def _refuse_framing(self):
