Hold a body that is sent on twice, not three times

The attempt kept the encoded request until its end, beside the body and the connection's own copy of what the backend server has not read yet. The memory plan counts two.

--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -672,6 +672,8 @@
         request.head_ms = request.first_event_ms = None
         try:
             connection.send(data, request.metadata.request_id)
+            # The connection holds what the backend server has not read yet.
+            del data
             outcome = await self._forwarder.forward(
                 request,
                 connection,
