Let bodies without progress make room for others

On the fleet side a body may take any time to arrive, so a few clients that stopped short of the end of their bodies held the whole budget and every other large body was refused. Once the budget is used up, the body that has made no progress for longest is refused (503, not run) if that is a second or more. It leaves the budget at once. A progress is 4 KB, so that one byte now and then is none. Complete bodies are never displaced: they may have run. Counter bodies_displaced_total, log line body_displaced.

--- a/cassiamount/fleet_edge.py
+++ b/cassiamount/fleet_edge.py
@@ -240,12 +240,16 @@
                 refusal, more = await self._read_body(receive, body, limit, held)
         except TimeoutError:
             refusal, more = stop_refusal(), True
+        finally:
+            self._bodies.complete(held)
         if refusal is None:
+            whole = bytes(body)
+            body.clear()
             return InboundRequest(
                 metadata,
                 target,
                 scope["headers"],
-                bytes(body),
+                whole,
                 arrived_ms,
                 caller,
                 self._delay.unread_ms(),
@@ -271,8 +275,20 @@
         (Refusal or None, bool)
             Why it was not read whole, and whether more of it follows.
         """
+        task = asyncio.current_task()
+
+        def displace():
+            body.clear()
+            task.cancel()
+
+        held.on_displaced = displace
         while True:
-            message = await receive()
+            try:
+                message = await receive()
+            except asyncio.CancelledError:
+                if not held.is_displaced or task.uncancel() > 0:
+                    raise
+                return _body_displaced(), True
             if message["type"] == "http.disconnect":
                 raise CallerGone
             part = message.get("body", b"")
@@ -355,6 +371,13 @@
 
 
 def _bodies_full():
-    message = "the bodies of current requests take up all memory set aside for them"
+    return _no_room("the bodies of current requests take up all memory set aside")
+
+
+def _body_displaced():
+    return _no_room("the body made no progress while others needed its memory")
+
+
+def _no_room(message):
     retry_after_s = clamp_retry_after_ms(None) / 1000
     return Refusal(503, "bodies_full", message, retry_after_s=retry_after_s)
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -155,7 +155,9 @@
             self._relay,
             platform.codec.decode_request,
             timeouts,
-            BodyBudget(memory.body_bytes, FREE_BYTES),
+            BodyBudget(
+                memory.body_bytes, FREE_BYTES, clock.monotonic_ms, self._metrics
+            ),
             self._delay,
         )
         self._supervisor = Supervisor("vm", clock)
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -1,11 +1,18 @@
 """Limit on the bodies of all requests that a VM holds at once."""
 
 import asyncio
+import contextlib
 
 import pytest
 
 from cassiamount.backend_client import AttemptBroken, BackendResponse
-from cassiamount.body_budget import BodyBudget, HeldAnswer, HeldBody
+from cassiamount.body_budget import (
+    PROGRESS_BYTES,
+    STALLED_MS,
+    BodyBudget,
+    HeldAnswer,
+    HeldBody,
+)
 from cassiamount.clock import SystemClock
 from cassiamount.fleet import CallerLimits
 from cassiamount.fleet_edge import FleetEdge, FleetProtocol
@@ -107,20 +114,18 @@
     return int(answer.split()[1]), answer
 
 
-@pytest.mark.parametrize("chunked", [False, True])
-async def test_bodies_beyond_the_budget_are_refused_unrun(chunked):
-    """Guards against callers with large bodies for whom the VM is killed."""
-    relay = Relay()
+@contextlib.asynccontextmanager
+async def serving(relay, budget):
+    """Serve callers on a port, which is yielded."""
     edge = FleetEdge(
         State(),
         relay,
         decode_request,
         RequestTimeouts(SystemClock()),
-        BodyBudget(4 * BODY_BYTES, FREE_BYTES),
+        budget,
         ProcessDelay(SystemClock()),
     )
     listener = open_listener("127.0.0.1", 0)
-    port = listener.getsockname()[1]
     server = EdgeServer(
         edge,
         listener,
@@ -128,8 +133,20 @@
         base_protocol=FleetProtocol,
         caller_limits=CallerLimits,
     )
+    port = listener.getsockname()[1]
     await server.start()
     try:
+        yield port
+    finally:
+        await server.stop(1_000)
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+async def test_bodies_beyond_the_budget_are_refused_unrun(chunked):
+    """Guards against callers with large bodies for whom the VM is killed."""
+    relay = Relay()
+    budget = BodyBudget(4 * BODY_BYTES, FREE_BYTES)
+    async with serving(relay, budget) as port:
         held = [asyncio.create_task(send(port, BODY_BYTES, chunked)) for _ in range(4)]
         while relay.held < 4:
             await asyncio.sleep(0.01)
@@ -143,8 +160,6 @@
         relay.go.set()
         assert [status for status, _ in await asyncio.gather(small, *held)] == [200] * 5
         assert (await send(port, BODY_BYTES, chunked))[0] == 200
-    finally:
-        await server.stop(1_000)
 
 
 class Response(BackendResponse):
@@ -171,3 +186,76 @@
     assert budget.held_bytes <= limit_bytes + 20_000
     answer.release()
     assert budget.held_bytes == 0
+
+
+class Clock:
+    now_ms = 0.0
+
+
+def arriving(budget, size_bytes, displaced, name):
+    """Return a body that is arriving, with a first part."""
+    held = HeldBody()
+    held.on_displaced = lambda: displaced.append(name)
+    assert budget.take(held, size_bytes)
+    return held
+
+
+@pytest.mark.parametrize(
+    ("still_ms", "grown_bytes", "fits", "displaced"),
+    [
+        (STALLED_MS - 1, 0, False, []),
+        (STALLED_MS, 0, True, ["a"]),
+        # A body that grows by a few bytes makes no progress.
+        (STALLED_MS, PROGRESS_BYTES - 1, True, ["a"]),
+        (STALLED_MS, PROGRESS_BYTES, True, ["b"]),
+    ],
+    ids=["too-soon", "still", "trickle", "progress"],
+)
+def test_bodies_without_progress_make_room(still_ms, grown_bytes, fits, displaced):
+    """Guards against bodies whose ends stay away that keep all others out."""
+    clock, names = Clock(), []
+    budget = BodyBudget(100_000, 0, lambda: clock.now_ms)
+    held = arriving(budget, 40_000, names, "a")
+    arriving(budget, 40_000, names, "b")
+    clock.now_ms = still_ms
+    assert budget.take(held, grown_bytes)
+    newcomer = HeldBody()
+    newcomer.on_displaced = names.append
+    assert budget.take(newcomer, 30_000) is fits
+    assert names == displaced
+    assert budget.held_bytes == 110_000 + grown_bytes - sum(
+        40_000 + (grown_bytes if name == "a" else 0) for name in names
+    )
+
+
+def test_complete_bodies_are_not_displaced():
+    """Guards against the refusal of a request that may have run already."""
+    clock, names = Clock(), []
+    budget = BodyBudget(100_000, 0, lambda: clock.now_ms)
+    held = arriving(budget, 80_000, names, "a")
+    budget.complete(held)
+    clock.now_ms = 10 * STALLED_MS
+    newcomer = arriving(budget, 20_000, names, "b")
+    assert not budget.take(newcomer, 30_000)
+    assert names == []
+
+
+async def test_displaced_body_is_refused_unrun():
+    """Guards against a body that is displaced without an answer, or keeps its place."""
+    clock, relay = Clock(), Relay()
+    relay.go.set()
+    budget = BodyBudget(4 * BODY_BYTES, FREE_BYTES, lambda: clock.now_ms)
+    async with serving(relay, budget) as port:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        head = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+        writer.write(head % (4 * BODY_BYTES) + b"x" * (3 * BODY_BYTES))
+        while budget.held_bytes < 3 * BODY_BYTES - FREE_BYTES:
+            await asyncio.sleep(0.01)
+        clock.now_ms = STALLED_MS
+        assert (await send(port, 2 * BODY_BYTES))[0] == 200
+        async with asyncio.timeout(60):
+            answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 503 ") and b'"not_run":true' in answer
+        assert b"\r\nretry-after: " in answer
+        writer.close()
+        assert budget.held_bytes == 0 and relay.held == 1
