Give the connections of bodies without progress to new callers

With all connections taken and none of them idle, every new caller was turned away for as long as clients kept their unfinished bodies open. Counted as connections_refused_total{reason=stalled_body}, logged as connection_displaced.

--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -13,6 +13,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .answers import error_body
+from .body_budget import PROGRESS_BYTES, STALLED_MS
 from .caller import HAS_LEFT, IS_FOLLOWED, WRITE_PART
 from .caller_listener import ACCEPTS_AT_ONCE, CallerListener
 from .connection_end import has_ended
@@ -65,12 +66,16 @@
     caller_limits = None
     # Connections of the same server without a request, the longest idle one first.
     idle = collections.OrderedDict()
+    # Connections whose body is arriving -> when it made progress, the one longest
+    # without progress first.
+    arriving = collections.OrderedDict()
 
     def connection_made(self, transport):
-        """Accept a connection; if there are too many, close an idle one or this one.
+        """Accept a connection; if there are too many, close another one or this one.
 
         A connection without a request costs its caller least: a new one most likely
-        carries a request, and a caller must be ready for the end of an idle one.
+        carries a request, and a caller must be ready for the end of an idle one. Next
+        is one whose body makes no progress.
         """
         super().connection_made(transport)
         self.flow = _HeldFlow(transport)
@@ -91,14 +96,16 @@
         self._end_check = None
         # The cycle of the request that runs; others may have been parsed behind it.
         self._running = None
+        self._progress_bytes = 0
         if len(self.connections) > self.max_connections:
-            if not self.idle:
+            if self.idle:
+                self._count("idle_connection")
+                longest_idle, _ = self.idle.popitem(last=False)
+                longest_idle.transport.close()
+            elif not self._displace_stalled():
                 self._count("connection_limit")
                 transport.abort()
                 return
-            self._count("idle_connection")
-            longest_idle, _ = self.idle.popitem(last=False)
-            longest_idle.transport.close()
         self.idle[self] = True
         self._start_timer(KEEPALIVE_S)
 
@@ -112,6 +119,7 @@
             running.disconnected = True
             running.message_event.set()
         self.idle.pop(self, None)
+        self.arriving.pop(self, None)
         super().connection_lost(exc)
 
     def data_received(self, data):
@@ -124,6 +132,42 @@
         self._waiting += data
         self._hold_if_much_waits()
 
+    def _displace_stalled(self):
+        """Refuse the body longest without progress; return whether there is one."""
+        if not self.arriving:
+            return False
+        connection, progress_s = next(iter(self.arriving.items()))
+        still_ms = 1000 * (self.loop.time() - progress_s)
+        if still_ms < STALLED_MS:
+            return False
+        self._count("stalled_body")
+        log.info(
+            "connection_displaced",
+            bound="max_connections",
+            limit=self.max_connections,
+            still_ms=round(still_ms),
+        )
+        connection.refuse_stalled()
+        return True
+
+    def refuse_stalled(self):
+        """Refuse the request whose body makes no progress; close the connection."""
+        self.arriving.pop(self, None)
+        if self.cycle.response_started or self._running is not self.cycle:
+            # Another answer has begun, or is still due before this one.
+            self.transport.abort()
+            return
+        message = "the body made no progress while others needed its connection"
+        self._answer(Refusal(503, "not_run", message, retry_after_s=1))
+
+    def _note_progress(self, size_bytes):
+        """Note bytes of a body, which count as progress only in larger numbers."""
+        self._progress_bytes += size_bytes
+        if self._progress_bytes >= PROGRESS_BYTES or self not in self.arriving:
+            self._progress_bytes = 0
+            self.arriving[self] = self.loop.time()
+            self.arriving.move_to_end(self)
+
     def _start_asgi_task(self, cycle, app):
         self._running = cycle
         super()._start_asgi_task(cycle, app)
@@ -214,6 +258,7 @@
         if self.transport.is_closing():
             return
         if not self._in_head:
+            self._note_progress(len(data))
             if self._framing_bytes > self.head_bytes and not self._body_left_bytes:
                 self._refuse_framing()
         elif self._wire_bytes > self.head_bytes or self._has_excess_lines:
@@ -303,6 +348,7 @@
 
     def on_message_complete(self):
         """Expect the next head."""
+        self.arriving.pop(self, None)
         self._in_head = True
         self._wire_bytes = self._body_left_bytes = 0
         if self.cycle is not None and not self.transport.is_closing():
@@ -343,11 +389,16 @@
             400: "Bad Request",
             408: "Request Timeout",
             431: "Request Header Fields Too Large",
+            503: "Service Unavailable",
         }
+        retry_after = ""
+        if refusal.retry_after_s is not None:
+            retry_after = f"retry-after: {refusal.retry_after_s}\r\n"
         head = (
             f"HTTP/1.1 {refusal.status} {phrase[refusal.status]}\r\n"
             "content-type: application/json\r\n"
             f"content-length: {len(body)}\r\n"
+            f"{retry_after}"
             "connection: close\r\n\r\n"
         )
         self.transport.write(head.encode() + body)
@@ -408,6 +459,7 @@
                 "max_connections": max_connections,
                 "metrics": metrics,
                 "idle": collections.OrderedDict(),
+                "arriving": collections.OrderedDict(),
                 "caller_limits": staticmethod(caller_limits),
             },
         )
