Decode percent signs in a body block by block

Decoding a body of many percent signs at once takes many times its bytes, for each call of a service whose body holds one. Blocks overlap by the longest encoding of a key.

--- a/cassiamount/redaction.py
+++ b/cassiamount/redaction.py
@@ -15,6 +15,10 @@
     }
 )
 KEY_FIELDS = frozenset({"api_key", "apikey", "api-key", "key", "access_token", "token"})
+# Longer texts are decoded in blocks: a text of percent signs takes many times its size.
+DECODED_BLOCK_BYTES = 64 << 10
+# Bytes by which one byte of a key is written if all of it is percent-encoded twice.
+ENCODED_TWICE_BYTES = 9
 # A field with one of these names is removed only if its value contains the key, since
 # services may use a field such as "key" for something else.
 
@@ -95,6 +99,19 @@
         return False
     if key in text:
         return True
+    if len(text) > DECODED_BLOCK_BYTES:
+        if b"%" not in text:
+            return False
+        overlap = ENCODED_TWICE_BYTES * len(key)
+        step = max(overlap, DECODED_BLOCK_BYTES - overlap)
+        return any(
+            _contains_encoded_key(text[start : start + step + overlap], key)
+            for start in range(0, len(text), step)
+        )
+    return _contains_encoded_key(text, key)
+
+
+def _contains_encoded_key(text, key):
     # Decodes twice because a backend server might do so too.
     for _ in range(2):
         if b"%" not in text:
