Bound the memory of bodies and answers on the own stack

The own stack had fixed budgets of 64 MB each for bodies and answers, and did not count what a body takes once it is parsed: one body of 4 MiB of empty lists took the process to 193 MB, four took 428 MB. Parts of a body were kept in a list, which costs many times the bytes of parts of one byte.

The bounds and the number of connections now follow from the new setting memory_mb, by the same plan as on the fleet side. Parsed values are counted by a bound on their objects before they are parsed (json_cost). A body that makes no progress makes room for others as on the fleet side, and a refused body leaves the budget before its refusal is sent. Calls of services are parsed only if the key may stand in them.

--- a/cassiamount/caller.py
+++ b/cassiamount/caller.py
@@ -2,8 +2,12 @@
 
 import asyncio
 
+import structlog
+
 from .answers import CallerGone, error_body
 from .body_budget import BodyBudget
+from .json_cost import parsed_bytes
+from .memory_plan import FREE_BYTES
 from .requests import Refusal
 
 # A longer part of an answer is written piece by piece, so that no more of it than the
@@ -18,6 +22,8 @@
 # connection, also if the server has not read that yet.
 HAS_LEFT = "cassiamount.has_left"
 
+log = structlog.get_logger()
+
 
 def _never(data):
     return False
@@ -239,13 +245,18 @@
     Parameters
     ----------
     limits : EdgeLimits
+    clock : SystemClock or ManualClock
+    metrics : Metrics
     """
 
-    __slots__ = ("limits", "_budget")
+    __slots__ = ("limits", "_budget", "_metrics")
 
-    def __init__(self, limits):
+    def __init__(self, limits, clock, metrics):
         self.limits = limits
-        self._budget = BodyBudget(limits.held_body_bytes)
+        self._metrics = metrics
+        self._budget = BodyBudget(
+            limits.held_body_bytes, FREE_BYTES, clock.monotonic_ms, metrics
+        )
 
     @property
     def held_bytes(self):
@@ -278,27 +289,79 @@
         ------
         RefusedError, CallerGone
         """
-        message = await self._first(receive)
-        parts = [self._part(message, held)]
-        if message.get("more_body"):
-            try:
-                async with asyncio.timeout(self.limits.body_timeout_ms / 1000):
-                    while message.get("more_body"):
-                        message = await receive()
-                        parts.append(self._part(message, held))
-            except TimeoutError:
-                raise refuse(
-                    408, "body_timeout", "the body arrives too slowly"
-                ) from None
-        return b"".join(parts) if len(parts) > 1 else parts[0]
-
-    async def _first(self, receive):
+        # Parts in a list would take many times their size if each has a few bytes.
+        body = bytearray()
+        task = asyncio.current_task()
+
+        def displace():
+            body.clear()
+            task.cancel()
+
+        held.on_displaced = displace
+        try:
+            message = await self._message(receive)
+            body += self._part(message, held)
+            if message.get("more_body"):
+                await self._read_rest(receive, held, body)
+        except asyncio.CancelledError:
+            if not held.is_displaced or task.uncancel() > 0:
+                raise
+            raise self._no_room(
+                "the body made no progress while others needed its memory"
+            ) from None
+        finally:
+            self._budget.complete(held)
+        whole = bytes(body)
+        body.clear()
+        return whole
+
+    async def _read_rest(self, receive, held, body):
+        try:
+            async with asyncio.timeout(self.limits.body_timeout_ms / 1000):
+                message = None
+                while message is None or message.get("more_body"):
+                    message = await receive()
+                    body += self._part(message, held)
+        except TimeoutError:
+            raise refuse(408, "body_timeout", "the body arrives too slowly") from None
+
+    async def _message(self, receive):
         try:
             async with asyncio.timeout(self.limits.body_timeout_ms / 1000):
                 return await receive()
         except TimeoutError:
             raise refuse(408, "body_timeout", "the body arrives too slowly") from None
 
+    def check_parsed(self, body, held):
+        """Count what a body takes once it is parsed, or refuse the request.
+
+        Parameters
+        ----------
+        body : bytes
+        held : HeldBody
+            Gives it back with the body.
+
+        Raises
+        ------
+        RefusedError
+        """
+        cost_bytes = parsed_bytes(body)
+        limit_bytes = self._budget.limit_bytes
+        if len(body) + cost_bytes > limit_bytes + FREE_BYTES:
+            self._metrics.count("bodies_refused_total", reason="parsed")
+            log.info(
+                "body_refused",
+                bound="held_body_bytes",
+                limit_bytes=limit_bytes,
+                body_bytes=len(body),
+                parsed_bytes=cost_bytes,
+            )
+            raise refuse(
+                413, "body_too_large", "the body's values exceed the VM's memory"
+            )
+        if not self._budget.take(held, cost_bytes):
+            raise self._no_room()
+
     def _part(self, message, held):
         if message["type"] == "http.disconnect":
             raise CallerGone("the caller disconnected while sending")
@@ -306,14 +369,22 @@
         if held.size_bytes + len(part) > self.limits.body_bytes:
             raise self._too_large()
         if not self._budget.take(held, len(part)):
-            raise refuse(
-                503,
-                "not_run",
-                "the bodies of current requests take up all memory set aside for them",
-                retry_after_s=1,
-            )
+            raise self._no_room()
         return part
 
+    def _no_room(self, message=None):
+        self._metrics.count("bodies_refused_total", reason="budget")
+        log.info(
+            "body_refused",
+            bound="held_body_bytes",
+            limit_bytes=self._budget.limit_bytes,
+            held_bytes=self._budget.held_bytes,
+        )
+        message = message or (
+            "the bodies of current requests take up all memory set aside for them"
+        )
+        return refuse(503, "not_run", message, retry_after_s=1)
+
     def release(self, held):
         """Give back the bytes of a request that ended."""
         self._budget.release(held)
--- a/cassiamount/edge.py
+++ b/cassiamount/edge.py
@@ -58,7 +58,7 @@
         self.limits = limits
         self.tracing = tracing
         self.log = log
-        self.bodies = BodyReader(limits)
+        self.bodies = BodyReader(limits, clock, metrics)
         self.timeouts = RequestTimeouts(clock)
         self.running = 0
         # Requests that the end of a stop left without their whole answer.
@@ -117,6 +117,8 @@
             await self._last_words(caller, _stopped(arrival))
             caller.detach()
         except RefusedError as error:
+            # What was read of the body is dropped before the refusal is sent.
+            self.bodies.release(arrival.held)
             # The rest of the body was perhaps not read.
             caller.close = caller.close or not caller.started
             await self._last_words(caller, error.refusal, error.param)
@@ -254,7 +256,9 @@
         check_method(arrival, ("POST",))
         self.identify(arrival)
         body = await self.bodies.read(arrival.receive, arrival.held)
+        self.bodies.check_parsed(body, arrival.held)
         document = parse_json(body)
+        del body
         try:
             request = parse_model_request(arrival.path, document, arrival.key)
         except InvalidModelRequest as error:
--- a/cassiamount/node.py
+++ b/cassiamount/node.py
@@ -34,6 +34,7 @@
 from .log_client import HttpLogClient
 from .log_streams import LogStreams
 from .mailbox import Mailbox, call
+from .memory_plan import MemoryPlan
 from .metrics import Metrics
 from .node_peers import NodePeerHandlers
 from .node_status import NodeStatus, ReportBoard
@@ -130,6 +131,7 @@
 
     def _build_requests(self):
         settings = self.settings
+        memory = MemoryPlan(settings.memory_mb)
         self.demand = DemandCounter()
         self._dispatch_mailbox = Mailbox("dispatcher", limit=100_000)
         self._link = BudgetClient(self._dispatch_mailbox, self._coordinator)
@@ -147,7 +149,12 @@
         )
         self._backends = BackendClient(self.metrics)
         self._relay = Relay(
-            self.dispatcher, self._backends, self.clock, self.metrics, self._rng
+            self.dispatcher,
+            self._backends,
+            self.clock,
+            self.metrics,
+            self._rng,
+            answer_bytes=memory.answer_bytes,
         )
         self._claims = ClaimService(
             ClaimTable(self.identity, self._coordinator.vm_gone),
@@ -158,6 +165,7 @@
         limits = EdgeLimits(
             head_bytes=settings.max_header_bytes,
             body_bytes=settings.max_body_bytes,
+            held_body_bytes=memory.body_bytes,
             concurrent_requests=settings.max_concurrent_requests,
         )
         self._application = build_application(
@@ -363,13 +371,17 @@
         return peers, admin, edge
 
     async def _server(self, name, address, application):
+        most = min(
+            most_caller_connections(descriptor_limit()),
+            MemoryPlan(self.settings.memory_mb).callers,
+        )
         return await open_server(
             name,
             address,
             application,
             self.metrics,
             head_bytes=self.settings.max_header_bytes,
-            max_connections=most_caller_connections(descriptor_limit()),
+            max_connections=most,
         )
 
     async def _drain(self, edge):
--- a/cassiamount/relay.py
+++ b/cassiamount/relay.py
@@ -108,16 +108,27 @@
     clock, metrics : object
     rng : random.Random
     retry_budget : RetryBudget, optional
+    answer_bytes : int
+        Most bytes of all answers that are held.
     """
 
-    def __init__(self, dispatcher, backends, clock, metrics, rng, retry_budget=None):
+    def __init__(
+        self,
+        dispatcher,
+        backends,
+        clock,
+        metrics,
+        rng,
+        retry_budget=None,
+        answer_bytes=MAX_ANSWER_BYTES,
+    ):
         self.dispatcher = dispatcher
         self.backends = backends
         self.clock = clock
         self.metrics = metrics
         self.rng = rng
         self.retry_budget = retry_budget or RetryBudget()
-        self._answers = BodyBudget(MAX_ANSWER_BYTES, FREE_BYTES)
+        self._answers = BodyBudget(answer_bytes, FREE_BYTES)
         self._quarantine = RequestQuarantine(
             clock, lambda address: backends.probe(address)
         )
--- a/cassiamount/service_calls.py
+++ b/cassiamount/service_calls.py
@@ -122,7 +122,9 @@
         ]
         query = strip_query(arrival.query, key)
         target = f"{path}?{query}" if query else path
-        if key and body:
+        # Only a key that is written with JSON escapes does not stand in the bytes.
+        if key and (raw in body or b"\\" in body):
+            self._edge.bodies.check_parsed(body, arrival.held)
             body = _body_without_key(body, key)
         if contains_key(target.encode("latin-1"), raw) or contains_key(body, raw):
             raise refuse(400, "key_in_request", "the request contains the key")
--- a/cassiamount/settings.py
+++ b/cassiamount/settings.py
@@ -11,6 +11,8 @@
 _LISTEN_ADDRESSES = ("listen_address", "peer_address", "admin_address")
 
 DEFAULTS = {
+    # An eighth is for bodies, which is 16 of the largest at once; a tenth for answers.
+    "memory_mb": 1_024,
     "max_header_bytes": 16_384,
     "max_body_bytes": 8_388_608,
     "max_concurrent_requests": 2_000,
@@ -57,6 +59,8 @@
         ``IP:port`` on which callers, other VMs and operators connect.
     log_address, vm_list_address, weight_store_address : str
         ``IP:port`` of services of the platform.
+    memory_mb : float
+        Memory that the process may take; bounds follow from it (`memory_plan`).
     max_header_bytes, max_body_bytes : int
         Requests above these limits get the status codes 431 and 413.
     max_concurrent_requests, max_queued_requests : int
@@ -88,6 +92,7 @@
         "log_address",
         "vm_list_address",
         "weight_store_address",
+        "memory_mb",
         "max_header_bytes",
         "max_body_bytes",
         "max_concurrent_requests",
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -112,7 +112,10 @@
         await self._harness.__aenter__()
         await self._deployment.start()
         self._daemon = await self._deployment.start_daemon(
-            "vm-1", max_body_bytes=BODY_BYTES, max_header_bytes=HEADER_BYTES
+            "vm-1",
+            memory_mb=MEMORY_MB,
+            max_body_bytes=BODY_BYTES,
+            max_header_bytes=HEADER_BYTES,
         )
         host, _, port = self._daemon.settings["listen_address"].rpartition(":")
         self.address = host, int(port)
