Read answers ahead of slow callers within the shared budget

A backend server cuts off an answer that stays unread for some seconds, and reading stopped at 16 KB for each slow caller even with the budget of answers free. Reading now goes on up to an eighth of the budget for one answer and half of it for all; the rest is left for events that are needed whole. What waits is counted with what each message takes, and small waiting events are joined.

--- a/cassiamount/backend_connection.py
+++ b/cassiamount/backend_connection.py
@@ -14,6 +14,8 @@
 MAX_QUEUED_MESSAGES = 256
 # The same for the bytes of these messages.
 MAX_QUEUED_BYTES = 16 << 10
+# What a queued message takes beside its bytes.
+MESSAGE_BYTES = 200
 # Most bytes that one read takes in.
 MAX_READ_BYTES = 16 << 10
 # Idle connections are reused only for this fraction of the keep-alive time; after that
@@ -52,6 +54,9 @@
         # Takes the pieces of the body instead of `messages`, if set; it saves a change
         # of task for each event of a stream. Reset at the end of the response.
         self.body_sink = None
+        # Called with the memory that `messages` takes, in bytes, when that exceeds its
+        # bound; returns whether to read on. Reset at the next request.
+        self.read_ahead = None
         self.on_idle_closed = None
         self._decode_response = decode_response
         self._clock = clock
@@ -83,6 +88,11 @@
             and idle_ms < self.keep_alive_ms * KEEP_ALIVE_FRACTION
         )
 
+    @property
+    def queued_cost_bytes(self):
+        """What the messages that wait take of the memory."""
+        return self._queued_bytes + MESSAGE_BYTES * self.messages.qsize()
+
     def connection_made(self, transport):
         """Set the socket options of the new connection."""
         self._transport = transport
@@ -97,6 +107,7 @@
         self._busy = True
         self._sends += 1
         self.body_sink = None
+        self.read_ahead = None
         self._request_id = request_id
         self.messages = asyncio.Queue()
         self._queued_bytes = 0
@@ -162,7 +173,8 @@
             self.messages.qsize() > MAX_QUEUED_MESSAGES
             or self._queued_bytes > MAX_QUEUED_BYTES
         ):
-            self.pause_reading()
+            if not (self.read_ahead and self.read_ahead(self.queued_cost_bytes)):
+                self.pause_reading()
         elif self._has_excess_bytes:
             self.abort()
 
--- a/cassiamount/body_budget.py
+++ b/cassiamount/body_budget.py
@@ -8,6 +8,10 @@
 # PROGRESS_BYTES in STALLED_MS. Retransmissions on a lossy link take up to a second.
 STALLED_MS = 1_000.0
 PROGRESS_BYTES = 4 << 10
+# Answers are read ahead of slow callers up to these parts of the budget, for one answer
+# and for all. The rest is left for events of other answers that are needed whole.
+READ_AHEAD_ANSWER_SHARE = 1 / 8
+READ_AHEAD_SHARE = 1 / 2
 
 log = structlog.get_logger()
 
@@ -169,6 +173,14 @@
         """Count how much is held now; return whether that much may be held."""
         return self._budget.resize(self._held, size_bytes)
 
+    def may_read_ahead(self):
+        """Return whether more may be read while this much waits for the caller."""
+        budget = self._budget
+        return (
+            self._held.size_bytes < READ_AHEAD_ANSWER_SHARE * budget.limit_bytes
+            and budget.held_bytes < READ_AHEAD_SHARE * budget.limit_bytes
+        )
+
     def check_event(self, complete_bytes, framer):
         """Count complete events that are held, and the incomplete one.
 
--- a/cassiamount/response_forwarding.py
+++ b/cassiamount/response_forwarding.py
@@ -14,8 +14,11 @@
 # Bodies up to this size are buffered, so that the request can still be retried if the
 # response breaks off.
 MAX_BUFFERED_BODY_BYTES = 1 << 20
-# Reading from the backend server pauses while this many bytes wait for a slow caller.
+# While this many bytes wait for a slow caller, reading goes on only within the shared
+# budget of answers. A backend server cuts off an answer that stays unread for seconds.
 MAX_WAITING_BYTES = 16 << 10
+# Waiting events are joined up to this size, so that small ones take little more.
+MAX_JOINED_BYTES = 8 << 10
 # A body that nobody needs is read up to this size, to use its connection again.
 MAX_DISCARDED_BYTES = 64 << 10
 
@@ -67,11 +70,23 @@
             return
         if not self._waiting:
             self._connection.messages.put_nowait(EventsWaiting())
-        self._waiting.append((events, last_event_id))
-        self._waiting_bytes += len(events)
-        if self._waiting_bytes > MAX_WAITING_BYTES:
+        self._add(events, last_event_id)
+        if (
+            self._waiting_bytes > MAX_WAITING_BYTES
+            and not self._answer.may_read_ahead()
+        ):
             self._connection.pause_reading()
 
+    def _add(self, events, last_event_id):
+        self._waiting_bytes += len(events)
+        # The first entry is perhaps being sent.
+        if len(self._waiting) > 1:
+            last, _ = self._waiting[-1]
+            if len(last) + len(events) <= MAX_JOINED_BYTES:
+                self._waiting[-1] = (last + events, last_event_id)
+                return
+        self._waiting.append((events, last_event_id))
+
     async def drain(self):
         """Send what waits, at the speed of the caller."""
         while self._waiting:
@@ -127,6 +142,7 @@
         try:
             return await self._forward(request, connection, on_head, on_stream, answer)
         finally:
+            connection.read_ahead = None
             answer.release()
 
     async def _forward(self, request, connection, on_head, on_stream, answer):
@@ -207,14 +223,22 @@
     async def _forward_large_body(self, request, connection, head, chunks, answer):
         request.response_started = True
         caller = request.inbound.caller
+        unsent_bytes = sum(map(len, chunks))
+
+        def read_ahead(queued_bytes):
+            answer.hold(unsent_bytes + queued_bytes)
+            return answer.may_read_ahead()
+
+        connection.read_ahead = read_ahead
         await caller.start(
             head.metadata.status, self._codec.response_headers(head.headers)
         )
-        for chunk in chunks:
-            await caller.send_chunk(chunk)
-        answer.release()
-        chunks.clear()
+        chunks.reverse()
+        while chunks:
+            await caller.send_chunk(chunks[-1])
+            unsent_bytes -= len(chunks.pop())
         while True:
+            answer.hold(connection.queued_cost_bytes)
             message = await connection.receive()
             if isinstance(message, BodyChunk):
                 await caller.send_chunk(message.data)
