Plan model changes at most each 50 ms, and order adapters in between

A `PlanSchedule` now decides: 100 ms after the last plan; 50 ms after it when a request waits for a model that no engine holds, or when an engine is free again; 500 ms after it while nobody asks for anything. A target that starts to be waited for is acted on at once by a pass over the adapters only, which looks at the engines that hold the model instead of at all engines.

Ruled out: skipping plans by the demand alone, because adapters load in 14 ms and a request would wait up to 100 ms for their order.

--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -21,9 +21,8 @@
 from .fleet_placement import CHANGE_RETRY_MS, UNLOAD_CONFIRMED_MS, FleetPlacement
 from .metadata_store import StoreUnavailable
 from .order_lease import LEASE_MS, RENEW_INTERVAL_MS
+from .plan_schedule import PLAN_INTERVAL_MS, PlanSchedule
 
-# Interval between plans unless `wake` requests one sooner.
-PLAN_INTERVAL_MS = 100.0
 # Time that the other VMs need to learn that a model is about to be unloaded.
 DRAIN_NOTICE_MS = 60.0
 # Interval between the first requests for an engine's report; it grows by this factor up
@@ -82,6 +81,9 @@
         self._placements = {}
         self._tasks = BackgroundTasks()
         self._wake = asyncio.Event()
+        self._schedule = PlanSchedule()
+        # Models and adapters that requests wait for, as far as plans know.
+        self._waited_for = set()
         self._active = False
         # Whether this VM has joined the lease's group and not left it.
         self._is_member = False
@@ -90,10 +92,30 @@
         self._report_slots = asyncio.Semaphore(MAX_CONCURRENT_REPORTS)
 
     def wake(self):
-        """Plan without delay, because requests wait for a model or an adapter."""
+        """Plan soon, because an engine has become free or the lease has come."""
         if self._lease.granted or self._active:
+            self._schedule.hasten()
             self._wake.set()
 
+    def on_waiting(self, targets):
+        """Act on models and adapters for which requests have begun to wait.
+
+        Those that the plans know of already need no further one.
+
+        Parameters
+        ----------
+        targets : collection of str
+        """
+        if not (self._lease.granted or self._active):
+            return
+        new = targets - self._waited_for
+        if not new:
+            return
+        self._waited_for |= new
+        if any(p.lacks(target) for target in new for p in self._placements.values()):
+            self._schedule.hasten()
+        self._wake.set()
+
     async def renew_lease(self):
         """Request and renew the order lease until this VM stops."""
         member = self._state.settings.vm_name
@@ -155,14 +177,17 @@
         # An earlier run may have failed after marking engines as changing.
         self._deactivate()
         while True:
-            is_idle = not self._lease.granted and not self._active
+            wait_s = None
+            if self._active:
+                wait_s = self._schedule.wait_ms(self._state.now_ms()) / 1000
+            elif self._lease.granted:
+                wait_s = PLAN_INTERVAL_MS / 1000
             try:
-                async with asyncio.timeout(
-                    None if is_idle else PLAN_INTERVAL_MS / 1000
-                ):
+                async with asyncio.timeout(wait_s):
                     await self._wake.wait()
             except TimeoutError:
                 pass
+            is_woken = self._wake.is_set()
             self._wake.clear()
             if not self._state.may_order():
                 self._deactivate()
@@ -171,10 +196,22 @@
                 self._active = True
                 log.info("orders_begun", fence=self._lease.generation)
             plan_started_ms = self._state.now_ms()
-            self._plan_all()
-            took_ms = self._state.now_ms() - plan_started_ms
-            self._stats.observe_ms("plan", took_ms)
-            await asyncio.sleep(took_ms * (1 / PLAN_CPU_FRACTION - 1) / 1000)
+            demand = self._state.demand.version
+            is_settled = all(p.is_settled() for p in self._placements.values())
+            if self._schedule.is_due(plan_started_ms, demand, is_settled):
+                self._schedule.record_plan(plan_started_ms, demand)
+                self._plan_all()
+                took_ms = self._state.now_ms() - plan_started_ms
+                self._stats.observe_ms("plan", took_ms)
+            elif is_woken:
+                self._schedule.record_pass(plan_started_ms)
+                self._order_adapters()
+                took_ms = self._state.now_ms() - plan_started_ms
+            else:
+                continue
+            rest_ms = took_ms * (1 / PLAN_CPU_FRACTION - 1)
+            pause_ms = self._schedule.pause_ms(self._state.now_ms())
+            await asyncio.sleep(max(rest_ms, pause_ms) / 1000)
 
     def status(self):
         """Return what the holder of the order lease has to do, for the log."""
@@ -189,6 +226,8 @@
             self._active = False
             log.info("orders_ended", fence=self._lease.generation)
             self._placements.clear()
+            self._waited_for.clear()
+            self._schedule = PlanSchedule()
             self._tasks.cancel()
             self._state.end_own_residency()
 
@@ -199,6 +238,7 @@
         now_ms = self._state.now_ms()
         running = self._state.running_requests()
         waiting = self._state.waiting_requests()
+        self._waited_for = set(waiting)
         rates = self._state.request_rates()
         services = [s for s in configuration.services.values() if s.engine is not None]
         for name in self._placements.keys() - {s.name for s in services}:
@@ -227,6 +267,18 @@
                 self._start_change(placement, change)
         self._publish_all()
 
+    def _order_adapters(self):
+        """Order the adapters that requests wait for, between two plans."""
+        running = self._state.running_requests()
+        waiting = self._state.waiting_requests()
+        self._waited_for = set(waiting)
+        now_ms = self._state.now_ms()
+        for placement in self._placements.values():
+            placement.set_requests(running, waiting, now_ms)
+            for change in placement.plan_adapters(now_ms):
+                self._start_change(placement, change)
+                self._publish(placement, placement.engines[change.engine])
+
     def _query_if_unknown(self, engine, now_ms):
         if (
             engine.accepted_orders is None
--- a/cassiamount/fleet_demand.py
+++ b/cassiamount/fleet_demand.py
@@ -15,12 +15,22 @@
     counter : ChangeCounter
     """
 
-    __slots__ = ("waiting", "rates", "_view", "_counter", "_running", "_waiting")
+    __slots__ = (
+        "waiting",
+        "rates",
+        "version",
+        "_view",
+        "_counter",
+        "_running",
+        "_waiting",
+    )
 
     def __init__(self, view, counter):
         # Model or adapter -> number of requests that wait on this VM.
         self.waiting = {}
         self.rates = RequestRates()
+        # Grows with each change of the requests and rates of any VM.
+        self.version = 0
         self._view = view
         self._counter = counter
         # Peer -> backend server -> target -> requests; peer -> target -> requests.
@@ -29,6 +39,7 @@
 
     def record_request(self, model, latency_sensitive, with_adapter, now_ms):
         """Count a request for a model that this VM received."""
+        self.version += 1
         self.rates.record_request(
             OWN_SOURCE,
             model,
@@ -49,11 +60,15 @@
         waiting : dict of str to int
         rates : dict of str to RequestRate
         """
-        if running is not None:
+        if running is not None and running != self._running.get(peer):
             self._running[peer] = running
-        self._waiting[peer] = waiting
+            self.version += 1
+        if waiting or self._waiting.get(peer):
+            self._waiting[peer] = waiting
+            self.version += 1
         if rates:
             self.rates.apply(peer, rates, self._counter.next())
+            self.version += 1
 
     def on_restart(self, peer):
         """Drop the requests of a peer's earlier start, but not their rates."""
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -183,12 +183,12 @@
         for name in self.state.on_report(report):
             self._exchange.exchange_soon(name)
         if report.waiting:
-            self._controller.wake()
+            self._controller.on_waiting(report.waiting.keys())
 
     def _notify_lease_holder(self):
         """Tell the VM that holds the order lease that requests wait."""
         if self.state.lease.active:
-            self._controller.wake()
+            self._controller.on_waiting(self.state.demand.waiting.keys())
             return
         name = self.state.way_to_holder()
         if name is not None:
--- a/cassiamount/fleet_placement.py
+++ b/cassiamount/fleet_placement.py
@@ -47,6 +47,9 @@
         # Engines that name a request limit; their copies serve too few requests.
         self.limited = frozenset()
         self._adapter_waiting = {}
+        self._has_waiting = False
+        # Models with a copy as of the last plan.
+        self._held = frozenset()
         self._running = {}
         # Engine -> its requests, in total and by model.
         self._request_counts = {}
@@ -105,6 +108,35 @@
         rates : dict of str to RequestRate
             By model, over all VMs.
         """
+        running_by_model, waiting_by_model, adapters_in_use = self.set_requests(
+            running, waiting, now_ms
+        )
+        no_requests = RequestRate(as_of_ms=now_ms)
+        for name in self.rule.models:
+            demand = self.demand.get(name)
+            if demand is None:
+                demand = self.demand[name] = ModelDemand()
+            demand.update(
+                running_by_model.get(name, 0),
+                waiting_by_model.get(name, 0),
+                rates.get(name, no_requests),
+                now_ms,
+            )
+            demand.adapters_in_use = adapters_in_use.get(name, 0)
+
+    def set_requests(self, running, waiting, now_ms):
+        """Update the requests that run and wait, which is all that adapters depend on.
+
+        Parameters
+        ----------
+        running, waiting
+            As in `set_demand`.
+
+        Returns
+        -------
+        tuple of dict of str to int
+            By model: its running requests, its waiting ones, and its adapters in use.
+        """
         self._running = running
         self._request_counts = {}
         self._running_by_model = {}
@@ -123,6 +155,7 @@
             self._request_counts[engine_name] = sum(targets.values())
         waiting_by_model = {}
         self._adapter_waiting = {}
+        self._has_waiting = bool(waiting)
         pinned, self.pinned = self.pinned, {}
         for name, count in waiting.items():
             target, _, software = name.partition(SOFTWARE_MARK)
@@ -134,18 +167,7 @@
             if adapter and model in self.rule.models:
                 self._adapter_waiting[(model, adapter)] = count
                 adapters_in_use[model] = adapters_in_use.get(model, 0) + 1
-        no_requests = RequestRate(as_of_ms=now_ms)
-        for name in self.rule.models:
-            demand = self.demand.get(name)
-            if demand is None:
-                demand = self.demand[name] = ModelDemand()
-            demand.update(
-                running_by_model.get(name, 0),
-                waiting_by_model.get(name, 0),
-                rates.get(name, no_requests),
-                now_ms,
-            )
-            demand.adapters_in_use = adapters_in_use.get(name, 0)
+        return running_by_model, waiting_by_model, adapters_in_use
 
     def plan(self, now_ms):
         """Return the changes to start now and mark their engines as changing.
@@ -154,9 +176,10 @@
         -------
         list of (ModelChange or AdapterChange)
         """
-        adapter_changes = self._plan_adapters(now_ms)
+        adapter_changes = self.plan_adapters(now_ms)
         planner = ModelPlanner(self, now_ms)
         model_changes = planner.plan()
+        self._held = {name for name in self.rule.models if planner.copies(name)}
         self.queued = self._queued_ready_times(planner.missing_models(), now_ms)
         return adapter_changes + model_changes
 
@@ -184,6 +207,19 @@
             )
         return ready_times
 
+    def is_settled(self):
+        """Return whether no request waits and no engine is changing or unknown."""
+        return not self._has_waiting and all(
+            engine.change is None and engine.accepted_orders is not None
+            for engine in self.engines.values()
+        )
+
+    def lacks(self, target):
+        """Return whether a request that waits for a target needs a model change."""
+        name, _, software = target.partition(SOFTWARE_MARK)
+        model = name.partition("/")[0]
+        return model in self.rule.models and (bool(software) or model not in self._held)
+
     def status(self, now_ms):
         """Return counts of engines, changes and missing models, for the log."""
         missing = [
@@ -226,12 +262,32 @@
             and now_ms >= engine.retry_at_ms
         )
 
-    def _plan_adapters(self, now_ms):
+    def plan_adapters(self, now_ms):
+        """Return the adapters to load now, and mark their engines.
+
+        Returns
+        -------
+        list of AdapterChange
+        """
         changes = []
+        if not any(self._adapter_waiting.values()):
+            return changes
+        # Model or adapter -> engines that hold it, or are about to hold the adapter.
+        holders, loading = {}, {}
+        for engine in self.engines.values():
+            if engine.record.leaving or engine.record.name in self.limited:
+                continue
+            for model in engine.ready:
+                holders.setdefault(model, []).append(engine)
+            for pair in engine.adapters_loading:
+                loading.setdefault(pair, []).append(engine)
         for (model, adapter), waiting in self._adapter_waiting.items():
             if not waiting:
                 continue
-            change = self._adapter_change(model, adapter, now_ms)
+            if any(model not in e.drained for e in loading.get((model, adapter), ())):
+                continue
+            engines = holders.get(model, ())
+            change = self._adapter_change(engines, model, adapter, now_ms)
             if change is not None:
                 engine = self.engines[change.engine]
                 engine.adapters_loading[(model, adapter)] = None
@@ -240,23 +296,21 @@
                 changes.append(change)
         return changes
 
-    def _adapter_change(self, model, adapter, now_ms):
+    def _adapter_change(self, engines, model, adapter, now_ms):
+        """Return the change that loads an adapter at an engine that holds its model."""
+        engines = [engine for engine in engines if model not in engine.drained]
+        if any(
+            adapter in engine.ready[model]
+            and (model, adapter) not in engine.adapters_unloading
+            for engine in engines
+        ):
+            return None
         best = None
-        for engine in self.engines.values():
-            if (
-                engine.record.leaving
-                or model in engine.drained
-                or engine.record.name in self.limited
-            ):
-                continue
-            if (model, adapter) in engine.adapters_loading:
-                return None
-            if adapter in engine.ready.get(model, ()) and (
-                (model, adapter) not in engine.adapters_unloading
-            ):
-                return None
+        for engine in engines:
             # An engine accepts no adapter order while it executes another order.
-            if model not in engine.ready or not self.accepts_change(engine, now_ms):
+            if not self.accepts_change(engine, now_ms):
+                continue
+            if best is not None and self.request_count(engine) >= best[0]:
                 continue
             victim = self._adapter_victim(engine, model, now_ms)
             if victim is None:
