Look at all VMs only when one may have become reachable or silent

Every 200 ms each VM looked at all others up to four times: for the reachable ones, for those to forget, for those that it vouches for, and for the share of the quota.

The set of reachable VMs is now kept until the first of its members could have become silent; a change of a state, or the first news of a VM that was silent, ends it sooner. Rank, holder and summary are kept with it. The share of the quota is determined anew at the same events, and takes the times at which VMs were heard of when it does. Requests of peers are counted anew when the set of counted peers or the backend servers change; between, each report adjusts the counts, as before.

Ruled out: a longer interval between the scans, because VMs that fall silent would be noticed later.

--- a/cassiamount/fleet_demand.py
+++ b/cassiamount/fleet_demand.py
@@ -64,8 +64,8 @@
             self._running[peer] = running
             self.version += 1
         if waiting or self._waiting.get(peer):
-            self._waiting[peer] = waiting
             self.version += 1
+        self._waiting[peer] = waiting
         if rates:
             self.rates.apply(peer, rates, self._counter.next())
             self.version += 1
@@ -82,6 +82,10 @@
         self._waiting.pop(peer, None)
         self.rates.remove_source(peer)
 
+    def peers(self):
+        """Return the peers that reported requests."""
+        return self._waiting.keys()
+
     def running_of(self, peer):
         """Return the running requests that a peer reported."""
         return self._running.get(peer, {})
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -355,7 +355,7 @@
     async def _review_loop(self):
         logged_ms = self._clock.monotonic_ms()
         while True:
-            interval_ms = max(REVIEW_INTERVAL_MS, self.state.peers.cache_ms())
+            interval_ms = max(REVIEW_INTERVAL_MS, self.state.peers.review_interval_ms())
             self._delay.expect(interval_ms)
             ran_s = time.process_time()
             await asyncio.sleep(interval_ms / 1000)
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -93,6 +93,7 @@
             self._counter,
         )
         self.quota = SharedQuota(settings.first_start, clock.started_ms)
+        self.quota.find_heard_ms = self.peers.all_heard_ms
         self.retry_budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s * 1000
         )
@@ -134,6 +135,11 @@
         )
         self._wants_demand = False
         self._reviewed_ms = -float("inf")
+        # What the share of the quota was last determined by.
+        self._quota_basis = None
+        # Peers whose requests the views of backend servers count; None after a change
+        # of these.
+        self._counted_peers = None
         self._decoder = decoder
         self._started_ms = started_ms
         # Monotonic time of the start.
@@ -410,7 +416,11 @@
                 del self._missing_since_ms[name]
                 self._lost_until_ms.pop(name, None)
                 self._records.pop(name, None)
-        for name in self.view.replace(records):
+        changed = self.view.replace(records)
+        if changed:
+            # The views of new and restarted servers count no requests yet.
+            self._counted_peers = None
+        for name in changed:
             view = self.view.backends.get(name)
             log.info(
                 "backend_changed",
@@ -629,7 +639,7 @@
             Peers to which this VM should pass on what is new, without delay.
         """
         now_ms = self.now_ms()
-        if not 0 <= now_ms - self._reviewed_ms < self.peers.cache_ms():
+        if not 0 <= now_ms - self._reviewed_ms < self.peers.review_interval_ms():
             self._reviewed_ms = now_ms
             for name in self.peers.remove_expired(now_ms):
                 log.info("peer_forgotten", peer=name)
@@ -637,21 +647,28 @@
         lost = self.peers.mark_lost(now_ms)
         for name in lost:
             log.info("peer_lost", peer=name)
-        for name in list(self.peers.links):
-            if not self.peers.is_linked(name, now_ms):
-                self.demand.remove(name)
+        linked = self._linked_peers(now_ms)
+        for name in self.demand.peers() - linked:
+            self.demand.remove(name)
         self.demand.rates.forget_idle(now_ms)
-        self._recount_peer_requests()
+        if linked != self._counted_peers:
+            self._counted_peers = linked
+            self._recount_peer_requests()
         self.remove_missing_backends()
         self.quarantine.remove_expired(now_ms)
         flags_changed = self._update_own_state(now_ms)
         return self._linked_peers(now_ms) if lost or flags_changed else set()
 
     def _review_quota(self, now_ms):
-        self.quota.peer_timeout_ms = self.peers.timeout_ms()
-        self.quota.unheard_vms = len(self.peers.unheard_vms())
-        for name, heard_ms in self.peers.all_heard_ms().items():
-            self.quota.on_peer_heard(name, heard_ms)
+        basis = (
+            self.peers.live_version,
+            self.peers.timeout_ms(),
+            len(self.peers.unheard_vms()),
+        )
+        if basis == self._quota_basis and now_ms <= self.quota.share_until_ms:
+            return
+        self._quota_basis = basis
+        _, self.quota.peer_timeout_ms, self.quota.unheard_vms = basis
         share = self.quota.share
         self.quota.update_share(now_ms)
         if self.quota.share != share:
--- a/cassiamount/peer_table.py
+++ b/cassiamount/peer_table.py
@@ -20,8 +20,7 @@
 RELAY_TIMEOUT_MS = 800.0
 # A VM that was not heard of for this long is removed.
 PEER_EXPIRY_MS = 20_000.0
-# Time for which the set of reachable VMs is not determined again, unless a VM's state
-# changes; in a small and in a large fleet.
+# Interval at which silent VMs are looked for, in a small and in a large fleet.
 LIVE_CACHE_MS = 50.0
 RELAYED_LIVE_CACHE_MS = 200.0
 # In a large fleet a VM's state gets a new sequence number at least this often. The
@@ -134,9 +133,24 @@
         self._relay = None
         # Names of the VMs that vouch for others; None after a change of them.
         self._vouchers = None
+        # Names of the VMs for which this VM vouches; None after a change of them.
+        self._own_vouched = None
+        # Names of the reachable VMs, with the time and the timeout by which they were
+        # determined, and the time until which none of them can become unreachable.
         self._live = None
         self._live_ms = 0.0
+        self._live_timeout_ms = 0.0
+        self._live_until_ms = 0.0
+        # Grows whenever other VMs may be reachable than before.
+        self.live_version = 0
+        # Until then no VM was silent for `PEER_EXPIRY_MS`.
+        self._expiry_ms = -float("inf")
+        self._sending = None
         self._reader_rank = None
+        # (number, highest fence, name of the holder) of the reachable VMs.
+        self._roles = None
+        # Peer -> whether its requests count, in the current topology.
+        self._counted = {}
 
     # Links.
 
@@ -148,6 +162,7 @@
                 self.own_name, self.own.address, self.own.zone, self.own.capacity
             )
             self._topology = PeerTopology(own, self.places, self.failing)
+            self._counted = {}
             if self._topology.relay != self._relay:
                 self._relay = self._topology.relay
                 # A new sequence number, because the new relay vouches for this VM.
@@ -184,6 +199,7 @@
         self.add_place(place)
         if place.zone is not None:
             self._unheard_ms[place.name] = now_ms
+            self._sending = None
             self._mark_place(place.name)
 
     def _mark_place(self, name):
@@ -246,17 +262,32 @@
         return (
             link is not None
             and now_ms - link.heard_ms <= self.link_timeout_ms(name)
-            and self.topology.counts(name, self.places)
+            and self._counts(name)
         )
 
+    def _counts(self, name):
+        """Return whether the requests that a peer reports are to be counted."""
+        topology = self.topology
+        counts = self._counted.get(name)
+        if counts is None:
+            counts = self._counted[name] = topology.counts(name, self.places)
+        return counts
+
     def linked_names(self, now_ms):
         """Return the names of all linked peers."""
+        topology = self.topology
+        if topology.is_mesh:
+            return [
+                name
+                for name, link in self.links.items()
+                if now_ms - link.heard_ms <= PEER_TIMEOUT_MS and self._counts(name)
+            ]
         # Most links of a VM that others once contacted are silent.
-        oldest_ms = now_ms - MEMBER_TIMEOUT_MS
         return [
             name
             for name, link in self.links.items()
-            if link.heard_ms >= oldest_ms and self.is_linked(name, now_ms)
+            if now_ms - link.heard_ms <= MEMBER_TIMEOUT_MS
+            and self.is_linked(name, now_ms)
         ]
 
     def next_hop(self, name):
@@ -332,7 +363,7 @@
         if link is None or started_ms > link.started_ms:
             link = self.links[name] = Link(started_ms)
         if now_ms - link.heard_ms > PEER_TIMEOUT_MS:
-            self._live = None
+            self._forget_live()
         link.heard_ms = now_ms
         self._heard_ms[name] = now_ms
         self._vouched_ms[name] = now_ms
@@ -340,6 +371,7 @@
         state = self.states.get(name)
         if state is not None and state.lost and state.voucher == self.own_name:
             state.lost = False
+            self._forget_live()
             self._mark_changed(name)
         return link
 
@@ -366,7 +398,8 @@
             self._sources[state.vm] = source
             self._mark_changed(state.vm)
             self._heard_ms.setdefault(state.vm, now_ms)
-            self._unheard_ms.pop(state.vm, None)
+            if self._unheard_ms.pop(state.vm, None) is not None:
+                self._sending = None
             if known is None:
                 self._mark_place(state.vm)
             self._replace_live(known, state)
@@ -377,11 +410,17 @@
     def _replace_live(self, known, state):
         """Keep the set of reachable VMs unless a state changes what depends on it."""
         if known is None or known.voucher != state.voucher:
-            self._vouchers = None
+            self._vouchers = self._own_vouched = None
         if known is None or any(
             getattr(known, name) != getattr(state, name) for name in LIVE_FIELDS
         ):
-            self._live = None
+            self._forget_live()
+
+    def _forget_live(self):
+        """Determine which VMs are reachable anew when that is next asked for."""
+        self._live = self._sending = None
+        self._expiry_ms = -float("inf")
+        self.live_version += 1
 
     def _place(self, state):
         known = self.places.get(state.vm)
@@ -403,6 +442,7 @@
                 # An address may be used again by a new VM.
                 del self.places[name]
                 self._unheard_ms.pop(name, None)
+                self._sending = None
         self.places[state.vm] = VmPlace(
             state.vm, state.address, state.zone, state.capacity
         )
@@ -447,10 +487,14 @@
 
     def on_vouched(self, ages, now_ms):
         """Apply the ages in a peer's report."""
+        oldest_ms = now_ms - self.timeout_ms()
         for name, age_ms in ages.items():
             at_ms = now_ms - age_ms
-            if at_ms > self._vouched_ms.get(name, -float("inf")):
+            known_ms = self._vouched_ms.get(name, -float("inf"))
+            if at_ms > known_ms:
                 self._vouched_ms[name] = at_ms
+                if known_ms < oldest_ms:
+                    self._forget_live()
 
     def all_heard_ms(self):
         """Return when each VM was last known to go on, by name."""
@@ -472,16 +516,19 @@
         -------
         list of str
         """
+        if self._own_vouched is None:
+            self._own_vouched = [
+                name
+                for name, state in self.states.items()
+                if state.voucher == self.own_name
+            ]
         lost = []
         oldest_ms = now_ms - MEMBER_TIMEOUT_MS
-        for name, state in self.states.items():
-            if (
-                state.voucher == self.own_name
-                and not state.lost
-                and self._heard_ms[name] < oldest_ms
-            ):
+        for name in self._own_vouched:
+            state = self.states[name]
+            if not state.lost and self._heard_ms[name] < oldest_ms:
                 state.lost = True
-                self._live = None
+                self._forget_live()
                 self._mark_changed(name)
                 lost.append(name)
         return lost
@@ -495,12 +542,19 @@
         for name, learned_ms in list(self._unheard_ms.items()):
             if now_ms - learned_ms > PEER_EXPIRY_MS:
                 del self._unheard_ms[name]
+                self._sending = None
+        if now_ms <= self._expiry_ms:
+            return []
         heard_ms = self.all_heard_ms()
         expired = [
             name for name, at_ms in heard_ms.items() if now_ms - at_ms > PEER_EXPIRY_MS
         ]
         if expired:
-            self._live = self._vouchers = None
+            self._vouchers = self._own_vouched = None
+            self._forget_live()
+        else:
+            first_ms = min(heard_ms.values(), default=float("inf"))
+            self._expiry_ms = first_ms + PEER_EXPIRY_MS
         for name in expired:
             for table in (self.states, self.links, self._versions, self._sources):
                 table.pop(name, None)
@@ -508,21 +562,34 @@
             self._vouched_ms.pop(name, None)
         return expired
 
-    def cache_ms(self):
-        """Return how long the set of reachable VMs is used."""
+    def review_interval_ms(self):
+        """Return the interval at which silent VMs are looked for."""
         return LIVE_CACHE_MS if self.topology.is_mesh else RELAYED_LIVE_CACHE_MS
 
+    def _update_live(self, now_ms):
+        """Determine the reachable VMs, unless nothing can have changed."""
+        timeout_ms = self.timeout_ms()
+        if (
+            self._live is not None
+            and self._live_timeout_ms == timeout_ms
+            and self._live_ms <= now_ms <= self._live_until_ms
+        ):
+            return
+        oldest_ms = now_ms - timeout_ms
+        heard_ms = self.all_heard_ms()
+        self._live = [
+            name
+            for name, at_ms in heard_ms.items()
+            if at_ms >= oldest_ms and not self.states[name].lost
+        ]
+        first_ms = min((heard_ms[name] for name in self._live), default=float("inf"))
+        self._live_ms, self._live_timeout_ms = now_ms, timeout_ms
+        self._live_until_ms = first_ms + timeout_ms
+        self._reader_rank = self._roles = None
+
     def live_states(self, now_ms):
         """Return the states of all reachable VMs."""
-        if self._live is None or not 0 <= now_ms - self._live_ms < self.cache_ms():
-            oldest_ms = now_ms - self.timeout_ms()
-            self._live = [
-                name
-                for name, heard_ms in self.all_heard_ms().items()
-                if heard_ms >= oldest_ms and not self.states[name].lost
-            ]
-            self._live_ms = now_ms
-            self._reader_rank = None
+        self._update_live(now_ms)
         return [self.states[name] for name in self._live]
 
     def vm_count(self, now_ms):
@@ -531,31 +598,43 @@
 
     def sending_vms(self):
         """Return the names of the VMs that may be sending requests, with this one."""
-        names = [s.vm for s in self.states.values() if not s.stopping]
-        return sorted([self.own_name, *names, *self._unheard_ms])
+        if self._sending is None:
+            names = [s.vm for s in self.states.values() if not s.stopping]
+            self._sending = sorted([self.own_name, *names, *self._unheard_ms])
+        return self._sending
 
     def store_reader_rank(self, now_ms):
         """Return this VM's rank among the VMs that can read the store."""
-        live = self.live_states(now_ms)
+        self._update_live(now_ms)
         if self._reader_rank is None:
             own_rank = self.own.rank
             self._reader_rank = sum(
                 state.store_reachable and not state.stopping and state.rank < own_rank
-                for state in live
+                for state in self.live_states(now_ms)
             )
         return self._reader_rank
 
+    def _update_roles(self, now_ms):
+        """Return `_roles`; of those that stop only the holder counts."""
+        self._update_live(now_ms)
+        if self._roles is None:
+            live = self.live_states(now_ms)
+            fences = [state.fence for state in live if not state.stopping]
+            holders = [state for state in live if state.fence]
+            holder = max(holders, key=lambda state: state.fence, default=None)
+            name = None if holder is None else holder.vm
+            self._roles = (len(fences), max(fences, default=0), name)
+        return self._roles
+
     def peer_summary(self, now_ms):
         """Return the state of the peers on which the order lease depends."""
-        reachable = [s for s in self.live_states(now_ms) if not s.stopping]
-        known = len(self.sending_vms()) - 1
-        fence = max((state.fence for state in reachable), default=0)
-        return PeerSummary(len(reachable), known, fence)
+        reachable, fence, _ = self._update_roles(now_ms)
+        return PeerSummary(reachable, len(self.sending_vms()) - 1, fence)
 
     def holder(self, now_ms):
         """Return the state of the VM that holds the order lease, or None."""
-        holders = [state for state in self.live_states(now_ms) if state.fence]
-        return max(holders, key=lambda state: state.fence, default=None)
+        name = self._update_roles(now_ms)[2]
+        return None if name is None else self.states[name]
 
 
 def _is_newer(state, known, source):
--- a/cassiamount/shared_quota.py
+++ b/cassiamount/shared_quota.py
@@ -58,9 +58,12 @@
         self._peers = {}
         self._share = 1.0
         # The share stays as it is until then, unless a silent peer is heard.
-        self._share_until_ms = -float("inf")
+        self.share_until_ms = -float("inf")
         # VMs that may be running and of which no report has been heard.
         self.unheard_vms = 0
+        # Returns when each VM was last known to go on, by name; the caller may set it
+        # if it hears of VMs also without reports of their use.
+        self.find_heard_ms = dict
         # Raised by the caller in large fleets, where VMs report less often.
         self.peer_timeout_ms = PEER_TIMEOUT_MS
 
@@ -155,7 +158,7 @@
                 )
         self._peers[peer] = (started, dict(used), now_ms)
         if (
-            now_ms > self._share_until_ms
+            now_ms > self.share_until_ms
             or previous_report is None
             or now_ms - previous_report[2] > self.peer_timeout_ms
         ):
@@ -167,15 +170,17 @@
         if known is not None:
             self._peers[peer] = (known[0], known[1], heard_ms)
             if heard_ms - known[2] > self.peer_timeout_ms:
-                self._share_until_ms = -float("inf")
+                self.share_until_ms = -float("inf")
 
     def remove_peer(self, peer):
         """Remove a peer that reported that it is stopping."""
         self._peers.pop(peer, None)
-        self._share_until_ms = -float("inf")
+        self.share_until_ms = -float("inf")
 
     def update_share(self, now_ms):
         """Set the share of the rate to the fraction of VMs that still report."""
+        for peer, heard_ms in self.find_heard_ms().items():
+            self.on_peer_heard(peer, heard_ms)
         silent_ms = now_ms - self.peer_timeout_ms
         until_ms = float("inf")
         reachable_vms = 1
@@ -187,7 +192,7 @@
                 until_ms = min(until_ms, heard_ms + self.peer_timeout_ms)
             else:
                 until_ms = min(until_ms, heard_ms + PEER_EXPIRY_MS)
-        self._share_until_ms = until_ms
+        self.share_until_ms = until_ms
         known_vms = 1 + len(self._peers) + self.unheard_vms
         share = reachable_vms / known_vms
         if share == self._share:
--- a/cassiamount/store_follower.py
+++ b/cassiamount/store_follower.py
@@ -47,7 +47,7 @@
         """Read the stream forever whenever this VM is responsible for it."""
         while True:
             if not self._should_read():
-                await asyncio.sleep(self._state.peers.cache_ms() / 1000)
+                await asyncio.sleep(self._state.peers.review_interval_ms() / 1000)
                 continue
             try:
                 await self._read()
