Determine the share of the quota once for each report

The first report of a relay names all VMs, and each of them made the VM look at all others for its share of the quota: 3,600 scans at the start of 61 VMs. The tokens of all VMs of a report are debited first now.

--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -573,7 +573,7 @@
             if state.stopping:
                 self.quota.remove_peer(state.vm)
             else:
-                self.quota.on_peer_report(
+                self.quota.debit_peer(
                     state.vm, state.started_ms, state.used_tokens, now_ms
                 )
             has_news |= (
@@ -583,6 +583,7 @@
                 or before.fence != state.fence
                 or before.lost != state.lost
             )
+        self.quota.review_share(now_ms)
         return has_news
 
     def _apply_records(self, report):
--- a/cassiamount/shared_quota.py
+++ b/cassiamount/shared_quota.py
@@ -128,8 +128,20 @@
         return dict(self._used_by_team)
 
     def on_peer_report(self, peer, started, used, now_ms):
+        """Apply a report of one peer, and set the share if that changes it."""
+        self.debit_peer(peer, started, used, now_ms)
+        self.review_share(now_ms)
+
+    def review_share(self, now_ms):
+        """Set the share if it may have changed since it was set."""
+        if now_ms > self.share_until_ms:
+            self.update_share(now_ms)
+
+    def debit_peer(self, peer, started, used, now_ms):
         """Debit the tokens that a peer has charged since its previous report.
 
+        `review_share` is to be called after all peers of a report.
+
         Parameters
         ----------
         peer : str
@@ -158,11 +170,10 @@
                 )
         self._peers[peer] = (started, dict(used), now_ms)
         if (
-            now_ms > self.share_until_ms
-            or previous_report is None
+            previous_report is None
             or now_ms - previous_report[2] > self.peer_timeout_ms
         ):
-            self.update_share(now_ms)
+            self.share_until_ms = -float("inf")
 
     def on_peer_heard(self, peer, heard_ms):
         """Record when a peer was last known to go on, though it reported no use."""
