Look only at the engines that changed when a report is built

Each report compared the versions of all engines and of all models that were ever queued with the one that its receiver has. Entries now stay in the order of their versions.

--- a/cassiamount/engine_residency.py
+++ b/cassiamount/engine_residency.py
@@ -253,16 +253,14 @@
                 entry.change,
                 None if entry.value is None else entry.value.to_value(now_ms),
             )
-            for name, entry in self._engines.items()
-            if entry.version > since_version
+            for name, entry in _changed_since(self._engines, since_version)
         }
         queued = {
             model: (
                 entry.change,
                 None if entry.value is None else round(entry.value - now_ms),
             )
-            for model, entry in self._queued.items()
-            if entry.version > since_version
+            for model, entry in _changed_since(self._queued, since_version)
         }
         return ResidencyPart(self.fence, round(self.age_ms(now_ms)), engines, queued)
 
@@ -299,9 +297,19 @@
         self._change = 0
 
     def _set(self, table, key, value, change):
+        # The entries stay in the order of their versions.
+        table.pop(key, None)
         table[key] = _Entry(value, change, self._counter.next())
 
 
+def _changed_since(table, version):
+    """Yield (key, entry) of a table's entries of later versions, the last one first."""
+    for key, entry in reversed(table.items()):
+        if entry.version <= version:
+            return
+        yield key, entry
+
+
 class ResidencyChanges:
     """What changed at the engines, for the requests that it concerns.
 
