Wake waiting requests only by reports with news for them

Each report of a peer woke all waiting requests, which selected a server again. A report now notifies only if it brings other engines, queued models, limits, quarantined prompts, software versions, or VMs. Reports of running requests and used tokens wake nobody: a request that finds only full servers does not wait. A request that may wait for room must be told in on_report when it appears.

Also linked_names no longer looks a peer up twice.

--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -523,6 +523,7 @@
         link.positions = report.positions
         version_before = self._configuration_version()
         has_news = self._apply_states(report, now_ms)
+        is_settled_anew = False
         if report.quarantine is not None:
             has_news |= self.quarantine.apply(report.quarantine, now_ms)
         if report.limits is not None:
@@ -532,6 +533,7 @@
             self.on_notice()
         if report.software is not None:
             has_news |= self.software.apply(report.software, now_ms)
+            is_settled_anew = True
         self.peers.on_vouched(report.vouched_ages, now_ms)
         is_complete = received_version >= report.version
         self.learn_vms(report.places, report.knows_fleet and is_complete)
@@ -547,7 +549,11 @@
                 self._merge_residency(changes.engines)
         # Only now: the peer sends again what failed to be applied.
         link.received_version = received_version
-        self.notify()
+        # Requests wait for models, adapters, limits, versions and VMs, but not for what
+        # nearly all reports are about: the requests and tokens of other VMs. Records of
+        # the store notify of themselves.
+        if has_news or changes or is_settled_anew:
+            self.notify()
         if self.peers.topology.is_mesh:
             return set()
         targets = set()
--- a/cassiamount/peer_table.py
+++ b/cassiamount/peer_table.py
@@ -283,11 +283,13 @@
                 if now_ms - link.heard_ms <= PEER_TIMEOUT_MS and self._counts(name)
             ]
         # Most links of a VM that others once contacted are silent.
+        relays = topology.relays
         return [
             name
             for name, link in self.links.items()
             if now_ms - link.heard_ms <= MEMBER_TIMEOUT_MS
-            and self.is_linked(name, now_ms)
+            and (name not in relays or now_ms - link.heard_ms <= RELAY_TIMEOUT_MS)
+            and self._counts(name)
         ]
 
     def next_hop(self, name):
