--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -188,12 +188,12 @@
         for name in self.state.on_report(report):
             self._exchange.exchange_soon(name)
         if report.waiting:
-            self._controller.wake()
+            self._controller.on_waiting(report.waiting.keys())
 
     def _notify_lease_holder(self):
         """Tell the VM that holds the order lease that requests wait."""
         if self.state.lease.active:
-            self._controller.wake()
+            self._controller.on_waiting(self.state.demand.waiting.keys())
             return
         name = self.state.way_to_holder()
         if name is not None:
@@ -364,7 +364,7 @@
     async def _review_loop(self):
         logged_ms = self._clock.monotonic_ms()
         while True:
-            interval_ms = max(REVIEW_INTERVAL_MS, self.state.peers.cache_ms())
+            interval_ms = max(REVIEW_INTERVAL_MS, self.state.peers.review_interval_ms())
             self._delay.expect(interval_ms)
             ran_s = time.process_time()
             await asyncio.sleep(interval_ms / 1000)
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -99,6 +99,7 @@
             self._counter,
         )
         self.quota = SharedQuota(settings.first_start, clock.started_ms)
+        self.quota.find_heard_ms = self.peers.all_heard_ms
         self.retry_budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s * 1000
         )
@@ -148,6 +149,11 @@
         )
         self._wants_demand = False
         self._reviewed_ms = -float("inf")
+        # What the share of the quota was last determined by.
+        self._quota_basis = None
+        # Peers whose requests the views of backend servers count; None after a change
+        # of these.
+        self._counted_peers = None
         self._decoder = decoder
         self._started_ms = started_ms
         # Monotonic time of the start.
@@ -536,7 +542,11 @@
                 del self._missing_since_ms[name]
                 self._lost_until_ms.pop(name, None)
                 self._records.pop(name, None)
-        for name in self.view.replace(records):
+        changed = self.view.replace(records)
+        if changed:
+            # The views of new and restarted servers count no requests yet.
+            self._counted_peers = None
+        for name in changed:
             view = self.view.backends.get(name)
             log.info(
                 "backend_changed",
@@ -652,6 +662,7 @@
         link.positions = report.positions
         version_before = self._configuration_version()
         has_news = self._apply_states(report, now_ms)
+        is_settled_anew = False
         if report.quarantine is not None:
             has_news |= self.quarantine.apply(report.quarantine, now_ms)
         if report.limits is not None:
@@ -661,6 +672,7 @@
             self.on_notice()
         if report.software is not None:
             has_news |= self.software.apply(report.software, now_ms)
+            is_settled_anew = True
         self.peers.on_vouched(report.vouched_ages, now_ms)
         is_complete = received_version >= report.version
         self.learn_vms(report.places, report.knows_fleet and is_complete)
@@ -676,7 +688,11 @@
                 self._merge_residency(changes.engines)
         # Only now: the peer sends again what failed to be applied.
         link.received_version = received_version
-        self.notify()
+        # Requests wait for models, adapters, limits, versions and VMs, but not for what
+        # nearly all reports are about: the requests and tokens of other VMs. Records of
+        # the store notify of themselves.
+        if has_news or changes or is_settled_anew:
+            self.notify()
         if self.peers.topology.is_mesh:
             return set()
         targets = set()
@@ -703,7 +719,7 @@
             if state.stopping:
                 self.quota.remove_peer(state.vm)
             else:
-                self.quota.on_peer_report(
+                self.quota.debit_peer(
                     state.vm, state.started_ms, state.used_tokens, now_ms
                 )
             has_news |= (
@@ -713,6 +729,7 @@
                 or before.fence != state.fence
                 or before.lost != state.lost
             )
+        self.quota.review_share(now_ms)
         return has_news
 
     def _apply_records(self, report):
@@ -769,7 +786,7 @@
             Peers to which this VM should pass on what is new, without delay.
         """
         now_ms = self.now_ms()
-        if not 0 <= now_ms - self._reviewed_ms < self.peers.cache_ms():
+        if not 0 <= now_ms - self._reviewed_ms < self.peers.review_interval_ms():
             self._reviewed_ms = now_ms
             for name in self.peers.remove_expired(now_ms):
                 log.info("peer_forgotten", peer=name)
@@ -777,11 +794,13 @@
         lost = self.peers.mark_lost(now_ms)
         for name in lost:
             log.info("peer_lost", peer=name)
-        for name in list(self.peers.links):
-            if not self.peers.is_linked(name, now_ms):
-                self.demand.remove(name)
+        linked = self._linked_peers(now_ms)
+        for name in self.demand.peers() - linked:
+            self.demand.remove(name)
         self.demand.rates.forget_idle(now_ms)
-        self._recount_peer_requests()
+        if linked != self._counted_peers:
+            self._counted_peers = linked
+            self._recount_peer_requests()
         self.remove_missing_backends()
         self._review_evacuations(now_ms)
         self._review_certainty(now_ms)
@@ -790,10 +809,15 @@
         return self._linked_peers(now_ms) if lost or flags_changed else set()
 
     def _review_quota(self, now_ms):
-        self.quota.peer_timeout_ms = self.peers.timeout_ms()
-        self.quota.unheard_vms = len(self.peers.unheard_vms())
-        for name, heard_ms in self.peers.all_heard_ms().items():
-            self.quota.on_peer_heard(name, heard_ms)
+        basis = (
+            self.peers.live_version,
+            self.peers.timeout_ms(),
+            len(self.peers.unheard_vms()),
+        )
+        if basis == self._quota_basis and now_ms <= self.quota.share_until_ms:
+            return
+        self._quota_basis = basis
+        _, self.quota.peer_timeout_ms, self.quota.unheard_vms = basis
         share = self.quota.share
         self.quota.update_share(now_ms)
         if self.quota.share != share:
