Count the processor time of reports, plans and requests

A request has no time of its own, because its task shares the event loop with all others: it is what is neither report nor plan, by requests ended.

Tests bound the lines of code that a quiet review of the peers runs at 90 and 300 VMs, and those of unchanged request rates at 12, 90 and 300 VMs.

--- a/cassiamount/fleet_controller.py
+++ b/cassiamount/fleet_controller.py
@@ -22,6 +22,7 @@
 from .metadata_store import StoreUnavailable
 from .order_lease import LEASE_MS, RENEW_INTERVAL_MS
 from .plan_schedule import PLAN_INTERVAL_MS, PlanSchedule
+from .processor_time import PLAN
 
 # Time that the other VMs need to learn that a model is about to be unloaded.
 DRAIN_NOTICE_MS = 60.0
@@ -68,9 +69,11 @@
     exchange : PeerExchange
     metrics : Metrics
     stats : IntervalStats
+    processor : ProcessorTime
     """
 
-    def __init__(self, state, store, engines, exchange, metrics, stats):
+    def __init__(self, state, store, engines, exchange, metrics, stats, processor):
+        self._processor = processor
         self._state = state
         self._store = store
         self._engines = engines
@@ -200,12 +203,14 @@
             is_settled = all(p.is_settled() for p in self._placements.values())
             if self._schedule.is_due(plan_started_ms, demand, is_settled):
                 self._schedule.record_plan(plan_started_ms, demand)
-                self._plan_all()
+                with self._processor.measure(PLAN):
+                    self._plan_all()
                 took_ms = self._state.now_ms() - plan_started_ms
                 self._stats.observe_ms("plan", took_ms)
             elif is_woken:
                 self._schedule.record_pass(plan_started_ms)
-                self._order_adapters()
+                with self._processor.measure(PLAN):
+                    self._order_adapters()
                 took_ms = self._state.now_ms() - plan_started_ms
             else:
                 continue
--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -30,6 +30,7 @@
 from .peer_transport import PeerTransport
 from .process_delay import ProcessDelay
 from .process_usage import process_usage
+from .processor_time import ProcessorTime
 from .quarantine_store import QuarantineStore
 from .replica_selection import ReplicaSelector, SentPrefixIndex
 from .request_timeouts import RequestTimeouts
@@ -108,6 +109,7 @@
         self._clock = clock
         self._rng = rng or random.Random()
         self._metrics = Metrics()
+        self._processor = ProcessorTime(self._metrics)
         self._stats = stats or IntervalStats()
         self.state = FleetState(settings, platform.decoder, clock, clock.wall_ms())
         self._exchange = PeerExchange(
@@ -118,6 +120,7 @@
             self._on_report,
             clock,
             self._stats,
+            self._processor,
         )
         self._controller = FleetController(
             self.state,
@@ -126,6 +129,7 @@
             self._exchange,
             self._metrics,
             self._stats,
+            self._processor,
         )
         self._pool = pool or ConnectionPool(platform.codec.decode_response, clock)
         timeouts = RequestTimeouts(clock)
@@ -378,6 +382,7 @@
                     **self._stats.take(),
                     **self._controller.status(),
                     **process_usage(),
+                    **self._processor.take(),
                     task_restarts=self._supervisor.restarts,
                 )
 
--- a/cassiamount/metrics.py
+++ b/cassiamount/metrics.py
@@ -45,6 +45,8 @@
         self._counters = {}
         self._latencies = {}
         self._gauges = {}
+        # Requests of callers that have ended, whatever their status.
+        self.requests_ended = 0
 
     def count(self, name, amount=1, **labels):
         """Add to a counter.
@@ -87,6 +89,7 @@
 
     def request_ended(self, status, code, took_ms):
         """Count one request of a caller."""
+        self.requests_ended += 1
         self.count("requests_total", status=status, code=code)
         self.observe_ms("request_ms", took_ms)
 
--- a/cassiamount/peer_exchange.py
+++ b/cassiamount/peer_exchange.py
@@ -6,6 +6,7 @@
 
 from .fleet_reports import decode_report, encode_report
 from .peer_transport import PeerUnreachable
+from .processor_time import REPORT
 
 # An exchange without a reply by then counts as failed.
 REPLY_TIMEOUT_MS = 400.0
@@ -42,11 +43,21 @@
         Called with each `VmReport` received.
     clock : SystemClock or ManualClock
     stats : IntervalStats
+    processor : ProcessorTime
     """
 
     def __init__(
-        self, address, transport, peers, build_report, on_report, clock, stats
+        self,
+        address,
+        transport,
+        peers,
+        build_report,
+        on_report,
+        clock,
+        stats,
+        processor,
     ):
+        self._processor = processor
         self._address = address
         self.transport = transport
         self._peers = peers
@@ -114,13 +125,14 @@
         return link
 
     async def _handle_report(self, data):
-        try:
-            report = decode_report(data)
-        except ValueError as error:
-            log.warning("peer_report_unreadable", error=str(error))
-            raise
-        self._on_report(report)
-        reply = encode_report(self._build_report(report.vm))
+        with self._processor.measure(REPORT):
+            try:
+                report = decode_report(data)
+            except ValueError as error:
+                log.warning("peer_report_unreadable", error=str(error))
+                raise
+            self._on_report(report)
+            reply = encode_report(self._build_report(report.vm))
         self.stats.count("exchanges_answered")
         self.stats.count("report_bytes_in", len(data))
         self.stats.count("report_bytes_out", len(reply))
@@ -133,7 +145,8 @@
         ------
         PeerUnreachable
         """
-        data = encode_report(self._build_report(name))
+        with self._processor.measure(REPORT):
+            data = encode_report(self._build_report(name))
         sent_ms = self.now_ms()
         self.stats.count("report_bytes_out", len(data))
         try:
@@ -144,10 +157,11 @@
         self.stats.observe_ms("exchange", self.now_ms() - sent_ms)
         self.stats.count("exchanges")
         self.stats.count("report_bytes_in", len(reply))
-        try:
-            self._on_report(decode_report(reply))
-        except ValueError as error:
-            log.warning("peer_report_unreadable", error=str(error))
+        with self._processor.measure(REPORT):
+            try:
+                self._on_report(decode_report(reply))
+            except ValueError as error:
+                log.warning("peer_report_unreadable", error=str(error))
 
     def on_outcome(self, name, failures):
         """Use or leave a VM as a relay, by the number of failures in a row."""
--- a/tests/test_fleet_controller.py
+++ b/tests/test_fleet_controller.py
@@ -84,7 +84,7 @@
         on_store_response=lambda reached: None,
     )
     store = SlowStore()
-    controller = FleetController(state, store, None, None, None, None)
+    controller = FleetController(state, store, None, None, None, None, None)
     renewing = asyncio.create_task(controller.renew_lease())
     await store.joining.wait()
     state.stopping = True
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -9,9 +9,11 @@
 from cassiamount.clock import ManualClock
 from cassiamount.fleet_reports import encode_report
 from cassiamount.interval_stats import IntervalStats
+from cassiamount.metrics import Metrics
 from cassiamount.peer_exchange import PeerExchange
 from cassiamount.peer_table import PeerTable
 from cassiamount.peer_topology import VmPlace
+from cassiamount.processor_time import ProcessorTime
 from cassiamount.vm_state import VmState
 from tests.test_fleet_state import VmPair
 
@@ -79,6 +81,7 @@
         pair.holder.on_report,
         ManualClock(),
         IntervalStats(),
+        ProcessorTime(Metrics()),
     )
     task = asyncio.create_task(exchange.run())
     async with asyncio.timeout(20):
@@ -105,6 +108,7 @@
         pair.holder.on_report,
         ManualClock(),
         IntervalStats(),
+        ProcessorTime(Metrics()),
     )
     failures = [TypeError("of another type")] * 3
     sound = getattr(PeerExchange, part)
--- a/tests/test_report_cost.py
+++ b/tests/test_report_cost.py
@@ -1,5 +1,6 @@
 """Tests of the work that one report costs a VM in fleets of different size."""
 
+import functools
 import sys
 
 import pytest
@@ -9,6 +10,7 @@
 from cassiamount.fleet_reports import decode_report, encode_report
 from cassiamount.fleet_state import FleetState
 from cassiamount.platform.settings import decode_settings
+from cassiamount.request_rates import RequestRate, RequestRates
 from cassiamount.vm_state import VmState
 from tests.fleet_fixtures import Decoder
 from tests.test_fleet_state import SETTINGS
@@ -98,6 +100,38 @@
     return lines
 
 
+@pytest.mark.parametrize("count", [90, 300])
+def test_cost_of_a_quiet_review_does_not_grow_with_the_fleet(count):
+    """Guards against scans of all VMs several times a second."""
+    costs = []
+    for size in (30, count):
+        fleet = Fleet(size)
+        for _ in range(3):
+            fleet.exchange()
+            fleet.clock.advance(250.0)
+            fleet.member.review_peers()
+        fleet.exchange()
+        costs.append(count_lines(fleet.member.review_peers))
+    small, large = costs
+    assert large <= small + 5
+
+
+@pytest.mark.parametrize("count", [12, 90, 300])
+def test_cost_of_unchanged_rates_is_not_that_of_all_vms_and_models(count):
+    """Guards against a plan for which the rates of all VMs are added up again."""
+    costs = []
+    for models in (5, 50):
+        rates, vms = RequestRates(), [f"v{n}" for n in range(count)]
+        for version, vm in enumerate(vms):
+            report = {f"m{n}": RequestRate(1.0, 1.0) for n in range(models)}
+            rates.apply(vm, report, version)
+        rates.total(vms, 1.0)
+        costs.append(count_lines(functools.partial(rates.total, vms, 2.0)))
+    few, many = costs
+    # One sum for each model decays.
+    assert many - few <= 20 * 45
+
+
 @pytest.mark.parametrize("count", [60, 195, 400])
 def test_cost_of_a_report_at_a_member_does_not_grow_with_the_fleet(count):
     """Guards against VMs that slow down with the size of the fleet."""
