Decode the load header with three or four figures

Cause: a load header with four figures (running, waiting, slots, pace) was discarded as a whole, and of three figures only two were decoded.

Each figure is now decoded on its own. One that is no number of up to 15 digits is None and logged; a header with another number of figures is ignored and logged. Nothing uses the new figures yet.

--- a/cassiamount/backend_messages.py
+++ b/cassiamount/backend_messages.py
@@ -64,6 +64,9 @@
         Whether the backend server says that it leaves.
     retry_after_ms : float or None
         Time for which a backend server that refuses wants nothing from this VM.
+    slots, pace_percent : int or None
+        Requests that the backend server runs at once, and how long work takes there
+        now (100 is usual), from its load header.
     """
 
     __slots__ = (
@@ -80,6 +83,8 @@
         "limit_per_s",
         "leaving",
         "retry_after_ms",
+        "slots",
+        "pace_percent",
     )
 
     def __init__(
@@ -97,6 +102,8 @@
         limit_per_s=None,
         leaving=False,
         retry_after_ms=None,
+        slots=None,
+        pace_percent=None,
     ):
         self.status = status
         self.request_id = request_id
@@ -111,6 +118,8 @@
         self.limit_per_s = limit_per_s
         self.leaving = leaving
         self.retry_after_ms = retry_after_ms
+        self.slots = slots
+        self.pace_percent = pace_percent
 
 
 class ResponseHead:
--- a/cassiamount/platform/headers.py
+++ b/cassiamount/platform/headers.py
@@ -192,10 +192,7 @@
 def decode_response(status, headers):
     """Return the `ResponseMetadata` of a backend server's response head."""
     values = dict(headers)
-    running = waiting = None
-    counts = values.get(LOAD, b"").split(b",")
-    if len(counts) == 3:
-        running, waiting = _count_or_none(counts[0]), _count_or_none(counts[1])
+    running, waiting, slots, pace_percent = _load(values.get(LOAD))
     return ResponseMetadata(
         status,
         values.get(REQUEST_ID, b"").decode("latin-1"),
@@ -210,9 +207,25 @@
         _limit_per_s(values.get(SERVER_LIMIT)),
         values.get(SERVER_LEAVING, b"").strip() == b"1",
         _retry_after_ms(headers) if status == 503 else None,
+        slots,
+        pace_percent,
     )
 
 
+def _load(value):
+    """Return running, waiting, slots and pace, each None if it is missing or bad."""
+    if value is None:
+        return None, None, None, None
+    figures = value.split(b",")
+    if len(figures) not in (3, 4):
+        log.warning("load_unreadable", value=value[:40].decode("latin-1"))
+        return None, None, None, None
+    counts = [_count_or_none(figure.strip()) for figure in figures]
+    if None in counts:
+        log.warning("load_unreadable", value=value[:40].decode("latin-1"))
+    return (*counts, None) if len(counts) == 3 else tuple(counts)
+
+
 def _retry_after_ms(headers):
     """Return the longest time that the headers name; None if none is a number."""
     longest_ms = None
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -167,6 +167,23 @@
     assert not {b"authorization", b"x-own", b"connection"} & set(names)
 
 
+@pytest.mark.parametrize(
+    ("value", "figures"),
+    [
+        (b"3, 1, 12", (3, 1, 12, None)),
+        (b"3,1,12,250", (3, 1, 12, 250)),
+        (b"3,-1,12,fast", (3, None, 12, None)),
+        (b"3,1", (None, None, None, None)),
+        (b"3,1,12,100,7", (None, None, None, None)),
+        (b"1" * 16 + b",1,12,100", (None, 1, 12, 100)),
+    ],
+)
+def test_load_that_a_server_tells(value, figures):
+    """Guards against headers with a pace being dropped, and bad figures being used."""
+    told = headers.decode_response(200, [(b"x-cassiamount-server-load", value)])
+    assert (told.running, told.waiting, told.slots, told.pace_percent) == figures
+
+
 @pytest.mark.parametrize(
     ("value", "limit_per_s"),
     [
