Count the load of backend servers over all VMs and estimate starts by it

Prompt and output tokens of the requests at a server, and by priority those without a first event, are counted exactly for a VM's own requests and taken from reports for the others. Load that servers tell is passed on with its age. The report part has only entries that changed since the version that the receiver has; without a fourth figure in any load header it is null.

--- a/cassiamount/fleet_reports.py
+++ b/cassiamount/fleet_reports.py
@@ -18,6 +18,7 @@
     text,
     total,
 )
+from .load_counts import LoadPart
 from .metadata_store import KeyedRecord
 from .peer_topology import VmPlace
 from .request_limits import LimitsPart
@@ -110,6 +111,7 @@
         Of the last report that the sender has from the receiver: its `built_ms`, and
         the time since it came. By these the receiver knows, on its own clock, when this
         report was built at the earliest, however long it was under way.
+    loads : LoadPart or None
     """
 
     __slots__ = (
@@ -136,6 +138,7 @@
         "software",
         "built_ms",
         "echo",
+        "loads",
     )
 
     def __init__(self, **values):
@@ -207,6 +210,25 @@
     ),
     number,
     optional(row(number, number)),
+    optional(
+        row(
+            list_of(filled_text),
+            list_of(
+                row(
+                    text,
+                    number,
+                    optional(count),
+                    optional(count),
+                    optional(count),
+                    optional(count),
+                    number,
+                )
+            ),
+            list_of(
+                row(text, number, number, count, list_of(row(count, count, count)))
+            ),
+        )
+    ),
 )
 
 
@@ -235,6 +257,8 @@
         value["limits"] = report.limits.to_value()
     if report.software is not None:
         value["software"] = report.software.to_value()
+    if report.loads is not None:
+        value["loads"] = report.loads.to_value()
     value["places"] = [place.to_value() for place in report.places]
     return orjson.dumps([value[name] for name in VmReport.__slots__])
 
@@ -288,6 +312,8 @@
             value["limits"] = LimitsPart(*value["limits"])
         if value["software"] is not None:
             value["software"] = SoftwarePart(*value["software"])
+        if value["loads"] is not None:
+            value["loads"] = LoadPart(*value["loads"])
         value["places"] = [VmPlace(*item) for item in value["places"]]
         return VmReport(**value)
     except (KeyError, TypeError, AttributeError, IndexError) as error:
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -21,7 +21,8 @@
 )
 from .order_lease import LEASE_CANDIDATES, OrderLease
 from .peer_table import REPORT_PERIOD_MS, PeerTable
-from .peer_topology import OTHERS, OWN, VmPlace
+from .peer_topology import OTHERS, OWN, ZONE, VmPlace
+from .replica_load import ReplicaLoads
 from .request_limits import RequestLimits
 from .request_rates import RequestRate
 from .server_notices import ServerNotices
@@ -126,6 +127,7 @@
         self.limits = RequestLimits(
             settings.vm_name, self._counter, self.peers.sending_vms
         )
+        self.loads = ReplicaLoads(self._counter)
         # Whether this VM has been told of all others since its start. Before that it
         # cannot know which part of a shared limit it may use.
         self.knows_fleet = False
@@ -371,6 +373,7 @@
             return
         self.quota.set_teams(configuration.teams, self.now_ms())
         self.configuration = configuration
+        self.loads.set_services(configuration.services)
         log.info(
             "configuration_taken",
             version=configuration.version,
@@ -421,9 +424,9 @@
         self.software.observe(
             [view.record for view in self.view.backends.values()], now_ms
         )
-        self.limits.remove_others(
-            {view.record.start for view in self.view.backends.values()}
-        )
+        starts = {view.record.start for view in self.view.backends.values()}
+        self.limits.remove_others(starts)
+        self.loads.remove_others(starts)
         self._merge_residency()
         self.notify()
 
@@ -502,6 +505,7 @@
             return set()
         if known is not None and known is not link:
             self.demand.on_restart(report.vm)
+            self.loads.remove_peer(report.vm)
             self._recount_peer_requests()
         if report.seen_started_ms == self._started_ms:
             link.acked_version = report.seen
@@ -517,6 +521,8 @@
             has_news |= self.quarantine.apply(report.quarantine, now_ms)
         if report.limits is not None:
             has_news |= self.limits.apply(report.limits, now_ms)
+        if report.loads is not None:
+            self.loads.apply(report.loads, report.vm, now_ms)
         if self.notices.apply(report.leaving):
             has_news = True
             self.on_notice()
@@ -640,6 +646,7 @@
         for name in list(self.peers.links):
             if not self.peers.is_linked(name, now_ms):
                 self.demand.remove(name)
+                self.loads.remove_peer(name)
         self.demand.rates.forget_idle(now_ms)
         self._recount_peer_requests()
         self.remove_missing_backends()
@@ -658,7 +665,10 @@
             log.info("quota_share_changed", share=self.quota.share, before=share)
 
     def _recount_peer_requests(self):
-        totals = self.demand.running_by_backend(self._linked_peers(self.now_ms()))
+        now_ms = self.now_ms()
+        linked = self._linked_peers(now_ms)
+        self.loads.set_counted(linked, self._sources_for("", ZONE, now_ms))
+        totals = self.demand.running_by_backend(linked)
         for name, view in self.view.backends.items():
             view.peer_requests = totals.get(name, 0)
 
@@ -809,6 +819,7 @@
             software=self.software.part_since(since, now_ms, peers.topology.is_mesh),
             built_ms=math.floor(now_ms),
             echo=None if link is None else link.echo(now_ms),
+            loads=self.loads.part_since(since, now_ms, name, scope),
         )
 
     def _sources_for(self, name, scope, now_ms):
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -17,6 +17,7 @@
     encode_report,
 )
 from cassiamount.fleet_state import FleetState
+from cassiamount.load_counts import LoadPart
 from cassiamount.metadata_store import KeyedRecord
 from cassiamount.peer_table import PEER_EXPIRY_MS, PEER_TIMEOUT_MS, PeerTable
 from cassiamount.peer_topology import VmPlace
@@ -65,6 +66,11 @@
         "software": SoftwarePart([["s", "v1", 0.0, 0]], [["r1", "v1", 40]], None),
         "built_ms": 5_000,
         "echo": [900, 40],
+        "loads": LoadPart(
+            ["s"],
+            [["e1", 1, 9, None, 12, 240, 30]],
+            [["e1", 1, 250, 1_900, [[0, 2, 700]]]],
+        ),
     }
     values.update(changes)
     return VmReport(**values)
@@ -81,6 +87,7 @@
     assert decoded.residency.engines["e1"][1][2] == {"n": 80}
     assert [place.to_value() for place in decoded.places] == [["v8", "v8:1", "z2", 0.5]]
     assert decoded.knows_fleet
+    assert decoded.loads.backlogs == [["e1", 1, 250, 1_900, [[0, 2, 700]]]]
     assert decoded.limits.limits[1] == ["e2", 1, None, 5]
     assert decoded.quarantine.crashes == [["e1", 1, 30, [["r1", 45, ["p1", "p2"]]]]]
 
