Select replicas by the estimated time to the first event

Cause: the choice counted requests only, so that prompts queued behind long ones, and all VMs sent to the server that looked free until the next report.

Services of which a server has told its pace get the better of two random replicas with room, by the estimate. A request finds a server full by its priority, by the prefill ahead of it and by the server's memory; without room the selector returns NoReplicaReady with the reason busy.

--- a/cassiamount/fleet_node.py
+++ b/cassiamount/fleet_node.py
@@ -133,7 +133,12 @@
         memory = MemoryPlan(settings.memory_mb)
         prefixes = SentPrefixIndex()
         selector = ReplicaSelector(
-            self.state.view, settings.zone, prefixes, self.state.limits
+            self.state.view,
+            settings.zone,
+            prefixes,
+            self.state.limits,
+            self.state.loads,
+            self._rng,
         )
         self._relay = FleetRelay(
             self.state,
--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -20,6 +20,7 @@
     RelayedRequest,
 )
 from .replica_selection import (
+    BUSY,
     PAUSED,
     PLACEMENT_DECISION_MS,
     NoReplicaReady,
@@ -384,11 +385,19 @@
                 exclude,
                 request.reserved,
                 request.software,
+                request.priority,
             )
         else:
             found = self._selector.select_for_service(
-                request.service, now_ms, exclude, request.reserved, request.software
+                request.service,
+                now_ms,
+                exclude,
+                request.reserved,
+                request.software,
+                request.priority,
             )
+        if isinstance(found, NoReplicaReady) and found.reason == BUSY:
+            self._metrics.count("selections_busy_total", priority=request.priority)
         if (
             isinstance(found, NoReplicaReady)
             and found.reason == "no-backend"
@@ -479,6 +488,14 @@
                     "no replica holds what was asked for",
                     clamp_retry_after_ms(request.route.objective_ms),
                 )
+        elif found.reason == BUSY:
+            if now_ms + found.wait_ms > request.start_deadline_ms:
+                raise Refused(
+                    503,
+                    "full",
+                    "all replicas are full",
+                    clamp_retry_after_ms(found.wait_ms),
+                )
         elif now_ms + found.wait_ms > request.start_deadline_ms:
             raise Refused(
                 503,
@@ -649,6 +666,7 @@
             connection.abort()
             raise
         state.view.record_sent(name, request.target)
+        self._record_load_sent(request, selected, sent_ms)
         if request.is_model_request:
             self._prefixes.record_sent(name, request.metadata)
         if request.state.state != DISPATCHED:
@@ -667,6 +685,7 @@
             last_event=request.last_event_id,
             software=view.record.software,
             placement_age_ms=self._state.placement_age_ms(),
+            **_estimate_fields(selected.estimate),
         )
         outcome = None
         request.head_ms = request.first_event_ms = None
@@ -687,6 +706,11 @@
         finally:
             state.view.record_ended(view, request.target)
             now_ms = state.now_ms()
+            is_complete = isinstance(outcome, int) and outcome < 300
+            state.loads.record_ended(view.record.start, request, now_ms, is_complete)
+            if state.demand.waiting and state.loads.is_enabled(request.service):
+                # There may be room again for a request that waits here.
+                state.notify()
             self._watch_server(request, view.record, outcome, connection, sent_ms)
             if isinstance(outcome, int):
                 self._pool.release(connection)
@@ -704,6 +728,7 @@
     def _on_head(self, request, view, metadata):
         """Record what the head of a response says about its backend server."""
         request.head_ms = self._state.now_ms()
+        self._record_told(request, view.record, metadata)
         self._record_notices(view.record, metadata)
         # Only an answer that ran shows that a limit has ended.
         if metadata.limit_per_s is None and not 200 <= metadata.status < 300:
@@ -714,6 +739,59 @@
             self._state.notify()
             self._notify_peers()
 
+    def _record_load_sent(self, request, selected, sent_ms):
+        """Count what a request adds to the load of its server."""
+        record, metadata = selected.view.record, request.metadata
+        prefill_tokens = 0
+        if request.is_model_request:
+            cached = self._prefixes.cached_tokens(record.name, metadata)
+            prefill_tokens = max(0, (metadata.prompt_tokens or 0) - cached)
+        self._state.loads.record_sent(
+            record.start,
+            request,
+            prefill_tokens,
+            metadata.tokens or 0,
+            sent_ms,
+            request.priority,
+            request.service,
+            selected.estimate,
+            request.route.streamed,
+        )
+
+    def _record_told(self, request, record, metadata):
+        """Record the load that a server tells with the head of a response."""
+        loads, now_ms = self._state.loads, self._state.now_ms()
+        if loads.record_told(
+            record.start,
+            metadata.running,
+            metadata.waiting,
+            metadata.slots,
+            metadata.pace_percent,
+            now_ms,
+            request.service,
+        ):
+            self._log.info(
+                "service_tells_pace", service=request.service, backend=record.name
+            )
+            self._notify_peers()
+        if request.response_started:
+            # No first event tells that a stream goes on which has begun elsewhere.
+            loads.record_begun(record.start, request, now_ms)
+
+    def _record_begun(self, request, record):
+        """Record a first event, and the error of the estimate by which it was sent."""
+        begun = self._state.loads.record_begun(
+            record.start, request, self._state.now_ms()
+        )
+        if begun is not None:
+            estimate, took_ms = begun
+            error_ms = took_ms - estimate.first_event_ms
+            self._metrics.observe_ms(
+                "start_estimate_error_ms",
+                abs(error_ms),
+                side="late" if error_ms > 0 else "early",
+            )
+
     def _record_notices(self, record, metadata):
         notices, now_ms = self._state.notices, self._state.now_ms()
         if metadata.leaving and notices.record_leaving(record.start):
@@ -735,6 +813,7 @@
 
     def _on_stream(self, request, record):
         """Record where a stream begins, before its caller gets anything of it."""
+        self._record_begun(request, record)
         if request.software is None:
             request.software = record.software
             if request.route.retryable:
@@ -890,6 +969,19 @@
         )
 
 
+def _estimate_fields(estimate):
+    """Return the log fields of the `StartEstimate` that decided, which may be None."""
+    if estimate is None:
+        return {}
+    return {
+        "running": round(estimate.running),
+        "waiting": round(estimate.waiting),
+        "prefill_tokens": round(estimate.prefill_tokens),
+        "pace": round(estimate.pace, 2),
+        "load_age_ms": round(estimate.age_ms),
+    }
+
+
 def _not_begun():
     return Refused(503, "time_limit", "not begun in time", OVERLOADED_RETRY_AFTER_MS)
 
--- a/cassiamount/replica_selection.py
+++ b/cassiamount/replica_selection.py
@@ -3,6 +3,7 @@
 from itertools import islice
 
 from .fleet_orders import target_name
+from .load_counts import LOWEST_PRIORITY
 
 # Makes a replica in this availability zone win over an equally loaded remote one.
 CROSS_ZONE_PENALTY_MS = 12.0
@@ -30,18 +31,41 @@
 MAX_RETRY_AFTER_MS = 5_000.0
 # All replicas that could take a request want nothing from this VM for now.
 PAUSED = "paused"
+# All replicas that could take a request have as many as they should.
+BUSY = "busy"
+# Replicas with room that are compared at random, of which the better one is taken.
+RANDOM_CHOICES = 2
 # Retry-After time if the wait cannot be estimated.
 DEFAULT_RETRY_AFTER_MS = 700.0
 
 
 class SelectedReplica:
-    """The replica selected for a request, and the estimated time to its first byte."""
+    """The replica selected for a request, and the estimated time to its first byte.
 
-    __slots__ = ("view", "wait_ms")
+    Parameters
+    ----------
+    view : BackendView
+    wait_ms : float
+    cost_ms : float, optional
+        What decides between replicas: `wait_ms`, and what the request delays others.
+    estimate : StartEstimate, optional
+        None if the servers of the service do not tell their pace.
+    cached_tokens : int, optional
+    """
 
-    def __init__(self, view, wait_ms):
+    __slots__ = ("view", "wait_ms", "cost_ms", "estimate", "cached_tokens")
+
+    def __init__(self, view, wait_ms, cost_ms=None, estimate=None, cached_tokens=0):
         self.view = view
         self.wait_ms = wait_ms
+        self.cost_ms = wait_ms if cost_ms is None else cost_ms
+        self.estimate = estimate
+        self.cached_tokens = cached_tokens
+
+    def add_penalty(self, penalty_ms):
+        """Prefer other replicas unless they are slower by this time."""
+        self.wait_ms += penalty_ms
+        self.cost_ms += penalty_ms
 
 
 class NoReplicaReady:
@@ -50,7 +74,8 @@
     Parameters
     ----------
     reason : str
-        What is missing: ``no-backend``, ``model``, ``adapter``, ``limit``, or `PAUSED`.
+        What is missing: ``no-backend``, ``model``, ``adapter``, ``limit``, `PAUSED`,
+        or `BUSY`.
     wait_ms : float or None
         Estimated time until a replica is ready; None if unknown.
     limited : BackendView, optional
@@ -104,16 +129,27 @@
         Availability zone of this VM.
     prefixes : SentPrefixIndex
     limits : RequestLimits
+    loads : ReplicaLoads, optional
+    rng : random.Random, optional
+        Chooses among the replicas of services whose servers tell their pace.
     """
 
-    def __init__(self, view, zone, prefixes, limits):
+    def __init__(self, view, zone, prefixes, limits, loads=None, rng=None):
         self._view = view
         self._zone = zone
         self._prefixes = prefixes
         self._limits = limits
+        self._loads = loads
+        self._rng = rng
 
     def select_for_service(
-        self, service, now_ms, exclude=(), reserved=None, software=None
+        self,
+        service,
+        now_ms,
+        exclude=(),
+        reserved=None,
+        software=None,
+        priority=LOWEST_PRIORITY,
     ):
         """Select a replica for a request that names no model.
 
@@ -127,6 +163,8 @@
             that was reserved there.
         software : str, optional
             The only software version that may get the request.
+        priority : int, optional
+            0 is the most urgent; the others find replicas full earlier.
 
         Returns
         -------
@@ -137,17 +175,77 @@
             return self._when_paused_ends(
                 service, now_ms, exclude, software
             ) or NoReplicaReady("no-backend", None)
+        if self._tells_pace(service):
+            return self._best_with_room(views, None, now_ms, reserved, priority)
         candidates = [self._estimate_for_service(view) for view in views]
         return self._best_within_limits(candidates, now_ms, reserved)
 
-    def _best_within_limits(self, candidates, now_ms, reserved):
+    def _tells_pace(self, service):
+        return self._loads is not None and self._loads.is_enabled(service)
+
+    def _best_with_room(self, views, metadata, now_ms, reserved, priority):
+        """Return the best replica by the loads that servers and VMs tell.
+
+        Returns
+        -------
+        SelectedReplica, NoReplicaReady or None
+            None if there are no views.
+        """
+        candidates = []
+        room_ms = None
+        for view in views:
+            cached = 0
+            if metadata is not None:
+                cached = self._prefixes.cached_tokens(view.record.name, metadata)
+            estimate = self._loads.estimate(view, metadata, cached, now_ms, priority)
+            wait_ms = self._loads.room_wait_ms(view, estimate, metadata, priority)
+            if wait_ms > 0:
+                room_ms = wait_ms if room_ms is None else min(room_ms, wait_ms)
+                continue
+            requests = estimate.running + estimate.waiting
+            # What the prompt delays those that are at the server.
+            delay_ms = estimate.prompt_ms * requests / estimate.slots
+            zone_ms = self._zone_penalty_ms(view)
+            first_ms = estimate.first_event_ms
+            candidates.append(
+                SelectedReplica(
+                    view,
+                    first_ms + zone_ms,
+                    first_ms + delay_ms + zone_ms,
+                    estimate,
+                    cached,
+                )
+            )
+        best = self._best_within_limits(candidates, now_ms, reserved, self._choose)
+        if best is None and room_ms is not None:
+            return NoReplicaReady(BUSY, room_ms)
+        return best
+
+    def _choose(self, candidates):
+        """Return the best of a few random candidates.
+
+        All VMs know about the same of each server, and that late: without the choice at
+        random they send to the same one until the next report. A replica that has more
+        of the prompt cached than the others takes part in any case, as each VM knows
+        of other ones.
+        """
+        if len(candidates) > RANDOM_CHOICES:
+            most = max(item.cached_tokens for item in candidates)
+            cached = [item for item in candidates if 0 < item.cached_tokens == most]
+            candidates = self._rng.sample(candidates, RANDOM_CHOICES)
+            if cached:
+                candidates.append(self._rng.choice(cached))
+        return min(candidates, key=_cost_ms)
+
+    def _best_within_limits(self, candidates, now_ms, reserved, choose=None):
         """Return the best candidate that may get a request now.
 
         Returns
         -------
         SelectedReplica or NoReplicaReady
         """
-        best = next_turn = None
+        allowed = []
+        next_turn = None
         for candidate in candidates:
             start = candidate.view.record.start
             if self._limits.is_limited(start):
@@ -159,11 +257,12 @@
                         next_turn = (delay_ms, candidate.view)
                     continue
                 if not self._limits.is_stale(start, now_ms):
-                    candidate.wait_ms += LIMITED_PENALTY_MS
-            if best is None or candidate.wait_ms < best.wait_ms:
-                best = candidate
-        if best is not None or next_turn is None:
-            return best
+                    candidate.add_penalty(LIMITED_PENALTY_MS)
+            allowed.append(candidate)
+        if allowed:
+            return min(allowed, key=_cost_ms) if choose is None else choose(allowed)
+        if next_turn is None:
+            return None
         delay_ms, view = next_turn
         retry_after_ms = self._limits.retry_after_ms(view.record.start, now_ms)
         return NoReplicaReady("limit", delay_ms, view, retry_after_ms)
@@ -179,7 +278,14 @@
         return SelectedReplica(view, wait_ms + self._zone_penalty_ms(view))
 
     def select_for_model(
-        self, service, metadata, now_ms, exclude=(), reserved=None, software=None
+        self,
+        service,
+        metadata,
+        now_ms,
+        exclude=(),
+        reserved=None,
+        software=None,
+        priority=LOWEST_PRIORITY,
     ):
         """Select a replica for a request that names a model.
 
@@ -188,7 +294,7 @@
         service : str
         metadata : RequestMetadata
         now_ms : float
-        exclude, reserved, software
+        exclude, reserved, software, priority
             As in `select_for_service`.
 
         Returns
@@ -196,7 +302,7 @@
         SelectedReplica or NoReplicaReady
         """
         target = target_name(metadata.model, metadata.adapter)
-        candidates = []
+        holders = []
         usable = self._view.usable(service, now_ms, exclude, software)
         for view in usable:
             if (
@@ -205,8 +311,12 @@
             ):
                 continue
             if self._has_loaded(view, metadata):
-                candidates.append(self._estimate_for_model(view, metadata))
-        best = self._best_within_limits(candidates, now_ms, reserved)
+                holders.append(view)
+        if self._tells_pace(service):
+            best = self._best_with_room(holders, metadata, now_ms, reserved, priority)
+        else:
+            candidates = [self._estimate_for_model(view, metadata) for view in holders]
+            best = self._best_within_limits(candidates, now_ms, reserved)
         if isinstance(best, SelectedReplica):
             return best
         pause = self._when_paused_ends(service, now_ms, exclude, software, metadata)
@@ -299,6 +409,10 @@
         return 0.0 if view.record.zone == self._zone else CROSS_ZONE_PENALTY_MS
 
 
+def _cost_ms(candidate):
+    return candidate.cost_ms
+
+
 # Prompt prefixes remembered for each backend server.
 MAX_KEYS_PER_BACKEND = 2_000
 # Leading parts of a prompt that are remembered; a prompt of thousands of parts would
