Report backlogs that have become empty, also to a new peer

Cause: a report to a peer whose version was not known yet left out servers with an empty backlog. A backlog that ended between two such reports stayed counted at the receiver until the server's next request. Found by the test's reports, which start from version 0 each time.

Empty entries are now sent like others.

--- a/cassiamount/replica_load.py
+++ b/cassiamount/replica_load.py
@@ -365,9 +365,9 @@
             if version <= since_version:
                 continue
             backlog, age_ms = self._backlog_for(known, receiver, scope, now_ms)
+            # An empty one as well: the receiver may have one that was not empty.
             waiting = backlog.waiting_value()
-            if since_version or backlog.tokens or waiting:
-                backlogs.append([*server, age_ms, backlog.tokens, waiting])
+            backlogs.append([*server, age_ms, backlog.tokens, waiting])
         services = [
             n for n, version in self._services.items() if version > since_version
         ]
