--- a/tests/fleet_world/engines.py
+++ b/tests/fleet_world/engines.py
@@ -81,6 +81,8 @@
         # Request limit that answers name, and what is called when one arrives at a VM.
         self.limit_per_s = None
         self.record_told = lambda vm: None
+        # Pace that answers tell with the load, in per cent; None if they tell neither.
+        self.pace_percent = None
         self._free_slot = asyncio.Condition()
         self._history = []
         self._snapshot()
@@ -174,8 +176,10 @@
         try:
             if not self.holds(metadata):
                 return
-            step_ms = STEP_MS + STEP_MS_PER_REQUEST * self.running
-            await asyncio.sleep(metadata.prompt_tokens / PREFILL_TOKENS_PER_MS / 1000)
+            pace = (self.pace_percent or 100) / 100
+            step_ms = pace * (STEP_MS + STEP_MS_PER_REQUEST * self.running)
+            prefill_ms = pace * metadata.prompt_tokens / PREFILL_TOKENS_PER_MS
+            await asyncio.sleep(prefill_ms / 1000)
             events = max(1, metadata.output_tokens // TOKENS_PER_EVENT)
             self.write(metadata, NOTHING)
             yield True
@@ -334,6 +338,10 @@
             event_stream=status == 200 and bool(metadata.model),
             limit_per_s=self._engine.limit_per_s,
         )
+        if self._engine.pace_percent is not None:
+            head.running, head.waiting = self._engine.running, self._engine.queued
+            head.slots = self._engine.config.slots
+            head.pace_percent = self._engine.pace_percent
         if self._engine.limit_per_s is not None:
             self._engine.record_told(self._vm)
         self.messages.put_nowait(ResponseHead(head, [], None))
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -1,8 +1,10 @@
 """Tests of a large fleet on modelled links: control traffic, orders, placement."""
 
+import asyncio
+
 import pytest
 
-from tests.fleet_world import World, WorldConfig
+from tests.fleet_world import World, WorldConfig, small_world
 
 SECONDS = 4
 
@@ -47,3 +49,25 @@
     world.run(16.0)
     assert world.share("refused", "batch") <= 0.05
     assert world.share("refused") <= 0.05
+
+
+@pytest.mark.parametrize("vms", [7, 14])
+def test_all_vms_learn_of_the_load_that_servers_tell(vms):
+    """Guards against VMs that know only the load that their own requests were told."""
+    found = []
+
+    async def script(world):
+        for engine in world.engines.values():
+            engine.pace_percent = 300 if engine.name == "engine-00" else 100
+        await asyncio.sleep(2.5)
+        for vm in world.vms.values():
+            loads, view = vm.state.loads, vm.state.view.backends["engine-00"]
+            assert loads.is_enabled("llm")
+            found.append(loads.estimate(view, None, 0, vm.state.now_ms()))
+
+    small_world(vms=vms, large_vms=vms).run(3.0, script)
+    assert [estimate.pace for estimate in found] == [3.0] * vms
+    # Work at the server is counted to its end, and that of all VMs.
+    most, least = (pick(e.tokens for e in found) for pick in (max, min))
+    assert 0 < most < 40_000
+    assert least > 0
