--- a/cassiamount/backend_messages.py
+++ b/cassiamount/backend_messages.py
@@ -66,6 +66,9 @@
         Time for which a backend server that refuses wants nothing from this VM.
     cold_ms : float
         Time for which the backend server says that it is still cold.
+    slots, pace_percent : int or None
+        Requests that the backend server runs at once, and how long work takes there
+        now (100 is usual), from its load header.
     """
 
     __slots__ = (
@@ -83,6 +86,8 @@
         "leaving",
         "retry_after_ms",
         "cold_ms",
+        "slots",
+        "pace_percent",
     )
 
     def __init__(
@@ -101,6 +106,8 @@
         leaving=False,
         retry_after_ms=None,
         cold_ms=0.0,
+        slots=None,
+        pace_percent=None,
     ):
         self.status = status
         self.request_id = request_id
@@ -116,6 +123,8 @@
         self.leaving = leaving
         self.retry_after_ms = retry_after_ms
         self.cold_ms = cold_ms
+        self.slots = slots
+        self.pace_percent = pace_percent
 
 
 class ResponseHead:
--- a/cassiamount/platform/documents.py
+++ b/cassiamount/platform/documents.py
@@ -81,11 +81,6 @@
     return amount
 
 
-def _regions(value):
-    """Return the regions in a list that may be missing or empty, or None."""
-    return strings_field(value, "RegionsAllowed") or None
-
-
 def _route(value):
     targets = [(value["Service"], 1.0)] if value.get("Service") else []
     if value.get("Split"):
@@ -105,7 +100,7 @@
         gap_objective_ms=float(value.get("GapGoalMs") or 0),
         attempts=int(value.get("Attempts") or 1),
         priority=int(value["Priority"]) if value.get("Priority") is not None else 5,
-        regions=_regions(value),
+        regions=strings_field(value, "RegionsAllowed") or None,
     )
 
 
@@ -162,7 +157,7 @@
         float(value.get("Burst") or 0),
         float(value.get("RawTokens") or 1),
         charged_by_tokens,
-        _regions(value),
+        strings_field(value, "RegionsAllowed") or None,
     )
 
 
--- a/cassiamount/platform/headers.py
+++ b/cassiamount/platform/headers.py
@@ -194,10 +194,7 @@
 def decode_response(status, headers):
     """Return the `ResponseMetadata` of a backend server's response head."""
     values = dict(headers)
-    running = waiting = None
-    counts = values.get(LOAD, b"").split(b",")
-    if len(counts) == 3:
-        running, waiting = _count_or_none(counts[0]), _count_or_none(counts[1])
+    running, waiting, slots, pace_percent = _load(values.get(LOAD))
     return ResponseMetadata(
         status,
         values.get(REQUEST_ID, b"").decode("latin-1"),
@@ -213,9 +210,21 @@
         values.get(SERVER_LEAVING, b"").strip() == b"1",
         _retry_after_ms(headers) if status == 503 else None,
         cold_time_of(values.get(COLD_START, b"0")),
+        slots,
+        pace_percent,
     )
 
 
+def _load(value):
+    """Return running, waiting, slots and pace, each None if it is missing or bad."""
+    figures = [] if value is None else value.split(b",")
+    counts = [_count_or_none(figure.strip()) for figure in figures]
+    is_load = len(counts) in (3, 4)
+    if value is not None and (not is_load or None in counts):
+        log.warning("load_unreadable", value=value[:40].decode("latin-1"))
+    return (*(counts if is_load else ()), None, None, None, None)[:4]
+
+
 def _retry_after_ms(headers):
     """Return the longest time that the headers name; None if none is a number."""
     longest_ms = None
@@ -252,10 +261,8 @@
 
 
 # Response headers that apply only to the connection to the backend server.
-OWN_RESPONSE_HEADERS = {LOAD, INSTANCE, COLD_START}
-DROPPED_RESPONSE_HEADERS = (
-    CONNECTION_HEADERS - {b"content-length"} | OWN_RESPONSE_HEADERS
-)
+DROPPED_RESPONSE_HEADERS = CONNECTION_HEADERS - {b"content-length"}
+DROPPED_RESPONSE_HEADERS |= {LOAD, INSTANCE, COLD_START}
 
 
 def response_headers(headers):
--- a/cassiamount/platform/settings.py
+++ b/cassiamount/platform/settings.py
@@ -38,7 +38,7 @@
     (("Bounds", "EvacuateMs"), (int, float), "evacuate_ms", 5_000),
     (("Bounds", "ColdOverrun"), (int, float), "cold_overrun", 1.5),
     (("Bounds", "ColdSlack"), (int, float), "cold_slack", 5),
-    (("Zones",), (list, dict), "zone_regions", ()),
+    (("Zones",), dict, "zone_regions", {}),
 )
 
 
@@ -85,10 +85,7 @@
         return Err(findings)
     # The share is one of a core that is this many times as fast.
     values["processor_cores"] = round(values.pop("cpu_share") * values.pop("cores"), 2)
-    zones = values["zone_regions"]
-    if not isinstance(zones, dict):
-        zones = {str(z["Name"]): z.get("Region") for z in zones if "Name" in z}
-    values["zone_regions"] = readable_regions(zones)
+    values["zone_regions"] = readable_regions(values["zone_regions"])
     return Ok(VmSettings(**values))
 
 
--- a/cassiamount/replica_waiting.py
+++ b/cassiamount/replica_waiting.py
@@ -102,6 +102,7 @@
         expected_ms = found.wait_ms
         if found.reason == BUSY:
             expected_ms = max(expected_ms or 0.0, self._queue.estimate_ms(waiting))
+            self._metrics.count("selections_busy_total", priority=request.priority)
         refused = self._check(waiting, found, expected_ms, now_ms)
         if refused is not None:
             raise refused
