Read the regions of zones from a mapping only

The settings name them so. Another form is logged and names no region, and the VM starts. The test keeps the case and expects that.

--- a/cassiamount/platform/settings.py
+++ b/cassiamount/platform/settings.py
@@ -38,7 +38,7 @@
     (("Bounds", "EvacuateMs"), (int, float), "evacuate_ms", 5_000),
     (("Bounds", "ColdOverrun"), (int, float), "cold_overrun", 1.5),
     (("Bounds", "ColdSlack"), (int, float), "cold_slack", 5),
-    (("Zones",), dict, "zone_regions", {}),
+    (("Zones",), object, "zone_regions", {}),
 )
 
 
--- a/cassiamount/vm_settings.py
+++ b/cassiamount/vm_settings.py
@@ -104,6 +104,9 @@
     Only requests that are limited to some regions depend on them, and a VM that does
     not start for a wrong entry serves none.
     """
+    if not isinstance(zones, dict):
+        log.warning("zone_regions_unreadable", value=repr(zones)[:80])
+        return {}
     regions = {}
     for zone, region in zones.items():
         if isinstance(zone, str) and isinstance(region, str) and region:
