Keep a VM that is cut off for long careful with cold servers

Peers expire after 20 s without reports. The condition for a VM that hears nobody counted the VMs that are still known, so that it ended then, and a VM without its store and peers took every server for warm. The VMs that may still be sending were only remembered while some server was cold: one that became cold later got the whole limit from each side of a partition.

Ruled out: the age of the list and the links, which show the cut, and the time for which lost VMs are remembered (10 minutes), which is unchanged.

The review now asks for the VMs that may be sending, which remembers them regularly, and only with a service that limits its cold servers.

--- a/cassiamount/cold_servers.py
+++ b/cassiamount/cold_servers.py
@@ -296,6 +296,14 @@
             self._shares[server] = known
         return known[1]
 
+    def others_may_send(self, now_ms):
+        """Return whether any other VM may be sending requests, reachable or not.
+
+        To be called regularly, so that VMs are remembered which were last known while
+        no server was cold.
+        """
+        return len(self._sending_vms(now_ms)) > 1
+
     def _sending_vms(self, now_ms):
         """Return the VMs that may send, with those that were lost out of sight.
 
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -475,10 +475,11 @@
 
     def _review_certainty(self, now_ms):
         """Set whether this VM may have missed that servers became cold."""
-        self.limits.cold.is_unsure = not self.knows_fleet or (
-            self.limits.cold.has_rules
+        cold = self.limits.cold
+        cold.is_unsure = not self.knows_fleet or (
+            cold.has_rules
+            and cold.others_may_send(now_ms)
             and self.list_age_ms(now_ms) > UNSURE_AGE_MS
-            and self.peers.vm_count(now_ms) > 1
             and not self._linked_peers(now_ms)
         )
 
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -228,6 +228,37 @@
     assert vm.cold.interval_ms(SERVER, 2 * FORGET_VM_MS) == 250.0
 
 
+def test_vm_that_is_cut_off_for_long_goes_on_to_be_careful():
+    """Guards against a VM that, cut off, takes the limit of all others for itself.
+
+    Peers expire after 20 s without reports, and were not remembered before a server had
+    become cold: the VM then took all servers for warm, and itself for the only sender.
+    """
+    clock = ManualClock()
+    states = []
+    for name in ("v1", "v2"):
+        parsed = decode_settings(SETTINGS.format(name=name), "boot.yaml").unwrap()
+        states.append(FleetState(parsed, Decoder, clock, 1))
+    state, other = states
+    for _ in range(2):
+        other.on_report(state.build_report("v2"))
+        state.on_report(other.build_report("v1"))
+    state.learn_vms([], names_all=True)
+    state.limits.cold.set_services({"s": (COLD_MS, 20.0)})
+    state.limits.cold.observe([entry()], 0.0, True, False)
+    clock.advance(1_250.0)
+    state.review_peers()
+    for _ in range(60):
+        clock.advance(1_000.0)
+        state.review_peers()
+    now_ms = clock.monotonic_ms()
+    assert state.peers.sending_vms() == ["v1"]
+    assert state.limits.is_limited(SERVER, now_ms)
+    state.limits.cold.record_lost(SERVER, now_ms)
+    alone_ms = Vm("v1", ["v1"]).cold.interval_ms(SERVER, 0.0)
+    assert state.limits.cold.interval_ms(SERVER, now_ms) > 1.5 * alone_ms
+
+
 @pytest.mark.parametrize("value", ["soon", -1, 1e12, [], True, float("inf")])
 def test_unreadable_cold_times_have_a_bounded_meaning(value):
     """Guards against wrong values that stop the configuration, a server or a VM."""
