Displace no bodies that do not count in the budget

The first 16 KB of a body are free. A body of 4 to 16 KB that paused for a second was displaced for the memory of others, although that gave nothing back: slow small requests were refused before the body that held the memory.

Ruled out: bodies under 4 KB, which were never displaced, and the order among the bodies that count, which is unchanged.

--- a/cassiamount/body_budget.py
+++ b/cassiamount/body_budget.py
@@ -93,9 +93,11 @@
         """
         fits = self.resize(held, held.size_bytes + part_bytes)
         may_displace = held.on_displaced is not None and self._now_ms is not None
-        if may_displace and held.has_progressed():
-            self._arriving[held] = self._now_ms()
-            self._arriving.move_to_end(held)
+        # Displacing a body that does not count yet would make no room.
+        if may_displace and self._counted(held):
+            if held.has_progressed() or held not in self._arriving:
+                self._arriving[held] = self._now_ms()
+                self._arriving.move_to_end(held)
         while not fits and self._displace(held):
             fits = self.held_bytes <= self.limit_bytes
         return fits
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -228,6 +228,18 @@
     )
 
 
+def test_bodies_that_do_not_count_are_not_displaced():
+    """Guards against the refusal of slow small bodies, which makes no room for others."""
+    clock, names = Clock(), []
+    budget = BodyBudget(100_000, FREE_BYTES, lambda: clock.now_ms)
+    arriving(budget, FREE_BYTES, names, "small")
+    arriving(budget, FREE_BYTES + 1, names, "counted")
+    arriving(budget, 90_000, names, "large")
+    clock.now_ms = STALLED_MS
+    assert arriving(budget, 60_000, names, "newcomer")
+    assert names == ["counted", "large"]
+
+
 def test_complete_bodies_are_not_displaced():
     """Guards against the refusal of a request that may have run already."""
     clock, names = Clock(), []
