Give back the cost of parsing a service call once it is parsed

A call of a plain service whose body has a backslash or the key is parsed to remove the key. Its cost, up to several times the body, stayed in the budget of bodies until the call ended, although the values live only during the check: a few long uploads of binary data kept others out.

Ruled out: model requests, whose parsed document is in use for longer, and the check before parsing, which is unchanged.

--- a/cassiamount/caller.py
+++ b/cassiamount/caller.py
@@ -362,6 +362,10 @@
         if not self._budget.take(held, cost_bytes):
             raise self._no_room()
 
+    def drop_parsed(self, body, held):
+        """Give back what `check_parsed` counted; only the body is held further."""
+        self._budget.resize(held, len(body))
+
     def _part(self, message, held):
         if message["type"] == "http.disconnect":
             raise CallerGone("the caller disconnected while sending")
--- a/cassiamount/service_calls.py
+++ b/cassiamount/service_calls.py
@@ -126,6 +126,8 @@
         if key and (raw in body or b"\\" in body):
             self._edge.bodies.check_parsed(body, arrival.held)
             body = _body_without_key(body, key)
+            # The parsed values are gone; the call may still run for minutes.
+            self._edge.bodies.drop_parsed(body, arrival.held)
         if contains_key(target.encode("latin-1"), raw) or contains_key(body, raw):
             raise refuse(400, "key_in_request", "the request contains the key")
         return target, headers, body
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import types
 
 import pytest
 
+from cassiamount.arrival import EdgeLimits
 from cassiamount.backend_client import AttemptBroken, BackendResponse
 from cassiamount.body_budget import (
     PROGRESS_BYTES,
@@ -13,6 +15,7 @@
     HeldAnswer,
     HeldBody,
 )
+from cassiamount.caller import BodyReader
 from cassiamount.clock import SystemClock
 from cassiamount.fleet import CallerLimits
 from cassiamount.fleet_edge import FleetEdge, FleetProtocol
@@ -26,6 +29,7 @@
 from cassiamount.platform.headers import decode_request
 from cassiamount.process_delay import ProcessDelay
 from cassiamount.request_timeouts import RequestTimeouts
+from cassiamount.service_calls import ServiceCalls
 from cassiamount.serving import EdgeServer, open_listener
 
 BODY_BYTES = 1 << 20
@@ -229,7 +233,7 @@
 
 
 def test_bodies_that_do_not_count_are_not_displaced():
-    """Guards against the refusal of slow small bodies, which makes no room for others."""
+    """Guards against the refusal of slow small bodies, which makes no room."""
     clock, names = Clock(), []
     budget = BodyBudget(100_000, FREE_BYTES, lambda: clock.now_ms)
     arriving(budget, FREE_BYTES, names, "small")
@@ -271,3 +275,21 @@
         assert b"\r\nretry-after: " in answer
         writer.close()
         assert budget.held_bytes == 0 and relay.held == 1
+
+
+@pytest.mark.parametrize("content", [b'["\\n",1,2,3]', b"\\\xff,,,,"])
+async def test_calls_hold_no_memory_for_values_that_are_gone(content):
+    """Guards against long calls that keep others out by the cost of a past parse."""
+    bodies = BodyReader(EdgeLimits(), SystemClock(), Metrics())
+    body = content + b" " * (2 * FREE_BYTES)
+
+    async def receive():
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    arrival = types.SimpleNamespace(key="key", headers=[], query="", held=HeldBody())
+    assert await bodies.read(receive, arrival.held) == body
+    calls = ServiceCalls(types.SimpleNamespace(bodies=bodies), None)
+    assert calls._without_key(arrival, "/x", body)[2] == body
+    assert bodies.held_bytes == len(body) - FREE_BYTES
+    bodies.release(arrival.held)
+    assert bodies.held_bytes == 0
