Let the others use the share of VMs that have stopped

VMs are remembered for 10 minutes as possible senders to cold servers. After a fleet of 79 VMs had shrunk to 7, up to 58 of 100 servers that became cold had no sender among the 7, and requests for them were refused.

Ruled out: forgetting VMs that fell silent, which may be cut off and still sending, and forgetting a stopping VM at once, which still sends what waits there. A VM that said that it stops is forgotten when its state expires.

--- a/cassiamount/cold_servers.py
+++ b/cassiamount/cold_servers.py
@@ -304,6 +304,11 @@
         """
         return len(self._sending_vms(now_ms)) > 1
 
+    def forget_vm(self, name):
+        """Forget a VM that has stopped, so that the others use its share."""
+        if self._seen_ms.pop(name, None) is not None:
+            self._names_ms = -math.inf
+
     def _sending_vms(self, now_ms):
         """Return the VMs that may send, with those that were lost out of sight.
 
--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -160,6 +160,8 @@
         self._started_ms = started_ms
         # Monotonic time of the start.
         self._begun_ms = now_ms
+        # VMs whose last state said that they stop.
+        self._stopped_vms = set()
         # Backend server -> (offset of its entry, BackendRecord).
         self._records = {}
         # Whether this VM has had a list of the backend servers.
@@ -724,8 +726,10 @@
                     "peer_heard", peer=state.vm, address=state.address, by=report.vm
                 )
             if state.stopping:
+                self._stopped_vms.add(state.vm)
                 self.quota.remove_peer(state.vm)
             else:
+                self._stopped_vms.discard(state.vm)
                 self.quota.debit_peer(
                     state.vm, state.started_ms, state.used_tokens, now_ms
                 )
@@ -797,6 +801,9 @@
             self._reviewed_ms = now_ms
             for name in self.peers.remove_expired(now_ms):
                 log.info("peer_forgotten", peer=name)
+                if name in self._stopped_vms:
+                    self._stopped_vms.discard(name)
+                    self.limits.cold.forget_vm(name)
             self._review_quota(now_ms)
         lost = self.peers.mark_lost(now_ms)
         for name in lost:
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -14,6 +14,7 @@
     cold_time_of,
 )
 from cassiamount.fleet import BackendRecord
+from cassiamount.fleet_reports import decode_report, encode_report
 from cassiamount.fleet_state import FleetState
 from cassiamount.platform.documents import decode_backend, decode_configuration
 from cassiamount.platform.settings import decode_settings
@@ -228,11 +229,13 @@
     assert vm.cold.interval_ms(SERVER, 2 * FORGET_VM_MS) == 250.0
 
 
-def test_vm_that_is_cut_off_for_long_goes_on_to_be_careful():
+@pytest.mark.parametrize("has_stopped", [False, True])
+def test_vm_that_is_cut_off_for_long_goes_on_to_be_careful(has_stopped):
     """Guards against a VM that, cut off, takes the limit of all others for itself.
 
     Peers expire after 20 s without reports, and were not remembered before a server had
     become cold: the VM then took all servers for warm, and itself for the only sender.
+    Shares of VMs that have stopped must not stay unused, though.
     """
     clock = ManualClock()
     states = []
@@ -241,22 +244,27 @@
         states.append(FleetState(parsed, Decoder, clock, 1))
     state, other = states
     for _ in range(2):
-        other.on_report(state.build_report("v2"))
-        state.on_report(other.build_report("v1"))
+        other.on_report(decode_report(encode_report(state.build_report("v2"))))
+        state.on_report(decode_report(encode_report(other.build_report("v1"))))
     state.learn_vms([], names_all=True)
     state.limits.cold.set_services({"s": (COLD_MS, 20.0)})
     state.limits.cold.observe([entry()], 0.0, True, False)
     clock.advance(1_250.0)
     state.review_peers()
+    if has_stopped:
+        other.stopping = True
+        other.review_peers()
+        state.on_report(decode_report(encode_report(other.build_report("v1"))))
     for _ in range(60):
         clock.advance(1_000.0)
         state.review_peers()
     now_ms = clock.monotonic_ms()
     assert state.peers.sending_vms() == ["v1"]
-    assert state.limits.is_limited(SERVER, now_ms)
+    assert state.limits.is_limited(SERVER, now_ms) is not has_stopped
     state.limits.cold.record_lost(SERVER, now_ms)
-    alone_ms = Vm("v1", ["v1"]).cold.interval_ms(SERVER, 0.0)
-    assert state.limits.cold.interval_ms(SERVER, now_ms) > 1.5 * alone_ms
+    names = ["v1"] if has_stopped else ["v1", "v2"]
+    expected_ms = Vm("v1", names).cold.interval_ms(SERVER, 0.0)
+    assert state.limits.cold.interval_ms(SERVER, now_ms) == expected_ms
 
 
 @pytest.mark.parametrize("value", ["soon", -1, 1e12, [], True, float("inf")])
