--- a/cassiamount/cold_servers.py
+++ b/cassiamount/cold_servers.py
@@ -296,6 +296,19 @@
             self._shares[server] = known
         return known[1]
 
+    def others_may_send(self, now_ms):
+        """Return whether any other VM may be sending requests, reachable or not.
+
+        To be called regularly, so that VMs are remembered which were last known while
+        no server was cold.
+        """
+        return len(self._sending_vms(now_ms)) > 1
+
+    def forget_vm(self, name):
+        """Forget a VM that has stopped, so that the others use its share."""
+        if self._seen_ms.pop(name, None) is not None:
+            self._names_ms = -math.inf
+
     def _sending_vms(self, now_ms):
         """Return the VMs that may send, with those that were lost out of sight.
 
