Let requests for a model with full holders wait as busy

The selector gave the reason "model" when a further copy was to be loaded before a full holder was expected to have room, and always once that load was overdue. The queue looks at such requests again after 400 ms only, and the end of a request at a holder did not wake them. Reports were ruled out as the cause: they bring news of the load, but no news of room.

The reason is busy now whenever a holder is full, with the shorter one of both times.

--- a/cassiamount/replica_selection.py
+++ b/cassiamount/replica_selection.py
@@ -329,6 +329,10 @@
         if not usable:
             return pause or NoReplicaReady("no-backend", None)
         missing = self._when_loaded(usable, target, metadata, now_ms)
+        if best is not None and best.reason == BUSY:
+            # Room at a holder comes without a notice, also while a copy is loaded, so
+            # the wait for it must not be taken for one that only a load can end.
+            return _sooner_busy(best, missing)
         if best is not None and (
             missing.wait_ms is None or best.wait_ms <= missing.wait_ms
         ):
@@ -425,6 +429,13 @@
         return 0.0 if view.record.zone == self._zone else CROSS_ZONE_PENALTY_MS
 
 
+def _sooner_busy(busy, missing):
+    """Return a wait for room, or for what is loaded if that is ready sooner."""
+    if missing.wait_ms is None:
+        return busy
+    return NoReplicaReady(BUSY, min(busy.wait_ms, missing.wait_ms))
+
+
 def _cost_ms(candidate):
     return candidate.cost_ms
 
--- a/tests/test_replica_load.py
+++ b/tests/test_replica_load.py
@@ -292,6 +292,20 @@
         assert found.wait_ms > 0
 
 
+@pytest.mark.parametrize("ready_ms", [-50.0, 10.0, 60_000.0])
+def test_full_holders_are_busy_while_a_copy_is_loaded(ready_ms):
+    """Guards against requests that learn of room at a holder only after 400 ms."""
+    vm = Vm("v0", ["e0", "e1"], 12, 0)
+    for number in range(40):
+        sent_to(vm, "e0", number, 10, 10)
+        vm.loads.record_begun(("e0", 0), number, 1.0)
+    vm.view.backends["e1"].ready = {}
+    vm.view.backends["e1"].loading = {"m": ready_ms}
+    found = vm.selector.select_for_model("s", asked(), 2.0)
+    assert found.reason == BUSY
+    assert found.wait_ms <= max(0.0, ready_ms - 2.0)
+
+
 def test_long_prompt_goes_only_where_few_tokens_are_ahead():
     """Guards against prompts that queue behind long ones, and that never start."""
     vm = Vm("v0", ["e0"], 12, 0)
