Let begun streams wait for room as the most urgent requests

A stream that broke off after its latest start was ended as broken when all other servers were full, because the refusal "busy" compared with the time by which its first event had to come. It kept the priority of its route as well, with which it finds servers full earlier.

A begun stream now has priority 0 in the queue and for room, and may wait for room until its deadline. Other reasons to refuse it stay as they were, also in services whose servers tell no pace.

--- a/cassiamount/relayed_request.py
+++ b/cassiamount/relayed_request.py
@@ -197,6 +197,19 @@
             return target_name(self.metadata.model, self.metadata.adapter)
         return self.service
 
+    @property
+    def selection_priority(self):
+        """Priority in the queue and for room; a begun stream is the most urgent.
+
+        Its caller already has a part, and gets an error if it does not go on.
+        """
+        return 0 if self.response_started else self.priority
+
+    @property
+    def latest_start_ms(self):
+        """Latest start at a server with a queue; a begun stream has all its time."""
+        return self.deadline_ms if self.response_started else self.start_deadline_ms
+
     def may_retry(self, now_ms):
         """Return whether attempts and time remain; the retry budget is separate."""
         return (
--- a/cassiamount/replica_waiting.py
+++ b/cassiamount/replica_waiting.py
@@ -195,8 +195,11 @@
         """
         request = waiting.request
         self._reserve(request, found.view, now_ms)
+        latest_ms = request.start_deadline_ms
+        if found.estimate is not None:
+            latest_ms = request.latest_start_ms
         if (
-            now_ms + found.wait_ms > max(request.start_deadline_ms, now_ms + 1)
+            now_ms + found.wait_ms > max(latest_ms, now_ms + 1)
             and found.wait_ms > request.route.objective_ms
         ):
             self._queue.refund(waiting)
--- a/cassiamount/request_selection.py
+++ b/cassiamount/request_selection.py
@@ -47,7 +47,7 @@
                 exclude,
                 request.reserved,
                 request.software,
-                priority=request.priority,
+                priority=request.selection_priority,
             )
         else:
             found = self._selector.select_for_service(
@@ -56,7 +56,7 @@
                 exclude,
                 request.reserved,
                 request.software,
-                priority=request.priority,
+                priority=request.selection_priority,
             )
         if (
             isinstance(found, NoReplicaReady)
--- a/cassiamount/waiting_refusals.py
+++ b/cassiamount/waiting_refusals.py
@@ -69,9 +69,8 @@
         )
     if found.reason == IN_ORDER:
         return None
-    is_late = now_ms + (expected_ms or 0.0) > request.start_deadline_ms
     if found.reason == BUSY:
-        if not is_late:
+        if now_ms + (expected_ms or 0.0) <= request.latest_start_ms:
             return None
         return Refused(
             503,
@@ -79,6 +78,7 @@
             "backend servers are full, and too many requests wait for them",
             busy_retry_after_ms(request, expected_ms or 0.0, now_ms, rng),
         )
+    is_late = now_ms + (expected_ms or 0.0) > request.start_deadline_ms
     if found.limited is not None:
         if not is_late:
             return None
--- a/cassiamount/waiting_requests.py
+++ b/cassiamount/waiting_requests.py
@@ -66,11 +66,11 @@
         self.request = request
         self.request_id = next(self._numbers)
         self.team = "" if request.team is None else request.team.name
-        self.priority = request.priority
+        self.priority = request.selection_priority
         self.route = (route, self.request_id) if is_own else route
         self.is_own = is_own
         self.arrived_ms = request.inbound.arrived_ms
-        self.deadline_ms = request.start_deadline_ms
+        self.deadline_ms = request.latest_start_ms
         self.cost_tokens = max(1, request.metadata.tokens or 1)
         self.unknown_limit_ms = unknown_limit_ms
         self.since_ms = now_ms
--- a/tests/test_replica_waiting.py
+++ b/tests/test_replica_waiting.py
@@ -141,3 +141,29 @@
     status, _, body = await request
     assert status == 503 and b"by the latest start" in body
     assert not fleet.replicas["s1"].seen
+
+
+async def test_begun_stream_waits_for_room_after_its_latest_start(fleet, monkeypatch):
+    """Guards against answers that break off because other servers are full."""
+    # The latest start has passed when the stream breaks off.
+    monkeypatch.setattr("cassiamount.relayed_request.START_DEADLINE_FRACTION", 0.0)
+    select, priorities = ReplicaSelector.select_for_model, []
+
+    def select_with_room_at_last(selector, *args, **options):
+        priorities.append(options["priority"])
+        if 1 < len(priorities) < 4:
+            return NoReplicaReady(BUSY, 10.0)
+        return select(selector, *args, **options)
+
+    monkeypatch.setattr(ReplicaSelector, "select_for_model", select_with_room_at_last)
+    for name in ("e1", "e2"):
+        await fleet.add_replica(name, "llm", {"m1": []})
+        fleet.replicas[name].break_streams = 1
+    await fleet.add_vm("v1")
+    fleet.replicas["e2"].break_streams = 0
+    fleet.nodes["v1"].state.view.backends["e2"].avoided_until_ms = float("inf")
+    status, _, body = await fleet.send_request(
+        "v1", "/chat/x", X_Cassiamount_Model="m1"
+    )
+    assert (status, body.count(b"data:")) == (200, 5)
+    assert priorities == [1, 0, 0, 0]
--- a/tests/test_waiting_requests.py
+++ b/tests/test_waiting_requests.py
@@ -24,9 +24,11 @@
     request = SimpleNamespace(
         team=SimpleNamespace(name=team),
         priority=priority,
+        selection_priority=priority,
         metadata=SimpleNamespace(tokens=tokens),
         inbound=SimpleNamespace(arrived_ms=now_ms),
         start_deadline_ms=now_ms + start_ms,
+        latest_start_ms=now_ms + start_ms,
         deadline_ms=now_ms + start_ms / 0.7,
         route=ROUTE,
     )
