Keep the load that a silent peer reported until it is heard again or expires

After a silence longer than the timeout of its link, a peer's backlog was dropped. Reports hold only the changes since the version that the receiver has acknowledged, so the peer did not report it again before its next change at the same server: meanwhile its tokens were missing from the memory of the server. Loss of the report itself was ruled out, because it is repeated until it is acknowledged.

The backlog is no longer counted while the peer is silent, as before, and is counted again once it is heard.

--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -796,6 +796,7 @@
             self._reviewed_ms = now_ms
             for name in self.peers.remove_expired(now_ms):
                 log.info("peer_forgotten", peer=name)
+                self.loads.remove_peer(name)
             self._review_quota(now_ms)
         lost = self.peers.mark_lost(now_ms)
         for name in lost:
@@ -803,8 +804,9 @@
         linked = self._linked_peers(now_ms)
         for name in self.demand.peers() - linked:
             self.demand.remove(name)
-            self.loads.remove_peer(name)
         self.demand.rates.forget_idle(now_ms)
+        # The loads of a silent peer are kept without counting them: its reports do not
+        # repeat what this VM has acknowledged.
         if linked != self._counted_peers:
             self._counted_peers = linked
             self._recount_peer_requests()
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -183,6 +183,30 @@
     assert "a" not in rates or rates["a"].fast_per_s < 0.01
 
 
+def test_load_of_a_silent_vm_counts_again_when_it_is_heard():
+    """Guards against full memory after a silence: reports do not repeat the load."""
+    pair = VmPair()
+    view = _add_backend(pair.holder)
+    start, loads = view.record.start, pair.other.loads
+    loads.record_told(start, 1, 0, 4, 100, pair.clock.monotonic_ms(), "llm")
+    loads.record_sent(start, "r", 500, 600, pair.clock.monotonic_ms())
+
+    def counted_tokens():
+        pair.holder.review_peers()
+        now_ms = pair.clock.monotonic_ms()
+        return pair.holder.loads.estimate(view, None, 0, now_ms).tokens
+
+    pair.exchange()
+    assert counted_tokens() == 600
+    pair.clock.advance(3_000.0)
+    assert counted_tokens() == 0
+    pair.exchange()
+    assert counted_tokens() == 600
+    pair.clock.advance(PEER_EXPIRY_MS + 1)
+    assert counted_tokens() == 0
+    assert not pair.holder.loads._servers[start].peers
+
+
 @pytest.mark.parametrize(
     ("shift_ms", "reported"),
     [(10.0, False), (1_000.0, True)],
