--- a/cassiamount/fleet_state.py
+++ b/cassiamount/fleet_state.py
@@ -801,6 +801,7 @@
             self._reviewed_ms = now_ms
             for name in self.peers.remove_expired(now_ms):
                 log.info("peer_forgotten", peer=name)
+                self.loads.remove_peer(name)
                 if name in self._stopped_vms:
                     self._stopped_vms.discard(name)
                     self.limits.cold.forget_vm(name)
@@ -811,8 +812,9 @@
         linked = self._linked_peers(now_ms)
         for name in self.demand.peers() - linked:
             self.demand.remove(name)
-            self.loads.remove_peer(name)
         self.demand.rates.forget_idle(now_ms)
+        # The loads of a silent peer are kept without counting them: its reports do not
+        # repeat what this VM has acknowledged.
         if linked != self._counted_peers:
             self._counted_peers = linked
             self._recount_peer_requests()
