Serve one head of many lines, and refuse many of them at once

A limit of 256 lines turned a legal head of 16 KB away with 431, found by the review: 300 lines of 30 bytes are 9 KB. What has to be bounded is the memory of the lines' objects over all connections, some 200 bytes each. Lines beyond 256 of a head now share 4 MiB; over it a head is refused as not run (503). A smaller limit for each head was ruled out, as any is met by a legal head.

--- a/cassiamount/serving.py
+++ b/cassiamount/serving.py
@@ -13,7 +13,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .answers import error_body
-from .body_budget import PROGRESS_BYTES, STALLED_MS
+from .body_budget import PROGRESS_BYTES, STALLED_MS, BodyBudget, HeldBody
 from .caller import HAS_LEFT, IS_FOLLOWED, WRITE_PART
 from .caller_listener import ACCEPTS_AT_ONCE, CallerListener
 from .connection_end import has_ended
@@ -29,9 +29,13 @@
 MAX_WAITING_BYTES = 16 << 10
 # Most bytes that one read of a connection takes in.
 MAX_READ_BYTES = 16 << 10
-# Most lines of a head. As objects each takes some 200 bytes, whatever its length, so
-# those of a head of 16 KB could take 500 KB. Clients send fewer than 100.
-MAX_HEAD_LINES = 256
+# As an object a line of a head takes some 200 bytes, whatever its length, so those of
+# a head of 16 KB can take 600 KB. Lines beyond the first 256 of a head, of which
+# clients send fewer than 100, share a budget of all connections: one such head is
+# served, many at once are refused.
+FREE_HEAD_LINES = 256
+HEAD_LINE_BYTES = 200
+EXCESS_LINES_BYTES = 4 << 20
 # How often a connection that is read no further is asked for its end.
 END_CHECK_INTERVAL_S = 0.2
 # An answer waits while this many bytes are not sent yet.
@@ -69,6 +73,8 @@
     # Connections whose body is arriving -> when it made progress, the one longest
     # without progress first.
     arriving = collections.OrderedDict()
+    # What the lines beyond `FREE_HEAD_LINES` of all heads of the server take.
+    line_budget = BodyBudget(EXCESS_LINES_BYTES)
 
     def connection_made(self, transport):
         """Accept a connection; if there are too many, close another one or this one.
@@ -88,7 +94,8 @@
         # Bytes of a body of unknown length since the last ones with content.
         self._framing_bytes = 0
         self._in_head = True
-        self._has_excess_lines = False
+        self._excess_lines = HeldBody()
+        self._lines_refused = False
         self._wire_bytes = 0
         self._stopping = False
         self._timed = False
@@ -120,6 +127,7 @@
             running.message_event.set()
         self.idle.pop(self, None)
         self.arriving.pop(self, None)
+        self.line_budget.release(self._excess_lines)
         super().connection_lost(exc)
 
     def data_received(self, data):
@@ -236,6 +244,8 @@
         if self._waiting is not None and not self.transport.is_closing():
             data, self._waiting = self._waiting, None
             self._parse(data)
+        if self.cycle.response_complete and not self._head_has_begun:
+            self.line_budget.release(self._excess_lines)
         if self.transport.is_closing():
             self._waiting = None
             return
@@ -261,7 +271,7 @@
             self._note_progress(len(data))
             if self._framing_bytes > self.head_bytes and not self._body_left_bytes:
                 self._refuse_framing()
-        elif self._wire_bytes > self.head_bytes or self._has_excess_lines:
+        elif self._wire_bytes > self.head_bytes or self._lines_refused:
             self._refuse_head()
         elif not self._answer_is_due():
             self._limit_head_time()
@@ -286,10 +296,13 @@
         """
         if not self._in_head:
             return
-        if len(self.headers) < MAX_HEAD_LINES:
+        if len(self.headers) < FREE_HEAD_LINES or (
+            not self._lines_refused
+            and self.line_budget.take(self._excess_lines, HEAD_LINE_BYTES)
+        ):
             super().on_header(name, value)
         else:
-            self._has_excess_lines = True
+            self._lines_refused = True
 
     def on_headers_complete(self):
         """Check the size of a head that came in one piece."""
@@ -301,7 +314,7 @@
             size += len(name) + len(value) + 4
             if name == b"content-length":
                 self._body_left_bytes = int(value)
-        if size > self.head_bytes or self._has_excess_lines:
+        if size > self.head_bytes or self._lines_refused:
             self._refuse_head()
             return
         super().on_headers_complete()
@@ -367,12 +380,19 @@
         super().shutdown()
 
     def _refuse_head(self):
+        if self._lines_refused:
+            self._count("head_lines")
+            log.info(
+                "head_refused",
+                bound="EXCESS_LINES_BYTES",
+                limit_bytes=EXCESS_LINES_BYTES,
+                held_bytes=self.line_budget.held_bytes,
+            )
+            message = "heads of many lines take up all memory set aside for them"
+            self._answer(Refusal(503, "not_run", message, retry_after_s=1))
+            return
         self._count("header_too_large")
-        if self._has_excess_lines:
-            log.info("head_refused", bound="MAX_HEAD_LINES", limit=MAX_HEAD_LINES)
-            message = f"the head exceeds {MAX_HEAD_LINES} lines"
-        else:
-            message = f"the head exceeds {self.head_bytes} bytes"
+        message = f"the head exceeds {self.head_bytes} bytes"
         self._answer(Refusal(431, "header_too_large", message))
 
     def _refuse_framing(self):
@@ -460,6 +480,7 @@
                 "metrics": metrics,
                 "idle": collections.OrderedDict(),
                 "arriving": collections.OrderedDict(),
+                "line_budget": BodyBudget(EXCESS_LINES_BYTES),
                 "caller_limits": staticmethod(caller_limits),
             },
         )
