Keep the set of linked peers between reports

The set is determined again when a peer that is not in it is heard, when the topology changes and when the first of its peers can have become silent.

--- a/cassiamount/peer_table.py
+++ b/cassiamount/peer_table.py
@@ -151,6 +151,11 @@
         self._roles = None
         # Peer -> whether its requests count, in the current topology.
         self._counted = {}
+        # Names of the linked peers, None after a change; the time at which they were
+        # determined, and the time until which none of them can become silent.
+        self._linked = None
+        self._linked_ms = 0.0
+        self._linked_until_ms = 0.0
 
     # Links.
 
@@ -163,6 +168,7 @@
             )
             self._topology = PeerTopology(own, self.places, self.failing)
             self._counted = {}
+            self._linked = None
             if self._topology.relay != self._relay:
                 self._relay = self._topology.relay
                 # A new sequence number, because the new relay vouches for this VM.
@@ -276,6 +282,22 @@
     def linked_names(self, now_ms):
         """Return the names of all linked peers."""
         topology = self.topology
+        if (
+            self._linked is None
+            or not self._linked_ms <= now_ms <= self._linked_until_ms
+        ):
+            self._linked = self._find_linked(topology, now_ms)
+            self._linked_ms = now_ms
+            self._linked_until_ms = min(
+                (
+                    self.links[name].heard_ms + self.link_timeout_ms(name)
+                    for name in self._linked
+                ),
+                default=float("inf"),
+            )
+        return self._linked
+
+    def _find_linked(self, topology, now_ms):
         if topology.is_mesh:
             return [
                 name
@@ -366,6 +388,8 @@
             link = self.links[name] = Link(started_ms)
         if now_ms - link.heard_ms > PEER_TIMEOUT_MS:
             self._forget_live()
+        if self._linked is not None and name not in self._linked:
+            self._linked = None
         link.heard_ms = now_ms
         self._heard_ms[name] = now_ms
         self._vouched_ms[name] = now_ms
@@ -552,7 +576,7 @@
             name for name, at_ms in heard_ms.items() if now_ms - at_ms > PEER_EXPIRY_MS
         ]
         if expired:
-            self._vouchers = self._own_vouched = None
+            self._vouchers = self._own_vouched = self._linked = None
             self._forget_live()
         else:
             first_ms = min(heard_ms.values(), default=float("inf"))
--- a/tests/test_live_vms.py
+++ b/tests/test_live_vms.py
@@ -49,8 +49,12 @@
             table.on_vouched({name: rng.uniform(0.0, 3_000.0)}, now_ms)
         elif action < 0.9:
             now_ms += rng.choice([0.0, 700.0, 2_500.0])
+        linked = [n for n in table.links if table.is_linked(n, now_ms)]
+        assert table.linked_names(now_ms) == linked
         table.mark_lost(now_ms)
         table.remove_expired(now_ms)
+        linked = [n for n in table.links if table.is_linked(n, now_ms)]
+        assert table.linked_names(now_ms) == linked
         oldest_ms = now_ms - table.timeout_ms()
         heard_ms = table.all_heard_ms()
         expected = {
--- a/tests/test_report_cost.py
+++ b/tests/test_report_cost.py
@@ -116,6 +116,23 @@
     assert large <= small + 5
 
 
+@pytest.mark.parametrize("count", [8, 90, 300])
+def test_linked_peers_are_not_looked_for_at_each_report(count):
+    """Guards against a scan of all links, most of them silent, for each report."""
+    clock = ManualClock()
+    peers = start_vm(0, clock).peers
+    states = [
+        VmState(f"vm-{n:03d}", f"z{n % ZONES}", f"127.0.0.1:{1_000 + n}", 1)
+        for n in range(1, count)
+    ]
+    for state in states:
+        peers.on_contact(state.vm, 1, 0.0)
+        peers.apply_states([state], state.vm, 0.0)
+    assert peers.linked_names(1.0)
+    peers.on_contact(peers.linked_names(1.0)[0], 1, 2.0)
+    assert count_lines(functools.partial(peers.linked_names, 3.0)) <= 12
+
+
 @pytest.mark.parametrize("count", [12, 90, 300])
 def test_cost_of_unchanged_rates_is_not_that_of_all_vms_and_models(count):
     """Guards against a plan for which the rates of all VMs are added up again."""
