Look for healthy servers only among those that hold the model

Selection for a model built lists over all servers of its service, although a few hold the model. They are built only if none of the holders is healthy.

--- a/cassiamount/fleet_view.py
+++ b/cassiamount/fleet_view.py
@@ -181,18 +181,33 @@
         healthy = [view for view in views if view.avoided_until_ms <= now_ms]
         return healthy or views
 
+    def healthy(self, views, now_ms, exclude=(), software=None):
+        """Return those of some views that may get a request and are not avoided.
+
+        If there are any, `usable` returns them too, and no other ones of `views`.
+        """
+        return [
+            view
+            for view in self._willing(views, exclude, software)
+            if view.avoided_until_ms <= now_ms
+            and self.notices.may_send(view.record.start, now_ms)
+        ]
+
     def willing(self, service, exclude=(), software=None):
         """Return `usable` with the servers that want nothing from this VM for now."""
+        return self._willing(self.of_service(service), exclude, software)
+
+    def _willing(self, views, exclude, software):
         return [
             view
-            for view in self._staying(service, exclude, software)
+            for view in self._staying(views, exclude, software)
             if not self.evacuations.is_evacuated(view.record.zone)
         ]
 
-    def _staying(self, service, exclude, software):
+    def _staying(self, views, exclude, software):
         return [
             view
-            for view in self.of_service(service)
+            for view in views
             if not view.leaving
             and view.record.name not in exclude
             and software in (None, view.record.software)
@@ -207,7 +222,7 @@
             return []
         return [
             view
-            for view in self._staying(service, exclude, software)
+            for view in self._staying(self.of_service(service), exclude, software)
             if self.evacuations.is_evacuated(view.record.zone)
             and self.evacuations.accepts(view.record.zone, now_ms, is_only_copy=True)
             and self.notices.may_send(view.record.start, now_ms)
--- a/cassiamount/replica_selection.py
+++ b/cassiamount/replica_selection.py
@@ -311,8 +311,13 @@
         SelectedReplica or NoReplicaReady
         """
         target = target_name(metadata.model, metadata.adapter)
-        usable = self._view.usable(service, now_ms, exclude, software)
-        holders = self._holders(usable, target, metadata, now_ms)
+        usable = None
+        copies = self._holders(self._view.of_service(service), target, metadata, now_ms)
+        holders = self._view.healthy(copies, now_ms, exclude, software)
+        if not holders:
+            # Whether avoided servers get requests depends on those without a copy.
+            usable = self._view.usable(service, now_ms, exclude, software)
+            holders = self._holders(usable, target, metadata, now_ms)
         has_copy_elsewhere = bool(holders)
         if not has_copy_elsewhere:
             views = self._view.only_copies(service, now_ms, exclude, software)
@@ -325,6 +330,8 @@
         if isinstance(best, SelectedReplica):
             best.is_only_copy = not has_copy_elsewhere
             return best
+        if usable is None:
+            usable = self._view.usable(service, now_ms, exclude, software)
         pause = self._when_paused_ends(service, now_ms, exclude, software, metadata)
         if not usable:
             return pause or NoReplicaReady("no-backend", None)
--- a/tests/test_replica_selection.py
+++ b/tests/test_replica_selection.py
@@ -1,5 +1,7 @@
 """Tests of the selection of a replica for a request."""
 
+import random
+
 import pytest
 
 from cassiamount.change_counter import ChangeCounter
@@ -149,6 +151,64 @@
     assert len(view.usable("s", 200.0)) == 2
 
 
+@pytest.mark.parametrize("seed", range(40))
+def test_model_request_goes_to_a_usable_replica_only(seed):
+    """Guards against copies that are used though they leave, pause or are avoided."""
+    rng = random.Random(seed)
+    records = [
+        record(f"e{n}", zone=f"z{n % 3}", models=["m"] if rng.random() < 0.5 else [])
+        for n in range(rng.randint(1, 6))
+    ]
+    for item in records:
+        item.software = rng.choice(["a", "b"])
+    view = view_of(*records)
+    for found in view.backends.values():
+        found.leaving = rng.random() < 0.2
+        found.avoided_until_ms = rng.choice([0.0, 50.0, 200.0])
+        found.missing_until_ms = {"m": rng.choice([0.0, 0.0, 200.0])}
+        if rng.random() < 0.2:
+            view.notices.record_pause(found.record.start, 500.0, 0.0)
+        if rng.random() < 0.2:
+            view.notices.record_leaving(found.record.start)
+    exclude = {rng.choice(records).name} if rng.random() < 0.3 else ()
+    for software in (None, "a"):
+        usable = view.usable("s", 100.0, exclude, software)
+        expected = {
+            found.record.name
+            for found in usable
+            if found.missing_until_ms["m"] <= 100.0 and "m" in found.ready
+        }
+        best = selector_of(view).select_for_model(
+            "s", call_metadata(), 100.0, exclude, software=software
+        )
+        if expected:
+            assert best.view.record.name in expected
+        else:
+            assert isinstance(best, NoReplicaReady)
+
+
+class CountingNotices(ServerNotices):
+    """Counts the servers that are asked about."""
+
+    def __init__(self):
+        super().__init__(ChangeCounter())
+        self.asked = 0
+
+    def may_send(self, server, now_ms):
+        self.asked += 1
+        return super().may_send(server, now_ms)
+
+
+def test_replicas_without_the_model_are_not_examined():
+    """Guards against work for all engines of a service when a few have the model."""
+    view = FleetView(CountingNotices())
+    records = [record(f"e{n}", models=["m"] * (n < 2)) for n in range(60)]
+    view.replace({item.name: item for item in records})
+    found = selector_of(view).select_for_model("s", call_metadata(), 0.0)
+    assert found.view.record.name in ("e0", "e1")
+    assert view.notices.asked == 2
+
+
 def test_restarted_replica_starts_with_zero_counts():
     """Guards against counts of the previous process with the same name."""
     view = view_of(record("b1", leaving=True))
