Select by reported load only where the settings ask for it

Selection.ByLoad in the settings, off by default, switches the part on. The modelled fleet of the tests sets it.

--- a/cassiamount/fleet_relay.py
+++ b/cassiamount/fleet_relay.py
@@ -526,6 +526,8 @@
 
     def _record_told(self, request, record, metadata):
         """Record the load that a server tells with the head of a response."""
+        if not self._state.settings.selects_by_load:
+            return
         loads, now_ms = self._state.loads, self._state.now_ms()
         if loads.record_told(
             record.start,
--- a/cassiamount/platform/settings.py
+++ b/cassiamount/platform/settings.py
@@ -35,6 +35,7 @@
     (("Limits", "Cores"), (int, float), "cores", 1),
     (("Limits", "MaxFds"), int, "max_descriptors", None),
     (("Limits", "MemoryMb"), (int, float), "memory_mb", 300),
+    (("Selection", "ByLoad"), bool, "selects_by_load", False),
     (("Bounds", "EvacuateMs"), (int, float), "evacuate_ms", 5_000),
     (("Bounds", "ColdOverrun"), (int, float), "cold_overrun", 1.5),
     (("Bounds", "ColdSlack"), (int, float), "cold_slack", 5),
--- a/cassiamount/vm_settings.py
+++ b/cassiamount/vm_settings.py
@@ -42,6 +42,9 @@
         Most descriptors that the VM's process may open.
     memory_mb : float
         Memory beyond which the platform kills the VM's process.
+    selects_by_load : bool
+        Whether servers are selected by the load and the pace that they report, where
+        they do, and requests wait on the VM for room.
     evacuate_ms : float
         Time after the write of an order to evacuate a zone from which no request may
         reach its backend servers.
@@ -74,6 +77,7 @@
         "processor_cores",
         "max_descriptors",
         "memory_mb",
+        "selects_by_load",
         "evacuate_ms",
         "cold_overrun",
         "cold_slack",
--- a/tests/fleet_world/world.py
+++ b/tests/fleet_world/world.py
@@ -56,6 +56,8 @@
 Limits:
   CpuShare: {cores}
   Cores: 1
+Selection:
+  ByLoad: true
 Bounds:
   RevokeMs: 5000
 """
